--- a/script/deployment.ts
+++ b/script/deployment.ts
@@ -1,7 +1,7 @@
 /** A whole deployment of processes on loopback: stand-ins, entries, agents. */
 import type { Answers } from '../src/types/answers.js'
 import type { ListedInstance } from '../src/types/platform.js'
-import { freeAddress, planUpstreams, startDaemon, startStandIn, type PlannedUpstream, type Started, type StartedInstance } from './launch.js'
+import { freshAddress, planUpstreams, startDaemon, startStandIn, type PlannedUpstream, type Started, type StartedInstance } from './launch.js'
 
 /** The running deployment. */
 export interface RunningDeployment {
@@ -37,7 +37,7 @@
 async function startEntryInstance (answers: Answers, index: number, platform: Readonly<Record<string, string>>): Promise<StartedInstance> {
   const place = answers.dataCentres[index % answers.dataCentres.length]
   if (place === undefined) throw new Error('the answers name no data centre')
-  const [listen, control] = [await freeAddress(), await freeAddress()]
+  const [listen, control] = [freshAddress(), freshAddress()]
   const instance = `entry-${index}`
   const child = await startDaemon({ role: 'entry', instance, 'data-centre': place.name, region: place.region, listen, control, 'log-level': 'warn', ...platform })
   const listed: ListedInstance = { instance, role: 'entry', service: '', dataCentre: place.name, region: place.region, state: 'live', address: listen, controlAddress: control }
@@ -47,7 +47,7 @@
 async function startUpstreamInstance (planned: PlannedUpstream, index: number, platform: Readonly<Record<string, string>>, sources: Readonly<Record<string, string>>): Promise<StartedInstance> {
   const { service, kind, dataCentre, region } = planned
   const upstream = await startStandIn(kind === 'model' ? 'engine' : 'service')
-  const [listen, control] = [await freeAddress(), await freeAddress()]
+  const [listen, control] = [freshAddress(), freshAddress()]
   const instance = `${service}-${index}`
   const weights = kind === 'model' ? sources : {}
   const child = await startDaemon({ role: 'agent', instance, 'data-centre': dataCentre, region, service, listen, control, upstream: `http://${upstream.listen}`, 'log-level': 'warn', ...platform, ...weights })
--- a/script/launch.ts
+++ b/script/launch.ts
@@ -1,6 +1,5 @@
 /** Starts the processes of a deployment on loopback, for the demo and the failure tests. */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { createServer } from 'node:net'
 import { fileURLToPath } from 'node:url'
 import type { Answers } from '../src/types/answers.js'
 import type { ListedInstance } from '../src/types/platform.js'
@@ -45,13 +44,17 @@
   return { code, output }
 }
 
-/** An address that was free a moment ago. */
-export async function freeAddress (): Promise<string> {
-  const server = createServer()
-  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-  const bound = server.address()
-  await new Promise<void>(resolve => { server.close(() => { resolve() }) })
-  return `127.0.0.1:${typeof bound === 'object' && bound !== null ? bound.port : 0}`
+const firstPort = 10_000
+const portRange = 20_000
+const secondOctets = 250
+let addressesTaken = 0
+
+/** An address on loopback that no other call and no other process of this kind gets: the process id chooses port and second octet. */
+export function freshAddress (): string {
+  const port = firstPort + Math.floor(process.pid / secondOctets) % portRange
+  const number = addressesTaken
+  addressesTaken += 1
+  return `127.${1 + process.pid % secondOctets}.${Math.floor(number / 250)}.${1 + number % 250}:${port}`
 }
 
 /** Service, data centre and kind of each upstream of a deployment. */
--- a/src/utils/log.ts
+++ b/src/utils/log.ts
@@ -2,7 +2,7 @@
 import { ROARR, Roarr, type Logger } from 'roarr'
 
 /** Parts of the system that log. */
-export type Part = 'admission' | 'claims' | 'command' | 'configuration' | 'entry' | 'agent' | 'exchange' | 'gate' | 'instances' | 'orders' | 'routing' | 'settings' | 'stop'
+export type Part = 'admission' | 'claims' | 'command' | 'configuration' | 'entry' | 'agent' | 'exchange' | 'gate' | 'instances' | 'orders' | 'routing' | 'settings' | 'stop' | 'trace'
 
 /** Logger whose sentences start with the part's name. */
 export interface PartLog {
