Fan the configuration out and confirm it, wired into both roles

Cause: every node read the log itself, and a node cut off from it went on with its old configuration for ever. Change: the first two live entries of a data centre read the log; all other nodes follow two nodes of a tree below them over a two-way gRPC stream, and an entry of another data centre when these fail; the log itself comes last. A peer's confirmation counts from the moment the question was sent, so no delay, pause or cycle extends it.

--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -6,6 +6,9 @@
 
 const keptRefusals = 50
 
+/** Body that stands for a snapshot record between nodes; it changes nothing. */
+export const passedRecord = '{"type":"passed"}'
+
 /** State before any record. */
 export const emptyFold: FoldState = { next: 0, revision: -1, revisions: {}, configuration: undefined, refused: [] }
 
@@ -19,8 +22,9 @@
 /** Folds one record; records before `state.next` or after a gap change nothing. */
 export function foldRecord (state: FoldState, stored: StoredRecord): FoldState {
   if (stored.offset !== state.next) return state
-  const record = parseRecord(stored.body)
   const passed = { ...state, next: stored.offset + 1 }
+  if (stored.body === passedRecord) return passed
+  const record = parseRecord(stored.body)
   if (record === undefined) return refuse(passed, { offset: stored.offset, id: '', reason: 'malformed' })
   if (record.type === 'snapshot') return checkSnapshot(state, passed, stored.offset, record)
   return foldChange(passed, stored.offset, record)
@@ -49,7 +53,7 @@
 }
 
 function checkSnapshot (before: FoldState, passed: FoldState, offset: number, record: SnapshotRecord): FoldState {
-  const comparable = record.asOf === before.next - 1
+  const comparable = record.asOf < offset && record.asOf >= before.revision
   if (!comparable || record.digest === digestState(before)) return passed
   return refuse(passed, { offset, id: record.id, reason: 'snapshot-mismatch' })
 }
@@ -72,7 +76,8 @@
   }
 }
 
-function digestState ({ revision, revisions, configuration }: Pick<FoldState, 'revision' | 'revisions' | 'configuration'>): string {
+/** Digest of what a state means; equal for a fold of all records and a fold from a snapshot. */
+export function digestState ({ revision, revisions, configuration }: Pick<FoldState, 'revision' | 'revisions' | 'configuration'>): string {
   return digestValue({ revision, revisions, configuration })
 }
 
--- a/src/nodes/configuration-follower.ts
+++ b/src/nodes/configuration-follower.ts
@@ -1,66 +1,214 @@
-/** Keeps a node's configuration in force: tails the log and never steps back. */
+/** Keeps a node's configuration in force: readers tail the log, other nodes follow them, and nobody steps back. */
+import { confirmByPeer, confirmByRead, mayTakeWork, testify, unconfirmed, type Confirmation } from '../core/configuration/confirmation.js'
+import { placeNode, type Placement } from '../core/configuration/fan-out.js'
 import { emptyFold, foldPage } from '../core/configuration/fold.js'
+import { foldPeer } from '../core/configuration/peer.js'
+import { writerRank } from '../core/configuration/snapshots.js'
+import { emptyWindow, extendWindow, fingerprintState, type RecordWindow } from '../core/configuration/window.js'
+import type { FollowEvent, FollowRequest, ServedFollow } from '../transports/control.js'
 import type { LogClient } from '../transports/log-client.js'
-import { streams } from '../transports/log-client.js'
 import type { FoldState } from '../types/configuration.js'
+import type { ListedInstance, StoredRecord } from '../types/platform.js'
 import { runInBackground } from '../utils/background.js'
+import { settleBy, steadyNow, waitUntil } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
-import { waitUntil } from '../utils/clock.js'
+import { FollowedPeers, type PeerHost } from './followed-peers.js'
+import { readPage } from './log-reader.js'
+import { ServedFollowers } from './served-followers.js'
+import { SnapshotWriter } from './snapshot-writer.js'
 
-const pollMilliseconds = 1000
-const retryMilliseconds = 250
-const confirmationMilliseconds = 3000
+const pollMilliseconds = 800
+const overdueMilliseconds = 1800
+const batchMilliseconds = 20
+const readerRetryMilliseconds = 250
+const directRetryMilliseconds = 1000
+const maintainMilliseconds = 200
+/** Backups are followed, and then the log is read, when the peers' deadlines have less than this left, milliseconds. */
+const backupBelowMilliseconds = 1600
+const directBelowMilliseconds = 1000
+const directJitterMilliseconds = 500
+const startGraceMilliseconds = 700
 
 const log = logFor('configuration')
 
+/** The list of instances as the follower needs it. */
+export interface InstanceSource {
+  readonly instances: readonly ListedInstance[]
+  onChange (listener: () => void): void
+}
+
+/** What the follower needs of the node. */
+export interface FollowerOptions {
+  readonly client: LogClient
+  readonly directory: InstanceSource
+  readonly instance: string
+  readonly dataCentre: string
+}
+
 /** Follows the configuration stream. */
-export class ConfigurationFollower {
+export class ConfigurationFollower implements PeerHost {
   private folded: FoldState = emptyFold
+  private window: RecordWindow = emptyWindow
+  private known: Confirmation = unconfirmed
+  private placed: { readonly instances: readonly ListedInstance[], readonly logDataCentre: string, readonly placement: Placement } | undefined
+  private readonly peers = new FollowedPeers(this)
+  private readonly served = new ServedFollowers(() => ({ state: this.folded, window: this.window, known: this.known }))
+  private readonly snapshots: SnapshotWriter
   private readonly stopping = new AbortController()
   private readonly listeners = new Set<() => void>()
+  private readonly jitterMilliseconds = Math.random() * directJitterMilliseconds
+  private maintenance: NodeJS.Timeout | undefined
+  /** Epoch milliseconds until which peers keep the node informed. */
+  private peersUntil = 0
   /** Whether the last read of the log succeeded. */
   logReachable = false
-  /** Epoch milliseconds until which the configuration counts as confirmed. */
-  confirmedUntil = 0
+  private logFailing = false
 
-  constructor (private readonly client: LogClient) {}
+  constructor (private readonly options: FollowerOptions) {
+    this.snapshots = new SnapshotWriter(options.client)
+  }
 
   /** Configuration in force. */
   get state (): FoldState {
     return this.folded
   }
 
+  /** Epoch milliseconds until which the configuration counts as confirmed. */
+  get confirmedUntil (): number {
+    return Math.floor(this.known.confirmedUntil)
+  }
+
+  get instance (): string {
+    return this.options.instance
+  }
+
+  get next (): number {
+    return this.folded.next
+  }
+
+  /** Whether the node may take new work at `now`, in milliseconds of `steadyNow`. */
+  mayTakeWork (now = steadyNow()): boolean {
+    const { configuration } = this.folded
+    return configuration === undefined || mayTakeWork(this.known, configuration.deployment.whenIsolated, now)
+  }
+
   /** Calls back after each change of the state. */
   onChange (listener: () => void): void {
     this.listeners.add(listener)
   }
 
   start (): void {
+    this.peersUntil = steadyNow() + directBelowMilliseconds + directJitterMilliseconds + startGraceMilliseconds
+    this.options.directory.onChange(() => { this.maintain() })
+    this.maintenance = setInterval(() => { this.maintain() }, maintainMilliseconds)
     runInBackground(this.tail(), log, 'tail the log')
   }
 
   stop (): void {
     this.stopping.abort()
+    clearInterval(this.maintenance)
+    this.peers.stop()
+  }
+
+  /** Serves a node that follows this one. */
+  serve (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    return this.served.serve(request, send)
+  }
+
+  receive (event: FollowEvent, peer: ListedInstance, askedAt: number): boolean {
+    this.take(foldPeer(this.folded, event), event.records)
+    if (event.digest !== '' && event.next === this.folded.next && event.digest !== fingerprintState(this.folded)) {
+      log.error('a peer holds another configuration at the same offset', { peer: peer.instance, offset: event.next })
+      return false
+    }
+    const told = confirmByPeer(unconfirmed, event, askedAt, this.folded.next >= event.next)
+    this.peersUntil = Math.max(this.peersUntil, told.confirmedUntil, told.outageUntil)
+    this.know(confirmByPeer(this.known, event, askedAt, this.folded.next >= event.next))
+    return true
   }
 
   private async tail (): Promise<void> {
     while (!this.stopping.signal.aborted) {
-      try {
-        const page = await this.client.read(streams.configuration, this.folded.next, Date.now() + pollMilliseconds)
-        this.logReachable = true
-        this.confirmedUntil = Date.now() + confirmationMilliseconds
-        this.take(foldPage(this.folded, page))
-      } catch (error) {
-        if (this.logReachable) log.warn('the log cannot be read', { reason: String(error) })
-        this.logReachable = false
-        await waitUntil(Date.now() + retryMilliseconds, this.stopping.signal)
-      }
+      if (this.readsLog) await this.readOnce()
+      else await waitUntil(Date.now() + maintainMilliseconds, this.stopping.signal)
     }
   }
 
-  private take (state: FoldState): void {
+  private get readsLog (): boolean {
+    return this.place().reader || this.peersUntil - steadyNow() < directBelowMilliseconds + this.jitterMilliseconds
+  }
+
+  private async readOnce (): Promise<void> {
+    const sentAt = steadyNow()
+    try {
+      const reading = readPage(this.options.client, this.folded, Date.now() + pollMilliseconds)
+      const page = await settleBy(reading, Date.now() + overdueMilliseconds, 'the log gave no answer in time')
+      this.logReachable = true
+      this.logFailing = false
+      this.take(foldPage(this.folded, page), page.records)
+      if (this.folded.next >= page.next) this.know(confirmByRead(this.known, sentAt))
+      else if (page.records.length === 0 || page.first > this.folded.next) throw new Error(`no snapshot leads on from offset ${this.folded.next}`)
+      if (page.records.length > 0) await waitUntil(Date.now() + batchMilliseconds, this.stopping.signal)
+    } catch (error) {
+      if (this.stopping.signal.aborted) return
+      if (!this.logFailing) log.warn('the log cannot be read', { reason: String(error) })
+      this.logReachable = false
+      this.logFailing = true
+      const pause = this.place().reader ? readerRetryMilliseconds : directRetryMilliseconds * (1 + Math.random())
+      await waitUntil(Date.now() + pause, this.stopping.signal)
+    }
+  }
+
+  private take (state: FoldState, records: readonly StoredRecord[]): void {
     if (state.next <= this.folded.next) return
+    const gap = this.window.base.next + this.window.records.length
+    this.window = extendWindow(this.window, state, records)
+    this.snapshots.note(records)
+    if (this.window.base.next > gap) this.snapshots.skipTo(this.window.base.next - 1)
     this.folded = state
+    this.served.publish()
     for (const listener of this.listeners) listener()
   }
+
+  private know (known: Confirmation): void {
+    this.known = known
+    this.served.publish()
+  }
+
+  /** Judges the surroundings anew: whom to follow, whether the log is down for all, whether a snapshot is due. */
+  private maintain (): void {
+    if (this.stopping.signal.aborted) return
+    const now = steadyNow()
+    const { dataCentre, directory } = this.options
+    const { reader, parents, backups, hasNeighbours, position } = this.place()
+    const needsBackups = reader || this.peersUntil - now < backupBelowMilliseconds + this.jitterMilliseconds
+    this.peers.want(needsBackups ? [...parents, ...backups] : parents)
+    const besideLog = this.logDataCentre === dataCentre
+    const neighbourHeard = !hasNeighbours || this.peers.heard(dataCentre) || this.isHeardByNeighbour()
+    this.know(testify(this.known, { besideLog, logFailing: this.logFailing, neighbourHeard }, now))
+    if (reader && now < this.known.confirmedUntil) {
+      runInBackground(this.snapshots.tick(this.folded, writerRank(directory.instances, dataCentre, position)), log, 'write a snapshot')
+    }
+  }
+
+  private isHeardByNeighbour (): boolean {
+    const { directory, dataCentre } = this.options
+    const heard = new Set(this.served.heard)
+    return directory.instances.some(listed => listed.dataCentre === dataCentre && heard.has(listed.instance))
+  }
+
+  private get logDataCentre (): string {
+    return this.folded.configuration?.deployment.logDataCentre ?? ''
+  }
+
+  /** Places the node anew only when the list or the log's data centre changed. */
+  private place (): Placement {
+    const { directory, instance, dataCentre } = this.options
+    const { instances } = directory
+    const { logDataCentre } = this
+    if (this.placed?.instances !== instances || this.placed.logDataCentre !== logDataCentre) {
+      this.placed = { instances, logDataCentre, placement: placeNode(instances, { instance, dataCentre }, logDataCentre) }
+    }
+    return this.placed.placement
+  }
 }
--- /dev/null
+++ b/src/nodes/served-followers.ts
@@ -0,0 +1,85 @@
+/** Streams to the nodes that follow this one. */
+import type { Confirmation } from '../core/configuration/confirmation.js'
+import { tellPeers } from '../core/configuration/confirmation.js'
+import { fingerprintState, suffixFrom, type RecordWindow } from '../core/configuration/window.js'
+import type { FollowEvent, FollowRequest, ServedFollow } from '../transports/control.js'
+import type { FoldState } from '../types/configuration.js'
+import { steadyNow } from '../utils/clock.js'
+
+/** A deadline that moved by less is not sent again, milliseconds. */
+const renewalMilliseconds = 400
+/** A question is answered after this much silence at the latest, milliseconds. */
+const heartbeatMilliseconds = 1500
+/** A follower that asked within this time was heard, milliseconds. */
+const heardMilliseconds = 3000
+
+/** What followers are told of. */
+export interface ServedView {
+  readonly state: FoldState
+  readonly window: RecordWindow
+  readonly known: Confirmation
+}
+
+interface Follower {
+  readonly instance: string
+  readonly send: (event: FollowEvent) => void
+  next: number
+  beat: number
+  askedAt: number
+  sentAt: number
+  sentKnown: Confirmation
+}
+
+/** All followers of a node. */
+export class ServedFollowers {
+  private readonly followers = new Set<Follower>()
+
+  constructor (private readonly view: () => ServedView) {}
+
+  /** Instances that asked lately. */
+  get heard (): readonly string[] {
+    const oldest = steadyNow() - heardMilliseconds
+    return [...this.followers].filter(({ askedAt }) => askedAt > oldest).map(({ instance }) => instance)
+  }
+
+  /** Starts a stream with everything that the follower lacks. */
+  serve (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    const now = steadyNow()
+    const follower: Follower = { instance: request.instance, send, next: request.next, beat: request.beat, askedAt: now, sentAt: now, sentKnown: { confirmedUntil: 0, outageUntil: 0 } }
+    this.followers.add(follower)
+    this.tell(follower, this.view())
+    return {
+      ask: ({ beat }) => { this.answer(follower, beat) },
+      end: () => { this.followers.delete(follower) }
+    }
+  }
+
+  /** Sends what changed to every follower that does not know it. */
+  publish (): void {
+    const view = this.view()
+    for (const follower of this.followers) if (hasNews(follower, view)) this.tell(follower, view)
+  }
+
+  private answer (follower: Follower, beat: number): void {
+    follower.beat = beat
+    follower.askedAt = steadyNow()
+    const view = this.view()
+    if (hasNews(follower, view) || steadyNow() - follower.sentAt >= heartbeatMilliseconds) this.tell(follower, view)
+  }
+
+  private tell (follower: Follower, { state, window, known }: ServedView): void {
+    const now = steadyNow()
+    const { snapshot, records } = suffixFrom(window, follower.next)
+    const digest = state.next >= follower.next && (records.length > 0 || follower.sentKnown.confirmedUntil === 0) ? fingerprintState(state) : ''
+    follower.next = Math.max(follower.next, state.next)
+    follower.sentAt = now
+    follower.sentKnown = known
+    follower.send({ records, next: state.next, snapshot, beat: follower.beat, digest, ...tellPeers(known, now) })
+  }
+}
+
+function hasNews (follower: Follower, { state, known }: ServedView): boolean {
+  return state.next > follower.next ||
+    known.confirmedUntil - follower.sentKnown.confirmedUntil >= renewalMilliseconds ||
+    known.outageUntil - follower.sentKnown.outageUntil >= renewalMilliseconds
+}
--- a/src/queries/read-state.ts
+++ b/src/queries/read-state.ts
@@ -1,15 +1,17 @@
 /** Reads the configuration in force from the log. */
 import { emptyFold, foldPage } from '../core/configuration/fold.js'
-import { streams, type LogClient } from '../transports/log-client.js'
+import { readPage } from '../nodes/log-reader.js'
+import type { LogClient } from '../transports/log-client.js'
 import type { FoldState } from '../types/configuration.js'
 
-/** State at the log's head. */
-export async function readState (client: LogClient): Promise<FoldState> {
-  let state = emptyFold
+/** State at the log's head, read on from a state known before. */
+export async function readState (client: LogClient, known: FoldState = emptyFold): Promise<FoldState> {
+  let state = known
   for (;;) {
-    const page = await client.read(streams.configuration, state.next, Date.now())
+    const page = await readPage(client, state, Date.now())
     const folded = foldPage(state, page)
-    if (folded.next >= page.next || folded.next === state.next) return folded
+    if (folded.next >= page.next) return folded
+    if (folded.next === state.next) throw new Error(`the log holds no snapshot that leads on from offset ${state.next}`)
     state = folded
   }
 }
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -7,7 +7,7 @@
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
-import { ControlService, serveControl, type FollowEvent, type FollowRequest, type WatchRequest } from '../../transports/control.js'
+import { ControlService, serveControl, type FollowEvent, type FollowRequest, type ServedFollow, type WatchRequest } from '../../transports/control.js'
 import { sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { Service } from '../../types/configuration.js'
@@ -47,8 +47,8 @@
   constructor (private readonly settings: AgentSettings) {
     super()
     const client = new HttpLogClient(settings.log)
-    this.follower = new ConfigurationFollower(client)
     this.directory = new InstanceDirectory(settings.instances)
+    this.follower = new ConfigurationFollower({ client, directory: this.directory, instance: settings.instance, dataCentre: settings.dataCentre })
     this.exchange = new WeightExchange([settings.origin, settings.store].filter(source => source !== undefined), () => { this.publish() })
     const source = `http://${settings.listen}`
     this.orders = new Orders({ instance: settings.instance, incarnation: this.incarnation, upstream: settings.upstream, source }, client, this.exchange, restarted => { this.engineChanged(restarted) })
@@ -98,6 +98,7 @@
     const state = this.agentState
     if (state === 'out') return fail('data-centre-out', retryAt)
     if (state === 'leaving') return fail('leaving', retryAt)
+    if (!this.follower.mayTakeWork()) return fail('isolated', retryAt)
     if (state === 'closed' || (service.kind === 'model' && weights !== this.orders.served)) return fail('closed', retryAt)
     this.bearing ??= coldBearing(service)
     if (this.inFlight >= this.bearing.limit) return fail('busy', retryAt)
@@ -121,9 +122,8 @@
     return { instance, role: 'agent', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.inFlight }
   }
 
-  follow (_request: FollowRequest, send: (event: FollowEvent) => void): () => void {
-    send({ records: [], node: this.describe(), first: this.follower.state.next })
-    return () => {}
+  follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    return this.follower.serve(request, send)
   }
 
   override watch (_request: WatchRequest, send: (status: AgentStatus) => void): () => void {
--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -18,6 +18,8 @@
   readonly bodyBytes: number
   readonly requestMilliseconds: number
   readonly state: FoldState
+  /** Whether the configuration in force may be relied on. */
+  readonly mayTakeWork: boolean
   readonly statuses: readonly AgentStatus[]
 }
 
@@ -49,6 +51,7 @@
   const { configuration, revisions } = host.state
   const retryAt = Date.now() + retryMilliseconds
   if (configuration === undefined) return fail('no-configuration', retryAt)
+  if (!host.mayTakeWork) return fail('isolated', retryAt)
   const service = configuration.services[caller.service]
   if (service === undefined) return fail('unknown-service')
   if (configuration.organisations[caller.organisation] === undefined) return fail('unknown-organisation')
--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -3,7 +3,7 @@
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
-import { ControlService, serveControl, type FollowEvent, type FollowRequest } from '../../transports/control.js'
+import { ControlService, serveControl, type FollowEvent, type FollowRequest, type ServedFollow } from '../../transports/control.js'
 import { sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { FoldState } from '../../types/configuration.js'
@@ -35,8 +35,8 @@
 
   constructor (private readonly settings: EntrySettings) {
     super()
-    this.follower = new ConfigurationFollower(new HttpLogClient(settings.log))
     this.directory = new InstanceDirectory(settings.instances)
+    this.follower = new ConfigurationFollower({ client: new HttpLogClient(settings.log), directory: this.directory, instance: settings.instance, dataCentre: settings.dataCentre })
     this.upstreams = new Upstreams(settings.instance, this.directory)
   }
 
@@ -75,6 +75,10 @@
     return this.follower.state
   }
 
+  get mayTakeWork (): boolean {
+    return this.follower.mayTakeWork()
+  }
+
   get statuses (): readonly AgentStatus[] {
     return this.upstreams.statuses
   }
@@ -85,9 +89,8 @@
     return { instance, role: 'entry', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.inFlight }
   }
 
-  follow (_request: FollowRequest, send: (event: FollowEvent) => void): () => void {
-    send({ records: [], node: this.describe(), first: this.follower.state.next })
-    return () => {}
+  follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    return this.follower.serve(request, send)
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/transports/control.ts
+++ b/src/transports/control.ts
@@ -5,8 +5,33 @@
 import type { AgentStatus, NodeDescription } from '../types/messages.js'
 import type { StoredRecord } from '../types/platform.js'
 
-export interface FollowRequest { readonly instance: string, readonly next: number }
-export interface FollowEvent { readonly records: readonly StoredRecord[], readonly node: NodeDescription, readonly first: number }
+/** A follower's question; the first one of a stream says where to start. */
+export interface FollowRequest { readonly instance: string, readonly next: number, readonly beat: number }
+export interface FollowEvent {
+  readonly records: readonly StoredRecord[]
+  /** Next offset at the sender. */
+  readonly next: number
+  /** State before the records, empty when records suffice. */
+  readonly snapshot: string
+  /** Last question that the sender had received. */
+  readonly beat: number
+  /** Milliseconds left of the sender's own deadlines. */
+  readonly confirmedMilliseconds: number
+  readonly outageMilliseconds: number
+  /** Short digest of the state at `next`, empty in a heartbeat. */
+  readonly digest: string
+}
+/** A follower's stream at the node that serves it. */
+export interface ServedFollow {
+  /** Takes a later question. */
+  ask (request: FollowRequest): void
+  end (): void
+}
+/** A stream that follows a node. */
+export interface FollowStream {
+  ask (beat: number): void
+  cancel (): void
+}
 export interface WatchRequest { readonly instance: string }
 /** `key` is empty when the outcome is asked by request id. */
 export interface OutcomeRequest { readonly requestId: string, readonly key: string }
@@ -21,8 +46,8 @@
 /** What a node answers over gRPC; a role overrides what it offers. */
 export abstract class ControlService {
   abstract describe (): NodeDescription
-  /** Streams records from `request.next` on; the returned function ends the stream. */
-  abstract follow (request: FollowRequest, send: (event: FollowEvent) => void): () => void
+  /** Streams records from `request.next` on. */
+  abstract follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow
 
   /** Streams the agent's status; an entry has none. */
   watch (_request: WatchRequest, _send: (status: AgentStatus) => void): (() => void) | undefined {
@@ -68,8 +93,8 @@
     Outcome: (call: grpc.ServerUnaryCall<OutcomeRequest, OutcomeReply>, answer: grpc.sendUnaryData<OutcomeReply>) => {
       answer(null, service.outcome(call.request))
     },
-    Follow: (call: grpc.ServerWritableStream<FollowRequest, FollowEvent>) => {
-      stream(call, service.follow(call.request, event => { call.write(event) }))
+    Follow: (call: grpc.ServerDuplexStream<FollowRequest, FollowEvent>) => {
+      serveFollow(call, service)
     },
     Watch: (call: grpc.ServerWritableStream<WatchRequest, AgentStatus>) => {
       const end = service.watch(call.request, status => { call.write(status) })
@@ -89,6 +114,22 @@
   return { port, close: () => { server.forceShutdown() } }
 }
 
+function serveFollow (call: grpc.ServerDuplexStream<FollowRequest, FollowEvent>, service: ControlService): void {
+  let served: ServedFollow | undefined
+  call.on('data', (request: FollowRequest) => {
+    if (served === undefined) served = service.follow(request, event => { call.write(event) })
+    else served.ask(request)
+  })
+  const end = (): void => { served?.end() }
+  call.on('cancelled', end)
+  call.on('close', end)
+  call.on('error', end)
+  call.on('end', () => {
+    end()
+    call.end()
+  })
+}
+
 function stream<Request, Response> (call: grpc.ServerWritableStream<Request, Response>, end: () => void): void {
   call.on('cancelled', end)
   call.on('close', end)
@@ -114,9 +155,13 @@
     return this.unary('Outcome', request, deadline)
   }
 
-  /** Calls `receive` for each event and `ended` once; the returned function cancels. */
-  follow (request: FollowRequest, receive: (event: FollowEvent) => void, ended: (reason: string) => void): () => void {
-    return this.streaming('Follow', request, receive, ended)
+  /** Calls `receive` for each event, and `ended` once unless the stream was cancelled. */
+  follow (request: FollowRequest, receive: (event: FollowEvent) => void, ended: (reason: string) => void): FollowStream {
+    const definition = definitionOf('Follow')
+    const call = this.client.makeBidiStreamRequest(definition.path, definition.requestSerialize, definition.responseDeserialize)
+    const cancel = listen(call, receive, ended)
+    call.write(request)
+    return { ask: beat => { call.write({ instance: '', next: 0, beat }) }, cancel }
   }
 
   /** Calls `receive` for each status and `ended` once; the returned function cancels. */
@@ -129,8 +174,7 @@
   }
 
   private unary<Response> (method: string, request: unknown, deadline: number): Promise<Response> {
-    const definition = NodeClient.service[method]
-    if (definition === undefined) throw new Error(`the proto has no method ${method}`)
+    const definition = definitionOf(method)
     return new Promise((resolve, reject) => {
       this.client.makeUnaryRequest(definition.path, definition.requestSerialize, definition.responseDeserialize, request, { deadline }, (error, response) => {
         if (error === null && response !== undefined) resolve(response as Response)
@@ -140,21 +184,31 @@
   }
 
   private streaming<Message> (method: string, request: unknown, receive: (message: Message) => void, ended: (reason: string) => void): () => void {
-    const definition = NodeClient.service[method]
-    if (definition === undefined) throw new Error(`the proto has no method ${method}`)
+    const definition = definitionOf(method)
     const call = this.client.makeServerStreamRequest(definition.path, definition.requestSerialize, definition.responseDeserialize, request)
-    let open = true
-    const finish = (reason: string): void => {
-      if (!open) return
-      open = false
-      ended(reason)
-    }
-    call.on('data', message => { if (open) receive(message as Message) })
-    call.on('error', error => { finish(error.message) })
-    call.on('end', () => { finish('the stream ended') })
-    return () => {
-      open = false
-      call.cancel()
-    }
+    return listen(call, receive, ended)
+  }
+}
+
+function definitionOf (method: string): grpc.MethodDefinition<unknown, unknown> {
+  const definition = NodeClient.service[method]
+  if (definition === undefined) throw new Error(`the proto has no method ${method}`)
+  return definition
+}
+
+/** Calls `receive` until the stream ends or is cancelled; the returned function cancels it. */
+function listen<Message> (call: grpc.ClientReadableStream<unknown> | grpc.ClientDuplexStream<unknown, unknown>, receive: (message: Message) => void, ended: (reason: string) => void): () => void {
+  let open = true
+  const finish = (reason: string): void => {
+    if (!open) return
+    open = false
+    ended(reason)
+  }
+  call.on('data', (message: unknown) => { if (open) receive(message as Message) })
+  call.on('error', (error: Error) => { finish(error.message) })
+  call.on('end', () => { finish('the stream ended') })
+  return () => {
+    open = false
+    call.cancel()
   }
 }
--- a/src/utils/clock.ts
+++ b/src/utils/clock.ts
@@ -34,6 +34,11 @@
   }
 }
 
+/** Epoch milliseconds of a clock that no correction of the machine's time moves; it goes on while the process is paused. */
+export function steadyNow (): number {
+  return performance.timeOrigin + performance.now()
+}
+
 /** Resolves at `deadline`, epoch milliseconds, or when `signal` aborts. */
 export function waitUntil (deadline: number, signal?: AbortSignal): Promise<void> {
   return new Promise(resolve => {
@@ -50,3 +55,11 @@
     signal?.addEventListener('abort', finish, { once: true })
   })
 }
+
+/** Result of a promise, or a failure with `problem` once `deadline`, epoch milliseconds, has passed. */
+export function settleBy<Value> (promise: Promise<Value>, deadline: number, problem: string): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const timer = setTimeout(() => { reject(new Error(problem)) }, Math.max(0, deadline - Date.now()))
+    promise.then(resolve, reject).finally(() => { clearTimeout(timer) })
+  })
+}
