Exchange chunks among the peers of a data centre

Cause: every instance drew the whole copy from the origin. Change: each chunk is drawn from outside by the instance that rendezvous hashing names, others take it from peers, rarest first; busy peers answer with when to come back. Pace of the link in both directions; the engine draws from /local without it.

--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -15,6 +15,8 @@
 import type { AgentSettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { membersWanting } from './exchange-members.js'
+import type { ExchangeLoad, ExchangeMember } from './exchange-options.js'
 import { WeightExchange } from './exchange.js'
 import { Orders } from './orders.js'
 import { relay, type RelayHost } from './relay.js'
@@ -49,8 +51,10 @@
     const client = new HttpLogClient(settings.log)
     this.follower = new ConfigurationFollower(client)
     this.directory = new InstanceDirectory(settings.instances)
-    this.exchange = new WeightExchange([settings.origin, settings.store].filter(source => source !== undefined), () => { this.publish() })
-    const source = `http://${settings.listen}`
+    const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, settings.service, this.directory.instances, manifest)
+    const load = (): ExchangeLoad => ({ inFlight: this.inFlight, limit: this.status.limit })
+    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, members, load, served: () => this.orders.served }, () => { this.publish() })
+    const source = `http://${settings.listen}/local`
     this.orders = new Orders({ instance: settings.instance, incarnation: this.incarnation, upstream: settings.upstream, source }, client, this.exchange, restarted => { this.engineChanged(restarted) })
   }
 
@@ -190,7 +194,7 @@
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
     if (path[0] === 'run' && request.method === 'POST') await relay(this, request, response, path[1] ?? '')
-    else if (path[0] === 'weights' || path[0] === 'chunks') this.exchange.handle(request, response, path)
+    else if (path[0] === 'weights' || path[0] === 'chunks' || path[0] === 'local') this.exchange.handle(request, response, path)
     else if (path[0] === 'status') sendJson(response, 200, this.status)
     else sendJson(response, 404, { error: 'no such path' })
   }
--- /dev/null
+++ b/src/roles/agent/exchange-fetcher.ts
@@ -0,0 +1,33 @@
+/** How the chunks of one manifest are fetched; behaviours differ, so that measurements can compare them. */
+import type { IncomingHttpHeaders } from 'node:http'
+import type { WantedWeights } from '../../types/weights.js'
+import type { LinkLimiter } from '../../utils/link-limiter.js'
+import type { Holdings } from './exchange-holdings.js'
+import type { ExchangeOptions } from './exchange-options.js'
+
+/** What a fetcher works with. */
+export interface FetchContext {
+  readonly options: ExchangeOptions
+  readonly holdings: Holdings
+  /** Pace of incoming bytes. */
+  readonly incoming: LinkLimiter
+  /** Called after each verified chunk. */
+  readonly onChange: () => void
+}
+
+/** Fetches one manifest until it is whole. */
+export abstract class ChunkFetcher {
+  protected readonly stopping = new AbortController()
+
+  constructor (protected readonly context: FetchContext, readonly wanted: WantedWeights) {}
+
+  abstract start (): void
+
+  /** Takes what a peer said about its holdings when it asked here. */
+  noteAsked (_instance: string, _headers: IncomingHttpHeaders): void {}
+
+  /** Ends every draw. */
+  stop (): void {
+    this.stopping.abort()
+  }
+}
--- /dev/null
+++ b/src/roles/agent/exchange-holdings.ts
@@ -0,0 +1,105 @@
+/** Manifests and verified chunks in memory, counted by content. */
+import { bitmapText, countBits, emptyBitmap, hasBit, unionBitmap, withBit, type Bitmap } from '../../core/weights/bitmap.js'
+import type { Manifest } from '../../types/platform.js'
+
+/** What is held of one manifest. */
+export interface HeldWeights {
+  readonly digest: string
+  readonly manifest: Manifest
+  readonly held: Bitmap
+  /** Positions that some instance of the data centre was heard to hold. */
+  readonly seen: Bitmap
+  /** Grows with each change of `held` or `seen`. */
+  readonly version: number
+}
+
+/** Chunks by digest, and the manifests that need them. */
+export class Holdings {
+  private readonly weights = new Map<string, HeldWeights>()
+  private readonly chunks = new Map<string, Buffer>()
+
+  get (digest: string): HeldWeights | undefined {
+    return this.weights.get(digest)
+  }
+
+  chunk (digest: string): Buffer | undefined {
+    return this.chunks.get(digest)
+  }
+
+  /** Bytes of all chunks. */
+  get bytes (): number {
+    let sum = 0
+    for (const chunk of this.chunks.values()) sum += chunk.length
+    return sum
+  }
+
+  /** Adds a manifest; chunks that another version shares are held at once. */
+  addManifest (digest: string, manifest: Manifest): HeldWeights {
+    const known = this.weights.get(digest)
+    if (known !== undefined) return known
+    const empty = emptyBitmap(manifest.chunks.length)
+    const held = manifest.chunks.reduce((bitmap, chunk, position) => this.chunks.has(chunk) ? withBit(bitmap, position) : bitmap, empty)
+    const added = { digest, manifest, held, seen: held, version: 1 }
+    this.weights.set(digest, added)
+    return added
+  }
+
+  /** Adds a verified chunk to every manifest that names it. */
+  addChunk (digest: string, bytes: Buffer): void {
+    this.chunks.set(digest, bytes)
+    for (const weights of this.weights.values()) {
+      const positions = weights.manifest.chunks.flatMap((chunk, position) => chunk === digest ? [position] : [])
+      if (positions.length === 0) continue
+      const held = positions.reduce(withBit, weights.held)
+      this.weights.set(weights.digest, { ...weights, held, seen: unionBitmap(weights.seen, held), version: weights.version + 1 })
+    }
+  }
+
+  /** Notes what instances of the data centre were heard to hold. */
+  noteSeen (digest: string, heard: Bitmap): void {
+    const weights = this.weights.get(digest)
+    if (weights === undefined) return
+    const seen = unionBitmap(weights.seen, heard)
+    if (seen.every((byte, index) => byte === weights.seen[index])) return
+    this.weights.set(digest, { ...weights, seen, version: weights.version + 1 })
+  }
+
+  /** Keeps these manifests only, and the chunks that they name. */
+  keepOnly (digests: readonly string[]): void {
+    for (const digest of [...this.weights.keys()]) {
+      if (!digests.includes(digest)) this.weights.delete(digest)
+    }
+    const needed = new Set([...this.weights.values()].flatMap(({ manifest }) => manifest.chunks))
+    for (const chunk of [...this.chunks.keys()]) {
+      if (!needed.has(chunk)) this.chunks.delete(chunk)
+    }
+  }
+}
+
+/** How many positions are held. */
+export function heldCount (weights: HeldWeights): number {
+  return countBits(weights.held, weights.manifest.chunks.length)
+}
+
+/** Whether every chunk is held. */
+export function isWholeSet (weights: HeldWeights): boolean {
+  return weights.manifest.chunks.every((_, position) => hasBit(weights.held, position))
+}
+
+/** Headers that tell a peer what is held here. */
+export function heldHeaders (weights: HeldWeights): Readonly<Record<string, string>> {
+  return { [heldHeaderNames.manifest]: weights.digest, [heldHeaderNames.held]: bitmapText(weights.held), [heldHeaderNames.seen]: bitmapText(weights.seen) }
+}
+
+/** Headers of the exchange among agents. */
+export const heldHeaderNames = {
+  manifest: 'pollendyke-manifest',
+  held: 'pollendyke-held',
+  seen: 'pollendyke-seen',
+  instance: 'pollendyke-instance',
+  dataCentre: 'pollendyke-data-centre',
+  /** Epoch milliseconds by which the sender's rollout should end. */
+  finishBy: 'pollendyke-finish-by',
+  /** How long a busy peer asks to be left alone, milliseconds; the receiver keeps a deadline. */
+  retryMilliseconds: 'pollendyke-retry-milliseconds'
+} as const
--- /dev/null
+++ b/src/roles/agent/exchange-manifest.ts
@@ -0,0 +1,54 @@
+/** Finds a manifest: the first two of the data centre ask the origin, the others ask these two. */
+import { manifestSchema, type Manifest } from '../../types/platform.js'
+import { requestJson } from '../../transports/http-client.js'
+import { waitUntil } from '../../utils/clock.js'
+import { digestValue } from '../../utils/digest.js'
+import { logFor } from '../../utils/log.js'
+import { rankMembers } from '../../utils/rendezvous.js'
+import type { HeldWeights, Holdings } from './exchange-holdings.js'
+import type { ExchangeMember, ExchangeOptions } from './exchange-options.js'
+
+const log = logFor('exchange')
+const firstAskers = 2
+const answerMilliseconds = 3000
+const pauseMilliseconds = 50
+const peersOnlyMilliseconds = 1500
+
+/** Resolves with the verified manifest, or with undefined once `signal` aborts. */
+export async function findManifest (options: ExchangeOptions, holdings: Holdings, digest: string, members: () => readonly ExchangeMember[], signal: AbortSignal): Promise<HeldWeights | undefined> {
+  const known = holdings.get(digest)
+  if (known !== undefined) return known
+  const outsideFrom = Date.now() + peersOnlyMilliseconds
+  while (!signal.aborted) {
+    for (const url of placesToAsk(options, digest, members(), Date.now() >= outsideFrom)) {
+      const manifest = await ask(url, digest, signal)
+      if (signal.aborted) return undefined
+      if (manifest !== undefined) return holdings.addManifest(digest, manifest)
+    }
+    await waitUntil(Date.now() + pauseMilliseconds, signal)
+  }
+  return undefined
+}
+
+/** Base URLs in the order in which they are asked. */
+function placesToAsk (options: ExchangeOptions, digest: string, members: readonly ExchangeMember[], late: boolean): readonly string[] {
+  const others = members.filter(member => member.instance !== options.instance)
+  const ranked = rankMembers(digest, [...others.map(member => member.instance), options.instance])
+  const first = ranked.slice(0, firstAskers)
+  const peers = first.flatMap(instance => others.filter(member => member.instance === instance)).map(member => `http://${member.address}`)
+  const outside = [options.origin, options.store].filter(url => url !== undefined)
+  if (first.includes(options.instance)) return [...outside, ...peers]
+  if (!late) return peers
+  return [...peers, ...others.map(member => `http://${member.address}`).slice(0, firstAskers), ...outside]
+}
+
+async function ask (url: string, digest: string, signal: AbortSignal): Promise<Manifest | undefined> {
+  try {
+    const manifest = manifestSchema.parse(await requestJson({ url: `${url}/weights/${digest}`, method: 'GET', deadline: Date.now() + answerMilliseconds, signal }))
+    if (digestValue(manifest) === digest) return manifest
+    log.warn('a manifest does not match its digest', { source: url })
+  } catch {
+    // Not there yet, or out of reach: the next place is asked.
+  }
+  return undefined
+}
--- /dev/null
+++ b/src/roles/agent/exchange-members.ts
@@ -0,0 +1,25 @@
+/** Which listed instances want a manifest. */
+import { wantedWeights } from '../../core/configuration/resolve.js'
+import type { FoldState } from '../../types/configuration.js'
+import type { ListedInstance } from '../../types/platform.js'
+import type { ExchangeMember } from './exchange-options.js'
+
+let cached: { readonly state: FoldState, readonly listed: readonly ListedInstance[], readonly members: Map<string, readonly ExchangeMember[]> } | undefined
+
+/** Live instances of a service that want a manifest, worked out as each of them does for itself; kept until the configuration or the list changes. */
+export function membersWanting (state: FoldState, service: string, listed: readonly ListedInstance[], manifest: string): readonly ExchangeMember[] {
+  if (cached?.state !== state || cached.listed !== listed) cached = { state, listed, members: new Map() }
+  const key = `${service} ${manifest}`
+  const known = cached.members.get(key) ?? workOut(state, service, listed, manifest)
+  cached.members.set(key, known)
+  return known
+}
+
+function workOut ({ configuration, revisions }: FoldState, service: string, listed: readonly ListedInstance[], manifest: string): readonly ExchangeMember[] {
+  if (configuration === undefined) return []
+  const live = listed.filter(member => member.service === service && member.state === 'live')
+  return live.filter(member => {
+    const pool = live.filter(other => other.dataCentre === member.dataCentre).map(other => other.instance)
+    return wantedWeights(configuration, revisions, service, member.dataCentre, member.instance, pool)?.manifest === manifest
+  })
+}
--- /dev/null
+++ b/src/roles/agent/exchange-swarm.ts
@@ -0,0 +1,271 @@
+/** Fetches a manifest together with the peers of the data centre: each chunk from outside once, then among peers. */
+import type { IncomingHttpHeaders } from 'node:http'
+import PQueue from 'p-queue'
+import { hasBit, parseBitmap } from '../../core/weights/bitmap.js'
+import { dutiesOf, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
+import { requestJson } from '../../transports/http-client.js'
+import { runInBackground } from '../../utils/background.js'
+import { waitUntil } from '../../utils/clock.js'
+import { digestBytes } from '../../utils/digest.js'
+import { logFor } from '../../utils/log.js'
+import { ChunkFetcher } from './exchange-fetcher.js'
+import { heldHeaderNames, heldHeaders, isWholeSet, type HeldWeights } from './exchange-holdings.js'
+import { findManifest } from './exchange-manifest.js'
+import type { ExchangeMember, HeldAnswer } from './exchange-options.js'
+import { OutsideSources } from './exchange-outside.js'
+import { PeerTable } from './exchange-peers.js'
+import { drawChunk, type ChunkResult } from './exchange-transfer.js'
+
+const log = logFor('exchange')
+const tickMilliseconds = 25
+const peerSlots = 4
+const outsideSlots = 4
+const drawsPerPeer = 2
+const firstPollMilliseconds = 400
+const pollMilliseconds = { least: 100, most: 1000 } as const
+const answerMilliseconds = 1000
+const stallMilliseconds = 1500
+const longestDrawMilliseconds = 120_000
+const hedgeFactor = 6
+const rankFactor = 4
+const leastRankMilliseconds = 750
+const lostHolderMilliseconds = 2000
+const assumedLinkBytes = 50 << 20
+
+/** The exchange of one manifest. */
+export class SwarmFetcher extends ChunkFetcher {
+  private readonly queue = new PQueue({ concurrency: peerSlots + outsideSlots })
+  private readonly flights = new Map<number, { sources: string[], hedgeAt: number }>()
+  private readonly waitingSince = new Map<number, number>()
+  private readonly sources = new OutsideSources(this.context.options)
+  private readonly startedAt = Date.now()
+  private peers = new PeerTable('', '', 0)
+  private polling = new Set<string>()
+  private peerDraws = 0
+  private membersKey = ''
+  private duties: Duties = { order: [], ranks: [] }
+  /** Expected time of one draw, milliseconds; learned. */
+  private drawMilliseconds = 0
+
+  start (): void {
+    runInBackground(this.run(), log, 'fetch weights')
+  }
+
+  override stop (): void {
+    super.stop()
+    this.queue.clear()
+  }
+
+  override noteAsked (instance: string, headers: IncomingHttpHeaders): void {
+    this.peers.add(this.localMembers().find(member => member.instance === instance))
+    this.noteHeaders(instance, headers)
+  }
+
+  private async run (): Promise<void> {
+    const { signal } = this.stopping
+    const { options, holdings } = this.context
+    const weights = await findManifest(options, holdings, this.wanted.manifest, () => this.localMembers(), signal)
+    if (weights === undefined) return
+    this.peers = new PeerTable(weights.digest, options.instance, weights.manifest.chunks.length)
+    this.drawMilliseconds = weights.manifest.chunkBytes * originWindow / (options.linkBytes || assumedLinkBytes) * 1000
+    this.context.onChange()
+    while (!signal.aborted && !isWholeSet(this.weights(weights))) {
+      this.refreshMembers(weights)
+      this.poll(weights)
+      this.fill(weights)
+      await waitUntil(Date.now() + tickMilliseconds, signal)
+    }
+  }
+
+  private weights (first: HeldWeights): HeldWeights {
+    return this.context.holdings.get(first.digest) ?? first
+  }
+
+  private localMembers (): readonly ExchangeMember[] {
+    const { members, dataCentre } = this.context.options
+    return members(this.wanted.manifest).filter(member => member.dataCentre === dataCentre)
+  }
+
+  private refreshMembers (weights: HeldWeights): void {
+    const members = this.localMembers()
+    const key = members.map(member => `${member.instance}@${member.address}`).join(' ')
+    if (key === this.membersKey && this.duties.order.length > 0) return
+    this.membersKey = key
+    this.peers.setMembers(members)
+    this.duties = dutiesOf(weights.manifest.chunks, this.context.options.instance, members.map(member => member.instance))
+  }
+
+  /** Starts every draw that can start now. */
+  private fill (first: HeldWeights): void {
+    this.noteWaiting(this.weights(first))
+    while (!this.stopping.signal.aborted) {
+      const draw = nextDraw(this.view(this.weights(first)))
+      if (draw === undefined) return
+      this.launch(first, draw)
+    }
+  }
+
+  private view (weights: HeldWeights): PlanView {
+    const total = weights.manifest.chunks.length
+    const now = Date.now()
+    const ready = this.peers.allHeard || now > this.startedAt + firstPollMilliseconds
+    return {
+      now,
+      total,
+      held: weights.held,
+      seen: weights.seen,
+      duties: this.duties,
+      waitingSince: this.waitingSince,
+      flights: this.flights as ReadonlyMap<number, Flight>,
+      peers: this.peers.views,
+      peerSlots: peerSlots - this.peerDraws,
+      sources: ready ? this.sources.views : [],
+      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.drawMilliseconds),
+      drawsPerPeer,
+      turn: parseInt(digestBytes(this.context.options.instance).slice(0, 6), 16) % total
+    }
+  }
+
+  /** Keeps since when each position waits for a draw from outside. */
+  private noteWaiting (weights: HeldWeights): void {
+    const now = Date.now()
+    const offered = this.peers.views
+    for (const position of this.waitingSince.keys()) {
+      if (hasBit(weights.held, position) || offered.some(peer => hasBit(peer.held, position))) this.waitingSince.delete(position)
+    }
+    for (const position of windowOf(this.duties, weights.seen)) {
+      if (!this.waitingSince.has(position)) this.waitingSince.set(position, now)
+    }
+    for (const position of this.duties.order) {
+      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !offered.some(peer => hasBit(peer.held, position))
+      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + lostHolderMilliseconds)
+    }
+  }
+
+  private launch (weights: HeldWeights, draw: Draw): void {
+    const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * this.drawMilliseconds)
+    const flight = this.flights.get(draw.position) ?? { sources: [], hedgeAt }
+    flight.sources.push(draw.source)
+    flight.hedgeAt = hedgeAt
+    this.flights.set(draw.position, flight)
+    this.noteStart(draw)
+    const work = this.queue.add(async () => {
+      const started = Date.now()
+      const result = await this.draw(weights, draw)
+      this.noteEnd(draw)
+      this.take(weights, draw, result, Date.now() - started)
+    })
+    runInBackground(work, log, 'draw a chunk')
+  }
+
+  private noteStart (draw: Draw): void {
+    if (draw.kind === 'outside') this.sources.noteStart(draw.source)
+    else {
+      this.peerDraws += 1
+      this.peers.noteStart(draw.source)
+    }
+  }
+
+  private noteEnd (draw: Draw): void {
+    const flight = this.flights.get(draw.position)
+    const rest = flight?.sources.filter(source => source !== draw.source) ?? []
+    if (flight !== undefined && rest.length > 0) flight.sources = rest
+    else this.flights.delete(draw.position)
+    if (draw.kind === 'outside') this.sources.noteEnd(draw.source)
+    else {
+      this.peerDraws -= 1
+      this.peers.noteEnd(draw.source)
+    }
+  }
+
+  private async draw (weights: HeldWeights, draw: Draw): Promise<ChunkResult> {
+    const digest = weights.manifest.chunks[draw.position]
+    const url = draw.kind === 'outside' ? this.sources.url(draw.source) : this.peerUrl(draw.source)
+    if (digest === undefined || url === undefined) return { type: 'failed', reason: 'the source is gone' }
+    return await drawChunk({
+      url: `${url}/chunks/${digest}`,
+      digest,
+      largestBytes: weights.manifest.chunkBytes,
+      headers: draw.kind === 'peer' ? this.ownHeaders(weights) : {},
+      stallMilliseconds,
+      deadline: Date.now() + longestDrawMilliseconds,
+      limiter: this.context.incoming,
+      signal: this.stopping.signal
+    })
+  }
+
+  private take (weights: HeldWeights, draw: Draw, result: ChunkResult, milliseconds: number): void {
+    if (this.stopping.signal.aborted) return
+    if ('headers' in result && draw.kind === 'peer') this.noteHeaders(draw.source, result.headers)
+    if (result.type === 'chunk') {
+      this.noteGood(draw, milliseconds)
+      this.context.holdings.addChunk(weights.manifest.chunks[draw.position] ?? '', result.bytes)
+      this.context.onChange()
+    } else {
+      if (result.type !== 'busy') log.warn('a chunk was not drawn', { source: draw.source, result: result.type })
+      this.noteBad(draw, result)
+    }
+    this.fill(weights)
+  }
+
+  private noteGood (draw: Draw, milliseconds: number): void {
+    this.drawMilliseconds += (milliseconds - this.drawMilliseconds) / 8
+    if (draw.kind === 'outside') this.sources.noteGood(draw.source)
+    else this.peers.noteGood(draw.source)
+  }
+
+  private noteBad (draw: Draw, result: ChunkResult): void {
+    if (draw.kind === 'outside') {
+      if (result.type === 'busy') this.sources.noteBusy(draw.source, result.backAt)
+      else this.sources.noteFault(draw.source)
+      return
+    }
+    if (result.type === 'busy') this.peers.noteBusy(draw.source, result.backAt)
+    else this.peers.noteFault(draw.source)
+  }
+
+  private noteHeaders (instance: string, headers: IncomingHttpHeaders): void {
+    const seen = this.peers.noteHeaders(instance, headers)
+    if (seen !== undefined) this.context.holdings.noteSeen(this.wanted.manifest, seen)
+  }
+
+  private ownHeaders (weights: HeldWeights): Readonly<Record<string, string>> {
+    const { instance, dataCentre } = this.context.options
+    return {
+      ...heldHeaders(this.weights(weights)),
+      [heldHeaderNames.instance]: instance,
+      [heldHeaderNames.dataCentre]: dataCentre,
+      [heldHeaderNames.finishBy]: String(this.wanted.finishBy)
+    }
+  }
+
+  private peerUrl (instance: string): string | undefined {
+    const address = this.peers.address(instance)
+    return address === undefined ? undefined : `http://${address}`
+  }
+
+  private poll (weights: HeldWeights): void {
+    const chunkMilliseconds = weights.manifest.chunkBytes / (this.context.options.linkBytes || assumedLinkBytes) * 1000
+    const interval = Math.min(pollMilliseconds.most, Math.max(pollMilliseconds.least, rankFactor * chunkMilliseconds))
+    for (const member of this.peers.unheardSince(Date.now() - interval)) {
+      if (!this.polling.has(member.instance)) runInBackground(this.ask(weights, member), log, 'ask a peer')
+    }
+  }
+
+  private async ask (weights: HeldWeights, member: ExchangeMember): Promise<void> {
+    this.polling.add(member.instance)
+    try {
+      const url = `http://${member.address}/weights/${weights.digest}/held`
+      const answer = await requestJson({ url, method: 'GET', headers: this.ownHeaders(weights), deadline: Date.now() + answerMilliseconds, signal: this.stopping.signal }) as HeldAnswer
+      const total = weights.manifest.chunks.length
+      this.peers.noteHeld(member.instance, answer.held === undefined ? undefined : parseBitmap(answer.held, total))
+      const seen = answer.seen === undefined ? undefined : parseBitmap(answer.seen, total)
+      if (seen !== undefined) this.context.holdings.noteSeen(weights.digest, seen)
+      if (!this.stopping.signal.aborted) this.fill(weights)
+    } catch {
+      this.peers.noteFault(member.instance)
+    } finally {
+      this.polling.delete(member.instance)
+    }
+  }
+}
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -1,96 +1,103 @@
-/** Fetches the chunks of the wanted weights, verifies them, and serves them to peers and to the engine. */
+/** Exchange of weights: fetches the wanted weights, and serves them to peers and to the engine. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { manifestSchema, type Manifest } from '../../types/platform.js'
+import type { SwapState } from '../../core/weights/swap.js'
 import type { WantedWeights, WeightProgress } from '../../types/weights.js'
-import { readAll, requestJson, sendRequest } from '../../transports/http-client.js'
-import { sendJson } from '../../transports/http-server.js'
-import { digestBytes, digestValue } from '../../utils/digest.js'
+import { headerOf, sendJson } from '../../transports/http-server.js'
+import { LinkLimiter } from '../../utils/link-limiter.js'
 import { logFor } from '../../utils/log.js'
 import { runInBackground } from '../../utils/background.js'
-import { waitUntil } from '../../utils/clock.js'
+import type { ChunkFetcher, FetchContext } from './exchange-fetcher.js'
+import { heldCount, heldHeaderNames, Holdings, isWholeSet } from './exchange-holdings.js'
+import type { ExchangeOptions } from './exchange-options.js'
+import { SwarmFetcher } from './exchange-swarm.js'
+import { Uploads } from './exchange-uploads.js'
 
 const log = logFor('exchange')
-const chunkMilliseconds = 30_000
-const retryMilliseconds = 200
 
-/** Holder of chunks in memory. */
+/** Makes the fetcher of one manifest. */
+export type MakeFetcher = (context: FetchContext, wanted: WantedWeights) => ChunkFetcher
+
+const makeSwarm: MakeFetcher = (context, wanted) => new SwarmFetcher(context, wanted)
+
+/** The exchange of one instance. */
 export class WeightExchange {
   private wanted: WantedWeights | undefined
-  private manifest: Manifest | undefined
-  private readonly chunks = new Map<string, Buffer>()
-  private run = new AbortController()
+  private fetcher: ChunkFetcher | undefined
+  private readonly holdings = new Holdings()
+  private readonly uploads: Uploads
+  private readonly context: FetchContext
+  private readonly swap: SwapState = 'idle'
 
-  constructor (private readonly sources: readonly string[], private readonly onChange: () => void) {}
+  constructor (private readonly options: ExchangeOptions, private readonly onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
+    const liveLoad = (): number => {
+      const { inFlight, limit } = options.load()
+      return limit > 0 ? inFlight / limit : 0
+    }
+    this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.swap)
+    this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange: () => { this.changed() } }
+  }
 
-  /** Sets the target; earlier fetching stops, verified chunks stay until the target is whole. */
+  /** Sets the target; fetching of another one stops, chunks of the served weights stay. */
   want (wanted: WantedWeights | undefined): void {
     if (wanted?.manifest === this.wanted?.manifest) return
-    this.run.abort()
-    this.run = new AbortController()
+    this.fetcher?.stop()
+    this.fetcher = undefined
     this.wanted = wanted
-    this.manifest = undefined
-    if (wanted !== undefined) runInBackground(this.fetchAll(wanted, this.run.signal), log, 'fetch weights')
+    if (wanted === undefined) return
+    this.holdings.keepOnly([wanted.manifest, this.options.served()])
+    this.fetcher = this.makeFetcher(this.context, wanted)
+    this.fetcher.start()
   }
 
   get progress (): WeightProgress {
-    const total = this.manifest?.chunks.length ?? 0
-    const held = this.manifest?.chunks.filter(chunk => this.chunks.has(chunk)).length ?? 0
-    return { manifest: this.wanted?.manifest ?? '', held, total }
+    const manifest = this.wanted?.manifest ?? ''
+    const weights = this.holdings.get(manifest)
+    if (weights === undefined) return { manifest, held: 0, total: 0 }
+    return { manifest, held: heldCount(weights), total: weights.manifest.chunks.length }
   }
 
   /** Whether every chunk of the wanted weights is held and verified. */
   get isWhole (): boolean {
-    const { held, total } = this.progress
-    return total > 0 && held === total
+    const weights = this.holdings.get(this.wanted?.manifest ?? '')
+    return weights !== undefined && isWholeSet(weights)
   }
 
-  stop (): void {
-    this.run.abort()
+  /** Bytes of chunks in memory, and bytes sent to peers. */
+  get usage (): { readonly heldBytes: number, readonly sentBytes: number } {
+    return { heldBytes: this.holdings.bytes, sentBytes: this.uploads.sentBytes }
   }
 
-  /** Answers `GET /weights/DIGEST` and `GET /chunks/DIGEST`. */
-  handle (_request: IncomingMessage, response: ServerResponse, path: readonly string[]): void {
-    const [kind, digest = ''] = path
-    if (kind === 'weights' && digest === this.wanted?.manifest && this.manifest !== undefined) {
-      sendJson(response, 200, this.manifest)
-      return
-    }
-    const chunk = kind === 'chunks' ? this.chunks.get(digest) : undefined
-    if (chunk === undefined) {
-      sendJson(response, 404, { error: 'not held here' })
-      return
-    }
-    response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': chunk.length })
-    response.end(chunk)
+  stop (): void {
+    this.fetcher?.stop()
   }
 
-  private async fetchAll (wanted: WantedWeights, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
-      try {
-        this.manifest ??= await this.fetchManifest(wanted.manifest)
-        for (const chunk of this.manifest.chunks) {
-          if (!this.chunks.has(chunk) && !signal.aborted) await this.fetchChunk(chunk)
-        }
-        this.onChange()
-        return
-      } catch (error) {
-        log.warn('a source failed', { reason: String(error) })
-        await waitUntil(Date.now() + retryMilliseconds, signal)
-      }
+  /** Answers `/weights/DIGEST`, `/weights/DIGEST/held` and `/chunks/DIGEST`, and the same under `/local` for the engine. */
+  handle (request: IncomingMessage, response: ServerResponse, path: readonly string[]): void {
+    const [kind = '', digest = '', detail] = path
+    if (kind === 'local') {
+      this.uploads.handleLocal(response, path[1] ?? '', path[2] ?? '')
+      return
     }
+    this.noteAsked(request)
+    if (kind === 'chunks') runInBackground(this.uploads.sendChunk(request, response, digest), log, 'send a chunk')
+    else if (kind === 'weights' && detail === 'held') this.uploads.sendHeld(response, digest, knownVersion(request))
+    else if (kind === 'weights') this.uploads.sendManifest(response, digest)
+    else sendJson(response, 404, { error: 'no such path' })
   }
 
-  private async fetchManifest (digest: string): Promise<Manifest> {
-    const manifest = manifestSchema.parse(await requestJson({ url: `${this.sources[0]}/weights/${digest}`, method: 'GET', deadline: Date.now() + chunkMilliseconds }))
-    if (digestValue(manifest) !== digest) throw new Error('the manifest does not match its digest')
-    return manifest
+  private noteAsked (request: IncomingMessage): void {
+    if (headerOf(request, heldHeaderNames.manifest) !== this.wanted?.manifest) return
+    if (headerOf(request, heldHeaderNames.dataCentre) !== this.options.dataCentre) return
+    this.fetcher?.noteAsked(headerOf(request, heldHeaderNames.instance), request.headers)
   }
 
-  private async fetchChunk (digest: string): Promise<void> {
-    const deadline = Date.now() + chunkMilliseconds
-    const bytes = await readAll(await sendRequest({ url: `${this.sources[0]}/chunks/${digest}`, method: 'GET', deadline }), deadline)
-    if (digestBytes(bytes) !== digest) throw new Error('a chunk does not match its digest')
-    this.chunks.set(digest, bytes)
+  private changed (): void {
+    if (this.isWhole && this.options.served() === this.wanted?.manifest) this.holdings.keepOnly([this.wanted.manifest])
     this.onChange()
   }
 }
+
+function knownVersion (request: IncomingMessage): number {
+  const query = new URLSearchParams((request.url ?? '').split('?')[1] ?? '')
+  return Number(query.get('version') ?? '-1')
+}
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -59,9 +59,10 @@
 }
 
 /** Sends JSON, expects 200 with JSON. */
-export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly body?: unknown, readonly deadline: number }): Promise<unknown> {
+export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly headers?: OutgoingHttpHeaders, readonly body?: unknown, readonly deadline: number, readonly signal?: AbortSignal }): Promise<unknown> {
   const body = outgoing.body === undefined ? undefined : JSON.stringify(outgoing.body)
-  const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+  const contentHeaders = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+  const headers = { ...outgoing.headers, ...contentHeaders }
   const response = await sendRequest({ ...outgoing, body, headers })
   const answer = await readAll(response, outgoing.deadline)
   if (response.statusCode !== 200) throw new StatusError(response.statusCode ?? 0, answer.toString('utf8').slice(0, 200))
