--- a/stand-in/weights.ts
+++ b/stand-in/weights.ts
@@ -1,7 +1,8 @@
-/** Stand-in of the origin and of the weight store: chunks of seeded weights behind one rate-limited link. */
+/** Stand-in of the origin and of the weight store: chunks of seeded weights behind one link that all answers share. */
 import type { Server, ServerResponse } from 'node:http'
 import type { NamedManifest } from '../src/types/weights.js'
 import { digestBytes, digestValue } from '../src/utils/digest.js'
+import { LinkLimiter, sliceBytes } from '../src/utils/link-limiter.js'
 import { seededRandom } from '../src/utils/random.js'
 import { listenHttp, readJson, sendJson } from './http.js'
 
@@ -10,12 +11,24 @@
   outage: boolean
   /** Probability that a chunk is sent corrupt. */
   corrupt: number
+  /** Probability that a request is taken and never answered. */
+  stall: number
+  /** Probability that the connection is cut in the middle of an answer. */
+  lost: number
   /** Bytes a second for all answers together; 0 for no limit. */
   linkBytes: number
+  /** Answers at once beyond which the source says 503; 0 for no limit. */
+  mostAnswers: number
 }
 
 /** Bytes of one version of weights, made from its name. */
-export function makeWeights (model: string, adapter: string | null, version: string, totalBytes: number, chunkBytes: number): { readonly named: NamedManifest, readonly chunks: ReadonlyMap<string, Buffer> } {
+export interface MadeWeights {
+  readonly named: NamedManifest
+  readonly chunks: ReadonlyMap<string, Buffer>
+}
+
+/** Makes a version of weights. */
+export function makeWeights (model: string, adapter: string | null, version: string, totalBytes: number, chunkBytes: number): MadeWeights {
   const random = seededRandom(parseInt(digestBytes(`${model}/${adapter ?? ''}/${version}`).slice(0, 8), 16))
   const bytes = Buffer.alloc(totalBytes)
   for (let offset = 0; offset < totalBytes; offset += 4) bytes.writeUInt32LE(Math.floor(random() * 4294967296), Math.min(offset, totalBytes - 4))
@@ -33,33 +46,44 @@
 
 /** The source; `add` puts weights into it. */
 export class WeightsStandIn {
-  readonly faults: WeightFaults = { outage: false, corrupt: 0, linkBytes: 0 }
+  readonly faults: WeightFaults = { outage: false, corrupt: 0, stall: 0, lost: 0, linkBytes: 0, mostAnswers: 0 }
   private readonly manifests = new Map<string, NamedManifest>()
   private readonly chunks = new Map<string, Buffer>()
   private readonly random: () => number
-  private free = Date.now()
+  private link = new LinkLimiter(0)
+  private answers = 0
   /** Bytes of chunks sent since the start. */
   sentBytes = 0
+  /** How often each chunk was asked for. */
+  readonly asked = new Map<string, number>()
 
   constructor (seed = 1) {
     this.random = seededRandom(seed)
   }
 
-  add (weights: ReturnType<typeof makeWeights>): void {
+  add (weights: MadeWeights): void {
     this.manifests.set(weights.named.digest, weights.named)
     for (const [digest, chunk] of weights.chunks) this.chunks.set(digest, chunk)
   }
 
+  /** Sets faults and limits. */
+  set (faults: Partial<WeightFaults>): void {
+    Object.assign(this.faults, faults)
+    if (faults.linkBytes !== undefined) this.link = new LinkLimiter(faults.linkBytes)
+  }
+
   async listen (address: string): Promise<{ readonly server: Server, readonly port: number }> {
     return await listenHttp(address, async (_request, response, path) => {
-      if (this.faults.outage) {
-        sendJson(response, 503, { error: 'the source is out' })
+      if (this.isStalled()) return undefined
+      if (this.faults.outage || this.isFull()) {
+        sendJson(response, 503, { error: 'the source takes no more now' })
         return undefined
       }
-      const [kind, digest] = path
-      if (kind === 'weights' && digest !== undefined) return this.manifests.get(digest)?.manifest ?? missing(response)
-      const chunk = kind === 'chunks' && digest !== undefined ? this.chunks.get(digest) : undefined
+      const [kind, digest = ''] = path
+      if (kind === 'weights') return this.manifests.get(digest)?.manifest ?? missing(response)
+      const chunk = kind === 'chunks' ? this.chunks.get(digest) : undefined
       if (chunk === undefined) return missing(response)
+      this.asked.set(digest, (this.asked.get(digest) ?? 0) + 1)
       await this.sendChunk(response, chunk)
       return undefined
     })
@@ -73,21 +97,41 @@
         this.add(weights)
         return weights.named
       }
-      if (request.method === 'POST') Object.assign(this.faults, await readJson<Partial<WeightFaults>>(request))
+      if (request.method === 'POST') this.set(await readJson<Partial<WeightFaults>>(request))
       return { ...this.faults, sentBytes: this.sentBytes }
     })
   }
 
+  private isStalled (): boolean {
+    return this.faults.stall > 0 && this.random() < this.faults.stall
+  }
+
+  private isFull (): boolean {
+    return this.faults.mostAnswers > 0 && this.answers >= this.faults.mostAnswers
+  }
+
   private async sendChunk (response: ServerResponse, chunk: Buffer): Promise<void> {
-    if (this.faults.linkBytes > 0) {
-      this.free = Math.max(this.free, Date.now()) + chunk.length / this.faults.linkBytes * 1000
-      await new Promise(resolve => setTimeout(resolve, this.free - Date.now()))
+    const isCorrupt = this.faults.corrupt > 0 && this.random() < this.faults.corrupt
+    const isLost = this.faults.lost > 0 && this.random() < this.faults.lost
+    const bytes = isCorrupt ? Buffer.concat([chunk.subarray(1), chunk.subarray(0, 1)]) : chunk
+    this.answers += 1
+    try {
+      response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': bytes.length })
+      await this.writeSlices(response, isLost ? bytes.subarray(0, bytes.length >> 1) : bytes)
+      if (isLost) response.destroy()
+      else response.end()
+    } finally {
+      this.answers -= 1
+    }
+  }
+
+  private async writeSlices (response: ServerResponse, bytes: Buffer): Promise<void> {
+    for (let offset = 0; offset < bytes.length && !response.destroyed; offset += sliceBytes) {
+      const slice = bytes.subarray(offset, offset + sliceBytes)
+      await this.link.take(slice.length)
+      this.sentBytes += slice.length
+      response.write(slice)
     }
-    const corrupt = this.random() < this.faults.corrupt
-    const bytes = corrupt ? Buffer.concat([chunk.subarray(1), chunk.subarray(0, 1)]) : chunk
-    this.sentBytes += bytes.length
-    response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': bytes.length })
-    response.end(bytes)
   }
 }
 
