Decide the one run of a key by its claim in the log

Claims carry the digest of the body, so that a key reused for another request is refused at any agent.

--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -127,12 +127,14 @@
   incarnation: z.string().min(1).max(64)
 }).readonly()
 
-/** Claims the one run of a non-idempotent request, or releases a claim whose request was never sent. */
+/** Claims the one run of a non-idempotent request, or releases the claim of the same id, whose request was never sent. */
 export const claimRecordSchema = z.object({
   type: z.enum(['claim', 'release']),
   id: z.string().min(1).max(64),
   /** SHA-256 of organisation, service, operation and Idempotency-Key. */
   key: digest,
+  /** SHA-256 of the request's body, so that a key reused for another request is refused. */
+  content: digest,
   instance: name,
   incarnation: z.string().min(1).max(64),
   /** Control address of the claim's holder, `ip:port`. */
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -21,6 +21,8 @@
   suspect: 'pollendyke-suspect',
   instance: 'pollendyke-instance',
   prefix: 'pollendyke-prefix',
+  /** Control address of the agent that holds the claim of the request's key, `ip:port`. */
+  claimHolder: 'pollendyke-claim-holder',
   idempotencyKey: 'idempotency-key',
   traceParent: 'traceparent',
   retryAfter: 'retry-after'
