--- a/script/demo.ts
+++ b/script/demo.ts
@@ -1,61 +1,115 @@
-/** Brings up a deployment, rolls out weights, serves callers, moves a zone, and prints what happened. */
-import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs'
-import { tmpdir } from 'node:os'
-import { join } from 'node:path'
-import { answersSchema } from '../src/types/answers.js'
-import { tokenAt } from '../stand-in/engine.js'
+/** Brings up a deployment, rolls out weights under load, takes a zone out and back, and prints what happened. */
+import { readFileSync } from 'node:fs'
+import { answersSchema, type Answers } from '../src/types/answers.js'
+import { waitUntil } from '../src/utils/clock.js'
 import { startDeployment, type RunningDeployment } from './deployment.js'
-import { runCommand } from './launch.js'
+import { countFailures, judge, lastWorkAfter } from './judge.js'
+import { endAll } from './process.js'
+import { Load } from './load.js'
+import { Operator, waitForReplicas } from './operator.js'
+import { printTable } from './table.js'
 
 const layouts = {
   'khakhi-patrak': { entries: 9, counts: { citations: 6, ledger: 3, portal: 1 }, service: 'citations', zone: 'rajkot' },
   lakeshore: { entries: 9, counts: { assistant: 11, booking: 3, messaging: 1 }, service: 'assistant', zone: 'wisconsin' }
 } as const
+const weightBytes = 2 << 20
+const chunkBytes = 1 << 16
+/** A zone that was taken out must have no new work after this. */
+const zoneMilliseconds = 3000
+const calmMilliseconds = 4000
+const seed = 1
+
+type LayoutName = keyof typeof layouts
+
+function chosenLayout (): LayoutName {
+  const place = process.argv.indexOf('--deployment')
+  const name = place < 0 ? 'khakhi-patrak' : process.argv[place + 1] ?? ''
+  if (!Object.hasOwn(layouts, name)) throw new Error(`--deployment: must be one of ${Object.keys(layouts).join(', ')}, not "${name}"`)
+  return name as LayoutName
+}
 
 async function main (): Promise<void> {
-  const chosen = process.argv.includes('--deployment') ? process.argv[process.argv.indexOf('--deployment') + 1] : 'khakhi-patrak'
-  if (chosen !== 'khakhi-patrak' && chosen !== 'lakeshore') throw new Error(`--deployment: must be khakhi-patrak or lakeshore, not "${chosen}"`)
-  const layout = layouts[chosen]
-  const file = `answers/${chosen}.json`
+  const name = chosenLayout()
+  const layout = layouts[name]
+  const file = `answers/${name}.json`
   const answers = answersSchema.parse(JSON.parse(readFileSync(file, 'utf8')))
-  const running = await startDeployment(answers, layout.entries, layout.counts)
+  const started = Date.now()
+  const running = await startDeployment(answers, layout.entries, layout.counts, { sharedStandIns: true, logLevel: 'error' })
+  process.stdout.write(`${name}: ${running.instances.length} instances and ${running.processes.length} processes after ${Date.now() - started} ms\n`)
   try {
-    await play(running, file, layout.service, answers.organisations.map(({ name }) => name), answers.dataCentres.map(({ name }) => name))
+    await play(running, answers, file, layout)
   } finally {
+    printMemory(running)
     running.end()
   }
 }
 
-async function play (running: RunningDeployment, file: string, service: string, organisations: readonly string[], dataCentres: readonly string[]): Promise<void> {
-  const folder = mkdtempSync(join(tmpdir(), 'pollendyke-'))
-  const generated = await runCommand(['generate', file])
-  writeFileSync(join(folder, 'configuration.json'), generated.output)
-  const log = `http://${running.log.listen}`
-  process.stdout.write((await runCommand(['apply', join(folder, 'configuration.json'), '--log', log])).output)
-  const made = await fetch(`http://${running.origin.control}/weights`, { method: 'POST', body: JSON.stringify({ model: 'badge', adapter: null, version: '1', totalBytes: 1 << 20, chunkBytes: 1 << 16 }) })
-  const named = await made.json() as { digest: string }
-  const intent = { id: 'first', service, model: 'badge', adapter: null, version: '1', manifest: named.digest, organisations, dataCentres, finishBy: Date.now() + 60_000 }
-  writeFileSync(join(folder, 'intent.json'), JSON.stringify({ kind: 'intent', intent }))
-  process.stdout.write((await runCommand(['apply', join(folder, 'intent.json'), '--log', log])).output)
-  const entry = running.instances[0]
-  if (entry === undefined) throw new Error('no entry was started')
-  const started = Date.now()
-  for (;;) {
-    const status = await (await fetch(`http://${entry.listen}/status`)).json() as { upstreams: { service: string, weights: string }[] }
-    const models = status.upstreams.filter(upstream => upstream.service === service)
-    if (models.length > 0 && models.every(upstream => upstream.weights === named.digest)) break
-    if (Date.now() > started + 60_000) throw new Error('the rollout did not finish')
-    await new Promise(resolve => setTimeout(resolve, 100))
-  }
-  process.stdout.write(`replicas served after ${Date.now() - started} ms\n`)
-  const answer = await fetch(`http://${entry.listen}/services/${service}/completions`, { method: 'POST', headers: { 'pollendyke-organisation': organisations[0] ?? '' }, body: JSON.stringify({ prompt: 'a hike', maximumTokens: 5 }) })
-  const lines = (await answer.text()).trim().split('\n').map(line => JSON.parse(line) as { type: string, token?: string })
-  const right = lines.slice(0, 5).every((line, index) => line.token === tokenAt(named.digest, 'a hike', index))
-  process.stdout.write(`answer: ${lines.length} lines, whole and right: ${right && lines.at(-1)?.type === 'end'}\n`)
-  if (!right) {
-    process.stdout.write(`${JSON.stringify(lines)}\n`)
-    process.exitCode = 1
-  }
+async function play (running: RunningDeployment, answers: Answers, file: string, layout: typeof layouts[LayoutName]): Promise<void> {
+  const operator = new Operator(running, answers)
+  await operator.applyAnswers(file)
+  const first = await operator.rollOut(layout.service, '1', weightBytes, chunkBytes)
+  const firstMilliseconds = await waitForReplicas(running, layout.service, first.manifest, first.acceptedAt)
+  const load = new Load({
+    seed,
+    organisations: answers.organisations.map(({ name }) => name),
+    services: answers.services,
+    entries: running.instances.filter(({ listed }) => listed.role === 'entry').map(({ listen }) => listen),
+    callers: 2,
+    pauseMilliseconds: 200,
+    tokens: 12,
+    callMilliseconds: 10_000,
+    resendShare: 0.3
+  })
+  load.start()
+  await waitUntil(Date.now() + calmMilliseconds)
+  const second = await operator.rollOut(layout.service, '2', weightBytes, chunkBytes)
+  const secondMilliseconds = await waitForReplicas(running, layout.service, second.manifest, second.acceptedAt)
+  const outAt = await operator.moveZone('out', layout.zone)
+  await waitUntil(Date.now() + calmMilliseconds)
+  const inAt = await operator.moveZone('in', layout.zone)
+  await waitUntil(Date.now() + calmMilliseconds)
+  const sendings = await load.stop()
+  const register = running.register()
+  const verdict = judge(sendings, register, operator.nonIdempotent)
+  const zone = new Set(running.instances.flatMap(({ listed, upstream }) => listed.dataCentre === layout.zone && upstream !== undefined ? [upstream.listen] : []))
+  const lastWork = lastWorkAfter(register, zone, outAt, inAt)
+  const back = lastWorkAfter(register, zone, inAt, Infinity)
+  const replicas = Object.entries(layout.counts).find(([service]) => service === layout.service)?.[1] ?? 0
+  const copies = ((await operator.originBytes()) / weightBytes / 2).toFixed(2)
+  printTable([
+    ['version 1 on all replicas', `${replicas} after ${firstMilliseconds} ms`],
+    ['version 2 on all replicas, under load', `${replicas} after ${secondMilliseconds} ms`],
+    ['drawn from the origin', `${copies} copies a version`],
+    ['requests sent', verdict.sent],
+    ['answered whole', verdict.whole],
+    ['refused, not run', verdict.notRun],
+    ['unknown', verdict.unknown],
+    ['run, answer no longer kept', verdict.run],
+    ['cut', verdict.cut],
+    ['wrong answers (must be 0)', verdict.wrong],
+    ['doubled (must be 0)', verdict.doubled],
+    ['said not run, and ran (must be 0)', verdict.falseNotRun],
+    ['overloads (must be 0)', verdict.overloads],
+    [`zone ${layout.zone} out: last new work`, lastWork < 0 ? 'none' : `${lastWork} ms after the order`],
+    [`zone ${layout.zone} back: work again`, back < 0 ? 'no' : 'yes']
+  ])
+  for (const [failure, count] of countFailures(sendings).slice(0, 6)) process.stdout.write(`  ${count} x ${failure}\n`)
+  const late = lastWork > zoneMilliseconds ? [`the zone took new work ${lastWork} ms after the order`] : []
+  const broken = [...verdict.findings, ...late, ...(verdict.cut > 0 ? [`${verdict.cut} answers were cut`] : [])]
+  for (const finding of broken.slice(0, 20)) process.stdout.write(`BROKEN ${finding}\n`)
+  if (broken.length > 0) process.exitCode = 1
+  process.stdout.write(broken.length === 0 ? 'every promise held\n' : `${broken.length} findings\n`)
 }
 
-await main()
+function printMemory (running: RunningDeployment): void {
+  for (const managed of running.processes) managed.readPeak()
+  const bytes = running.processes.reduce((sum, managed) => sum + managed.peakBytes, 0)
+  process.stdout.write(`peak resident memory of ${running.processes.length} processes, shared pages counted in each: ${Math.round(bytes / (1 << 20))} MiB\n`)
+}
+
+try {
+  await main()
+} finally {
+  endAll()
+}
--- a/script/deployment.ts
+++ b/script/deployment.ts
@@ -1,7 +1,18 @@
 /** A whole deployment of processes on loopback: stand-ins, entries, agents. */
 import type { Answers } from '../src/types/answers.js'
 import type { ListedInstance } from '../src/types/platform.js'
-import { freshAddress, planUpstreams, startDaemon, startStandIn, type PlannedUpstream, type Started, type StartedInstance } from './launch.js'
+import type { RegisterLine } from '../stand-in/register.js'
+import { freshAddress, planUpstreams, startDaemon, startStandIn, startStandIns, type PlannedUpstream, type Started, type StartedInstance } from './launch.js'
+import type { ManagedProcess } from './process.js'
+
+/** How to start a deployment. */
+export interface DeploymentOptions {
+  /** Whether all stand-ins share one process, to save memory; then no signal reaches one of them alone. */
+  readonly sharedStandIns?: boolean
+  readonly logLevel?: 'info' | 'warn' | 'error' | 'silent'
+  /** Further flags of an instance's daemon, such as another address of the log. */
+  readonly flagsOf?: (instance: string, platform: Readonly<Record<string, string>>) => Readonly<Record<string, string>>
+}
 
 /** The running deployment. */
 export interface RunningDeployment {
@@ -10,47 +21,101 @@
   readonly origin: Started
   readonly store: Started
   readonly instances: readonly StartedInstance[]
+  /** Every process that was started here. */
+  readonly processes: readonly ManagedProcess[]
+  /** The instance of that name. */
+  named (instance: string): StartedInstance
   /** Publishes the list of instances to the platform's stand-in. */
   publish (listed: readonly ListedInstance[]): Promise<void>
+  /** Facts that engines and plain services recorded so far. */
+  register (): readonly RegisterLine[]
   /** Ends every process that was started here. */
   end (): void
 }
 
+interface Platform {
+  readonly flags: Readonly<Record<string, string>>
+  readonly sources: Readonly<Record<string, string>>
+  readonly options: DeploymentOptions
+}
+
 /** Starts everything; resolves once all processes serve. */
-export async function startDeployment (answers: Answers, entries: number, counts: Readonly<Record<string, number>>): Promise<RunningDeployment> {
-  const [log, list, origin, store] = await Promise.all([startStandIn('log'), startStandIn('instances'), startStandIn('weights'), startStandIn('weights')])
-  const platform = { log: `http://${log.listen}`, instances: `http://${list.listen}` }
-  const sources = { origin: `http://${origin.listen}`, store: `http://${store.listen}` }
+export async function startDeployment (answers: Answers, entries: number, counts: Readonly<Record<string, number>>, options: DeploymentOptions = {}): Promise<RunningDeployment> {
+  const planned = planUpstreams(answers, counts)
+  const { platform: [log, list, origin, store], upstreams } = await startOutside(planned, options.sharedStandIns === true)
+  if (log === undefined || list === undefined || origin === undefined || store === undefined) throw new Error('a stand-in of the platform is missing')
+  const platform: Platform = {
+    flags: { log: `http://${log.listen}`, instances: `http://${list.listen}`, 'log-level': options.logLevel ?? 'warn' },
+    sources: { origin: `http://${origin.listen}`, store: `http://${store.listen}` },
+    options
+  }
   const entryStarts = Array.from({ length: entries }, (_, index) => startEntryInstance(answers, index, platform))
-  const upstreamStarts = planUpstreams(answers, counts).map((planned, index) => startUpstreamInstance(planned, index, platform, sources))
+  const upstreamStarts = planned.map((plan, index) => startUpstreamInstance(plan, index, upstreams[index], platform))
   const instances = await Promise.all([...entryStarts, ...upstreamStarts])
-  const publish = async (listed: readonly ListedInstance[]): Promise<void> => {
-    await fetch(`http://${list.control}/`, { method: 'PUT', body: JSON.stringify(listed) })
+  const processes = [...new Set([log, list, origin, store, ...upstreams, ...instances].map(started => started.process))]
+  const running: RunningDeployment = {
+    log,
+    list,
+    origin,
+    store,
+    instances,
+    processes,
+    named: instance => findInstance(instances, instance),
+    publish: async listed => { await putJson(`http://${list.control}/`, listed) },
+    register: () => [...new Set(upstreams.map(upstream => upstream.process))].flatMap(managed => managed.register),
+    end: () => { for (const managed of processes) managed.kill('SIGKILL') }
   }
-  await publish(instances.map(instance => instance.listed))
-  const end = (): void => {
-    for (const started of [log, list, origin, store, ...instances, ...instances.flatMap(({ upstream }) => upstream ?? [])]) started.process.kill('SIGKILL')
+  await running.publish(instances.map(instance => instance.listed))
+  return running
+}
+
+/** Sets faults at a stand-in's control port; the answer is what it says of itself. */
+export async function setFaults (standIn: Started, faults: Readonly<Record<string, unknown>>, path = ''): Promise<unknown> {
+  const answer = await fetch(`http://${standIn.control}/${path}`, { method: 'POST', body: JSON.stringify(faults) })
+  return await answer.json()
+}
+
+async function putJson (url: string, value: unknown): Promise<void> {
+  await fetch(url, { method: 'PUT', body: JSON.stringify(value) })
+}
+
+function findInstance (instances: readonly StartedInstance[], name: string): StartedInstance {
+  const found = instances.find(({ listed }) => listed.instance === name)
+  if (found === undefined) throw new Error(`no instance is called ${name}`)
+  return found
+}
+
+async function startOutside (planned: readonly PlannedUpstream[], shared: boolean): Promise<{ readonly platform: readonly Started[], readonly upstreams: readonly Started[] }> {
+  const platformKinds = ['log', 'instances', 'weights', 'weights'] as const
+  const upstreamKinds = planned.map(({ kind }) => kind === 'model' ? 'engine' as const : 'service' as const)
+  if (shared) {
+    const [platform, upstreams] = await Promise.all([startStandIns(platformKinds, 'platform'), startStandIns(upstreamKinds, 'upstreams')])
+    return { platform, upstreams }
   }
-  return { log, list, origin, store, instances, publish, end }
+  const platform = await Promise.all(platformKinds.map((kind, index) => startStandIn(kind, `${kind}-${index}`)))
+  const upstreams = await Promise.all(upstreamKinds.map((kind, index) => startStandIn(kind, `${kind}-${index}`)))
+  return { platform, upstreams }
 }
 
-async function startEntryInstance (answers: Answers, index: number, platform: Readonly<Record<string, string>>): Promise<StartedInstance> {
+async function startEntryInstance (answers: Answers, index: number, platform: Platform): Promise<StartedInstance> {
   const place = answers.dataCentres[index % answers.dataCentres.length]
   if (place === undefined) throw new Error('the answers name no data centre')
   const [listen, control] = [freshAddress(), freshAddress()]
   const instance = `entry-${index}`
-  const child = await startDaemon({ role: 'entry', instance, 'data-centre': place.name, region: place.region, listen, control, 'log-level': 'warn', ...platform })
+  const flags = { role: 'entry', instance, 'data-centre': place.name, region: place.region, listen, control, ...platform.flags }
+  const managed = await startDaemon({ ...flags, ...platform.options.flagsOf?.(instance, platform.flags) })
   const listed: ListedInstance = { instance, role: 'entry', service: '', dataCentre: place.name, region: place.region, state: 'live', address: listen, controlAddress: control }
-  return { process: child, listen, control, listed, upstream: undefined }
+  return { process: managed, listen, control, listed, upstream: undefined }
 }
 
-async function startUpstreamInstance (planned: PlannedUpstream, index: number, platform: Readonly<Record<string, string>>, sources: Readonly<Record<string, string>>): Promise<StartedInstance> {
+async function startUpstreamInstance (planned: PlannedUpstream, index: number, upstream: Started | undefined, platform: Platform): Promise<StartedInstance> {
+  if (upstream === undefined) throw new Error('the upstream was not started')
   const { service, kind, dataCentre, region } = planned
-  const upstream = await startStandIn(kind === 'model' ? 'engine' : 'service')
   const [listen, control] = [freshAddress(), freshAddress()]
   const instance = `${service}-${index}`
-  const weights = kind === 'model' ? sources : {}
-  const child = await startDaemon({ role: 'agent', instance, 'data-centre': dataCentre, region, service, listen, control, upstream: `http://${upstream.listen}`, 'log-level': 'warn', ...platform, ...weights })
+  const weights = kind === 'model' ? platform.sources : {}
+  const flags = { role: 'agent', instance, 'data-centre': dataCentre, region, service, listen, control, upstream: `http://${upstream.listen}`, ...platform.flags, ...weights }
+  const managed = await startDaemon({ ...flags, ...platform.options.flagsOf?.(instance, { ...platform.flags, upstream: flags.upstream }) })
   const listed: ListedInstance = { instance, role: 'upstream', service, dataCentre, region, state: 'live', address: listen, controlAddress: control }
-  return { process: child, listen, control, listed, upstream }
+  return { process: managed, listen, control, listed, upstream }
 }
--- a/script/launch.ts
+++ b/script/launch.ts
@@ -1,13 +1,14 @@
-/** Starts the processes of a deployment on loopback, for the demo and the failure tests. */
-import { spawn, type ChildProcess } from 'node:child_process'
+/** Starts the processes of a deployment on loopback, for the demo, the measurements and the failure tests. */
 import { fileURLToPath } from 'node:url'
+import { spawn } from 'node:child_process'
 import type { Answers } from '../src/types/answers.js'
 import type { ListedInstance } from '../src/types/platform.js'
 import type { StandInKind } from '../stand-in/main.js'
+import { ManagedProcess } from './process.js'
 
 /** A process with the addresses it serves. */
 export interface Started {
-  readonly process: ChildProcess
+  readonly process: ManagedProcess
   readonly listen: string
   readonly control: string
 }
@@ -19,29 +20,54 @@
 }
 
 const root = fileURLToPath(new URL('../', import.meta.url))
+/** Small young generation: many processes share the machine. */
+const memoryFlags = ['--max-semi-space-size=4', '--stack-trace-limit=20']
 
-/** Starts a stand-in as a process. */
-export async function startStandIn (kind: StandInKind): Promise<Started> {
-  const child = spawn(process.execPath, [`${root}stand-in/main.js`, kind], { stdio: ['ignore', 'pipe', 'inherit'] })
-  const [, listen, control] = (await firstLine(child)).split(' ')
-  return { process: child, listen: `127.0.0.1:${listen}`, control: `127.0.0.1:${control}` }
+/** Starts a stand-in as a process of its own; a restart serves the same addresses. */
+export async function startStandIn (kind: StandInKind, name: string = kind): Promise<Started> {
+  const [started] = await startStandIns([kind], name)
+  if (started === undefined) throw new Error(`no ${kind} was started`)
+  return started
+}
+
+/** Starts several stand-ins in one process. */
+export async function startStandIns (kinds: readonly StandInKind[], name: string): Promise<readonly Started[]> {
+  const places = kinds.map(kind => ({ kind, listen: freshAddress(), control: freshAddress() }))
+  const words = places.flatMap(({ kind, listen, control }) => [kind, listen, control])
+  const managed = new ManagedProcess(name, [...memoryFlags, `${root}stand-in/main.js`, ...words])
+  await managed.start()
+  return places.map(({ listen, control }) => ({ process: managed, listen, control }))
 }
 
 /** Starts the daemon and waits until it serves. */
-export async function startDaemon (flags: Readonly<Record<string, string>>): Promise<ChildProcess> {
-  const words = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, value])
-  const child = spawn(process.execPath, [`${root}bin/pollendyked.js`, ...words], { stdio: ['ignore', 'pipe', 'inherit'] })
-  await firstLine(child)
-  return child
+export async function startDaemon (flags: Readonly<Record<string, string>>): Promise<ManagedProcess> {
+  const managed = new ManagedProcess(flags['instance'] ?? 'daemon', [...memoryFlags, `${root}bin/pollendyked.js`, ...daemonWords(flags)])
+  await managed.start()
+  return managed
 }
 
+/** Command-line words of a daemon's flags. */
+export function daemonWords (flags: Readonly<Record<string, string>>): readonly string[] {
+  return Object.entries(flags).flatMap(([name, value]) => [`--${name}`, value])
+}
+
+/** What a program that ran to its end left. */
+export interface RunResult { readonly code: number, readonly output: string, readonly errors: string }
+
 /** Runs the operators' command line and returns its exit code and output. */
-export async function runCommand (words: readonly string[]): Promise<{ readonly code: number, readonly output: string }> {
-  const child = spawn(process.execPath, [`${root}bin/pollendyke.js`, ...words], { stdio: ['ignore', 'pipe', 'inherit'] })
+export async function runCommand (words: readonly string[]): Promise<RunResult> {
+  return await runProgram('pollendyke', words)
+}
+
+/** Runs a program of `bin/` to its end. */
+export async function runProgram (name: 'pollendyke' | 'pollendyked', words: readonly string[], environment: Readonly<Record<string, string>> = {}): Promise<RunResult> {
+  const child = spawn(process.execPath, [`${root}bin/${name}.js`, ...words], { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...environment } })
   let output = ''
+  let errors = ''
   child.stdout.on('data', (part: Buffer) => { output += part.toString('utf8') })
+  child.stderr.on('data', (part: Buffer) => { errors += part.toString('utf8') })
   const code = await new Promise<number>(resolve => { child.on('close', exit => { resolve(exit ?? 1) }) })
-  return { code, output }
+  return { code, output, errors }
 }
 
 const firstPort = 10_000
@@ -68,14 +94,3 @@
     return { service: name, kind, dataCentre: place.name, region: place.region }
   }))
 }
-
-function firstLine (child: ChildProcess): Promise<string> {
-  return new Promise((resolve, reject) => {
-    let text = ''
-    child.stdout?.on('data', (part: Buffer) => {
-      text += part.toString('utf8')
-      if (text.includes('\n')) resolve(text.split('\n')[0] ?? '')
-    })
-    child.once('exit', code => { reject(new Error(`the process ended with ${code} before it was ready`)) })
-  })
-}
--- /dev/null
+++ b/script/operator.ts
@@ -0,0 +1,113 @@
+/** An operator who works through the command line, and the questions that a script asks of a deployment. */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { Answers } from '../src/types/answers.js'
+import { waitUntil } from '../src/utils/clock.js'
+import type { RunningDeployment } from './deployment.js'
+import { setFaults } from './deployment.js'
+import { runCommand } from './launch.js'
+
+const rolloutMilliseconds = 60_000
+const pollMilliseconds = 50
+
+/** A rollout that was accepted; times in epoch milliseconds. */
+export interface AcceptedRollout { readonly manifest: string, readonly acceptedAt: number }
+
+/** Drives a deployment as operators do. */
+export class Operator {
+  private readonly folder = mkdtempSync(join(tmpdir(), 'pollendyke-'))
+  /** Base URL of the log that the command line uses. */
+  readonly log: string
+
+  constructor (private readonly running: RunningDeployment, private readonly answers: Answers) {
+    this.log = `http://${running.log.listen}`
+    process.once('exit', () => { rmSync(this.folder, { recursive: true, force: true }) })
+  }
+
+  /** Non-idempotent operations as `service/operation`. */
+  get nonIdempotent (): ReadonlySet<string> {
+    return new Set(this.answers.services.flatMap(service => service.kind === 'plain' ? service.nonIdempotent.map(operation => `${service.name}/${operation}`) : []))
+  }
+
+  /** Generates the configuration from an answers file and applies it. */
+  async applyAnswers (file: string): Promise<void> {
+    const generated = await runCommand(['generate', file])
+    if (generated.code !== 0) throw new Error(`generate failed: ${generated.errors}`)
+    await this.apply('configuration.json', generated.output)
+  }
+
+  /** Generates the configuration from answers and applies it. */
+  async applyGenerated (): Promise<void> {
+    await this.applyAnswers(this.write('answers.json', JSON.stringify(this.answers)))
+  }
+
+  /** Puts a version into the origin and the store and applies an intent for all organisations in all data centres. */
+  async rollOut (service: string, version: string, totalBytes: number, chunkBytes: number): Promise<AcceptedRollout> {
+    const weights = { model: 'model', adapter: null, version, totalBytes, chunkBytes }
+    await setFaults(this.running.store, weights, 'weights')
+    const { digest } = await setFaults(this.running.origin, weights, 'weights') as { digest: string }
+    const organisations = this.answers.organisations.map(({ name }) => name)
+    const dataCentres = this.answers.dataCentres.map(({ name }) => name)
+    const intent = { id: 'rollout', service, model: 'model', adapter: null, version, manifest: digest, organisations, dataCentres, finishBy: Date.now() + rolloutMilliseconds }
+    const acceptedAt = await this.apply('intent.json', JSON.stringify({ kind: 'intent', intent }))
+    return { manifest: digest, acceptedAt }
+  }
+
+  /** Takes a data centre out or back in; returns when the command line said that it was accepted. */
+  async moveZone (direction: 'in' | 'out', dataCentre: string): Promise<number> {
+    const moved = await this.tryZone(direction, dataCentre)
+    if (moved.code !== 0) throw new Error(`zone ${direction} failed: ${moved.output} ${moved.errors}`)
+    return Date.now()
+  }
+
+  /** Takes a data centre out or back in, whatever the command line answers. */
+  async tryZone (direction: 'in' | 'out', dataCentre: string): Promise<{ readonly code: number, readonly output: string, readonly errors: string }> {
+    return await runCommand(['zone', direction, dataCentre, '--log', this.log])
+  }
+
+  /** Bytes of chunks that the origin sent. */
+  async originBytes (): Promise<number> {
+    return (await setFaults(this.running.origin, {}) as { sentBytes: number }).sentBytes
+  }
+
+  private async apply (name: string, text: string): Promise<number> {
+    const applied = await runCommand(['apply', this.write(name, text), '--log', this.log])
+    if (applied.code !== 0) throw new Error(`apply failed: ${applied.output} ${applied.errors}`)
+    return Date.now()
+  }
+
+  private write (name: string, text: string): string {
+    const file = join(this.folder, name)
+    writeFileSync(file, text)
+    return file
+  }
+}
+
+/** Waits until every engine of the service reports the manifest itself; returns milliseconds since `from`. */
+export async function waitForReplicas (running: RunningDeployment, service: string, manifest: string, from: number): Promise<number> {
+  const engines = running.instances.filter(({ listed }) => listed.service === service)
+  await waitFor(`${manifest.slice(0, 8)} on every ${service}`, async () => {
+    const states = await Promise.all(engines.map(async engine => await engineWeights(engine.upstream?.listen ?? '')))
+    return states.every(weights => weights === manifest)
+  })
+  return Date.now() - from
+}
+
+/** Waits for a condition; the cap only ends a hang. */
+export async function waitFor (what: string, condition: () => Promise<boolean>, capMilliseconds = rolloutMilliseconds): Promise<void> {
+  const deadline = Date.now() + capMilliseconds
+  while (!await condition()) {
+    if (Date.now() > deadline) throw new Error(`waited in vain for ${what}`)
+    await waitUntil(Date.now() + pollMilliseconds)
+  }
+}
+
+async function engineWeights (listen: string): Promise<string> {
+  try {
+    const state = await (await fetch(`http://${listen}/state`)).json() as { weights: string | null }
+    return state.weights ?? ''
+  } catch {
+    return ''
+  }
+}
--- a/stand-in/engine.ts
+++ b/stand-in/engine.ts
@@ -3,22 +3,42 @@
 import type { Server, ServerResponse } from 'node:http'
 import { manifestSchema, type EngineLine, type EngineOrder, type EngineRequest, type EngineState, type Manifest } from '../src/types/platform.js'
 import { digestBytes, digestValue } from '../src/utils/digest.js'
-import { listenHttp, readJson, sendJson } from './http.js'
+import { seededRandom } from '../src/utils/random.js'
+import { PrefixCache, prefixOf } from './engine-cache.js'
+import { Connections, delay, listenHttp, readBody, readJson, sendJson } from './http.js'
+import { recordNothing, type Recorder } from './register.js'
 
 /** Behaviour and faults that the control port sets. */
 export interface EngineFaults {
-  /** Milliseconds between tokens. */
+  /** Milliseconds between tokens of a request that runs alone. */
   tokenMilliseconds: number
-  /** Requests that a cold engine bears; one more makes it fall over. */
+  /** Share by which each further running request slows every token. */
+  slowShare: number
+  /** Token times that a prompt costs before its first token when its prefix is not cached. */
+  prefillTokens: number
+  /** Requests that a cold engine bears. */
   coldBound: number
   /** Requests that a warm engine bears. */
   fullBound: number
-  /** Answers after which a cold engine is warm. */
+  /** Answers after which a cold engine is warm; the bearing grows evenly until then. */
   warmAfter: number
   /** Whether orders with an old fencing number are refused. */
   checksFence: boolean
   /** A prompt that contains this text crashes the engine; empty for none. */
   crashText: string
+  /** Milliseconds by which the load report lags. */
+  loadLagMilliseconds: number
+  /** Milliseconds by which cache events lag, and the probability that one is lost. */
+  cacheLagMilliseconds: number
+  cacheLossShare: number
+  /** Prefixes that the cache holds. */
+  cacheSize: number
+  /** Milliseconds that a load takes beside drawing the chunks. */
+  loadMilliseconds: number
+  /** Probability that an order's answer is lost after its effect. */
+  loseOrderShare: number
+  /** Digest reported in place of the computed one; empty for the true one. */
+  reportedWeights: string
 }
 
 /** What the engine recorded, for the judges of tests. */
@@ -39,42 +59,90 @@
 
 /** The engine. */
 export class EngineStandIn {
-  readonly behaviour: EngineFaults = { tokenMilliseconds: 10, coldBound: 2, fullBound: 8, warmAfter: 10, checksFence: true, crashText: '' }
+  readonly behaviour: EngineFaults = {
+    tokenMilliseconds: 10,
+    slowShare: 0.1,
+    prefillTokens: 1,
+    coldBound: 2,
+    fullBound: 8,
+    warmAfter: 20,
+    checksFence: true,
+    crashText: '',
+    loadLagMilliseconds: 500,
+    cacheLagMilliseconds: 500,
+    cacheLossShare: 0.1,
+    cacheSize: 64,
+    loadMilliseconds: 0,
+    loseOrderShare: 0,
+    reportedWeights: ''
+  }
+
   readonly register: EngineRegister = { highestRunning: 0, overloads: 0, orders: [], started: [] }
+  private readonly connections = new Connections()
+  private readonly random: () => number
+  private readonly cache: PrefixCache
   private state: EngineState = { incarnation: randomUUID(), weights: null, role: 'serve', loading: null, fence: -1, running: 0 }
   private answered = 0
   private readonly running = new Map<string, ServerResponse>()
 
+  constructor (private readonly name = 'engine', private readonly record: Recorder = recordNothing, seed = 1) {
+    this.random = seededRandom(seed)
+    this.cache = new PrefixCache(this.random)
+  }
+
   async listen (address: string): Promise<{ readonly server: Server, readonly port: number }> {
-    return await listenHttp(address, async (request, response, path) => {
-      if (path[0] === 'state') return { ...this.state, running: this.running.size }
-      if (path[0] === 'load') return { running: this.running.size, incarnation: this.state.incarnation }
-      if (path[0] === 'orders') return await this.order(await readJson<EngineOrder>(request), response)
-      if (path[0] === 'completions' && request.method === 'DELETE') return this.cancel(path[1] ?? '')
-      if (path[0] === 'completions') return await this.complete(await readJson<EngineRequest>(request), response)
+    return await listenHttp(address, async (request, response, path, query) => {
+      const [kind, name = ''] = path
+      if (kind === 'state') return { ...this.state, running: this.running.size }
+      if (kind === 'load') return await this.laggingLoad()
+      if (kind === 'orders') return await this.order(await readJson<EngineOrder>(request), response)
+      if (kind === 'completions' && request.method === 'DELETE') return this.cancel(name)
+      if (kind === 'completions') return await this.complete(await readJson<EngineRequest>(request), response)
+      if (kind === 'cache-events') return this.cache.eventsFrom(Number(query.get('from') ?? 0), this.behaviour.cacheLagMilliseconds)
+      if (kind === 'kv' && request.method === 'PUT') return this.importState(name, (await readBody(request)).toString('utf8'))
+      if (kind === 'kv' && this.cache.has(name)) return { prefix: name, weights: this.state.weights, state: this.cache.state(name) }
       sendJson(response, 404, { error: 'no such path' })
       return undefined
-    })
+    }, this.connections)
   }
 
   async listenControl (address: string): Promise<{ readonly server: Server, readonly port: number }> {
     return await listenHttp(address, async (request, _response, path) => {
       if (path[0] === 'crash') this.crash()
+      else if (path[0] === 'silence') this.connections.silence()
+      else if (path[0] === 'cut') this.connections.cut()
       else if (request.method === 'POST') Object.assign(this.behaviour, await readJson<Partial<EngineFaults>>(request))
-      return { behaviour: this.behaviour, register: this.register, state: this.state }
+      return { behaviour: this.behaviour, register: this.register, state: { ...this.state, running: this.running.size }, bound: this.bound }
     })
   }
 
   /** Falls over: every running answer is cut and the engine starts anew, cold and empty. */
-  crash (): void {
+  crash (overload = false): void {
+    if (overload) this.register.overloads += 1
+    this.record({ event: 'crashed', upstream: this.name, at: Date.now(), overload })
     for (const response of this.running.values()) response.destroy()
     this.running.clear()
+    this.cache.clear()
     this.answered = 0
     this.state = { ...this.state, incarnation: randomUUID(), weights: null, loading: null, fence: -1 }
   }
 
-  private bound (): number {
-    return this.answered < this.behaviour.warmAfter ? this.behaviour.coldBound : this.behaviour.fullBound
+  /** Requests that the engine bears now. */
+  private get bound (): number {
+    const { coldBound, fullBound, warmAfter } = this.behaviour
+    const warmth = Math.min(1, this.answered / warmAfter)
+    return coldBound + Math.floor(warmth * (fullBound - coldBound))
+  }
+
+  private get tokenTime (): number {
+    const { tokenMilliseconds, slowShare } = this.behaviour
+    return tokenMilliseconds * (1 + slowShare * Math.max(0, this.running.size - 1))
+  }
+
+  private async laggingLoad (): Promise<unknown> {
+    const report = { running: this.running.size, incarnation: this.state.incarnation }
+    await delay(this.behaviour.loadLagMilliseconds)
+    return report
   }
 
   private async complete (request: EngineRequest, response: ServerResponse): Promise<undefined> {
@@ -83,31 +151,49 @@
       sendJson(response, 503, { error: 'no weights are loaded' })
       return
     }
-    this.running.set(request.id, response)
-    this.register.started.push({ id: request.id, weights, at: Date.now() })
-    this.register.highestRunning = Math.max(this.register.highestRunning, this.running.size)
+    this.begin(request, response, weights)
     const crashing = this.behaviour.crashText !== '' && request.prompt.includes(this.behaviour.crashText)
-    if (this.running.size > this.bound() || crashing) {
-      if (!crashing) this.register.overloads += 1
-      this.crash()
+    if (this.running.size > this.bound || crashing) {
+      this.crash(!crashing)
       return
     }
     response.writeHead(200, { 'content-type': 'application/x-ndjson' })
     await this.stream(request, response, weights)
   }
 
+  private begin (request: EngineRequest, response: ServerResponse, weights: string): void {
+    const { id, prompt, resumeFrom } = request
+    this.running.set(id, response)
+    const at = Date.now()
+    this.register.started.push({ id, weights, at })
+    this.register.highestRunning = Math.max(this.register.highestRunning, this.running.size)
+    this.record({ event: 'started', upstream: this.name, at, id, prompt, weights, resumeFrom, running: this.running.size, bound: this.bound })
+  }
+
+  /** Streams the tokens; a load during the stream changes the weights of the rest, as a real engine's would. */
   private async stream (request: EngineRequest, response: ServerResponse, weights: string): Promise<undefined> {
+    const prefix = prefixOf(request.prompt)
+    const prefill = this.cache.has(prefix) ? 0 : this.behaviour.prefillTokens
+    await delay(this.tokenTime * prefill)
     for (let index = request.resumeFrom; index < request.maximumTokens; index += 1) {
-      await new Promise(resolve => setTimeout(resolve, this.behaviour.tokenMilliseconds))
+      await this.waitTurn(request.priority)
       if (this.running.get(request.id) !== response || response.destroyed) return this.forget(request.id, response)
-      sendLine(response, { type: 'token', id: request.id, index, token: tokenAt(weights, request.prompt, index), weights })
+      const used = this.state.weights ?? weights
+      sendLine(response, { type: 'token', id: request.id, index, token: tokenAt(used, request.prompt, index), weights: used })
     }
-    sendLine(response, { type: 'end', id: request.id, tokens: request.maximumTokens, weights, reason: 'complete' })
+    sendLine(response, { type: 'end', id: request.id, tokens: request.maximumTokens, weights: this.state.weights ?? weights, reason: 'complete' })
     response.end()
     this.answered += 1
+    this.cache.store(prefix, `${weights}/${prefix}`, this.behaviour.cacheSize, this.behaviour.cacheLossShare)
     return this.forget(request.id, response)
   }
 
+  /** One token's time; a higher number is less urgent and waits a little longer while others run. */
+  private async waitTurn (priority: number): Promise<void> {
+    const yielding = this.running.size > 1 ? Math.min(2, Math.max(0, priority)) * 0.25 : 0
+    await delay(this.tokenTime * (1 + yielding))
+  }
+
   private forget (id: string, response: ServerResponse): undefined {
     if (this.running.get(id) === response) this.running.delete(id)
     return undefined
@@ -116,36 +202,49 @@
   private cancel (id: string): unknown {
     const response = this.running.get(id)
     this.running.delete(id)
-    response?.end()
+    if (response !== undefined && !response.destroyed) {
+      sendLine(response, { type: 'end', id, tokens: 0, weights: this.state.weights ?? '', reason: 'cancelled' })
+      response.end()
+    }
     return { cancelled: response !== undefined }
   }
 
+  private importState (prefix: string, body: string): unknown {
+    const { weights, state } = JSON.parse(body) as { weights: string | null, state: string }
+    const taken = weights !== null && weights === this.state.weights
+    if (taken) this.cache.store(prefix, state, this.behaviour.cacheSize, this.behaviour.cacheLossShare)
+    return { taken }
+  }
+
   private async order (order: EngineOrder, response: ServerResponse): Promise<unknown> {
-    if (this.behaviour.checksFence && order.fence < this.state.fence) {
-      sendJson(response, 409, { error: 'the fencing number is old', fence: this.state.fence })
+    const previousFence = this.state.fence
+    if (this.behaviour.checksFence && order.fence < previousFence) {
+      sendJson(response, 409, { error: 'the fencing number is old', fence: previousFence })
       return undefined
     }
     if (this.behaviour.checksFence) this.state = { ...this.state, fence: order.fence }
-    if (order.kind === 'role') {
-      this.state = { ...this.state, role: order.role ?? this.state.role }
-      return this.state
-    }
-    return await this.load(order, response)
+    const manifest = order.manifest ?? ''
+    this.register.orders.push({ id: order.id, fence: order.fence, manifest })
+    this.record({ event: 'ordered', upstream: this.name, at: Date.now(), id: order.id, fence: order.fence, manifest, previousFence })
+    if (order.kind === 'role') this.state = { ...this.state, role: order.role ?? this.state.role }
+    else if (!await this.load(order.source ?? '', manifest, response)) return undefined
+    if (this.random() < this.behaviour.loseOrderShare) response.destroy()
+    return response.destroyed ? undefined : this.state
   }
 
-  private async load (order: EngineOrder, response: ServerResponse): Promise<unknown> {
+  private async load (source: string, manifest: string, response: ServerResponse): Promise<boolean> {
     const { incarnation } = this.state
-    const manifest = order.manifest ?? ''
     this.state = { ...this.state, loading: manifest, weights: null }
-    const computed = await drawWeights(order.source ?? '', manifest)
+    const [computed] = await Promise.all([drawWeights(source, manifest), delay(this.behaviour.loadMilliseconds)])
     if (this.state.incarnation !== incarnation || this.state.loading !== manifest) {
       sendJson(response, 409, { error: 'the order was overtaken' })
-      return undefined
+      return false
     }
     this.answered = 0
-    this.state = { ...this.state, loading: null, weights: computed }
-    this.register.orders.push({ id: order.id, fence: order.fence, manifest })
-    return this.state
+    this.cache.clear()
+    const reported = this.behaviour.reportedWeights === '' ? computed : this.behaviour.reportedWeights
+    this.state = { ...this.state, loading: null, weights: reported }
+    return true
   }
 }
 
--- a/stand-in/http.ts
+++ b/stand-in/http.ts
@@ -1,14 +1,50 @@
-/** Small HTTP server for the stand-ins: a JSON router, and a control server for faults. */
+/** Small HTTP server for the stand-ins: a JSON router, a control server for faults, connections that go silent. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 
 /** Handles one request; what it returns is sent as JSON unless it is undefined. */
 export type Handler = (request: IncomingMessage, response: ServerResponse, path: readonly string[], query: URLSearchParams) => unknown
 
+/** Open connections of a server; they can be cut, or go silent for good while new ones work. */
+export class Connections {
+  private readonly open = new Set<Socket>()
+  private readonly silent = new WeakSet<Socket>()
+
+  /** Follows the connections of a server. */
+  follow (server: Server): void {
+    server.on('connection', socket => {
+      this.open.add(socket)
+      socket.once('close', () => { this.open.delete(socket) })
+    })
+  }
+
+  isSilent (socket: Socket): boolean {
+    return this.silent.has(socket)
+  }
+
+  /** Makes the open connections silent: nothing that arrives is read, nothing written leaves. */
+  silence (): number {
+    for (const socket of this.open) {
+      this.silent.add(socket)
+      socket.cork()
+      socket.pause()
+    }
+    return this.open.size
+  }
+
+  /** Resets every open connection. */
+  cut (): void {
+    for (const socket of this.open) socket.resetAndDestroy()
+  }
+}
+
 /** Listens at `address` (`ip:port`) and returns the server with its port. */
-export async function listenHttp (address: string, handler: Handler): Promise<{ readonly server: Server, readonly port: number }> {
+export async function listenHttp (address: string, handler: Handler, connections = new Connections()): Promise<{ readonly server: Server, readonly port: number }> {
   const server = createServer((request, response) => {
+    if (connections.isSilent(request.socket)) return
     answer(handler, request, response).catch(() => { response.destroy() })
   })
+  connections.follow(server)
   const [host, port] = address.split(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -43,3 +79,8 @@
 export async function readJson<Value> (request: IncomingMessage): Promise<Value> {
   return JSON.parse((await readBody(request)).toString('utf8')) as Value
 }
+
+/** Resolves after a number of milliseconds. */
+export function delay (milliseconds: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, milliseconds) })
+}
--- a/stand-in/instances.ts
+++ b/stand-in/instances.ts
@@ -1,23 +1,40 @@
 /** Stand-in of the platform's list of live and leaving instances; it answers with the list of a while ago. */
 import type { Server } from 'node:http'
 import type { InstanceList, ListedInstance } from '../src/types/platform.js'
-import { listenHttp, readJson } from './http.js'
+import { listenHttp, readJson, sendJson } from './http.js'
+
+/** Faults that the control port sets. */
+export interface InstanceFaults {
+  /** Refuses every call. */
+  outage: boolean
+  /** Milliseconds by which the list lags. */
+  lagMilliseconds: number
+}
 
 interface Version { readonly at: number, readonly list: InstanceList }
 
-/** The list; the control port takes `PUT` of all instances. */
+/** The list; the control port takes `PUT` of all instances and `POST` of faults. */
 export class InstancesStandIn {
   private readonly versions: Version[] = [{ at: 0, list: { version: 0, instances: [] } }]
 
-  constructor (private readonly lagMilliseconds = 500) {}
+  readonly faults: InstanceFaults
+
+  constructor (lagMilliseconds = 500) {
+    this.faults = { outage: false, lagMilliseconds }
+  }
 
   async listen (address: string): Promise<{ readonly server: Server, readonly port: number }> {
-    return await listenHttp(address, () => this.lagging())
+    return await listenHttp(address, (_request, response) => {
+      if (!this.faults.outage) return this.lagging()
+      sendJson(response, 503, { error: 'the list is out' })
+      return undefined
+    })
   }
 
   async listenControl (address: string): Promise<{ readonly server: Server, readonly port: number }> {
     return await listenHttp(address, async request => {
       if (request.method === 'PUT') this.set(await readJson<ListedInstance[]>(request))
+      if (request.method === 'POST') Object.assign(this.faults, await readJson<Partial<InstanceFaults>>(request))
       return this.latest().list
     })
   }
@@ -34,7 +51,7 @@
   }
 
   private lagging (): InstanceList {
-    const visible = Date.now() - this.lagMilliseconds
+    const visible = Date.now() - this.faults.lagMilliseconds
     const seen = this.versions.findLast(version => version.at <= visible) ?? this.versions[0]
     return seen?.list ?? { version: 0, instances: [] }
   }
--- a/stand-in/log.ts
+++ b/stand-in/log.ts
@@ -2,7 +2,7 @@
 import type { Server } from 'node:http'
 import type { StoredRecord, StreamPage } from '../src/types/platform.js'
 import { seededRandom } from '../src/utils/random.js'
-import { listenHttp, readJson, sendJson, type Handler } from './http.js'
+import { Connections, listenHttp, readJson, sendJson, type Handler } from './http.js'
 
 /** Faults that the control port sets. */
 export interface LogFaults {
@@ -10,35 +10,46 @@
   outage: boolean
   /** Probability that an append takes effect and its answer is lost. */
   loseAnswers: number
+  /** Probability that the answer to a read is lost. */
+  loseReads: number
   /** Delay of every answer, milliseconds. */
   delayMilliseconds: number
+  /** Appends that the log takes each second. */
+  appendsPerSecond: number
+  /** Age at which records expire, milliseconds. */
+  keepMilliseconds: number
 }
 
 interface Stream { first: number, readonly records: StoredRecord[], readonly waiting: Set<() => void> }
 
-const appendsPerSecond = 300
+const defaultAppendsPerSecond = 300
 
 /** The log, to embed or to run as a process. */
 export class LogStandIn {
-  readonly faults: LogFaults = { outage: false, loseAnswers: 0, delayMilliseconds: 0 }
+  readonly faults: LogFaults
   private readonly streams = new Map<string, Stream>()
   private readonly random: () => number
-  private tokens = appendsPerSecond
+  private tokens = defaultAppendsPerSecond
+  private readonly connections = new Connections()
   private refilled = Date.now()
   /** Appends taken since the start. */
   appends = 0
 
-  constructor (seed = 1, private readonly keepMilliseconds = 3_600_000) {
+  constructor (seed = 1, keepMilliseconds = 3_600_000) {
     this.random = seededRandom(seed)
+    this.faults = { outage: false, loseAnswers: 0, loseReads: 0, delayMilliseconds: 0, appendsPerSecond: defaultAppendsPerSecond, keepMilliseconds }
   }
 
   async listen (address: string): Promise<{ readonly server: Server, readonly port: number }> {
-    return await listenHttp(address, this.handle)
+    return await listenHttp(address, this.handle, this.connections)
   }
 
   async listenControl (address: string): Promise<{ readonly server: Server, readonly port: number }> {
-    return await listenHttp(address, async request => {
-      if (request.method === 'POST') Object.assign(this.faults, await readJson<Partial<LogFaults>>(request))
+    return await listenHttp(address, async (request, _response, path) => {
+      if (path[0] === 'silence') this.connections.silence()
+      else if (path[0] === 'cut') this.connections.cut()
+      else if (path[0] === 'expire') this.expire(path[1] ?? '', Number(path[2] ?? 0))
+      else if (request.method === 'POST') Object.assign(this.faults, await readJson<Partial<LogFaults>>(request))
       return { ...this.faults, appends: this.appends }
     })
   }
@@ -75,7 +86,10 @@
       }
       return { offsets }
     }
-    return await this.read(name, Number(query.get('from') ?? 0), Number(query.get('wait') ?? 0), Number(query.get('limit') ?? 1000))
+    const page = await this.read(name, Number(query.get('from') ?? 0), Number(query.get('wait') ?? 0), Number(query.get('limit') ?? 1000))
+    if (this.random() >= this.faults.loseReads && !this.faults.outage) return page
+    request.socket.destroy()
+    return undefined
   }
 
   private append (name: string, bodies: readonly string[]): readonly number[] {
@@ -111,7 +125,7 @@
   }
 
   private expireOld (stream: Stream): void {
-    const oldest = Date.now() - this.keepMilliseconds
+    const oldest = Date.now() - this.faults.keepMilliseconds
     while (stream.records[0] !== undefined && stream.records[0].at < oldest) {
       stream.records.shift()
       stream.first += 1
@@ -120,6 +134,7 @@
 
   private takeToken (): boolean {
     const now = Date.now()
+    const { appendsPerSecond } = this.faults
     this.tokens = Math.min(appendsPerSecond, this.tokens + (now - this.refilled) / 1000 * appendsPerSecond)
     this.refilled = now
     if (this.tokens < 1) return false
--- a/stand-in/main.ts
+++ b/stand-in/main.ts
@@ -1,17 +1,24 @@
-/** Runs one stand-in as a process: `main.js KIND LISTEN CONTROL`. */
+/** Runs stand-ins as a process: `main.js KIND LISTEN CONTROL [KIND LISTEN CONTROL]...`; prints `ready`, then what they record. */
+import type { Server } from 'node:http'
 import { EngineStandIn } from './engine.js'
 import { InstancesStandIn } from './instances.js'
 import { LogStandIn } from './log.js'
+import { recordToOutput } from './register.js'
 import { ServiceStandIn } from './service.js'
 import { WeightsStandIn } from './weights.js'
 
+interface StandIn {
+  listen (address: string): Promise<{ readonly server: Server, readonly port: number }>
+  listenControl (address: string): Promise<{ readonly server: Server, readonly port: number }>
+}
+
 const makers = {
   log: () => new LogStandIn(),
   instances: () => new InstancesStandIn(),
   weights: () => new WeightsStandIn(),
-  engine: () => new EngineStandIn(),
-  service: () => new ServiceStandIn()
-} as const
+  engine: (address: string) => new EngineStandIn(address, recordToOutput),
+  service: (address: string) => new ServiceStandIn(address, recordToOutput)
+} as const satisfies Readonly<Record<string, (address: string) => StandIn>>
 
 /** Kinds of stand-in. */
 export type StandInKind = keyof typeof makers
@@ -20,9 +27,17 @@
   return Object.hasOwn(makers, text)
 }
 
-const [kind = '', listen = '127.0.0.1:0', control = '127.0.0.1:0'] = process.argv.slice(2)
-if (!isKind(kind)) throw new Error(`no stand-in is called "${kind}"; known: ${Object.keys(makers).join(', ')}`)
-const standIn = makers[kind]()
-const served = await standIn.listen(listen)
-const controlled = await standIn.listenControl(control)
-process.stdout.write(`ready ${served.port} ${controlled.port}\n`)
+async function serve (kind: string, listen: string, control: string): Promise<string> {
+  if (!isKind(kind)) throw new Error(`no stand-in is called "${kind}"; known: ${Object.keys(makers).join(', ')}`)
+  const standIn: StandIn = makers[kind](listen)
+  const served = await standIn.listen(listen)
+  const controlled = await standIn.listenControl(control)
+  return `${served.port} ${controlled.port}`
+}
+
+const words = process.argv.slice(2)
+const ready: string[] = []
+for (let index = 0; index < words.length; index += 3) {
+  ready.push(await serve(words[index] ?? '', words[index + 1] ?? '127.0.0.1:0', words[index + 2] ?? '127.0.0.1:0'))
+}
+process.stdout.write(`ready ${ready.join(' ')}\n`)
--- a/stand-in/service.ts
+++ b/stand-in/service.ts
@@ -1,7 +1,10 @@
 /** Stand-in of a plain service (ledger, booking, portal): answers operations and keeps a register of what it ran. */
-import type { Server } from 'node:http'
+import { randomUUID } from 'node:crypto'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { digestBytes } from '../src/utils/digest.js'
-import { listenHttp, readBody, readJson } from './http.js'
+import { seededRandom } from '../src/utils/random.js'
+import { Connections, delay, listenHttp, readBody, readJson } from './http.js'
+import { recordNothing, type Recorder } from './register.js'
 
 /** Behaviour and faults that the control port sets. */
 export interface ServiceFaults {
@@ -9,6 +12,10 @@
   workMilliseconds: number
   /** Whether the answer is lost after the operation ran. */
   loseAnswers: boolean
+  /** Probability that the answer is lost after the operation ran. */
+  loseShare: number
+  /** A body that contains this text crashes the service after it ran; empty for none. */
+  crashText: string
 }
 
 /** One operation that ran. */
@@ -16,33 +23,57 @@
 
 /** The service. */
 export class ServiceStandIn {
-  readonly behaviour: ServiceFaults = { workMilliseconds: 5, loseAnswers: false }
+  readonly behaviour: ServiceFaults = { workMilliseconds: 5, loseAnswers: false, loseShare: 0, crashText: '' }
   readonly register: RegisterLine[] = []
+  private readonly connections = new Connections()
+  private readonly random: () => number
+  private incarnation: string = randomUUID()
   private running = 0
   highestRunning = 0
 
+  constructor (private readonly name = 'service', private readonly record: Recorder = recordNothing, seed = 1) {
+    this.random = seededRandom(seed)
+  }
+
   async listen (address: string): Promise<{ readonly server: Server, readonly port: number }> {
     return await listenHttp(address, async (request, response, path) => {
-      if (path[0] === 'load') return { running: this.running, incarnation: 'service' }
-      const id = String(request.headers['pollendyke-request-id'] ?? '')
-      const body = await readBody(request)
-      this.running += 1
-      this.highestRunning = Math.max(this.highestRunning, this.running)
-      this.register.push({ id, key: String(request.headers['idempotency-key'] ?? ''), operation: path[1] ?? '', at: Date.now() })
-      await new Promise(resolve => setTimeout(resolve, this.behaviour.workMilliseconds))
-      this.running -= 1
-      if (this.behaviour.loseAnswers) {
-        response.destroy()
-        return undefined
-      }
-      return { id, operation: path[1] ?? '', body: digestBytes(body) }
-    })
+      if (path[0] === 'load') return { running: this.running, incarnation: this.incarnation }
+      return await this.run(request, response, path[1] ?? '')
+    }, this.connections)
   }
 
   async listenControl (address: string): Promise<{ readonly server: Server, readonly port: number }> {
-    return await listenHttp(address, async request => {
-      if (request.method === 'POST') Object.assign(this.behaviour, await readJson<Partial<ServiceFaults>>(request))
+    return await listenHttp(address, async (request, _response, path) => {
+      if (path[0] === 'crash') this.crash()
+      else if (path[0] === 'silence') this.connections.silence()
+      else if (path[0] === 'cut') this.connections.cut()
+      else if (request.method === 'POST') Object.assign(this.behaviour, await readJson<Partial<ServiceFaults>>(request))
       return { behaviour: this.behaviour, register: this.register, highestRunning: this.highestRunning }
     })
   }
+
+  /** Falls over and starts anew: every running answer is cut. */
+  crash (): void {
+    this.incarnation = randomUUID()
+    this.record({ event: 'crashed', upstream: this.name, at: Date.now(), overload: false })
+    this.connections.cut()
+  }
+
+  private async run (request: IncomingMessage, response: ServerResponse, operation: string): Promise<unknown> {
+    const id = String(request.headers['pollendyke-request-id'] ?? '')
+    const key = String(request.headers['idempotency-key'] ?? '')
+    const bytes = await readBody(request)
+    const body = digestBytes(bytes)
+    const at = Date.now()
+    this.running += 1
+    this.highestRunning = Math.max(this.highestRunning, this.running)
+    this.register.push({ id, key, operation, at })
+    this.record({ event: 'ran', upstream: this.name, at, id, key, operation, body })
+    await delay(this.behaviour.workMilliseconds)
+    this.running -= 1
+    const { loseAnswers, loseShare, crashText } = this.behaviour
+    if (crashText !== '' && bytes.includes(crashText)) this.crash()
+    if (loseAnswers || this.random() < loseShare) response.destroy()
+    return response.destroyed ? undefined : { id, operation, body }
+  }
 }
