--- a/script/caller.ts
+++ b/script/caller.ts
@@ -45,6 +45,8 @@
 /** A caller of one organisation. */
 export class Caller {
   private located: Located | undefined
+  /** Entries that could not be reached, with the epoch milliseconds until which they are avoided. */
+  private readonly unreached = new Map<string, number>()
   private readonly connections = new Agent({ keepAlive: true, maxSockets: 64 })
 
   /** `known` holds addresses of entries that the caller was told of beforehand. */
@@ -52,18 +54,24 @@
 
   /** Entry to use now; asks again once the last answer expired. */
   async locate (): Promise<string> {
-    if (this.located !== undefined && Date.now() < this.located.until) return this.located.address
+    if (this.located !== undefined && Date.now() < this.located.until) return this.choose(this.located)
     const candidates = [...new Set([this.located?.address, ...this.located?.others ?? [], ...this.known])]
     for (const candidate of candidates) {
       if (candidate === undefined) continue
       const located = await this.ask(candidate)
       if (located === undefined) continue
       this.located = located
-      return located.address
+      return this.choose(located)
     }
     return this.known[0] ?? ''
   }
 
+  /** The entry that the system named, or the next one while that cannot be reached. */
+  private choose ({ address, others }: Located): string {
+    const now = Date.now()
+    return [address, ...others].find(entry => (this.unreached.get(entry) ?? 0) < now) ?? address
+  }
+
   /** Other entries than the one in use, for a call that is sent again elsewhere. */
   get others (): readonly string[] {
     return this.located?.others ?? this.known
@@ -78,7 +86,7 @@
       const answer = await this.post(call, entry)
       return { ...base, ...judge(call, answer), endedAt: Date.now() }
     } catch (error) {
-      this.located = undefined
+      this.unreached.set(entry, Date.now() + avoidMilliseconds)
       const reached = !(error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED')
       return { ...base, id: '', end: reached ? 'cut' : 'unreached', failure: String(error), weights: '', endedAt: Date.now(), retryAt: 0 }
     }
@@ -145,6 +153,7 @@
 
 const pauseMilliseconds = 50
 const locateMilliseconds = 1000
+const avoidMilliseconds = 2000
 /** The system answers by the deadline; this much later the caller gives up on its own. */
 const graceMilliseconds = 3000
 
--- a/script/demo.ts
+++ b/script/demo.ts
@@ -35,7 +35,7 @@
   const file = `answers/${name}.json`
   const answers = answersSchema.parse(JSON.parse(readFileSync(file, 'utf8')))
   const started = Date.now()
-  const running = await startDeployment(answers, layout.entries, layout.counts, { sharedStandIns: true, logLevel: 'error' })
+  const running = await startDeployment(answers, layout.entries, layout.counts, { sharedUpstreams: true, logLevel: 'error' })
   process.stdout.write(`${name}: ${running.instances.length} instances and ${running.processes.length} processes after ${Date.now() - started} ms\n`)
   try {
     await play(running, answers, file, layout)
--- a/script/deployment.ts
+++ b/script/deployment.ts
@@ -7,8 +7,8 @@
 
 /** How to start a deployment. */
 export interface DeploymentOptions {
-  /** Whether all stand-ins share one process, to save memory; then no signal reaches one of them alone. */
-  readonly sharedStandIns?: boolean
+  /** Whether all engines and plain services share one process, to save memory; then no signal reaches one of them alone. */
+  readonly sharedUpstreams?: boolean
   readonly logLevel?: 'info' | 'warn' | 'error' | 'silent'
   /** Further flags of an instance's daemon, such as another address of the log. */
   readonly flagsOf?: (instance: string, platform: Readonly<Record<string, string>>) => Readonly<Record<string, string>>
@@ -23,6 +23,8 @@
   readonly instances: readonly StartedInstance[]
   /** Every process that was started here. */
   readonly processes: readonly ManagedProcess[]
+  /** Starts another agent for the upstream of an instance, under its name, at addresses of its own. */
+  replaceAgent (instance: string): Promise<StartedInstance>
   /** The instance of that name. */
   named (instance: string): StartedInstance
   /** Publishes the list of instances to the platform's stand-in. */
@@ -42,7 +44,7 @@
 /** Starts everything; resolves once all processes serve. */
 export async function startDeployment (answers: Answers, entries: number, counts: Readonly<Record<string, number>>, options: DeploymentOptions = {}): Promise<RunningDeployment> {
   const planned = planUpstreams(answers, counts)
-  const { platform: [log, list, origin, store], upstreams } = await startOutside(planned, options.sharedStandIns === true)
+  const { platform: [log, list, origin, store], upstreams } = await startOutside(planned, options.sharedUpstreams === true)
   if (log === undefined || list === undefined || origin === undefined || store === undefined) throw new Error('a stand-in of the platform is missing')
   const platform: Platform = {
     flags: { log: `http://${log.listen}`, instances: `http://${list.listen}`, 'log-level': options.logLevel ?? 'warn' },
@@ -50,9 +52,9 @@
     options
   }
   const entryStarts = Array.from({ length: entries }, (_, index) => startEntryInstance(answers, index, platform))
-  const upstreamStarts = planned.map((plan, index) => startUpstreamInstance(plan, index, upstreams[index], platform))
+  const upstreamStarts = planned.map((plan, index) => startAgent(plan, `${plan.service}-${index}`, upstreams[index], platform))
   const instances = await Promise.all([...entryStarts, ...upstreamStarts])
-  const processes = [...new Set([log, list, origin, store, ...upstreams, ...instances].map(started => started.process))]
+  const processes: ManagedProcess[] = [...new Set([log, list, origin, store, ...upstreams, ...instances].map(started => started.process))]
   const running: RunningDeployment = {
     log,
     list,
@@ -60,6 +62,14 @@
     store,
     instances,
     processes,
+    replaceAgent: async instance => {
+      const { listed, upstream } = findInstance(instances, instance)
+      const plan = planned.find(({ service, dataCentre }) => service === listed.service && dataCentre === listed.dataCentre)
+      if (plan === undefined) throw new Error(`${instance} is no upstream`)
+      const replaced = await startAgent(plan, instance, upstream, platform)
+      processes.push(replaced.process)
+      return replaced
+    },
     named: instance => findInstance(instances, instance),
     publish: async listed => { await putJson(`http://${list.control}/`, listed) },
     register: () => [...new Set(upstreams.map(upstream => upstream.process))].flatMap(managed => managed.register),
@@ -88,13 +98,9 @@
 async function startOutside (planned: readonly PlannedUpstream[], shared: boolean): Promise<{ readonly platform: readonly Started[], readonly upstreams: readonly Started[] }> {
   const platformKinds = ['log', 'instances', 'weights', 'weights'] as const
   const upstreamKinds = planned.map(({ kind }) => kind === 'model' ? 'engine' as const : 'service' as const)
-  if (shared) {
-    const [platform, upstreams] = await Promise.all([startStandIns(platformKinds, 'platform'), startStandIns(upstreamKinds, 'upstreams')])
-    return { platform, upstreams }
-  }
-  const platform = await Promise.all(platformKinds.map((kind, index) => startStandIn(kind, `${kind}-${index}`)))
-  const upstreams = await Promise.all(upstreamKinds.map((kind, index) => startStandIn(kind, `${kind}-${index}`)))
-  return { platform, upstreams }
+  const platform = startStandIns(platformKinds, 'platform')
+  const upstreams = shared ? startStandIns(upstreamKinds, 'upstreams') : Promise.all(upstreamKinds.map((kind, index) => startStandIn(kind, `${kind}-${index}`)))
+  return { platform: await platform, upstreams: await upstreams }
 }
 
 async function startEntryInstance (answers: Answers, index: number, platform: Platform): Promise<StartedInstance> {
@@ -108,11 +114,10 @@
   return { process: managed, listen, control, listed, upstream: undefined }
 }
 
-async function startUpstreamInstance (planned: PlannedUpstream, index: number, upstream: Started | undefined, platform: Platform): Promise<StartedInstance> {
+async function startAgent (planned: PlannedUpstream, instance: string, upstream: Started | undefined, platform: Platform): Promise<StartedInstance> {
   if (upstream === undefined) throw new Error('the upstream was not started')
   const { service, kind, dataCentre, region } = planned
   const [listen, control] = [freshAddress(), freshAddress()]
-  const instance = `${service}-${index}`
   const weights = kind === 'model' ? platform.sources : {}
   const flags = { role: 'agent', instance, 'data-centre': dataCentre, region, service, listen, control, upstream: `http://${upstream.listen}`, ...platform.flags, ...weights }
   const managed = await startDaemon({ ...flags, ...platform.options.flagsOf?.(instance, { ...platform.flags, upstream: flags.upstream }) })
--- /dev/null
+++ b/script/failure-sweep.ts
@@ -0,0 +1,56 @@
+/** Seeded sweep of failure scenarios: `failure-sweep.js --seed N [--count M] [--only FAULT[+FAULT],...] [--verbose]`. */
+import { cac } from 'cac'
+import { seededRandom } from '../src/utils/random.js'
+import { faultNames } from './failure/catalogue.js'
+import { runScenario, type ScenarioResult } from './failure/scenario.js'
+import { endAll } from './process.js'
+
+interface Planned { readonly names: readonly string[], readonly seed: number }
+
+const shownFindings = 4
+
+/** Scenarios of a sweep: those that were named, or one or two faults drawn from each seed. */
+function planSweep (seed: number, count: number, only: string): readonly Planned[] {
+  if (only !== '') return Array.from({ length: count }, (_, index) => only.split(',').map(names => ({ names: names.split('+'), seed: seed + index }))).flat()
+  return Array.from({ length: count }, (_, index) => {
+    const random = seededRandom((seed + index) * 7919)
+    const draw = (): string => faultNames[Math.floor(random() * faultNames.length)] ?? ''
+    const names = random() < 0.4 ? [draw()] : [...new Set([draw(), draw()])]
+    return { names, seed: seed + index }
+  })
+}
+
+function printResult ({ name, seed, verdict, findings, recoveryMilliseconds, failures }: ScenarioResult): void {
+  const { sent, whole, notRun, unknown, run, cut, unreached, wrong, doubled, falseNotRun, overloads } = verdict
+  const state = findings.length === 0 ? 'held  ' : 'BROKEN'
+  process.stdout.write(`${state} ${name.padEnd(40)} seed ${seed}: sent ${sent}, whole ${whole}, not-run ${notRun}, unknown ${unknown}, run ${run}, cut ${cut + unreached}, wrong ${wrong}, doubled ${doubled}, false not-run ${falseNotRun}, overloads ${overloads}; served again after ${recoveryMilliseconds} ms\n`)
+  for (const finding of findings.slice(0, shownFindings)) process.stdout.write(`       ${finding}\n`)
+  if (findings.length > shownFindings) process.stdout.write(`       and ${findings.length - shownFindings} more\n`)
+  if (findings.length > 0) for (const [failure, number] of failures.slice(0, shownFindings)) process.stdout.write(`       ${number} x ${failure}\n`)
+}
+
+async function main (): Promise<void> {
+  const program = cac('failure-sweep')
+  program.option('--seed <number>', 'First seed', { default: 1 })
+  program.option('--count <number>', 'Number of seeds', { default: 1 })
+  program.option('--only <names>', `Faults, joined by + for one scenario and by , for several: ${faultNames.join(', ')}`, { default: '' })
+  program.option('--verbose', 'Print the error output of the processes when a promise broke')
+  program.help()
+  const { options } = program.parse()
+  if (options['help'] === true) return
+  let broken = 0
+  for (const { names, seed } of planSweep(Number(options['seed']), Number(options['count']), String(options['only']))) {
+    const result = await runScenario(names, seed)
+    printResult(result)
+    if (result.findings.length > 0) broken += 1
+    if (result.findings.length > 0 && options['verbose'] === true) process.stdout.write(`${result.tails}\n`)
+  }
+  process.stdout.write(`${broken} scenarios broke a promise\n`)
+  process.exitCode = broken === 0 ? 0 : 1
+}
+
+try {
+  await main()
+} finally {
+  endAll()
+}
--- /dev/null
+++ b/script/failure/fault.ts
@@ -0,0 +1,30 @@
+/** A fault that a scenario brings about, and what the scenario may then expect. */
+import type { RegisterLine } from '../../stand-in/register.js'
+import type { Sending } from '../caller.js'
+import type { World } from './world.js'
+
+/** What callers may see while a fault lasts; whole and truthful answers are due in every case. */
+export type Harm =
+  /** Nothing: no answer may be cut or be unknown. */
+  | 'none'
+  /** Answers whose truth is unknown, but always stated. */
+  | 'unknown'
+  /** Broken connections to an entry. */
+  | 'cut'
+
+/** A fault; any two can be brought about together. */
+export abstract class Fault {
+  abstract readonly name: string
+  abstract readonly harm: Harm
+
+  /** Brings the fault about. */
+  abstract begin (world: World): Promise<void>
+
+  /** Ends the fault. */
+  abstract heal (world: World): Promise<void>
+
+  /** Findings of what only this fault can break. */
+  check (_world: World, _register: readonly RegisterLine[], _sendings: readonly Sending[]): readonly string[] {
+    return []
+  }
+}
--- /dev/null
+++ b/script/failure/operator-faults.ts
@@ -0,0 +1,102 @@
+/** What operators do while callers call: zones out and in, races. */
+import type { RegisterLine } from '../../stand-in/register.js'
+import { emptyFold, foldPage } from '../../src/core/configuration/fold.js'
+import type { StreamPage } from '../../src/types/platform.js'
+import { waitUntil } from '../../src/utils/clock.js'
+import { lastWorkAfter } from '../judge.js'
+import { Fault } from './fault.js'
+import type { World } from './world.js'
+
+/** New work may reach a zone for this long after it was taken out. */
+const zoneMilliseconds = 3000
+const watchedMilliseconds = 1500
+
+/** Takes a zone out and brings it back. */
+export class ZoneMove extends Fault {
+  readonly name: string = 'zone-move'
+  readonly harm = 'none'
+  protected outAt = 0
+  protected inAt = 0
+  protected zone = ''
+
+  async begin (world: World): Promise<void> {
+    this.zone = world.pick(world.answers.dataCentres).name
+    this.outAt = await world.operator.moveZone('out', this.zone)
+    await waitUntil(this.outAt + zoneMilliseconds + watchedMilliseconds)
+  }
+
+  async heal (world: World): Promise<void> {
+    this.inAt = Date.now()
+    await world.operator.moveZone('in', this.zone)
+  }
+
+  override check (world: World, register: readonly RegisterLine[]): readonly string[] {
+    const last = lastWorkAfter(register, world.upstreamsIn(this.zone), this.outAt, this.inAt)
+    return last <= zoneMilliseconds ? [] : [`${this.zone} got work ${last} ms after it was taken out`]
+  }
+}
+
+/** Takes a zone out that is cut off from the log and whose peers elsewhere are silent. */
+export class IsolatedZoneOut extends ZoneMove {
+  override readonly name = 'isolated-zone-out'
+
+  override async begin (world: World): Promise<void> {
+    this.zone = 'south'
+    const elsewhere = world.running.instances.filter(({ listed }) => listed.dataCentre !== this.zone)
+    for (const link of this.links(world)) link.block()
+    for (const { process: managed } of elsewhere) managed.kill('SIGSTOP')
+    this.outAt = await world.operator.moveZone('out', this.zone)
+    await waitUntil(this.outAt + zoneMilliseconds + watchedMilliseconds)
+  }
+
+  override async heal (world: World): Promise<void> {
+    this.inAt = Date.now()
+    for (const link of this.links(world)) link.unblock()
+    for (const { process: managed } of world.running.instances) managed.kill('SIGCONT')
+    await world.operator.moveZone('in', this.zone)
+  }
+
+  private links (world: World): ReadonlyArray<{ block (): void, unblock (): void }> {
+    return world.running.instances.filter(({ listed }) => listed.dataCentre === this.zone).flatMap(({ listed }) => world.logLinks.get(listed.instance) ?? [])
+  }
+}
+
+/** Operators race to move one zone; the log decides, and each is told the truth. */
+export class OperatorRace extends Fault {
+  readonly name = 'operators-race'
+  readonly harm = 'none'
+  private readonly findings: string[] = []
+  private zone = ''
+
+  async begin (world: World): Promise<void> {
+    this.zone = world.pick(world.answers.dataCentres).name
+    const before = await readRevisions(world)
+    const results = await Promise.all(['out', 'in', 'out', 'in'].map(async direction => await world.operator.tryZone(direction as 'in' | 'out', this.zone)))
+    const accepted = results.filter(({ code }) => code === 0).length
+    const after = await readRevisions(world)
+    const inForce = after.accepted - before.accepted
+    if (accepted !== inForce) this.findings.push(`${accepted} operators were told accepted, and ${inForce} changes are in force: ${results.map(({ output, errors }) => output + errors).join(' ')}`)
+    if (accepted === 0) this.findings.push('no operator won the race')
+  }
+
+  async heal (world: World): Promise<void> {
+    await world.operator.moveZone('in', this.zone)
+  }
+
+  override check (): readonly string[] {
+    return this.findings
+  }
+}
+
+/** Counts the accepted changes by folding the log itself. */
+async function readRevisions (world: World): Promise<{ readonly accepted: number }> {
+  const page = await (await fetch(`${world.operator.log}/streams/configuration/records?from=0`)).json() as StreamPage
+  let state = emptyFold
+  let accepted = 0
+  for (const record of page.records) {
+    const next = foldPage(state, { ...page, records: [record] })
+    if (next.revision > state.revision) accepted += 1
+    state = next
+  }
+  return { accepted }
+}
--- /dev/null
+++ b/script/failure/platform-faults.ts
@@ -0,0 +1,151 @@
+/** Faults of the platform and of back ends, set at the stand-ins' control ports. */
+import type { RegisterLine } from '../../stand-in/register.js'
+import { setFaults } from '../deployment.js'
+import type { Started } from '../launch.js'
+import { waitForReplicas } from '../operator.js'
+import { Fault, type Harm } from './fault.js'
+import { modelService, plainService, type World } from './world.js'
+
+type Faults = Readonly<Record<string, unknown>>
+
+/** Sets faults of a platform service for a while. */
+export class PlatformFault extends Fault {
+  readonly harm = 'unknown'
+
+  constructor (readonly name: string, private readonly service: 'log' | 'list' | 'origin' | 'store', private readonly faults: Faults, private readonly healed: Faults) {
+    super()
+  }
+
+  async begin (world: World): Promise<void> {
+    await setFaults(world.running[this.service], this.faults)
+  }
+
+  async heal (world: World): Promise<void> {
+    await setFaults(world.running[this.service], this.healed)
+  }
+}
+
+/** A rollout while the sources of weights fail; all replicas serve it once they heal. */
+export class RolloutFault extends Fault {
+  readonly harm = 'unknown'
+  private manifest = ''
+
+  constructor (readonly name: string, private readonly sources: ReadonlyArray<'origin' | 'store'>, private readonly faults: Faults, private readonly healed: Faults) {
+    super()
+  }
+
+  async begin (world: World): Promise<void> {
+    for (const source of this.sources) await setFaults(world.running[source], this.faults)
+    this.manifest = (await world.rollOutNext()).manifest
+  }
+
+  async heal (world: World): Promise<void> {
+    for (const source of this.sources) await setFaults(world.running[source], this.healed)
+    await waitForReplicas(world.running, modelService, this.manifest, Date.now())
+  }
+}
+
+/** One act on the connections or the memory of a back end, such as `silence`, `cut` or `crash`. */
+export class UpstreamAct extends Fault {
+  readonly harm = 'unknown'
+  readonly name: string
+
+  constructor (private readonly act: 'silence' | 'cut' | 'crash', private readonly service: typeof modelService | typeof plainService) {
+    super()
+    this.name = `${act}-${service === modelService ? 'engine' : 'service'}`
+  }
+
+  async begin (world: World): Promise<void> {
+    await setFaults(upstreamOf(world, this.service), {}, this.act)
+  }
+
+  async heal (): Promise<void> {}
+}
+
+/** Answers of a plain service, or of an engine to orders, are lost after the effect. */
+export class LostAnswers extends Fault {
+  readonly harm = 'unknown'
+  private struck: Started | undefined
+
+  constructor (readonly name: string, private readonly service: typeof modelService | typeof plainService, private readonly faults: Faults, private readonly healed: Faults) {
+    super()
+  }
+
+  async begin (world: World): Promise<void> {
+    this.struck = upstreamOf(world, this.service)
+    await setFaults(this.struck, this.faults)
+    if (this.service === modelService) await world.rollOutNext()
+  }
+
+  async heal (): Promise<void> {
+    if (this.struck !== undefined) await setFaults(this.struck, this.healed)
+  }
+}
+
+/** Cuts an instance's way to the log, or all instances' of a data centre. */
+export class LogCutOff extends Fault {
+  readonly name = 'log-cut-off'
+  readonly harm = 'unknown'
+  private dataCentre = ''
+
+  async begin (world: World): Promise<void> {
+    this.dataCentre = world.pick(world.answers.dataCentres).name
+    for (const link of this.links(world)) link.block()
+  }
+
+  async heal (world: World): Promise<void> {
+    for (const link of this.links(world)) link.unblock()
+  }
+
+  private links (world: World): ReadonlyArray<{ block (): void, unblock (): void }> {
+    return world.running.instances.filter(({ listed }) => listed.dataCentre === this.dataCentre).flatMap(({ listed }) => world.logLinks.get(listed.instance) ?? [])
+  }
+}
+
+/** Connections to the log go silent for good; new ones work. */
+export class LogSilence extends Fault {
+  readonly name = 'log-silent'
+  readonly harm: Harm = 'unknown'
+
+  async begin (world: World): Promise<void> {
+    for (const link of world.logLinks.values()) link.silence()
+  }
+
+  async heal (): Promise<void> {}
+}
+
+/** A request that crashes every engine it reaches, sent again and again. */
+export class CrashingRequest extends Fault {
+  readonly name = 'crashing-request'
+  readonly harm = 'unknown'
+  private readonly ends: string[] = []
+
+  async begin (world: World): Promise<void> {
+    await Promise.all(world.agents(modelService).map(async ({ upstream }) => upstream && await setFaults(upstream, { crashText: poison })))
+    for (let sending = 0; sending < sendings; sending += 1) {
+      const entry = world.entries[sending % world.entries.length]
+      const body = JSON.stringify({ prompt: poison, maximumTokens: 5 })
+      const answer = await fetch(`http://${entry?.listen}/services/${modelService}/completions`, { method: 'POST', headers: { 'pollendyke-organisation': 'small-one', 'pollendyke-deadline': String(Date.now() + 3000) }, body })
+      this.ends.push(`${answer.status} ${(await answer.text()).slice(0, 120)}`)
+      await new Promise(resolve => setTimeout(resolve, 300))
+    }
+  }
+
+  async heal (): Promise<void> {}
+
+  override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
+    const runs = register.filter(line => line.event === 'started' && line.prompt === poison)
+    return runs.length <= poisonRuns ? [] : [`the crashing request ran ${runs.length} times: ${this.ends.join('; ')}`]
+  }
+}
+
+const poison = 'a prompt that crashes the engine'
+const sendings = 8
+/** A second crash quarantines a request everywhere. */
+const poisonRuns = 2
+
+function upstreamOf (world: World, service: string): Started {
+  const { upstream } = world.pick(world.agents(service))
+  if (upstream === undefined) throw new Error('the instance has no upstream')
+  return upstream
+}
--- /dev/null
+++ b/script/failure/scenario.ts
@@ -0,0 +1,83 @@
+/** One scenario: callers call, faults come and heal, registers judge. */
+import { waitUntil } from '../../src/utils/clock.js'
+import type { Sending } from '../caller.js'
+import { countFailures, judge, type Verdict } from '../judge.js'
+import { waitFor } from '../operator.js'
+import { makeFault } from './catalogue.js'
+import type { Fault } from './fault.js'
+import { World } from './world.js'
+
+const calmMilliseconds = 800
+const spreadMilliseconds = 800
+const shortestFaultMilliseconds = 1500
+const longestFaultMilliseconds = 4500
+
+/** What a scenario showed. */
+export interface ScenarioResult {
+  readonly name: string
+  readonly seed: number
+  readonly verdict: Verdict
+  readonly findings: readonly string[]
+  /** Milliseconds from the last healing until each service answered whole again. */
+  readonly recoveryMilliseconds: number
+  readonly failures: ReadonlyArray<readonly [string, number]>
+  /** Error output of the processes. */
+  readonly tails: string
+}
+
+/** Runs the named faults together on a fresh deployment. */
+export async function runScenario (names: readonly string[], seed: number): Promise<ScenarioResult> {
+  const faults = names.map(makeFault)
+  const world = await World.start(seed)
+  try {
+    return await play(world, faults, seed)
+  } finally {
+    world.end()
+  }
+}
+
+async function play (world: World, faults: readonly Fault[], seed: number): Promise<ScenarioResult> {
+  world.load.start()
+  await waitUntil(Date.now() + calmMilliseconds)
+  const trouble: string[] = []
+  const plans = faults.map(fault => ({ fault, beginAfter: world.random() * spreadMilliseconds, lasts: shortestFaultMilliseconds + world.random() * (longestFaultMilliseconds - shortestFaultMilliseconds) }))
+  await Promise.all(plans.map(async ({ fault, beginAfter, lasts }) => {
+    await waitUntil(Date.now() + beginAfter)
+    await note(trouble, `${fault.name} begin`, fault.begin(world))
+    await waitUntil(Date.now() + lasts)
+    await note(trouble, `${fault.name} heal`, fault.heal(world))
+  }))
+  const healedAt = Date.now()
+  await note(trouble, 'recovery', waitFor('whole answers of every service', async () => isServing(world, healedAt)))
+  const recoveryMilliseconds = Date.now() - healedAt
+  const sendings = await world.load.stop()
+  const register = world.running.register()
+  const verdict = judge(sendings, register, world.operator.nonIdempotent)
+  const findings = [...trouble, ...verdict.findings, ...judgeHarm(faults, sendings), ...faults.flatMap(fault => fault.check(world, register, sendings))]
+  return { name: faults.map(({ name }) => name).join('+'), seed, verdict, findings, recoveryMilliseconds, failures: countFailures(sendings), tails: world.tails }
+}
+
+function isServing (world: World, since: number): boolean {
+  const served = new Set(world.load.ended.filter(({ end, sentAt }) => end === 'whole' && sentAt >= since).map(({ call }) => call.service))
+  return world.answers.services.every(({ name }) => served.has(name))
+}
+
+/** Endings that no fault of the scenario excuses. */
+function judgeHarm (faults: readonly Fault[], sendings: readonly Sending[]): readonly string[] {
+  const harms = faults.map(({ harm }) => harm)
+  const excused = new Set<Sending['end']>()
+  if (harms.includes('cut')) for (const end of ['cut', 'unreached', 'unknown'] as const) excused.add(end)
+  if (harms.includes('unknown')) excused.add('unknown')
+  const harmful = sendings.filter(({ end }) => (end === 'cut' || end === 'unreached' || end === 'unknown') && !excused.has(end))
+  return harmful.slice(0, shownFindings).map(({ end, failure, entry, call, sentAt }) => `${end} without cause: ${failure} at ${entry}, ${call.service} "${call.text}" sent at ${sentAt}`)
+}
+
+const shownFindings = 5
+
+async function note (trouble: string[], what: string, work: Promise<void>): Promise<void> {
+  try {
+    await work
+  } catch (error) {
+    trouble.push(`${what}: ${String(error)}`)
+  }
+}
--- /dev/null
+++ b/script/failure/world.ts
@@ -0,0 +1,133 @@
+/** A small deployment with callers, on which faults are brought about. */
+import type { Answers } from '../../src/types/answers.js'
+import { seededRandom } from '../../src/utils/random.js'
+import { setFaults, startDeployment, type RunningDeployment } from '../deployment.js'
+import { Link } from '../link.js'
+import type { StartedInstance } from '../launch.js'
+import { Load } from '../load.js'
+import { Operator, waitForReplicas } from '../operator.js'
+
+/** The service of engines and the plain service of this deployment. */
+export const modelService = 'drafts'
+export const plainService = 'ledger'
+
+const weightBytes = 1 << 20
+const chunkBytes = 1 << 16
+
+/** Answers for two data centres, two organisations, two engines and two ledgers. */
+export function smallAnswers (checksOrders: boolean): Answers {
+  return {
+    deployment: 'failures',
+    weighting: 'service',
+    whenIsolated: 'refuse',
+    logDataCentre: 'north',
+    dataCentres: [{ name: 'north', region: 'upper' }, { name: 'south', region: 'lower' }],
+    organisations: [{ name: 'large-one', size: 'large' }, { name: 'small-one', size: 'small' }],
+    services: [
+      { name: modelService, kind: 'model', checksOrders, bearsCold: 2, bearsWarm: 8, firstByteMilliseconds: 580 },
+      { name: plainService, kind: 'plain', nonIdempotent: ['sign-off'], bearsCold: 4, bearsWarm: 16, firstByteMilliseconds: 300 }
+    ]
+  }
+}
+
+/** The deployment with its operator, its callers and the links that can be cut. */
+export class World {
+  readonly load: Load
+  private version = 1
+  private closed = false
+
+  private constructor (
+    readonly running: RunningDeployment,
+    readonly operator: Operator,
+    readonly answers: Answers,
+    /** Links to the log, by instance. */
+    readonly logLinks: ReadonlyMap<string, Link>,
+    readonly random: () => number,
+    seed: number
+  ) {
+    this.load = new Load({
+      seed,
+      organisations: answers.organisations.map(({ name }) => name),
+      services: answers.services,
+      entries: this.entries.map(({ listen }) => listen),
+      callers: 3,
+      pauseMilliseconds: 60,
+      tokens: 20,
+      callMilliseconds: 8000,
+      resendShare: 0.3
+    })
+  }
+
+  /** Starts everything and rolls the first version out; nothing calls yet. */
+  static async start (seed: number): Promise<World> {
+    const random = seededRandom(seed)
+    const checksOrders = random() < 0.5
+    const answers = smallAnswers(checksOrders)
+    const links = new Map<string, Link>()
+    const flagsOf = linkLogs(links)
+    const running = await startDeployment(answers, 2, { [modelService]: 2, [plainService]: 2 }, { logLevel: 'warn', flagsOf })
+    const world = new World(running, new Operator(running, answers), answers, links, random, seed)
+    try {
+      await Promise.all(world.agents(modelService).map(async ({ upstream }) => upstream && await setFaults(upstream, { checksFence: checksOrders })))
+      await world.operator.applyGenerated()
+      const { manifest, acceptedAt } = await world.operator.rollOut(modelService, '1', weightBytes, chunkBytes)
+      await waitForReplicas(running, modelService, manifest, acceptedAt)
+    } catch (error) {
+      world.end()
+      throw error
+    }
+    return world
+  }
+
+  get entries (): readonly StartedInstance[] {
+    return this.running.instances.filter(({ listed }) => listed.role === 'entry')
+  }
+
+  agents (service?: string): readonly StartedInstance[] {
+    return this.running.instances.filter(({ listed }) => listed.role === 'upstream' && (service === undefined || listed.service === service))
+  }
+
+  /** One of several, drawn from the seed. */
+  pick<Value> (choices: readonly Value[]): Value {
+    const choice = choices[Math.floor(this.random() * choices.length)]
+    if (choice === undefined) throw new Error('there is nothing to choose from')
+    return choice
+  }
+
+  /** Addresses of the back ends in a data centre, as registers name them. */
+  upstreamsIn (dataCentre: string): ReadonlySet<string> {
+    return new Set(this.agents().flatMap(({ listed, upstream }) => listed.dataCentre === dataCentre && upstream !== undefined ? [upstream.listen] : []))
+  }
+
+  /** Rolls out the next version; resolves with its manifest once the command line said accepted. */
+  async rollOutNext (): Promise<{ readonly manifest: string, readonly acceptedAt: number }> {
+    this.version += 1
+    return await this.operator.rollOut(modelService, String(this.version), weightBytes, chunkBytes)
+  }
+
+  /** Error output of every process, for a report of a failure. */
+  get tails (): string {
+    return this.running.processes.filter(({ tail }) => tail !== '').map(({ name, tail }) => `--- ${name}\n${tail}`).join('\n')
+  }
+
+  end (): void {
+    if (this.closed) return
+    this.closed = true
+    for (const link of this.logLinks.values()) link.close()
+    this.running.end()
+  }
+}
+
+type FlagsOf = (instance: string, platform: Readonly<Record<string, string>>) => Readonly<Record<string, string>>
+
+/** Puts a link between each instance and the log. */
+function linkLogs (links: Map<string, Link>): FlagsOf {
+  return (instance, platform) => {
+    const known = links.get(instance)
+    if (known !== undefined) return { log: `http://${known.listen}` }
+    const link = new Link((platform['log'] ?? '').replace('http://', ''))
+    link.open()
+    links.set(instance, link)
+    return { log: `http://${link.listen}` }
+  }
+}
--- a/script/link.ts
+++ b/script/link.ts
@@ -13,10 +13,10 @@
     this.server = createServer(socket => { this.join(socket) })
   }
 
-  async open (): Promise<this> {
+  /** Listens at its address. */
+  open (): void {
     const [host, port] = this.listen.split(':')
-    await new Promise<void>(resolve => { this.server.listen(Number(port), host, resolve) })
-    return this
+    this.server.listen(Number(port), host)
   }
 
   /** Open connections stay open but carry nothing more; new ones work. */
--- a/script/process.ts
+++ b/script/process.ts
@@ -14,6 +14,7 @@
   readonly register: RegisterLine[] = []
   private readonly errorLines: string[] = []
   private child: ChildProcess | undefined
+  private starting: Promise<void> = Promise.resolve()
   private exited: Promise<number> = Promise.resolve(0)
   /** Largest resident memory that was read, bytes. */
   private peak = 0
@@ -76,10 +77,14 @@
     await this.exited
   }
 
-  /** Starts the process anew with the same words, thus at the same addresses. */
-  async restart (): Promise<void> {
-    await this.end()
-    await this.start()
+  get isRunning (): boolean {
+    return running.has(this)
+  }
+
+  /** Starts the process anew, with the same words and thus at the same addresses, unless it runs. */
+  async ensureRunning (): Promise<void> {
+    this.starting = this.starting.then(async () => { if (!this.isRunning) await this.start() })
+    await this.starting
   }
 
   /** Reads the peak resident memory from the process table. */
