--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -7,7 +7,7 @@
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
-import { ControlService, serveControl, type FollowEvent, type FollowRequest, type WatchRequest } from '../../transports/control.js'
+import { ControlService, serveControl, type FollowEvent, type FollowRequest, type ServedFollow, type WatchRequest } from '../../transports/control.js'
 import { sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { Service } from '../../types/configuration.js'
@@ -15,6 +15,8 @@
 import type { AgentSettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { membersWanting } from './exchange-members.js'
+import type { ExchangeLoad, ExchangeMember } from './exchange-options.js'
 import { WeightExchange } from './exchange.js'
 import { Orders } from './orders.js'
 import { relay, type RelayHost } from './relay.js'
@@ -47,10 +49,12 @@
   constructor (private readonly settings: AgentSettings) {
     super()
     const client = new HttpLogClient(settings.log)
-    this.follower = new ConfigurationFollower(client)
     this.directory = new InstanceDirectory(settings.instances)
-    this.exchange = new WeightExchange([settings.origin, settings.store].filter(source => source !== undefined), () => { this.publish() })
-    const source = `http://${settings.listen}`
+    this.follower = new ConfigurationFollower({ client, directory: this.directory, instance: settings.instance, dataCentre: settings.dataCentre })
+    const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, settings.service, this.directory.instances, manifest)
+    const load = (): ExchangeLoad => ({ inFlight: this.inFlight, limit: this.status.limit })
+    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, members, load, served: () => this.orders.served }, () => { this.publish() })
+    const source = `http://${settings.listen}/local`
     this.orders = new Orders({ instance: settings.instance, incarnation: this.incarnation, upstream: settings.upstream, source }, client, this.exchange, restarted => { this.engineChanged(restarted) })
   }
 
@@ -98,6 +102,7 @@
     const state = this.agentState
     if (state === 'out') return fail('data-centre-out', retryAt)
     if (state === 'leaving') return fail('leaving', retryAt)
+    if (!this.follower.mayTakeWork()) return fail('isolated', retryAt)
     if (state === 'closed' || (service.kind === 'model' && weights !== this.orders.served)) return fail('closed', retryAt)
     this.bearing ??= coldBearing(service)
     if (this.inFlight >= this.bearing.limit) return fail('busy', retryAt)
@@ -121,9 +126,8 @@
     return { instance, role: 'agent', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.inFlight }
   }
 
-  follow (_request: FollowRequest, send: (event: FollowEvent) => void): () => void {
-    send({ records: [], node: this.describe(), first: this.follower.state.next })
-    return () => {}
+  follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    return this.follower.serve(request, send)
   }
 
   override watch (_request: WatchRequest, send: (status: AgentStatus) => void): () => void {
@@ -190,7 +194,7 @@
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
     if (path[0] === 'run' && request.method === 'POST') await relay(this, request, response, path[1] ?? '')
-    else if (path[0] === 'weights' || path[0] === 'chunks') this.exchange.handle(request, response, path)
+    else if (path[0] === 'weights' || path[0] === 'chunks' || path[0] === 'local') this.exchange.handle(request, response, path)
     else if (path[0] === 'status') sendJson(response, 200, this.status)
     else sendJson(response, 404, { error: 'no such path' })
   }
