--- a/script/capacity/bench.ts
+++ b/script/capacity/bench.ts
@@ -1,5 +1,4 @@
 /** The surroundings of a measured daemon: platform stand-ins in this process, a counter before each. */
-import type { ChildProcess } from 'node:child_process'
 import { appendChange } from '../../src/commands/append-change.js'
 import { generateConfiguration } from '../../src/core/configuration/generate.js'
 import { emptyFold } from '../../src/core/configuration/fold.js'
@@ -11,6 +10,7 @@
 import { InstancesStandIn } from '../../stand-in/instances.js'
 import { LogStandIn } from '../../stand-in/log.js'
 import { freshAddress, startDaemon } from '../launch.js'
+import type { ManagedProcess } from '../process.js'
 import { CountingRelay } from './counting-relay.js'
 import { readUsage, type Usage } from './process-usage.js'
 
@@ -48,7 +48,7 @@
   readonly log = new LogStandIn()
   readonly list = new InstancesStandIn(0)
   readonly relays: CountingRelay[] = []
-  private readonly children: ChildProcess[] = []
+  private readonly children: ManagedProcess[] = []
   private listed: readonly ListedInstance[] = []
   logUrl = ''
   listUrl = ''
