Check callers' requests, settle lost ones by asking the agent, and resume broken answers

Cause: the entry trusted its input, retried by count alone, and called every lost request unknown. Change: input is checked with places; answers are checked line by line; a lost request is settled by asking its agent; a broken stream goes on elsewhere on the same weights; claims lost point to their holder; retries have a budget.

--- a/bin/pollendyked.ts
+++ b/bin/pollendyked.ts
@@ -16,7 +16,7 @@
 
 const settingNames = [
   'role', 'instance', 'dataCentre', 'region', 'listen', 'control', 'log', 'instances', 'logLevel', 'trace',
-  'bodyBytes', 'locateMilliseconds', 'requestMilliseconds',
+  'bodyBytes', 'locateMilliseconds', 'requestMilliseconds', 'questionMilliseconds', 'progressMilliseconds', 'upstreamWatchers',
   'service', 'upstream', 'origin', 'store', 'linkBytes'
 ] as const
 
--- /dev/null
+++ b/src/core/answer-lines.ts
@@ -0,0 +1,52 @@
+/** Checks an engine's answer line by line: the right request, the right weights, no gap, an explicit end. */
+
+/** How far an answer has come; it survives a change of upstream. */
+export interface AnswerProgress {
+  readonly id: string
+  /** Digest that every line must carry. */
+  readonly weights: string
+  /** Index of the next token. */
+  readonly next: number
+}
+
+/** What a line means. */
+export type LineVerdict =
+  | { readonly kind: 'token', readonly token: string }
+  | { readonly kind: 'end' }
+  | { readonly kind: 'wrong', readonly problem: string }
+
+/** Judges one line against the progress of its answer. */
+export function judgeLine (progress: AnswerProgress, text: string): LineVerdict {
+  const line = parseLine(text)
+  if (line === undefined) return wrong('the line is not JSON')
+  if (line['id'] !== progress.id) return wrong('the line belongs to another request')
+  if (line['weights'] !== progress.weights) return wrong('the line comes from other weights')
+  if (line['type'] === 'token') return judgeToken(progress, line)
+  if (line['type'] === 'end') return judgeEnd(progress, line)
+  return wrong('the line is of no known type')
+}
+
+function judgeToken (progress: AnswerProgress, line: Readonly<Record<string, unknown>>): LineVerdict {
+  if (line['index'] !== progress.next) return wrong('a token is missing or doubled')
+  if (typeof line['token'] !== 'string') return wrong('the token is not text')
+  return { kind: 'token', token: line['token'] }
+}
+
+function judgeEnd (progress: AnswerProgress, line: Readonly<Record<string, unknown>>): LineVerdict {
+  if (line['reason'] !== 'complete') return wrong('the answer was cancelled')
+  if (line['tokens'] !== progress.next) return wrong('the end counts other tokens')
+  return { kind: 'end' }
+}
+
+function parseLine (text: string): Readonly<Record<string, unknown>> | undefined {
+  try {
+    const value: unknown = JSON.parse(text)
+    return typeof value === 'object' && value !== null ? value as Readonly<Record<string, unknown>> : undefined
+  } catch {
+    return undefined
+  }
+}
+
+function wrong (problem: string): LineVerdict {
+  return { kind: 'wrong', problem }
+}
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,13 +1,118 @@
-/** Choice of an upstream: least loaded among those that may take the request. */
+/** Choice of an upstream: who may take a request, and in which order. */
+import type { Configuration } from '../types/configuration.js'
 import type { AgentStatus } from '../types/messages.js'
+import { rankMembers } from '../utils/rendezvous.js'
 
-/** Upstreams that may take a request for one of the acceptable weights, the best first. */
-export function rankUpstreams (statuses: readonly AgentStatus[], service: string, weights: readonly string[] | undefined): readonly AgentStatus[] {
-  const candidates = statuses.filter(status => status.service === service && status.state === 'open' && status.inFlight < status.limit)
-  if (weights === undefined) return [...candidates].sort(compareLoad)
-  return weights.flatMap(wanted => candidates.filter(status => status.weights === wanted).sort(compareLoad))
+/** An upstream as the entry sees it now. */
+export interface UpstreamView {
+  readonly status: AgentStatus
+  readonly region: string
+  /** gRPC address of the agent. */
+  readonly controlAddress: string
+  /** Requests that the entry believes to be there: the last status, corrected by its own sends since. */
+  readonly load: number
 }
 
-function compareLoad (left: AgentStatus, right: AgentStatus): number {
-  return left.inFlight / left.limit - right.inFlight / right.limit
+/** What a request asks of its upstream. */
+export interface Demand {
+  readonly service: string
+  /** Acceptable weights, the best first; undefined for a plain service. */
+  readonly weights: readonly string[] | undefined
+  /** Digest of the prompt's prefix, empty for none. */
+  readonly prefix: string
+  /** Whether the request must run alone. */
+  readonly suspect: boolean
 }
+
+/** Where the entry is. */
+export interface Place { readonly dataCentre: string, readonly region: string }
+
+/** Upstreams that may take a request by the entry's own view. */
+export function candidatesOf (views: readonly UpstreamView[], demand: Demand, configuration: Configuration, tried: ReadonlySet<string>): readonly UpstreamView[] {
+  return views.filter(({ status }) => status.service === demand.service &&
+    status.state === 'open' &&
+    configuration.dataCentres[status.dataCentre]?.state === 'in' &&
+    !tried.has(status.instance) &&
+    (demand.weights === undefined || demand.weights.includes(status.weights)))
+}
+
+/** The next upstream for a request: with room before full, newer weights before older, near before far, then by the policy. */
+export function chooseUpstream (candidates: readonly UpstreamView[], demand: Demand, place: Place, policy: RoutingPolicy): UpstreamView | undefined {
+  if (candidates.length === 0) return undefined
+  if (demand.suspect) return leastLoaded(candidates)
+  const tiers = candidates.map(view => tierOf(view, demand, place))
+  const best = Math.min(...tiers)
+  return policy.choose(candidates.filter((_view, index) => tiers[index] === best), demand)
+}
+
+/** Chooses among upstreams that are equally good otherwise. */
+export abstract class RoutingPolicy {
+  abstract choose (candidates: readonly UpstreamView[], demand: Demand): UpstreamView | undefined
+
+  /** Notes where a request with a prefix went. */
+  noteSent (_demand: Demand, _instance: string): void {}
+}
+
+/** The least share of its limit in use. */
+export class LeastLoad extends RoutingPolicy {
+  choose (candidates: readonly UpstreamView[]): UpstreamView | undefined {
+    return leastLoaded(candidates)
+  }
+}
+
+/** The less loaded of two drawn at random. */
+export class TwoChoices extends RoutingPolicy {
+  /** `random` gives numbers in [0, 1). */
+  constructor (private readonly random: () => number) {
+    super()
+  }
+
+  choose (candidates: readonly UpstreamView[]): UpstreamView | undefined {
+    const first = Math.floor(this.random() * candidates.length)
+    const second = (first + 1 + Math.floor(this.random() * (candidates.length - 1))) % candidates.length
+    return leastLoaded([candidates[first], candidates[second]].filter(view => view !== undefined))
+  }
+}
+
+const affinityLoadFactor = 1.25
+
+/** The upstream that the prefix hashes to, passed over in hash order while its load is well above the average; the rest goes by another policy. */
+export class PrefixAffinity extends RoutingPolicy {
+  constructor (private readonly otherwise: RoutingPolicy) {
+    super()
+  }
+
+  choose (candidates: readonly UpstreamView[], demand: Demand): UpstreamView | undefined {
+    if (demand.prefix === '') return this.otherwise.choose(candidates, demand)
+    const mean = candidates.reduce((sum, view) => sum + view.load, 0) / candidates.length
+    const mostLoad = Math.ceil((mean + 1) * affinityLoadFactor)
+    const byInstance = new Map(candidates.map(view => [view.status.instance, view]))
+    for (const instance of rankMembers(demand.prefix, [...byInstance.keys()])) {
+      const view = byInstance.get(instance)
+      if (view !== undefined && view.load < mostLoad && hasRoom(view)) return view
+    }
+    return this.otherwise.choose(candidates, demand)
+  }
+}
+
+/** Whether one more request would stay within the upstream's limit. */
+export function hasRoom (view: UpstreamView): boolean {
+  return view.load < view.status.limit
+}
+
+function tierOf (view: UpstreamView, demand: Demand, place: Place): number {
+  const full = hasRoom(view) ? 0 : 1
+  const age = demand.weights?.indexOf(view.status.weights) ?? 0
+  const distance = view.status.dataCentre === place.dataCentre ? 0 : view.region === place.region ? 1 : 2
+  return (full * (demand.weights?.length ?? 1) + age) * distances + distance
+}
+
+function leastLoaded (candidates: readonly UpstreamView[]): UpstreamView | undefined {
+  return candidates.reduce<UpstreamView | undefined>((best, view) => best === undefined || loadShare(view) < loadShare(best) ? view : best, undefined)
+}
+
+function loadShare (view: UpstreamView): number {
+  return view.load / Math.max(1, view.status.limit)
+}
+
+const distances = 3
--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -1,139 +1,102 @@
 /** Turns a caller's request into its whole answer or a stated failure. */
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { intentsOf } from '../../core/configuration/resolve.js'
-import { rankUpstreams } from '../../core/routing.js'
-import { fail, isFailureTag, type Failure } from '../../errors.js'
-import type { FoldState, Service } from '../../types/configuration.js'
-import { headers, type AgentStatus, type AnswerLine, type Outcome } from '../../types/messages.js'
-import type { EngineLine } from '../../types/platform.js'
+import { checkRequest, isRefused, type CallerRequest } from '../../core/caller-request.js'
+import { spreadRetry } from '../../core/retry.js'
+import { fail, type Failure, type Finding } from '../../errors.js'
+import { startHop } from '../../plugins/tracing.js'
 import { headerOf, readBody, sendFailure } from '../../transports/http-server.js'
-import { readAll, sendRequest, TransportError } from '../../transports/http-client.js'
+import type { Configuration, Organisation } from '../../types/configuration.js'
+import { headers } from '../../types/messages.js'
+import type { AnswerHost } from './host.js'
+import { serve } from './serve.js'
+import { formatLine } from './stream.js'
 
 const retryMilliseconds = 500
-const attempts = 3
 
-/** What answering needs of the entry. */
-export interface AnswerHost {
-  readonly bodyBytes: number
-  readonly requestMilliseconds: number
-  readonly state: FoldState
-  readonly statuses: readonly AgentStatus[]
-}
-
-interface CallerRequest {
-  readonly id: string
-  readonly service: string
-  readonly operation: string
-  readonly organisation: string
-  readonly deadline: number
-  readonly body: Buffer
-  readonly idempotencyKey: string
+/** A request that may be served. */
+interface Accepted {
+  readonly caller: CallerRequest
+  readonly configuration: Configuration
+  readonly organisation: Organisation
 }
 
 /** Handles `POST /services/SERVICE/OPERATION`. */
-export async function answerCaller (host: AnswerHost, request: IncomingMessage, response: ServerResponse, serviceName: string, operation: string): Promise<void> {
+export async function answerCaller (host: AnswerHost, request: IncomingMessage, response: ServerResponse, service: string, operation: string): Promise<void> {
   const id = randomUUID()
-  const body = await readBody(request, host.bodyBytes)
-  if (body === undefined) {
-    sendFailure(response, id, fail('too-large'))
+  const receivedAt = Date.now()
+  const body = await readBody(request, host.settings.bodyBytes)
+  const accepted = body === undefined ? fail('too-large') : accept(host, request, { id, service, operation, body }, receivedAt)
+  if (isFailure(accepted)) {
+    finish(host, response, { id, service, receivedAt, organisations: 'none' }, accepted)
     return
   }
-  const deadline = Number(headerOf(request, headers.deadline)) || Date.now() + host.requestMilliseconds
-  const caller: CallerRequest = { id, service: serviceName, operation, organisation: headerOf(request, headers.organisation), deadline, body, idempotencyKey: headerOf(request, headers.idempotencyKey) }
-  const failure = await attemptAll(host, caller, response)
-  if (failure !== undefined) sendFailure(response, id, failure)
-}
-
-async function attemptAll (host: AnswerHost, caller: CallerRequest, response: ServerResponse): Promise<Failure | undefined> {
-  const { configuration, revisions } = host.state
-  const retryAt = Date.now() + retryMilliseconds
-  if (configuration === undefined) return fail('no-configuration', retryAt)
-  const service = configuration.services[caller.service]
-  if (service === undefined) return fail('unknown-service')
-  if (configuration.organisations[caller.organisation] === undefined) return fail('unknown-organisation')
-  const weights = service.kind === 'model' ? intentsOf(configuration, revisions, caller.service, caller.organisation).map(intent => intent.manifest) : undefined
-  const inForce = host.statuses.filter(status => configuration.dataCentres[status.dataCentre]?.state === 'in')
-  const ranked = rankUpstreams(inForce, caller.service, weights).slice(0, attempts)
-  let last: Failure = fail(weights !== undefined && !inForce.some(status => weights.includes(status.weights)) ? 'no-weights' : 'busy', retryAt)
-  for (const upstream of ranked) {
-    const result = await attempt(caller, service, upstream, response)
-    if (result === undefined) return undefined
-    last = result
-    if (result.outcome !== 'not-run') return result
-  }
-  return last
+  await answer(host, response, accepted, receivedAt)
 }
 
-async function attempt (caller: CallerRequest, service: Service, upstream: AgentStatus, response: ServerResponse): Promise<Failure | undefined> {
+async function answer (host: AnswerHost, response: ServerResponse, accepted: Accepted, receivedAt: number): Promise<void> {
+  const { caller, organisation } = accepted
+  const { id, service, operation, deadline } = caller
+  const hop = startHop('entry', caller.traceParent, { request: id, service, operation, organisation: caller.organisation })
+  host.journal.open({ id, service, operation, organisation: caller.organisation, receivedAt, deadline })
+  const over = new AbortController()
+  const timer = setTimeout(() => { over.abort() }, Math.max(0, deadline - Date.now()))
+  const leave = (): void => { if (!caller.nonIdempotent) over.abort() }
+  response.once('close', leave)
   try {
-    const body = bodyFor(caller, service)
-    const answer = await sendRequest({
-      url: `http://${upstream.address}/run/${caller.operation}`,
-      method: 'POST',
-      headers: {
-        [headers.requestId]: caller.id,
-        [headers.organisation]: caller.organisation,
-        [headers.deadline]: String(caller.deadline),
-        [headers.weights]: upstream.weights,
-        [headers.idempotencyKey]: caller.idempotencyKey,
-        'content-length': body.length
-      },
-      body,
-      deadline: caller.deadline
-    })
-    const tag = headerOf(answer, headers.failure)
-    if (isFailureTag(tag)) {
-      answer.resume()
-      return fail(tag, Date.now() + retryMilliseconds, headerOf(answer, headers.outcome) as Outcome)
-    }
-    if (headerOf(answer, headers.requestId) !== caller.id) return fail('wrong-answer')
-    return service.kind === 'model' ? await passTokens(caller, upstream, answer, response) : await passWhole(caller, answer, response)
-  } catch (error) {
-    const sent = !(error instanceof TransportError) || error.sent
-    return fail(sent ? 'upstream-lost' : 'upstream-refused', Date.now() + retryMilliseconds)
+    const failure = await serve(host, { ...accepted, receivedAt, response, traceParent: hop.traceParent, signal: over.signal })
+    hop.end(failure?.tag)
+    finish(host, response, { id, service, receivedAt, organisations: organisation.priority }, failure)
+  } finally {
+    clearTimeout(timer)
+    response.removeListener('close', leave)
   }
 }
 
-function bodyFor (caller: CallerRequest, service: Service): Buffer {
-  if (service.kind === 'plain') return caller.body
-  const parsed = JSON.parse(caller.body.toString('utf8')) as { prompt: string, maximumTokens: number }
-  return Buffer.from(JSON.stringify({ id: caller.id, prompt: parsed.prompt, maximumTokens: parsed.maximumTokens, priority: 0, resumeFrom: 0 }))
+/** The request with what it needs of the configuration, or why it is refused. */
+function accept (host: AnswerHost, request: IncomingMessage, raw: { readonly id: string, readonly service: string, readonly operation: string, readonly body: Buffer }, now: number): Accepted | Failure {
+  const retryAt = spreadRetry(now + retryMilliseconds, raw.id)
+  const { configuration } = host.state
+  if (configuration === undefined) return fail('no-configuration', retryAt)
+  if (!host.mayTakeWork) return fail('isolated', retryAt)
+  const service = own(configuration.services, raw.service)
+  if (service === undefined) return fail('unknown-service')
+  const name = headerOf(request, headers.organisation)
+  const checked = checkRequest({
+    ...raw,
+    organisation: name,
+    deadline: headerOf(request, headers.deadline),
+    idempotencyKey: headerOf(request, headers.idempotencyKey),
+    prefix: headerOf(request, headers.prefix),
+    traceParent: headerOf(request, headers.traceParent)
+  }, { service, now, defaultDeadline: now + host.settings.requestMilliseconds })
+  if (isRefused(checked)) return malformed(checked)
+  const organisation = own(configuration.organisations, name)
+  if (organisation === undefined) return fail('unknown-organisation')
+  if (checked.deadline <= now) return fail('late-deadline', retryAt)
+  const standing = host.quarantine.standing(checked.fingerprint, now)
+  if (standing.kind === 'quarantined') return fail('quarantined', standing.until)
+  return { caller: checked, configuration, organisation }
 }
 
-async function passWhole (caller: CallerRequest, answer: IncomingMessage, response: ServerResponse): Promise<undefined> {
-  const body = await readAll(answer, caller.deadline)
-  response.writeHead(answer.statusCode ?? 502, { 'content-type': 'application/json', 'content-length': body.length, [headers.requestId]: caller.id, [headers.outcome]: 'run' })
-  response.end(body)
+function malformed (findings: readonly Finding[]): Failure {
+  return { ...fail('malformed'), text: findings.map(({ place, problem }) => `${place}: ${problem}`).join('; ') }
 }
 
-async function passTokens (caller: CallerRequest, upstream: AgentStatus, answer: IncomingMessage, response: ServerResponse): Promise<undefined> {
-  response.writeHead(200, { 'content-type': 'application/x-ndjson', [headers.requestId]: caller.id, [headers.outcome]: 'run' })
-  let ended = false
-  try {
-    for await (const line of linesOf(answer)) {
-      const parsed = JSON.parse(line) as EngineLine
-      if (parsed.id !== caller.id || parsed.weights !== upstream.weights) throw new Error('the line belongs to another answer')
-      if (parsed.type === 'end') ended = true
-      writeLine(response, parsed.type === 'token' ? { type: 'token', id: parsed.id, index: parsed.index, token: parsed.token } : { type: 'end', id: parsed.id, tokens: parsed.tokens, weights: parsed.weights })
-    }
-  } catch {
-    ended = false
-  }
-  if (!ended) writeLine(response, { type: 'failure', id: caller.id, failure: 'upstream-lost', outcome: 'unknown', retryAt: Date.now() + retryMilliseconds })
-  response.end()
+function finish (host: AnswerHost, response: ServerResponse, about: { readonly id: string, readonly service: string, readonly receivedAt: number, readonly organisations: string }, failure: Failure | undefined): void {
+  const labels = { service: failure?.tag === 'unknown-service' ? 'none' : about.service, organisations: about.organisations }
+  host.metrics.count('requests_total', { ...labels, outcome: failure?.outcome ?? 'run', failure: failure?.tag ?? 'none' })
+  host.metrics.observe('answer_milliseconds', { ...labels, whole: String(failure === undefined) }, Date.now() - about.receivedAt)
+  host.journal.close(about.id, failure?.outcome ?? 'run', failure?.tag ?? '')
+  if (failure === undefined || response.destroyed) return
+  if (!response.headersSent) sendFailure(response, about.id, failure)
+  else response.end(formatLine({ type: 'failure', id: about.id, failure: failure.tag, outcome: failure.outcome, retryAt: failure.retryAt }))
 }
 
-async function * linesOf (answer: IncomingMessage): AsyncGenerator<string> {
-  let rest = ''
-  answer.setEncoding('utf8')
-  for await (const part of answer) {
-    const lines = (rest + String(part)).split('\n')
-    rest = lines.pop() ?? ''
-    yield * lines
-  }
+function own<Value> (record: Readonly<Record<string, Value>>, name: string): Value | undefined {
+  return Object.hasOwn(record, name) ? record[name] : undefined
 }
 
-function writeLine (response: ServerResponse, line: AnswerLine): void {
-  response.write(`${JSON.stringify(line)}\n`)
+function isFailure (result: Accepted | Failure): result is Failure {
+  return 'tag' in result
 }
--- /dev/null
+++ b/src/roles/entry/attempt.ts
@@ -0,0 +1,199 @@
+/** One request to one upstream: send, watch for silence, pass the answer on. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AnswerProgress } from '../../core/answer-lines.js'
+import type { CallerRequest } from '../../core/caller-request.js'
+import type { UpstreamView } from '../../core/routing.js'
+import { fail, isFailureTag, type Failure } from '../../errors.js'
+import { headerOf } from '../../transports/http-server.js'
+import { readAll, sendRequest, TransportError } from '../../transports/http-client.js'
+import { priorities, type Priority } from '../../types/configuration.js'
+import { headers, type Outcome } from '../../types/messages.js'
+import type { EngineRequest } from '../../types/platform.js'
+import { waitUntil } from '../../utils/clock.js'
+import type { AnswerHost } from './host.js'
+import { passTokens } from './stream.js'
+
+const refusalBytes = 4096
+const refusalMilliseconds = 1000
+const askMilliseconds = 400
+const silentAnswers = 2
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly kind: 'answered' }
+  /** The agent or the network refused it, or the agent stated what became of it. */
+  | { readonly kind: 'failed', readonly failure: Failure, readonly claimHolder: string }
+  /** A byte may have reached the agent and the answer is not whole. */
+  | { readonly kind: 'lost', readonly reason: 'cut' | 'silent' | 'wrong' | 'crashed' }
+
+/** What an attempt needs besides the host. */
+export interface AttemptInput {
+  readonly caller: CallerRequest
+  /** Epoch milliseconds. */
+  readonly receivedAt: number
+  readonly priority: Priority
+  /** Class of the caller's organisation, for metrics. */
+  readonly organisationClass: string
+  readonly upstream: UpstreamView
+  /** Whether the request must run alone there. */
+  readonly suspect: boolean
+  readonly traceParent: string
+  readonly response: ServerResponse
+  /** Aborts when the caller has gone or the deadline has passed. */
+  readonly signal: AbortSignal
+  readonly tracker: AnswerTracker
+}
+
+/** How far an answer has come, across its attempts. */
+export class AnswerTracker {
+  /** Epoch milliseconds of the latest piece, 0 before the first. */
+  lastAt = 0
+
+  constructor (public progress: AnswerProgress) {}
+}
+
+/** Sends the request to one upstream and passes its answer on. */
+export async function attempt (host: AnswerHost, input: AttemptInput): Promise<AttemptResult> {
+  const ended = host.upstreams.noteSent(input.upstream.controlAddress)
+  const opened = new AbortController()
+  const abandoned = new AbortController()
+  const stop = (): void => { abandoned.abort() }
+  input.signal.addEventListener('abort', stop, { once: true })
+  try {
+    const silence = watchSilence(host, input, opened.signal, stop)
+    const answer = await send(input, abandoned.signal)
+    const result = await take(host, input, answer, () => { opened.abort() })
+    opened.abort()
+    await silence
+    return result
+  } catch (error) {
+    if (error instanceof TransportError && !error.sent) return refused('upstream-refused')
+    return { kind: 'lost', reason: abandoned.signal.aborted ? 'silent' : 'cut' }
+  } finally {
+    opened.abort()
+    input.signal.removeEventListener('abort', stop)
+    ended()
+  }
+}
+
+async function send (input: AttemptInput, signal: AbortSignal): Promise<IncomingMessage> {
+  const { caller, upstream } = input
+  const body = bodyFor(input)
+  return await sendRequest({
+    url: `http://${upstream.status.address}/run/${caller.operation}`,
+    method: 'POST',
+    headers: {
+      [headers.requestId]: caller.id,
+      [headers.organisation]: caller.organisation,
+      [headers.priority]: input.priority,
+      [headers.deadline]: String(caller.deadline),
+      [headers.weights]: upstream.status.weights,
+      [headers.fingerprint]: caller.fingerprint,
+      [headers.resumeFrom]: String(input.tracker.progress.next),
+      ...(input.suspect ? { [headers.suspect]: '1' } : {}),
+      ...(caller.idempotencyKey === '' ? {} : { [headers.idempotencyKey]: caller.idempotencyKey }),
+      ...(caller.prefix === '' ? {} : { [headers.prefix]: caller.prefix }),
+      ...(input.traceParent === '' ? {} : { [headers.traceParent]: input.traceParent }),
+      'content-type': 'application/json',
+      'content-length': body.length
+    },
+    body,
+    deadline: caller.deadline,
+    signal
+  })
+}
+
+function bodyFor (input: AttemptInput): Buffer {
+  const { caller, priority, tracker: { progress } } = input
+  if (caller.model === undefined) return caller.body
+  const { prompt, maximumTokens } = caller.model
+  const request: EngineRequest = { id: caller.id, prompt, maximumTokens, priority: priorities.indexOf(priority), resumeFrom: progress.next }
+  return Buffer.from(JSON.stringify(request))
+}
+
+async function take (host: AnswerHost, input: AttemptInput, answer: IncomingMessage, open: () => void): Promise<AttemptResult> {
+  const tag = headerOf(answer, headers.failure)
+  if (isFailureTag(tag)) return await takeFailure(answer, tag)
+  if (headerOf(answer, headers.requestId) !== input.caller.id) return abandon(answer, 'wrong')
+  if (headerOf(answer, headers.outcome) === 'not-run') {
+    answer.destroy()
+    return refused('upstream-refused')
+  }
+  if (input.caller.model === undefined) return await passWhole(input, answer, open)
+  if (answer.statusCode !== 200 || headerOf(answer, headers.weights) !== input.tracker.progress.weights) return abandon(answer, 'wrong')
+  return await passTokens(host, input, answer, open)
+}
+
+async function takeFailure (answer: IncomingMessage, tag: Failure['tag']): Promise<AttemptResult> {
+  const outcome = headerOf(answer, headers.outcome)
+  const claimHolder = headerOf(answer, headers.claimHolder)
+  const stated = fail(tag, await readRetryAt(answer), isOutcome(outcome) ? outcome : undefined)
+  if (tag === 'upstream-lost' && stated.outcome === 'unknown') return { kind: 'lost', reason: 'crashed' }
+  return { kind: 'failed', failure: stated, claimHolder }
+}
+
+/** Time to come back that a refusal states, epoch milliseconds; 0 for none. */
+async function readRetryAt (answer: IncomingMessage): Promise<number> {
+  if (Number(headerOf(answer, 'content-length')) > refusalBytes) {
+    answer.destroy()
+    return 0
+  }
+  try {
+    const body = JSON.parse((await readAll(answer, Date.now() + refusalMilliseconds)).toString('utf8')) as { retryAt?: unknown }
+    return typeof body.retryAt === 'number' ? body.retryAt : 0
+  } catch {
+    return 0
+  }
+}
+
+async function passWhole (input: AttemptInput, answer: IncomingMessage, open: () => void): Promise<AttemptResult> {
+  const { caller, response, upstream } = input
+  const body = await readAll(answer, caller.deadline)
+  open()
+  sendWhole(response, caller.id, answer.statusCode ?? 502, body, upstream.status.instance)
+  return { kind: 'answered' }
+}
+
+/** Sends a plain service's whole answer to the caller. */
+export function sendWhole (response: ServerResponse, id: string, status: number, body: Buffer, instance: string): void {
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': body.length,
+    [headers.requestId]: id,
+    [headers.outcome]: 'run',
+    [headers.instance]: instance
+  })
+  response.end(body)
+}
+
+/** Asks the agent on another connection while no byte has come, and gives the connection up when the agent denies the request or has long answered it. */
+async function watchSilence (host: AnswerHost, input: AttemptInput, opened: AbortSignal, giveUp: () => void): Promise<void> {
+  const { caller, upstream } = input
+  const longest = Date.now() + host.settings.progressMilliseconds
+  let denials = 0
+  while (!opened.aborted) {
+    await waitUntil(Date.now() + host.settings.questionMilliseconds, opened)
+    if (opened.aborted) return
+    const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '' }, Date.now() + askMilliseconds)
+    if (opened.aborted) return
+    denials = reply?.outcome === 'running' ? 0 : denials + 1
+    const waitedLong = !caller.nonIdempotent && caller.model !== undefined && Date.now() > longest
+    if (denials >= silentAnswers || waitedLong || (denials > 0 && !caller.nonIdempotent)) {
+      giveUp()
+      return
+    }
+  }
+}
+
+function refused (tag: Failure['tag']): AttemptResult {
+  return { kind: 'failed', failure: fail(tag, 0, 'not-run'), claimHolder: '' }
+}
+
+function abandon (answer: IncomingMessage, reason: 'wrong'): AttemptResult {
+  answer.destroy()
+  return { kind: 'lost', reason }
+}
+
+function isOutcome (text: string): text is Outcome {
+  return text === 'not-run' || text === 'run' || text === 'unknown'
+}
--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -1,18 +1,24 @@
 /** Role entry: answers callers, chooses upstreams, and says which entry to use. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Quarantine } from '../../core/quarantine.js'
+import { RetryBudget } from '../../core/retry.js'
+import { LeastLoad, PrefixAffinity, type Place } from '../../core/routing.js'
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
-import { ControlService, serveControl, type FollowEvent, type FollowRequest } from '../../transports/control.js'
+import { Metrics } from '../../plugins/metrics.js'
+import { ControlClient, ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest } from '../../transports/control.js'
 import { sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { FoldState } from '../../types/configuration.js'
-import type { AgentStatus, Located, NodeDescription } from '../../types/messages.js'
+import type { Located, NodeDescription } from '../../types/messages.js'
 import type { EntrySettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { rankMembers } from '../../utils/rendezvous.js'
-import { answerCaller, type AnswerHost } from './answer.js'
+import { answerCaller } from './answer.js'
+import type { AnswerHost } from './host.js'
+import { RequestJournal } from './journal.js'
 import { Upstreams } from './upstreams.js'
 
 const log = logFor('entry')
@@ -28,16 +34,21 @@
 class Entry extends ControlService implements RunningNode, AnswerHost {
   private readonly follower: ConfigurationFollower
   private readonly directory: InstanceDirectory
-  private readonly upstreams: Upstreams
+  readonly upstreams: Upstreams
+  readonly policy = new PrefixAffinity(new LeastLoad())
+  readonly budget = new RetryBudget()
+  readonly quarantine = new Quarantine()
+  readonly journal = new RequestJournal()
+  readonly metrics = new Metrics()
   private inFlight = 0
   private leaving = false
   private closeAll: () => void = () => {}
 
-  constructor (private readonly settings: EntrySettings) {
+  constructor (readonly settings: EntrySettings) {
     super()
     this.follower = new ConfigurationFollower(new HttpLogClient(settings.log))
     this.directory = new InstanceDirectory(settings.instances)
-    this.upstreams = new Upstreams(settings.instance, this.directory)
+    this.upstreams = new Upstreams(settings, this.directory, status => { this.quarantine.hear(status) })
   }
 
   async start (): Promise<void> {
@@ -63,20 +74,27 @@
     this.closeAll()
   }
 
-  get bodyBytes (): number {
-    return this.settings.bodyBytes
+  get place (): Place {
+    return this.settings
   }
 
-  get requestMilliseconds (): number {
-    return this.settings.requestMilliseconds
+  get mayTakeWork (): boolean {
+    return true
   }
 
-  get state (): FoldState {
-    return this.follower.state
+  async ask (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined> {
+    const client = new ControlClient(controlAddress, 'own')
+    try {
+      return await client.outcome(question, deadline)
+    } catch {
+      return undefined
+    } finally {
+      client.close()
+    }
   }
 
-  get statuses (): readonly AgentStatus[] {
-    return this.upstreams.statuses
+  get state (): FoldState {
+    return this.follower.state
   }
 
   describe (): NodeDescription {
@@ -98,7 +116,7 @@
       this.inFlight += 1
       await answerCaller(this, request, response, service, operation).finally(() => { this.inFlight -= 1 })
     } else if (kind === 'locate') sendJson(response, 200, this.locate(url.searchParams.get('organisation') ?? ''))
-    else if (kind === 'status') sendJson(response, 200, { node: this.describe(), upstreams: this.statuses })
+    else if (kind === 'status') sendJson(response, 200, { node: this.describe(), upstreams: this.upstreams.statuses })
     else sendJson(response, 404, { error: 'no such path' })
   }
 
--- /dev/null
+++ b/src/roles/entry/host.ts
@@ -0,0 +1,27 @@
+/** What answering needs of the entry. */
+import type { Quarantine } from '../../core/quarantine.js'
+import type { RetryBudget } from '../../core/retry.js'
+import type { Place, RoutingPolicy } from '../../core/routing.js'
+import type { Metrics } from '../../plugins/metrics.js'
+import type { OutcomeReply, OutcomeRequest } from '../../transports/control.js'
+import type { FoldState } from '../../types/configuration.js'
+import type { EntrySettings } from '../../types/settings.js'
+import type { RequestJournal } from './journal.js'
+import type { Upstreams } from './upstreams.js'
+
+/** The entry as its answers see it. */
+export interface AnswerHost {
+  readonly settings: EntrySettings
+  readonly state: FoldState
+  /** Whether the configuration in force is confirmed well enough for new work. */
+  readonly mayTakeWork: boolean
+  readonly place: Place
+  readonly upstreams: Upstreams
+  readonly policy: RoutingPolicy
+  readonly budget: RetryBudget
+  readonly quarantine: Quarantine
+  readonly journal: RequestJournal
+  readonly metrics: Metrics
+  /** Asks an agent over a connection of its own; undefined when it does not answer. `deadline` in epoch milliseconds. */
+  ask (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined>
+}
--- /dev/null
+++ b/src/roles/entry/journal.ts
@@ -0,0 +1,57 @@
+/** Recent requests of the entry, for `explain`: where they went and how they ended; never bodies or keys. */
+import type { Outcome } from '../../types/messages.js'
+
+const mostRequests = 5000
+
+/** One request to one upstream. */
+export interface AttemptRecord {
+  readonly instance: string
+  readonly dataCentre: string
+  /** Epoch milliseconds. */
+  readonly sentAt: number
+  /** `answered`, or what ended the attempt. */
+  readonly result: string
+}
+
+/** What is kept of a request. */
+export interface RequestRecord {
+  readonly id: string
+  readonly service: string
+  readonly operation: string
+  readonly organisation: string
+  /** Epoch milliseconds. */
+  readonly receivedAt: number
+  /** Epoch milliseconds. */
+  readonly deadline: number
+  readonly attempts: readonly AttemptRecord[]
+  /** Empty while the request runs. */
+  readonly outcome: Outcome | ''
+  /** Tag of the failure, empty for a whole answer. */
+  readonly failure: string
+}
+
+/** The latest requests, bounded. */
+export class RequestJournal {
+  private readonly records = new Map<string, RequestRecord>()
+
+  open (record: Omit<RequestRecord, 'attempts' | 'outcome' | 'failure'>): void {
+    this.records.set(record.id, { ...record, attempts: [], outcome: '', failure: '' })
+    if (this.records.size <= mostRequests) return
+    const [oldest] = this.records.keys()
+    if (oldest !== undefined) this.records.delete(oldest)
+  }
+
+  noteAttempt (id: string, attempt: AttemptRecord): void {
+    const record = this.records.get(id)
+    if (record !== undefined) this.records.set(id, { ...record, attempts: [...record.attempts, attempt] })
+  }
+
+  close (id: string, outcome: Outcome, failure: string): void {
+    const record = this.records.get(id)
+    if (record !== undefined) this.records.set(id, { ...record, outcome, failure })
+  }
+
+  find (id: string): RequestRecord | undefined {
+    return this.records.get(id)
+  }
+}
--- /dev/null
+++ b/src/roles/entry/serve.ts
@@ -0,0 +1,178 @@
+/** Serves one checked request: chooses upstreams, retries what was not run, resumes broken answers. */
+import type { ServerResponse } from 'node:http'
+import type { CallerRequest } from '../../core/caller-request.js'
+import { claimKey } from '../../core/claim-key.js'
+import { intentsOf } from '../../core/configuration/resolve.js'
+import { earliestRetry, mostAttempts, spreadRetry } from '../../core/retry.js'
+import { candidatesOf, chooseUpstream, hasRoom, type Demand, type UpstreamView } from '../../core/routing.js'
+import { fail, type Failure, type FailureTag } from '../../errors.js'
+import type { Configuration, Organisation } from '../../types/configuration.js'
+import { attempt, AnswerTracker, sendWhole, type AttemptResult } from './attempt.js'
+import type { AnswerHost } from './host.js'
+import { settle, settleByOutcome, type Settled } from './settle.js'
+
+const retryMilliseconds = 500
+
+/** Refusals after which another upstream may take the request. */
+const retriedTags: ReadonlySet<FailureTag> = new Set(['busy', 'closed', 'leaving', 'data-centre-out', 'upstream-refused', 'isolated', 'no-configuration', 'late-deadline'])
+
+/** One request on its way. */
+export interface Serving {
+  readonly caller: CallerRequest
+  readonly configuration: Configuration
+  readonly organisation: Organisation
+  /** Epoch milliseconds. */
+  readonly receivedAt: number
+  readonly response: ServerResponse
+  readonly traceParent: string
+  /** Aborts when nobody waits for the answer any more. */
+  readonly signal: AbortSignal
+}
+
+/** Serves the request; a failure is returned for the caller to be told. */
+export async function serve (host: AnswerHost, serving: Serving): Promise<Failure | undefined> {
+  return await new Course(host, serving).run()
+}
+
+/** Step of a course: over, with or without a failure, or on to another upstream. */
+type Step = { readonly kind: 'over', readonly failure: Failure | undefined } | { readonly kind: 'next' }
+
+const next: Step = { kind: 'next' }
+
+/** The course of one request over its upstreams. */
+class Course {
+  private readonly tried = new Set<string>()
+  private readonly tracker: AnswerTracker
+  private readonly statedRetries: number[] = []
+  /** Last refusal, while nothing was lost. */
+  private refusal: Failure | undefined
+  private lost = false
+
+  constructor (private readonly host: AnswerHost, private readonly serving: Serving) {
+    this.tracker = new AnswerTracker({ id: serving.caller.id, weights: '', next: 0 })
+  }
+
+  async run (): Promise<Failure | undefined> {
+    const startedAs = this.host.quarantine.standing(this.serving.caller.fingerprint, Date.now())
+    const most = startedAs.kind === 'suspect' ? 1 : mostAttempts
+    for (let sent = 0; sent < most; sent += 1) {
+      const standing = this.host.quarantine.standing(this.serving.caller.fingerprint, Date.now())
+      if (standing.kind === 'quarantined') return this.quarantined(standing.until)
+      const upstream = this.choose(standing.kind === 'suspect')
+      if (upstream === undefined || (sent > 0 && !this.takeRetry())) return this.giveUp()
+      const step = await this.send(upstream, standing.kind === 'suspect')
+      if (step.kind === 'over') return step.failure
+      if (this.serving.signal.aborted) return this.giveUp()
+    }
+    return this.giveUp()
+  }
+
+  private choose (suspect: boolean): UpstreamView | undefined {
+    const { caller, configuration } = this.serving
+    const demand: Demand = { service: caller.service, weights: this.acceptableWeights(), prefix: caller.prefix, suspect }
+    const candidates = candidatesOf(this.host.upstreams.views, demand, configuration, this.tried)
+    const again = this.tried.size > 0
+    const useful = candidates.filter(view => !again || (suspect ? view.load === 0 : hasRoom(view)))
+    return chooseUpstream(useful, demand, this.host.place, this.host.policy)
+  }
+
+  /** Digests that may answer, the newest intent first; the one that began the answer once a token was passed on. */
+  private acceptableWeights (): readonly string[] | undefined {
+    const { caller, configuration } = this.serving
+    if (caller.model === undefined) return undefined
+    if (this.tracker.progress.next > 0) return [this.tracker.progress.weights]
+    const { revisions } = this.host.state
+    return intentsOf(configuration, revisions, caller.service, caller.organisation).map(({ manifest }) => manifest)
+  }
+
+  private takeRetry (): boolean {
+    const { caller, organisation } = this.serving
+    return this.host.budget.take(caller.organisation, organisation.retriesPerSecond, Date.now())
+  }
+
+  private async send (upstream: UpstreamView, suspect: boolean): Promise<Step> {
+    const { caller, organisation, receivedAt, response, signal, traceParent } = this.serving
+    const { instance, dataCentre, weights } = upstream.status
+    this.tried.add(instance)
+    this.tracker.progress = { ...this.tracker.progress, weights }
+    this.host.policy.noteSent({ service: caller.service, weights: undefined, prefix: caller.prefix, suspect }, instance)
+    const sentAt = Date.now()
+    const organisationClass = organisation.priority
+    const result = await attempt(this.host, { caller, receivedAt, priority: organisation.priority, organisationClass, upstream, suspect, traceParent, response, signal, tracker: this.tracker })
+    this.host.journal.noteAttempt(caller.id, { instance, dataCentre, sentAt, result: describeResult(result) })
+    this.host.metrics.count('attempts_total', { service: caller.service, result: describeResult(result) })
+    return await this.judge(upstream, result)
+  }
+
+  private async judge (upstream: UpstreamView, result: AttemptResult): Promise<Step> {
+    if (result.kind === 'answered') return over(undefined)
+    if (result.kind === 'lost') return await this.takeLoss(upstream, result)
+    const { failure, claimHolder } = result
+    if (failure.tag === 'claim-lost' && claimHolder !== '') return await this.followClaim(claimHolder)
+    if (failure.outcome !== 'not-run') return over(failure)
+    this.statedRetries.push(failure.retryAt)
+    this.refusal = failure
+    return retriedTags.has(failure.tag) ? next : over(this.giveUp())
+  }
+
+  private async takeLoss (upstream: UpstreamView, result: Extract<AttemptResult, { kind: 'lost' }>): Promise<Step> {
+    const { caller, signal } = this.serving
+    if (signal.aborted && !caller.nonIdempotent) {
+      this.lost = true
+      return over(this.giveUp())
+    }
+    const settled = await settle(this.host, caller, upstream, result, this.tracker.progress.next > 0)
+    this.lost = !caller.nonIdempotent
+    return this.takeSettled(settled, upstream.status.instance)
+  }
+
+  /** Another agent holds the claim of this key: only there can the request run, or its outcome be known. */
+  private async followClaim (holder: string): Promise<Step> {
+    const { caller } = this.serving
+    const upstream = this.host.upstreams.find(holder)
+    if (upstream !== undefined && !this.tried.has(upstream.status.instance)) {
+      const step = await this.send(upstream, false)
+      if (step.kind === 'over' && step.failure?.outcome !== 'not-run') return step
+    }
+    const settled = await settleByOutcome(this.host, caller, holder, { requestId: '', key: claimKey(caller) })
+    if (settled.kind === 'elsewhere') return over(fail('claim-lost', spreadRetry(Date.now(), caller.id), 'not-run'))
+    if (settled.kind === 'failed' && settled.failure.tag === 'upstream-lost') return over(fail('claim-lost', settled.failure.retryAt))
+    return this.takeSettled(settled, upstream?.status.instance ?? '')
+  }
+
+  private takeSettled (settled: Settled, instance: string): Step {
+    if (settled.kind === 'elsewhere') return next
+    if (settled.kind === 'failed') return over(settled.failure)
+    sendWhole(this.serving.response, this.serving.caller.id, settled.reply.status, settled.reply.answer, instance)
+    return over(undefined)
+  }
+
+  private quarantined (until: number): Failure {
+    return fail('quarantined', until, this.lost ? 'unknown' : 'not-run')
+  }
+
+  /** The final failure: lost for good, or refused with the earliest time to come back. */
+  private giveUp (): Failure {
+    const { caller } = this.serving
+    const now = Date.now()
+    const retryAt = spreadRetry(earliestRetry(this.statedRetries, now + retryMilliseconds), caller.id)
+    if (this.lost) return fail(now >= caller.deadline ? 'deadline-passed' : 'upstream-lost', retryAt)
+    return fail(this.refusal?.tag ?? this.emptyTag(), retryAt, 'not-run')
+  }
+
+  /** Why no upstream could be chosen. */
+  private emptyTag (): FailureTag {
+    const weights = this.acceptableWeights()
+    const served = this.host.upstreams.statuses.some(status => weights?.includes(status.weights) === true)
+    return weights !== undefined && !served ? 'no-weights' : 'busy'
+  }
+}
+
+function over (failure: Failure | undefined): Step {
+  return { kind: 'over', failure }
+}
+
+function describeResult (result: AttemptResult): string {
+  if (result.kind === 'answered') return 'answered'
+  return result.kind === 'lost' ? `lost-${result.reason}` : result.failure.tag
+}
--- /dev/null
+++ b/src/roles/entry/settle.ts
@@ -0,0 +1,57 @@
+/** What became of a request whose answer was lost: asks the agent, never guesses. */
+import type { CallerRequest } from '../../core/caller-request.js'
+import type { UpstreamView } from '../../core/routing.js'
+import { fail, type Failure } from '../../errors.js'
+import type { OutcomeReply, OutcomeRequest } from '../../transports/control.js'
+import { waitUntil } from '../../utils/clock.js'
+import type { AttemptResult } from './attempt.js'
+import type { AnswerHost } from './host.js'
+
+const askMilliseconds = 400
+const againMilliseconds = 50
+const mostSilences = 3
+const retryMilliseconds = 1000
+const suspicionMilliseconds = 60_000
+
+/** How a lost request goes on. */
+export type Settled =
+  | { readonly kind: 'answer', readonly reply: OutcomeReply }
+  | { readonly kind: 'elsewhere' }
+  | { readonly kind: 'failed', readonly failure: Failure }
+
+/** Settles a request that may have reached an agent. */
+export async function settle (host: AnswerHost, caller: CallerRequest, upstream: UpstreamView, lost: Extract<AttemptResult, { kind: 'lost' }>, received: boolean): Promise<Settled> {
+  if (lost.reason === 'crashed') noteCrash(host, caller, upstream)
+  if (caller.nonIdempotent) return await settleByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '' })
+  if (lost.reason === 'crashed' || lost.reason === 'wrong') return { kind: 'elsewhere' }
+  const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '' }, Date.now() + askMilliseconds)
+  if (reply === undefined) host.quarantine.noteLoss(caller.fingerprint, Date.now() + suspicionMilliseconds)
+  else if (lost.reason === 'cut' && received && reply.outcome === 'unknown') noteCrash(host, caller, upstream)
+  if (reply?.outcome === 'run' && reply.status > 0 && caller.model === undefined) return { kind: 'answer', reply }
+  return { kind: 'elsewhere' }
+}
+
+/** Asks again and again until the agent knows, cannot know, is gone, or the deadline has passed. */
+export async function settleByOutcome (host: AnswerHost, caller: CallerRequest, controlAddress: string, question: OutcomeRequest): Promise<Settled> {
+  let silences = 0
+  while (Date.now() < caller.deadline) {
+    const reply = await host.ask(controlAddress, question, Math.min(caller.deadline, Date.now() + askMilliseconds))
+    if (reply?.outcome === 'run') return reply.status > 0 ? { kind: 'answer', reply } : { kind: 'failed', failure: fail('outcome-pruned') }
+    if (reply?.outcome === 'not-run') return { kind: 'elsewhere' }
+    if (reply?.outcome === 'unknown') return lostForGood()
+    silences = reply === undefined ? silences + 1 : 0
+    if (silences >= mostSilences) return lostForGood()
+    await waitUntil(Math.min(caller.deadline, Date.now() + againMilliseconds))
+  }
+  return { kind: 'failed', failure: fail('deadline-passed', Date.now() + retryMilliseconds) }
+}
+
+function lostForGood (): Settled {
+  return { kind: 'failed', failure: fail('upstream-lost', Date.now() + retryMilliseconds) }
+}
+
+/** Counts a crash as the agent itself will, under the same instance and incarnation. */
+function noteCrash (host: AnswerHost, caller: CallerRequest, { status }: UpstreamView): void {
+  const suspects = [{ fingerprint: caller.fingerprint, crashes: 1, until: Date.now() + suspicionMilliseconds }]
+  host.quarantine.hear({ instance: status.instance, incarnation: status.incarnation, suspects })
+}
--- a/src/roles/entry/upstreams.ts
+++ b/src/roles/entry/upstreams.ts
@@ -1,33 +1,62 @@
-/** Watches the agents of the listed upstreams and keeps their last status. */
+/** Watches the agents of upstreams: their last status, corrected by the entry's own sends since. */
+import { watchedUpstreams } from '../../core/subset.js'
+import type { UpstreamView } from '../../core/routing.js'
 import type { InstanceDirectory } from '../../nodes/instance-directory.js'
 import { ControlClient } from '../../transports/control.js'
 import type { AgentStatus } from '../../types/messages.js'
 import type { ListedInstance } from '../../types/platform.js'
+import type { EntrySettings } from '../../types/settings.js'
 
 const retryMilliseconds = 300
 const silenceMilliseconds = 2500
 
 interface Watched {
   readonly client: ControlClient
+  listed: ListedInstance
   cancel: () => void
   status: AgentStatus | undefined
   /** Epoch milliseconds after which the status no longer counts. */
   freshUntil: number
+  /** Own requests there now. */
+  own: number
+  /** Own requests sent, less those ended, since the last status. */
+  since: number
 }
 
-/** One watch for each listed upstream. */
+/** One watch for each upstream of the entry's part of the list. */
 export class Upstreams {
   private readonly watched = new Map<string, Watched>()
 
-  constructor (private readonly instance: string, private readonly directory: InstanceDirectory) {
+  constructor (private readonly settings: EntrySettings, private readonly directory: InstanceDirectory, private readonly heard: (status: AgentStatus) => void) {
     directory.onChange(() => { this.reconcile() })
   }
 
-  /** Fresh statuses of upstreams that the list calls live. */
-  get statuses (): readonly AgentStatus[] {
+  /** Upstreams with a fresh status that the list calls live. */
+  get views (): readonly UpstreamView[] {
     const now = Date.now()
-    const live = new Set(this.directory.instances.filter(listed => listed.state === 'live').map(listed => listed.instance))
-    return [...this.watched.values()].flatMap(({ status, freshUntil }) => status !== undefined && freshUntil > now && live.has(status.instance) ? [status] : [])
+    return [...this.watched.values()].flatMap(watched => watched.listed.state === 'live' ? viewOf(watched, now) ?? [] : [])
+  }
+
+  get statuses (): readonly AgentStatus[] {
+    return this.views.map(({ status }) => status)
+  }
+
+  /** Upstream at a control address, whatever its state; undefined without a fresh status. */
+  find (controlAddress: string): UpstreamView | undefined {
+    const watched = this.watched.get(controlAddress)
+    return watched === undefined ? undefined : viewOf(watched, Date.now())
+  }
+
+  /** Counts a request sent to a control address; the returned function counts its end. */
+  noteSent (controlAddress: string): () => void {
+    const watched = this.watched.get(controlAddress)
+    if (watched === undefined) return () => {}
+    watched.own += 1
+    watched.since += 1
+    return () => {
+      watched.own -= 1
+      watched.since -= 1
+    }
   }
 
   stop (): void {
@@ -35,23 +64,29 @@
   }
 
   private reconcile (): void {
-    const listed = this.directory.instances.filter(({ role }) => role === 'upstream')
-    const addresses = new Set(listed.map(({ controlAddress }) => controlAddress))
-    for (const address of [...this.watched.keys()]) if (!addresses.has(address)) this.drop(address)
+    const listed = watchedUpstreams(this.directory.instances, this.settings, this.settings.upstreamWatchers)
+    const byAddress = new Map(listed.map(upstream => [upstream.controlAddress, upstream]))
+    for (const [address, watched] of [...this.watched]) {
+      const kept = byAddress.get(address)
+      if (kept === undefined || kept.instance !== watched.listed.instance) this.drop(address)
+      else watched.listed = kept
+    }
     for (const upstream of listed) if (!this.watched.has(upstream.controlAddress)) this.add(upstream)
   }
 
-  private add (upstream: ListedInstance): void {
-    const client = new ControlClient(upstream.controlAddress)
-    const watched: Watched = { client, cancel: () => {}, status: undefined, freshUntil: 0 }
-    this.watched.set(upstream.controlAddress, watched)
-    this.open(upstream.controlAddress, watched)
+  private add (listed: ListedInstance): void {
+    const client = new ControlClient(listed.controlAddress)
+    const watched: Watched = { client, listed, cancel: () => {}, status: undefined, freshUntil: 0, own: 0, since: 0 }
+    this.watched.set(listed.controlAddress, watched)
+    this.open(listed.controlAddress, watched)
   }
 
   private open (address: string, watched: Watched): void {
-    watched.cancel = watched.client.watch({ instance: this.instance }, status => {
+    watched.cancel = watched.client.watch({ instance: this.settings.instance }, status => {
       watched.status = status
       watched.freshUntil = Date.now() + silenceMilliseconds
+      watched.since = 0
+      this.heard(status)
     }, () => {
       watched.status = undefined
       setTimeout(() => { if (this.watched.get(address) === watched) this.open(address, watched) }, retryMilliseconds)
@@ -65,3 +100,9 @@
     watched?.client.close()
   }
 }
+
+function viewOf ({ status, freshUntil, listed, own, since }: Watched, now: number): UpstreamView | undefined {
+  if (status === undefined || freshUntil <= now) return undefined
+  const load = Math.max(own, status.inFlight + status.waiting + since)
+  return { status, region: listed.region, controlAddress: listed.controlAddress, load }
+}
--- a/src/transports/control.ts
+++ b/src/transports/control.ts
@@ -99,9 +99,10 @@
 export class ControlClient {
   private readonly client: grpc.Client
 
-  /** `address` is `ip:port`. */
-  constructor (readonly address: string) {
-    this.client = new NodeClient(address, grpc.credentials.createInsecure(), keepalive)
+  /** `address` is `ip:port`; a client with its `own` connection shares none with other clients of the address. */
+  constructor (readonly address: string, connection: 'shared' | 'own' = 'shared') {
+    const options = connection === 'own' ? { ...keepalive, 'grpc.use_local_subchannel_pool': 1 } : keepalive
+    this.client = new NodeClient(address, grpc.credentials.createInsecure(), options)
   }
 
   /** `deadline` in epoch milliseconds. */
--- a/src/types/messages.ts
+++ b/src/types/messages.ts
@@ -21,6 +21,8 @@
   suspect: 'pollendyke-suspect',
   instance: 'pollendyke-instance',
   prefix: 'pollendyke-prefix',
+  /** Control address of the agent that holds the claim of a key, on the failure `claim-lost`. */
+  claimHolder: 'pollendyke-claim-holder',
   idempotencyKey: 'idempotency-key',
   traceParent: 'traceparent',
   retryAfter: 'retry-after'
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -30,7 +30,13 @@
   /** How long callers may keep an answer of `locate`, milliseconds. */
   locateMilliseconds: z.coerce.number().int().positive().default(2000),
   /** Deadline of a request that states none, milliseconds. */
-  requestMilliseconds: z.coerce.number().int().positive().default(30000)
+  requestMilliseconds: z.coerce.number().int().positive().default(30000),
+  /** Silence of an upstream after which the entry asks its agent about the request, milliseconds. */
+  questionMilliseconds: z.coerce.number().int().positive().default(700),
+  /** Silence within an answer after which its connection is given up, milliseconds. */
+  progressMilliseconds: z.coerce.number().int().positive().default(2000),
+  /** Entries that watch each upstream, counted within its data centre and once more among all. */
+  upstreamWatchers: z.coerce.number().int().positive().default(16)
 }).readonly()
 
 export const agentSettingsSchema = z.object({
