Name entries by peers' own word, stop by plan, tell metrics and recent requests

Cause: a leaving entry waited one locate period only; its peers went on naming it for as long as the list lagged. Change: entries ask some peers regularly; a planned stop leaves the answers, waits out the last one that any peer may have given, refuses new requests, finishes what runs. Tests of answers run real entries among fake agents.

--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -28,6 +28,7 @@
   const body = await readBody(request, host.settings.bodyBytes)
   const accepted = body === undefined ? fail('too-large') : accept(host, request, { id, service, operation, body }, receivedAt)
   if (isFailure(accepted)) {
+    if (accepted.tag === 'too-large') response.setHeader('connection', 'close')
     finish(host, response, { id, service, receivedAt, organisations: 'none' }, accepted)
     return
   }
--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -1,47 +1,61 @@
 /** Role entry: answers callers, chooses upstreams, and says which entry to use. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { prefixKey } from '../../core/caller-request.js'
+import { rankEntries, type NamedEntry } from '../../core/locate.js'
 import { Quarantine } from '../../core/quarantine.js'
 import { RetryBudget } from '../../core/retry.js'
 import { LeastLoad, PrefixAffinity, type Place } from '../../core/routing.js'
+import { fail } from '../../errors.js'
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
+import { startTracing } from '../../plugins/tracing.js'
 import { ControlClient, ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest } from '../../transports/control.js'
-import { sendJson, serveHttp } from '../../transports/http-server.js'
+import { sendFailure, sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { FoldState } from '../../types/configuration.js'
 import type { Located, NodeDescription } from '../../types/messages.js'
 import type { EntrySettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
-import { rankMembers } from '../../utils/rendezvous.js'
 import { answerCaller } from './answer.js'
 import type { AnswerHost } from './host.js'
 import { RequestJournal } from './journal.js'
+import { peerHeartbeatMilliseconds, Peers } from './peers.js'
 import { Upstreams } from './upstreams.js'
 
 const log = logFor('entry')
-const drainMilliseconds = 60_000
+const pruneMilliseconds = 10_000
+const lookMilliseconds = 20
+
+/** Heartbeats of a peer within which it surely hears that this entry is leaving. */
+const heartbeatsToHear = 2
 
 /** Starts an entry; resolves once both addresses are served. */
 export async function startEntry (settings: EntrySettings): Promise<RunningNode> {
+  if (settings.trace === 'on') startTracing('log')
   const entry = new Entry(settings)
   await entry.start()
   return entry
 }
 
 class Entry extends ControlService implements RunningNode, AnswerHost {
-  private readonly follower: ConfigurationFollower
-  private readonly directory: InstanceDirectory
-  readonly upstreams: Upstreams
   readonly policy = new PrefixAffinity(new LeastLoad())
   readonly budget = new RetryBudget()
   readonly quarantine = new Quarantine()
   readonly journal = new RequestJournal()
   readonly metrics = new Metrics()
+  readonly upstreams: Upstreams
+  private readonly follower: ConfigurationFollower
+  private readonly directory: InstanceDirectory
+  private readonly peers: Peers
+  private pruning: NodeJS.Timeout | undefined
   private inFlight = 0
   private leaving = false
+  private refusing = false
+  /** Epoch milliseconds until which a caller may hold an answer of `locate` that names this entry. */
+  private namedUntil = 0
   private closeAll: () => void = () => {}
 
   constructor (readonly settings: EntrySettings) {
@@ -49,6 +63,7 @@
     this.follower = new ConfigurationFollower(new HttpLogClient(settings.log))
     this.directory = new InstanceDirectory(settings.instances)
     this.upstreams = new Upstreams(settings, this.directory, status => { this.quarantine.hear(status) })
+    this.peers = new Peers(settings, this.directory)
   }
 
   async start (): Promise<void> {
@@ -56,19 +71,28 @@
     const control = await serveControl(this.settings.control, this)
     this.follower.start()
     this.directory.start()
+    this.peers.start()
+    this.pruning = setInterval(() => { this.quarantine.prune(Date.now()) }, pruneMilliseconds)
     this.closeAll = () => {
       http.server.close()
+      http.server.closeIdleConnections()
       control.close()
     }
     log.info('the entry serves', { instance: this.settings.instance })
   }
 
+  /** Leaves the answers of `locate`, waits until nobody may hold one that names this entry, then finishes what runs. */
   async stop (): Promise<void> {
     this.leaving = true
-    await waitUntil(Date.now() + this.settings.locateMilliseconds)
-    const deadline = Date.now() + drainMilliseconds
-    while (this.inFlight > 0 && Date.now() < deadline) await waitUntil(Date.now() + 20)
+    const { locateMilliseconds } = this.settings
+    const namedByPeers = Date.now() + heartbeatsToHear * peerHeartbeatMilliseconds + locateMilliseconds
+    await waitUntil(Math.max(this.namedUntil, namedByPeers))
+    this.refusing = true
+    log.info('the entry takes no new requests', { inFlight: this.inFlight })
+    while (this.inFlight > 0) await waitUntil(Date.now() + lookMilliseconds)
+    clearInterval(this.pruning)
     this.upstreams.stop()
+    this.peers.stop()
     this.follower.stop()
     this.directory.stop()
     this.closeAll()
@@ -82,6 +106,10 @@
     return true
   }
 
+  get state (): FoldState {
+    return this.follower.state
+  }
+
   async ask (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined> {
     const client = new ControlClient(controlAddress, 'own')
     try {
@@ -93,10 +121,6 @@
     }
   }
 
-  get state (): FoldState {
-    return this.follower.state
-  }
-
   describe (): NodeDescription {
     const { state, confirmedUntil, logReachable } = this.follower
     const { instance, dataCentre } = this.settings
@@ -111,18 +135,58 @@
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://entry')
     const path = url.pathname.split('/').filter(part => part !== '')
-    const [kind, service, operation] = path
-    if (kind === 'services' && service !== undefined && operation !== undefined && request.method === 'POST') {
-      this.inFlight += 1
-      await answerCaller(this, request, response, service, operation).finally(() => { this.inFlight -= 1 })
-    } else if (kind === 'locate') sendJson(response, 200, this.locate(url.searchParams.get('organisation') ?? ''))
+    if (path[0] === 'services' && path.length === 3 && request.method === 'POST') await this.answer(request, response, path)
+    else if (request.method !== 'GET') sendJson(response, 404, { error: 'no such path' })
+    else this.tell(response, path, url.searchParams)
+  }
+
+  private async answer (request: IncomingMessage, response: ServerResponse, path: readonly string[]): Promise<void> {
+    if (this.refusing) {
+      response.setHeader('connection', 'close')
+      sendFailure(response, '', fail('leaving', Date.now()))
+      return
+    }
+    if (this.leaving) response.setHeader('connection', 'close')
+    this.inFlight += 1
+    try {
+      await answerCaller(this, request, response, path[1] ?? '', path[2] ?? '')
+      await finished(response)
+    } finally {
+      this.inFlight -= 1
+    }
+  }
+
+  private tell (response: ServerResponse, path: readonly string[], query: URLSearchParams): void {
+    const [kind, id] = path
+    const record = kind === 'requests' ? this.journal.find(id ?? '') : undefined
+    if (kind === 'locate') sendJson(response, 200, this.locate(query))
     else if (kind === 'status') sendJson(response, 200, { node: this.describe(), upstreams: this.upstreams.statuses })
-    else sendJson(response, 404, { error: 'no such path' })
+    else if (record !== undefined) sendJson(response, 200, record)
+    else if (kind === 'metrics') this.tellMetrics(response)
+    else sendJson(response, 404, { error: kind === 'requests' ? 'no such request is kept' : 'no such path' })
+  }
+
+  private tellMetrics (response: ServerResponse): void {
+    this.metrics.set('in_flight_requests', {}, this.inFlight)
+    this.metrics.set('watched_upstreams', {}, this.upstreams.statuses.length)
+    response.writeHead(200, { 'content-type': 'text/plain; charset=utf-8' })
+    response.end(this.metrics.render())
   }
 
-  private locate (organisation: string): Located {
-    const entries = this.directory.instances.filter(listed => listed.role === 'entry' && listed.state === 'live' && !(this.leaving && listed.instance === this.settings.instance))
-    const ranked = rankMembers(organisation, entries.map(listed => listed.address))
-    return { address: ranked[0] ?? this.settings.listen, until: Date.now() + this.settings.locateMilliseconds, others: ranked.slice(1) }
+  private locate (query: URLSearchParams): Located {
+    const key = prefixKey(query.get('service') ?? '', query.get('organisation') ?? '', query.get('prefix') ?? '')
+    const { listen, dataCentre, region, locateMilliseconds } = this.settings
+    const self: NamedEntry = { address: listen, dataCentre, region, leaving: this.leaving, inFlight: this.inFlight }
+    const isIn = (name: string): boolean => this.state.configuration?.dataCentres[name]?.state !== 'out'
+    const [address = listen, ...others] = rankEntries([self, ...this.peers.named], key, this.settings, isIn)
+    const until = Date.now() + locateMilliseconds
+    if (!this.leaving) this.namedUntil = until
+    return { address, until, others }
   }
 }
+
+/** Resolves once the answer has left or its connection is gone. */
+function finished (response: ServerResponse): Promise<void> {
+  if (response.writableFinished || response.destroyed) return Promise.resolve()
+  return new Promise(resolve => { response.once('close', resolve) })
+}
--- /dev/null
+++ b/src/roles/entry/peers.ts
@@ -0,0 +1,97 @@
+/** What the entry knows of other entries: it asks a part of them regularly, so that it hears at once who is leaving. */
+import type { NamedEntry } from '../../core/locate.js'
+import type { InstanceDirectory } from '../../nodes/instance-directory.js'
+import { ControlClient } from '../../transports/control.js'
+import type { NodeDescription } from '../../types/messages.js'
+import type { ListedInstance } from '../../types/platform.js'
+import type { EntrySettings } from '../../types/settings.js'
+import { runInBackground } from '../../utils/background.js'
+import { waitUntil } from '../../utils/clock.js'
+import { logFor } from '../../utils/log.js'
+import { rankMembers } from '../../utils/rendezvous.js'
+
+const log = logFor('entry')
+const askMilliseconds = 500
+const mostPeers = 12
+const nearPeers = 8
+
+/** Time between two questions to a peer, milliseconds. */
+export const peerHeartbeatMilliseconds = 1000
+
+interface Peer {
+  readonly listed: ListedInstance
+  readonly client: ControlClient
+  /** Undefined until it answered, and again once it does not. */
+  description: NodeDescription | undefined
+}
+
+/** The entry's peers: only these are named to callers. */
+export class Peers {
+  private readonly peers = new Map<string, Peer>()
+  private readonly stopping = new AbortController()
+
+  constructor (private readonly settings: EntrySettings, private readonly directory: InstanceDirectory) {
+    directory.onChange(() => { this.reconcile() })
+  }
+
+  start (): void {
+    runInBackground(this.askRegularly(), log, 'ask the peers')
+  }
+
+  stop (): void {
+    this.stopping.abort()
+    for (const peer of this.peers.values()) peer.client.close()
+  }
+
+  /** Peers that answered lately. */
+  get named (): readonly NamedEntry[] {
+    return [...this.peers.values()].flatMap(({ listed, description }) => {
+      if (description === undefined) return []
+      const { address, dataCentre, region, state } = listed
+      return [{ address, dataCentre, region, leaving: state === 'leaving' || description.leaving, inFlight: description.inFlight }]
+    })
+  }
+
+  private reconcile (): void {
+    const chosen = choosePeers(this.directory.instances, this.settings)
+    const byAddress = new Map(chosen.map(listed => [listed.controlAddress, listed]))
+    for (const [address, peer] of [...this.peers]) {
+      if (byAddress.has(address)) continue
+      peer.client.close()
+      this.peers.delete(address)
+    }
+    for (const listed of chosen) {
+      const known = this.peers.get(listed.controlAddress)
+      const client = known?.client ?? new ControlClient(listed.controlAddress)
+      this.peers.set(listed.controlAddress, { listed, client, description: known?.description })
+      if (known === undefined) this.askOnce(listed.controlAddress)
+    }
+  }
+
+  private async askRegularly (): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      await waitUntil(Date.now() + peerHeartbeatMilliseconds, this.stopping.signal)
+      for (const address of this.peers.keys()) this.askOnce(address)
+    }
+  }
+
+  private askOnce (address: string): void {
+    const client = this.peers.get(address)?.client
+    if (client === undefined) return
+    const keep = (description: NodeDescription | undefined): void => {
+      const peer = this.peers.get(address)
+      if (peer !== undefined && peer.client === client) peer.description = description
+    }
+    client.describe(Date.now() + askMilliseconds).then(keep, () => { keep(undefined) })
+  }
+}
+
+/** Nearby entries first, then some from elsewhere, each part by rendezvous. */
+function choosePeers (instances: readonly ListedInstance[], settings: EntrySettings): readonly ListedInstance[] {
+  const entries = instances.filter(({ role, instance }) => role === 'entry' && instance !== settings.instance)
+  const byInstance = new Map(entries.map(entry => [entry.instance, entry]))
+  const ranked = rankMembers(settings.instance, [...byInstance.keys()]).flatMap(instance => byInstance.get(instance) ?? [])
+  const near = ranked.filter(({ dataCentre }) => dataCentre === settings.dataCentre).slice(0, nearPeers)
+  const far = ranked.filter(entry => !near.includes(entry)).slice(0, mostPeers - near.length)
+  return [...near, ...far]
+}
--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -24,13 +24,16 @@
   return { server, port: typeof bound === 'object' && bound !== null ? bound.port : 0 }
 }
 
-/** Reads a body of at most `limit` bytes; undefined when it is larger. */
+/** Reads a body of at most `limit` bytes; undefined when it is larger, so that the connection can still carry the refusal. */
 export async function readBody (request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
   const parts: Buffer[] = []
   let size = 0
-  for await (const part of request) {
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
     size += (part as Buffer).length
-    if (size > limit) return undefined
+    if (size > limit) {
+      request.resume()
+      return undefined
+    }
     parts.push(part as Buffer)
   }
   return Buffer.concat(parts)
--- /dev/null
+++ b/test/entry-answers.test.ts
@@ -0,0 +1,210 @@
+import { test } from 'tap'
+import { headers } from '../src/types/messages.js'
+import { tokenAt } from '../stand-in/engine.js'
+import { answerPlain, answerTokens, cutAtOnce, refuseWith, staySilent, type Behaviour, type StreamFault } from './fakes/agent.js'
+import { eventually, newWeights, World, type Answer } from './fakes/world.js'
+
+const question = { prompt: 'a hike', maximumTokens: 6 }
+
+function isWhole (answer: Answer): boolean {
+  const right = answer.lines.slice(0, 6).every((line, index) => line['type'] === 'token' && line['index'] === index && line['token'] === tokenAt(newWeights, question.prompt, index))
+  const last = answer.lines[6]
+  return right && answer.lines.length === 7 && last?.['type'] === 'end' && last['tokens'] === 6 && last['weights'] === newWeights
+}
+
+const faults: readonly { readonly name: string, readonly fault: StreamFault }[] = [
+  { name: 'is cut', fault: { after: 3, kind: 'cut' } },
+  { name: 'is cut before its first token', fault: { after: 0, kind: 'cut' } },
+  { name: 'ends without its end line', fault: { after: 3, kind: 'clean-end' } },
+  { name: 'goes silent', fault: { after: 3, kind: 'silent' } },
+  { name: 'goes silent before its first token', fault: { after: 0, kind: 'silent' } },
+  { name: 'turns into another request\'s', fault: { after: 2, kind: 'other-id' } },
+  { name: 'turns into other weights\'', fault: { after: 2, kind: 'other-weights' } },
+  { name: 'skips a token', fault: { after: 2, kind: 'gap' } },
+  { name: 'ends early', fault: { after: 4, kind: 'early-end' } }
+]
+
+for (const { name, fault } of faults) {
+  test(`an answer that ${name} is resumed elsewhere and whole`, async t => {
+    const world = await World.start({ citations: ['east', 'west'] })
+    t.teardown(() => { world.stop() })
+    const [near, far] = world.agents
+    if (near !== undefined) near.behave = answerTokens(fault)
+    const answer = await world.call('citations/completions', question)
+    t.ok(isWhole(answer), answer.text)
+    t.equal(near?.runs.length, 1)
+    t.equal(far?.runs[0]?.headers[headers.resumeFrom], String(fault.after))
+    t.equal(far?.runs[0]?.id, near?.runs[0]?.id, 'the id stays with the request')
+  })
+
+  test(`an answer that ${name} with no other instance of its weights ends in a stated failure`, async t => {
+    const world = await World.start({ citations: ['east', 'west'] })
+    t.teardown(() => { world.stop() })
+    const [near, far] = world.agents
+    if (near !== undefined) near.behave = answerTokens(fault)
+    far?.publish({ weights: 'c'.repeat(64) })
+    await eventually(async () => (await (await fetch(`${world.urlOf(0)}/status`)).text()).includes('ccc'))
+    const answer = await world.call('citations/completions', question)
+    const failure = answer.lines.at(-1)
+    t.equal(far?.runs.length, 0)
+    if (fault.after === 0) t.equal(answer.outcome, 'unknown')
+    else t.match(failure, { type: 'failure', outcome: 'unknown' })
+    t.equal(answer.lines.some(line => line['type'] === 'end'), false)
+  })
+}
+
+const silences: readonly { readonly name: string, readonly reply: 'unknown' | 'not-run' | 'run' }[] = [
+  { name: 'does not know it', reply: 'unknown' },
+  { name: 'has not run it', reply: 'not-run' },
+  { name: 'has answered it', reply: 'run' }
+]
+
+for (const { name, reply } of silences) {
+  test(`a silent connection whose agent ${name} is given up for another upstream`, async t => {
+    const world = await World.start({ citations: ['east', 'west'] })
+    t.teardown(() => { world.stop() })
+    const [near, far] = world.agents
+    if (near !== undefined) {
+      near.behave = staySilent
+      near.otherwise = reply
+    }
+    const answer = await world.call('citations/completions', question)
+    t.ok(isWhole(answer), answer.text)
+    t.equal(far?.runs.length, 1)
+    await eventually(() => near?.runs[0]?.cancelled === true)
+  })
+}
+
+test('a slow upstream whose agent says that it runs is waited for', async t => {
+  const world = await World.start({ ledger: ['east', 'west'] })
+  t.teardown(() => { world.stop() })
+  const [near, far] = world.agents
+  if (near !== undefined) {
+    near.otherwise = 'running'
+    near.behave = async (run, response, agent) => {
+      await eventually(() => agent.questions.length >= 3)
+      await answerPlain(run, response, agent)
+    }
+  }
+  const answer = await world.call('ledger/lookup', 'x')
+  t.equal(answer.status, 200)
+  t.equal(far?.runs.length, 0)
+})
+
+const kept = { outcome: 'run' as const, status: 201, answer: Buffer.from('{"signed":true}') }
+const signOffs: readonly { readonly name: string, readonly behave: Behaviour, readonly reply: 'unknown' | 'not-run' | 'run' | 'run-pruned' | 'running-then-run', readonly status: number, readonly outcome: string, readonly elsewhere: number }[] = [
+  { name: 'is cut and ran', behave: cutAtOnce, reply: 'run', status: 201, outcome: 'run', elsewhere: 0 },
+  { name: 'is cut and still runs', behave: cutAtOnce, reply: 'running-then-run', status: 201, outcome: 'run', elsewhere: 0 },
+  { name: 'is cut and ran, its answer no longer kept', behave: cutAtOnce, reply: 'run-pruned', status: 409, outcome: 'run', elsewhere: 0 },
+  { name: 'is cut and its agent knows nothing', behave: cutAtOnce, reply: 'unknown', status: 502, outcome: 'unknown', elsewhere: 0 },
+  { name: 'is cut and did not run', behave: cutAtOnce, reply: 'not-run', status: 200, outcome: 'run', elsewhere: 1 },
+  { name: 'is silent and ran', behave: staySilent, reply: 'run', status: 201, outcome: 'run', elsewhere: 0 },
+  { name: 'is silent and its agent knows nothing', behave: staySilent, reply: 'unknown', status: 502, outcome: 'unknown', elsewhere: 0 },
+  { name: 'is refused before it ran', behave: refuseWith('busy'), reply: 'unknown', status: 200, outcome: 'run', elsewhere: 1 }
+]
+
+for (const { name, behave, reply, status, outcome, elsewhere } of signOffs) {
+  test(`a sign-off that ${name} gets the truth`, async t => {
+    const world = await World.start({ ledger: ['east', 'west'] })
+    t.teardown(() => { world.stop() })
+    const [near, far] = world.agents
+    if (near !== undefined) {
+      near.behave = (run, response, agent) => {
+        if (reply === 'run' || reply === 'run-pruned') near.replies.set(run.id, reply === 'run' ? kept : { ...kept, status: 0 })
+        else if (reply !== 'running-then-run') near.replies.set(run.id, { outcome: reply })
+        else {
+          near.replies.set(run.id, { outcome: 'running' })
+          eventually(() => near.questions.length >= 2).then(() => { near.replies.set(run.id, kept) }, () => {})
+        }
+        return behave(run, response, agent)
+      }
+    }
+    const answer = await world.call('ledger/sign-off', 'badge', { [headers.idempotencyKey]: 'key-1' })
+    t.equal(answer.status, status, answer.text)
+    t.equal(answer.outcome, outcome)
+    t.equal(far?.runs.length, elsewhere)
+    t.equal(near?.runs.length, 1, 'never sent twice to one upstream')
+    if (status === 201) t.equal(answer.text, '{"signed":true}')
+  })
+}
+
+const claims: readonly { readonly name: string, readonly holder: 'routed' | 'asked' | 'gone', readonly status: number, readonly outcome: string }[] = [
+  { name: 'is answered by the claim\'s holder', holder: 'routed', status: 200, outcome: 'run' },
+  { name: 'is answered from what a holder out of sight keeps', holder: 'asked', status: 201, outcome: 'run' },
+  { name: 'is unknown when the holder is gone', holder: 'gone', status: 409, outcome: 'unknown' }
+]
+
+for (const { name, holder, status, outcome } of claims) {
+  test(`a sign-off whose claim is lost ${name}`, async t => {
+    const world = await World.start({ ledger: ['east', 'west'] })
+    t.teardown(() => { world.stop() })
+    const [near, far] = world.agents
+    if (near === undefined || far === undefined) return
+    near.behave = refuseWith('claim-lost', 1000, far.listed.controlAddress)
+    if (holder !== 'routed') world.publishList(listed => listed.instance === far.listed.instance ? { ...listed, controlAddress: near.listed.controlAddress, instance: 'nobody' } : listed)
+    if (holder !== 'routed') await eventually(async () => !(await (await fetch(`${world.urlOf(0)}/status`)).text()).includes('"ledger-1"'))
+    if (holder === 'asked') far.outcome = () => ({ ...kept, incarnation: '' })
+    if (holder === 'gone') far.stop()
+    const answer = await world.call('ledger/sign-off', 'badge', { [headers.idempotencyKey]: 'key-1' })
+    t.equal(answer.status, status, answer.text)
+    t.equal(answer.outcome, outcome)
+    t.equal(near.runs.length, 1)
+    t.equal(far.runs.length, holder === 'routed' ? 1 : 0)
+  })
+}
+
+test('crossed answers of many callers reach the right one or nobody', async t => {
+  const world = await World.start({ citations: ['east', 'east', 'east'] })
+  t.teardown(() => { world.stop() })
+  for (const agent of world.agents.slice(0, 2)) agent.behave = answerTokens({ after: 2, kind: 'other-id' }, 0)
+  const calls = Array.from({ length: 20 }, async (_, index) => {
+    const prompt = `hike ${index}`
+    const answer = await world.call('citations/completions', { prompt, maximumTokens: 4 })
+    const tokens = answer.lines.filter(line => line['type'] === 'token')
+    return tokens.every((line, position) => line['index'] === position && line['token'] === tokenAt(newWeights, prompt, position))
+  })
+  t.same(await Promise.all(calls), Array.from({ length: 20 }, () => true))
+})
+
+test('a late answer ends at the deadline with a stated failure and cancels its upstream', async t => {
+  const world = await World.start({ citations: ['east'] })
+  t.teardown(() => { world.stop() })
+  const [agent] = world.agents
+  if (agent !== undefined) agent.behave = answerTokens(undefined, 100)
+  const answer = await world.call('citations/completions', { prompt: 'long', maximumTokens: 1000 }, { [headers.deadline]: String(Date.now() + 600) })
+  t.match(answer.lines.at(-1), { type: 'failure', failure: 'deadline-passed', outcome: 'unknown' })
+  await eventually(() => agent?.runs[0]?.cancelled === true)
+})
+
+test('a caller that goes away cancels its upstream', async t => {
+  const world = await World.start({ citations: ['east'] })
+  t.teardown(() => { world.stop() })
+  const [agent] = world.agents
+  if (agent !== undefined) agent.behave = answerTokens(undefined, 50)
+  const gone = new AbortController()
+  const response = await fetch(`${world.urlOf(0)}/services/citations/completions`, { method: 'POST', headers: { [headers.organisation]: 'troop' }, body: JSON.stringify({ prompt: 'x', maximumTokens: 1000 }), signal: gone.signal })
+  await response.body?.getReader().read()
+  gone.abort()
+  await eventually(() => agent?.runs[0]?.cancelled === true)
+  t.equal(agent?.runs.length, 1)
+})
+
+test('refusals state their truth, and nothing reaches an upstream', async t => {
+  const world = await World.start({ citations: ['east'], ledger: ['east'], settings: { bodyBytes: 1000 } })
+  t.teardown(() => { world.stop() })
+  const cases: ReadonlyArray<readonly [string, unknown, Readonly<Record<string, string>>, number, string]> = [
+    ['citations/completions', '{', {}, 400, 'malformed'],
+    ['citations/completions', question, { [headers.deadline]: 'x' }, 400, 'malformed'],
+    ['citations/completions', question, { [headers.organisation]: '' }, 403, 'unknown-organisation'],
+    ['citations/completions', question, { [headers.organisation]: 'constructor' }, 403, 'unknown-organisation'],
+    ['nothing/completions', question, {}, 404, 'unknown-service'],
+    ['citations/completions', question, { [headers.deadline]: '1' }, 503, 'late-deadline'],
+    ['citations/completions', 'x'.repeat(8_000_000), {}, 413, 'too-large'],
+    ['ledger/sign-off', 'x', {}, 400, 'malformed']
+  ]
+  for (const [path, body, more, status, failure] of cases) {
+    const answer = await world.call(path, body, more)
+    t.match(answer, { status, failure, outcome: 'not-run' }, `${path} ${failure}`)
+  }
+  t.equal(world.runs, 0)
+})
--- /dev/null
+++ b/test/entry-request.test.ts
@@ -0,0 +1,64 @@
+import { test } from 'tap'
+import { checkRequest, isRefused, type RawRequest } from '../src/core/caller-request.js'
+import { judgeLine } from '../src/core/answer-lines.js'
+import { claimKey } from '../src/core/claim-key.js'
+import type { Service } from '../src/types/configuration.js'
+
+const bounds = { coldBound: 1, fullBound: 2, firstByteTargetMilliseconds: 100 }
+const model: Service = { kind: 'model', ...bounds, fencing: 'checked' }
+const plain: Service = { kind: 'plain', ...bounds, nonIdempotent: ['sign-off'] }
+const now = 1_000_000
+const good: RawRequest = { id: 'one', service: 'citations', operation: 'completions', organisation: 'troop', deadline: '', idempotencyKey: '', prefix: '', traceParent: '', body: Buffer.from('{"prompt":"a hike","maximumTokens":3}') }
+
+const requestCases: readonly { readonly name: string, readonly service: Service, readonly change: Partial<RawRequest>, readonly places: readonly string[] }[] = [
+  { name: 'a good request for a model', service: model, change: {}, places: [] },
+  { name: 'a body that is not JSON', service: model, change: { body: Buffer.from('{') }, places: ['body'] },
+  { name: 'a body without fields', service: model, change: { body: Buffer.from('{}') }, places: ['body.prompt', 'body.maximumTokens'] },
+  { name: 'no token at all', service: model, change: { body: Buffer.from('{"prompt":"a","maximumTokens":0}') }, places: ['body.maximumTokens'] },
+  { name: 'an unknown operation of a model', service: model, change: { operation: 'train' }, places: ['path'] },
+  { name: 'a deadline that is no time', service: model, change: { deadline: 'soon' }, places: ['header pollendyke-deadline'] },
+  { name: 'a deadline next week', service: model, change: { deadline: String(now + 7 * 86_400_000) }, places: ['header pollendyke-deadline'] },
+  { name: 'several faults together', service: model, change: { deadline: '-1', body: Buffer.from('1') }, places: ['header pollendyke-deadline', 'body'] },
+  { name: 'a sign-off without a key', service: plain, change: { operation: 'sign-off' }, places: ['header idempotency-key'] },
+  { name: 'a sign-off with a key of 255 characters', service: plain, change: { operation: 'sign-off', idempotencyKey: 'k'.repeat(255) }, places: [] },
+  { name: 'a sign-off with a key of 256 characters', service: plain, change: { operation: 'sign-off', idempotencyKey: 'k'.repeat(256) }, places: ['header idempotency-key'] },
+  { name: 'a key with a blank', service: plain, change: { operation: 'sign-off', idempotencyKey: 'a b' }, places: ['header idempotency-key'] },
+  { name: 'a lookup without a key', service: plain, change: { operation: 'lookup', body: Buffer.from('anything') }, places: [] }
+]
+
+for (const { name, service, change, places } of requestCases) {
+  test(`the check of a request names the faults of ${name}`, async t => {
+    const checked = checkRequest({ ...good, ...change }, { service, now, defaultDeadline: now + 1 })
+    t.same(isRefused(checked) ? checked.map(({ place }) => place) : [], places)
+  })
+}
+
+const progress = { id: 'one', weights: 'w', next: 2 }
+const token = { type: 'token', id: 'one', index: 2, token: 'x', weights: 'w' }
+const end = { type: 'end', id: 'one', tokens: 2, weights: 'w', reason: 'complete' }
+const lineCases: readonly { readonly name: string, readonly line: unknown, readonly kind: string }[] = [
+  { name: 'the next token', line: token, kind: 'token' },
+  { name: 'the end after all tokens', line: end, kind: 'end' },
+  { name: 'a token of another request', line: { ...token, id: 'two' }, kind: 'wrong' },
+  { name: 'a token of other weights', line: { ...token, weights: 'v' }, kind: 'wrong' },
+  { name: 'a token too far', line: { ...token, index: 3 }, kind: 'wrong' },
+  { name: 'a token again', line: { ...token, index: 1 }, kind: 'wrong' },
+  { name: 'an end that counts more', line: { ...end, tokens: 3 }, kind: 'wrong' },
+  { name: 'an end of other weights', line: { ...end, weights: 'v' }, kind: 'wrong' },
+  { name: 'an end after cancelling', line: { ...end, reason: 'cancelled' }, kind: 'wrong' },
+  { name: 'an unknown type', line: { ...token, type: 'note' }, kind: 'wrong' },
+  { name: 'no object', line: 3, kind: 'wrong' }
+]
+
+for (const { name, line, kind } of lineCases) {
+  test(`the check of an answer takes ${name} as ${kind}`, async t => {
+    t.equal(judgeLine(progress, JSON.stringify(line)).kind, kind)
+  })
+}
+
+test('the claim key keeps its parts apart', async t => {
+  const scope = { organisation: 'a', service: 'b', operation: 'c', idempotencyKey: 'd' }
+  t.equal(claimKey(scope), claimKey({ ...scope }))
+  t.not(claimKey(scope), claimKey({ ...scope, organisation: 'ab', service: '' }))
+  t.match(claimKey(scope), /^[0-9a-f]{64}$/)
+})
--- /dev/null
+++ b/test/fakes/agent.ts
@@ -0,0 +1,169 @@
+/** Small fake of an agent: HTTP for runs, gRPC for status and outcomes; its behaviour is set by the test. */
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
+import { setTimeout as wait } from 'node:timers/promises'
+import { fail, type FailureTag } from '../../src/errors.js'
+import { ControlService, serveControl, type ControlServer, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type WatchRequest } from '../../src/transports/control.js'
+import { readBody, sendFailure, serveHttp, type HttpServer } from '../../src/transports/http-server.js'
+import { headers, type AgentStatus, type NodeDescription } from '../../src/types/messages.js'
+import type { EngineRequest, ListedInstance } from '../../src/types/platform.js'
+import { tokenAt } from '../../stand-in/engine.js'
+import { freshAddress } from '../../script/launch.js'
+
+/** A request that reached the fake. */
+export interface Run {
+  readonly id: string
+  readonly operation: string
+  readonly headers: IncomingHttpHeaders
+  readonly body: Buffer
+  /** Epoch milliseconds. */
+  readonly at: number
+  /** Whether the connection was closed before the answer's end. */
+  cancelled: boolean
+  ended: boolean
+}
+
+/** What the fake does with a run. */
+export type Behaviour = (run: Run, response: ServerResponse, agent: FakeAgent) => Promise<void> | void
+
+const heartbeatMilliseconds = 300
+const bodyBytes = 1 << 20
+const noAnswer: Buffer = Buffer.alloc(0)
+
+/** The fake agent. */
+export class FakeAgent extends ControlService {
+  readonly runs: Run[] = []
+  readonly questions: OutcomeRequest[] = []
+  /** Replies by request id or by key; others are unknown. */
+  readonly replies = new Map<string, Partial<OutcomeReply>>()
+  /** Reply to a question that `replies` does not hold. */
+  otherwise: OutcomeReply['outcome'] = 'unknown'
+  status: AgentStatus
+  behave: Behaviour
+  private readonly watchers = new Set<(status: AgentStatus) => void>()
+  private http: HttpServer | undefined
+  private control: ControlServer | undefined
+  private heartbeat: NodeJS.Timeout | undefined
+
+  constructor (readonly listed: ListedInstance, weights: string) {
+    super()
+    const { instance, dataCentre, service, address } = listed
+    this.behave = weights === '' ? answerPlain : answerTokens()
+    this.status = {
+      instance, incarnation: `${instance}-1`, dataCentre, service, state: 'open', weights, limit: 8, inFlight: 0, waiting: 0, cold: false, configurationNext: 0, address, wanted: '', chunksHeld: 0, chunksTotal: 0, suspects: []
+    }
+  }
+
+  async start (): Promise<void> {
+    this.http = await serveHttp(this.listed.address, async (request, response) => {
+      const body = await readBody(request, bodyBytes)
+      const run: Run = { id: String(request.headers[headers.requestId]), operation: (request.url ?? '').split('/')[2] ?? '', headers: request.headers, body: body ?? noAnswer, at: Date.now(), cancelled: false, ended: false }
+      this.runs.push(run)
+      response.on('close', () => {
+        run.ended = response.writableFinished
+        run.cancelled = !response.writableFinished
+      })
+      await this.behave(run, response, this)
+    })
+    this.control = await serveControl(this.listed.controlAddress, this)
+    this.heartbeat = setInterval(() => { this.publish({}) }, heartbeatMilliseconds)
+  }
+
+  stop (): void {
+    clearInterval(this.heartbeat)
+    this.control?.close()
+    this.http?.server.closeAllConnections()
+    this.http?.server.close()
+  }
+
+  /** Changes the status and tells every entry. */
+  publish (change: Partial<AgentStatus>): void {
+    this.status = { ...this.status, ...change }
+    for (const send of this.watchers) send(this.status)
+  }
+
+  describe (): NodeDescription {
+    const { instance, dataCentre } = this.listed
+    return { instance, role: 'agent', dataCentre, configurationNext: 0, revision: 0, confirmedUntil: 0, logReachable: true, leaving: false, inFlight: 0 }
+  }
+
+  follow (_request: FollowRequest, _send: (event: FollowEvent) => void): () => void {
+    return () => {}
+  }
+
+  override watch (_request: WatchRequest, send: (status: AgentStatus) => void): () => void {
+    this.watchers.add(send)
+    send(this.status)
+    return () => { this.watchers.delete(send) }
+  }
+
+  override outcome (question: OutcomeRequest): OutcomeReply {
+    this.questions.push(question)
+    const reply = this.replies.get(question.key === '' ? question.requestId : question.key)
+    return { outcome: this.otherwise, status: 0, answer: noAnswer, incarnation: this.status.incarnation, ...reply }
+  }
+}
+
+/** How a stream of tokens goes wrong. */
+export interface StreamFault {
+  /** Tokens sent before the fault. */
+  readonly after: number
+  readonly kind: 'cut' | 'silent' | 'other-id' | 'other-weights' | 'gap' | 'early-end' | 'clean-end'
+}
+
+/** Streams the tokens that the request asks for; every other one is delayed by `tokenMilliseconds`. */
+export function answerTokens (fault?: StreamFault, tokenMilliseconds = 1): Behaviour {
+  return async (run, response, agent) => {
+    const request = JSON.parse(run.body.toString('utf8')) as EngineRequest
+    const weights = agent.status.weights
+    response.writeHead(200, { 'content-type': 'application/x-ndjson', [headers.requestId]: run.id, [headers.weights]: weights, [headers.outcome]: 'run' })
+    response.flushHeaders()
+    const line = (value: unknown): void => { response.write(`${JSON.stringify(value)}\n`) }
+    for (let index = request.resumeFrom; index < request.maximumTokens; index += 1) {
+      await wait(tokenMilliseconds)
+      if (response.destroyed) return
+      const token = { type: 'token', id: run.id, index, token: tokenAt(weights, request.prompt, index), weights }
+      if (fault === undefined || index - request.resumeFrom < fault.after) {
+        line(token)
+        continue
+      }
+      if (fault.kind === 'cut') response.destroy()
+      if (fault.kind === 'clean-end') response.end()
+      if (fault.kind === 'cut' || fault.kind === 'clean-end' || fault.kind === 'silent') return
+      if (fault.kind === 'other-id') line({ ...token, id: 'another-request' })
+      if (fault.kind === 'other-weights') line({ ...token, weights: 'f'.repeat(64) })
+      if (fault.kind === 'gap') line({ ...token, index: index + 1 })
+      if (fault.kind === 'early-end') line({ type: 'end', id: run.id, tokens: request.maximumTokens, weights, reason: 'complete' })
+    }
+    line({ type: 'end', id: run.id, tokens: request.maximumTokens, weights, reason: 'complete' })
+    response.end()
+  }
+}
+
+/** Answers as a plain service does. */
+export const answerPlain: Behaviour = (run, response) => {
+  const body = JSON.stringify({ id: run.id, operation: run.operation })
+  response.writeHead(200, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), [headers.requestId]: run.id, [headers.outcome]: 'run' })
+  response.end(body)
+}
+
+/** Refuses every run. */
+export function refuseWith (tag: FailureTag, retryMilliseconds = 1000, claimHolder = ''): Behaviour {
+  return (run, response) => {
+    if (claimHolder !== '') response.setHeader(headers.claimHolder, claimHolder)
+    sendFailure(response, run.id, fail(tag, Date.now() + retryMilliseconds))
+  }
+}
+
+/** Accepts the request and never says anything. */
+export const staySilent: Behaviour = () => {}
+
+/** Closes the connection without a word. */
+export const cutAtOnce: Behaviour = (_run, response) => { response.destroy() }
+
+/** Facts of a new fake. */
+export interface FakePlace { readonly instance: string, readonly service: string, readonly dataCentre: string, readonly region: string }
+
+/** A listed instance with fresh addresses. */
+export function listFake (place: FakePlace): ListedInstance {
+  return { ...place, role: 'upstream', state: 'live', address: freshAddress(), controlAddress: freshAddress() }
+}
