--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -11,7 +11,7 @@
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { startTracing } from '../../plugins/tracing.js'
-import { ControlClient, ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest } from '../../transports/control.js'
+import { ControlClient, ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type ServedFollow } from '../../transports/control.js'
 import { sendFailure, sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { FoldState } from '../../types/configuration.js'
@@ -60,8 +60,8 @@
 
   constructor (readonly settings: EntrySettings) {
     super()
-    this.follower = new ConfigurationFollower(new HttpLogClient(settings.log))
     this.directory = new InstanceDirectory(settings.instances)
+    this.follower = new ConfigurationFollower({ client: new HttpLogClient(settings.log), directory: this.directory, instance: settings.instance, dataCentre: settings.dataCentre })
     this.upstreams = new Upstreams(settings, this.directory, status => { this.quarantine.hear(status) })
     this.peers = new Peers(settings, this.directory)
   }
@@ -103,7 +103,7 @@
   }
 
   get mayTakeWork (): boolean {
-    return true
+    return this.follower.mayTakeWork()
   }
 
   get state (): FoldState {
@@ -127,9 +127,8 @@
     return { instance, role: 'entry', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.inFlight }
   }
 
-  follow (_request: FollowRequest, send: (event: FollowEvent) => void): () => void {
-    send({ records: [], node: this.describe(), first: this.follower.state.next })
-    return () => {}
+  follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
+    return this.follower.serve(request, send)
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -1,7 +1,7 @@
 /** Serves one checked request: chooses upstreams, retries what was not run, resumes broken answers. */
 import type { ServerResponse } from 'node:http'
 import type { CallerRequest } from '../../core/caller-request.js'
-import { claimKey } from '../../core/claim-key.js'
+import { claimKey } from '../../core/claims.js'
 import { intentsOf } from '../../core/configuration/resolve.js'
 import { earliestRetry, mostAttempts, spreadRetry } from '../../core/retry.js'
 import { candidatesOf, chooseUpstream, hasRoom, type Demand, type UpstreamView } from '../../core/routing.js'
@@ -134,7 +134,7 @@
       const step = await this.send(upstream, false)
       if (step.kind === 'over' && step.failure?.outcome !== 'not-run') return step
     }
-    const settled = await settleByOutcome(this.host, caller, holder, { requestId: '', key: claimKey(caller) })
+    const settled = await settleByOutcome(this.host, caller, holder, { requestId: '', key: claimKey(caller.organisation, caller.service, caller.operation, caller.idempotencyKey) })
     if (settled.kind === 'elsewhere') return over(fail('claim-lost', spreadRetry(Date.now(), caller.id), 'not-run'))
     if (settled.kind === 'failed' && settled.failure.tag === 'upstream-lost') return over(fail('claim-lost', settled.failure.retryAt))
     return this.takeSettled(settled, upstream?.status.instance ?? '')
--- a/test/entry-request.test.ts
+++ b/test/entry-request.test.ts
@@ -1,7 +1,7 @@
 import { test } from 'tap'
 import { checkRequest, isRefused, type RawRequest } from '../src/core/caller-request.js'
 import { judgeLine } from '../src/core/answer-lines.js'
-import { claimKey } from '../src/core/claim-key.js'
+import { claimKey } from '../src/core/claims.js'
 import type { Service } from '../src/types/configuration.js'
 
 const bounds = { coldBound: 1, fullBound: 2, firstByteTargetMilliseconds: 100 }
@@ -57,8 +57,7 @@
 }
 
 test('the claim key keeps its parts apart', async t => {
-  const scope = { organisation: 'a', service: 'b', operation: 'c', idempotencyKey: 'd' }
-  t.equal(claimKey(scope), claimKey({ ...scope }))
-  t.not(claimKey(scope), claimKey({ ...scope, organisation: 'ab', service: '' }))
-  t.match(claimKey(scope), /^[0-9a-f]{64}$/)
+  t.equal(claimKey('a', 'b', 'c', 'd'), claimKey('a', 'b', 'c', 'd'))
+  t.not(claimKey('a', 'b', 'c', 'd'), claimKey('ab', '', 'c', 'd'))
+  t.match(claimKey('a', 'b', 'c', 'd'), /^[0-9a-f]{64}$/)
 })
--- a/test/fakes/agent.ts
+++ b/test/fakes/agent.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { setTimeout as wait } from 'node:timers/promises'
 import { fail, type FailureTag } from '../../src/errors.js'
-import { ControlService, serveControl, type ControlServer, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type WatchRequest } from '../../src/transports/control.js'
+import { ControlService, serveControl, type ControlServer, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type ServedFollow, type WatchRequest } from '../../src/transports/control.js'
 import { readBody, sendFailure, serveHttp, type HttpServer } from '../../src/transports/http-server.js'
 import { headers, type AgentStatus, type NodeDescription } from '../../src/types/messages.js'
 import type { EngineRequest, ListedInstance } from '../../src/types/platform.js'
@@ -86,8 +86,8 @@
     return { instance, role: 'agent', dataCentre, configurationNext: 0, revision: 0, confirmedUntil: 0, logReachable: true, leaving: false, inFlight: 0 }
   }
 
-  follow (_request: FollowRequest, _send: (event: FollowEvent) => void): () => void {
-    return () => {}
+  follow (_request: FollowRequest, _send: (event: FollowEvent) => void): ServedFollow {
+    return { ask: () => {}, end: () => {} }
   }
 
   override watch (_request: WatchRequest, send: (status: AgentStatus) => void): () => void {
