--- a/src/core/admission.ts
+++ b/src/core/admission.ts
@@ -14,25 +14,57 @@
   readonly cold: boolean
   /** Good answers since the limit last changed. */
   readonly evidence: number
+  /** Factor on the evidence that growth needs; it doubles when the upstream is lost above its cold bound. */
+  readonly caution: number
 }
 
+/** One whole answer, as evidence. */
+export interface AnswerEvidence {
+  readonly firstByteMilliseconds: number
+  /** Whether the limit, and not a lack of requests, held the load down while the request ran. */
+  readonly atLimit: boolean
+}
+
+const coldAnswersPerStep = 16
+const answersPerStep = 4
+const highestCaution = 16
+
 /** Bearing of an upstream just after a cold start. */
-export function coldBearing (bounds: Bounds): Bearing {
-  return { limit: bounds.coldBound, cold: true, evidence: 0 }
+export function coldBearing (bounds: Bounds, caution = 1): Bearing {
+  return { limit: bounds.coldBound, cold: true, evidence: 0, caution }
+}
+
+/** Bearing after the upstream restarted, crashed or reset a connection. */
+export function afterLoss (bearing: Bearing, bounds: Bounds): Bearing {
+  const grew = bearing.limit > bounds.coldBound
+  return coldBearing(bounds, grew ? Math.min(highestCaution, bearing.caution * 2) : bearing.caution)
 }
 
-/** A whole answer came; `firstByteMilliseconds` is how long its first byte took, `inFlight` how many ran beside it. */
-export function noteAnswer (bearing: Bearing, bounds: Bounds, firstByteMilliseconds: number, inFlight: number): Bearing {
-  if (firstByteMilliseconds > bounds.firstByteTargetMilliseconds) {
-    const limit = Math.max(bounds.coldBound, Math.floor(bearing.limit / 2))
-    return { ...bearing, limit, evidence: 0 }
+/** Bearing after a whole answer. */
+export function noteAnswer (bearing: Bearing, bounds: Bounds, answer: AnswerEvidence): Bearing {
+  if (answer.firstByteMilliseconds > bounds.firstByteTargetMilliseconds) {
+    return { ...bearing, limit: Math.max(bounds.coldBound, Math.floor(bearing.limit / 2)), evidence: 0 }
   }
-  if (inFlight < bearing.limit) return bearing
+  if (!answer.atLimit || bearing.limit >= bounds.fullBound) return bearing
   const evidence = bearing.evidence + 1
-  const needed = bearing.limit * answersPerStep
-  if (evidence < needed) return { ...bearing, evidence }
-  const limit = Math.min(bounds.fullBound, bearing.limit + 1)
-  return { limit, cold: limit < bounds.fullBound, evidence: 0 }
+  if (evidence < evidenceNeeded(bearing, bounds)) return { ...bearing, evidence }
+  const limit = bearing.limit + 1
+  const isFull = limit >= bounds.fullBound
+  return { limit, cold: !isFull, evidence: 0, caution: isFull ? Math.max(1, bearing.caution / 2) : bearing.caution }
 }
 
-const answersPerStep = 4
+/** Bearing within bounds that a new configuration sets. */
+export function withinBounds (bearing: Bearing, bounds: Bounds): Bearing {
+  const limit = Math.max(bounds.coldBound, Math.min(bounds.fullBound, bearing.limit))
+  return limit === bearing.limit ? bearing : { ...bearing, limit, evidence: 0 }
+}
+
+/** Requests of earlier agents that may still run on the upstream; it never rises within one incarnation. */
+export function lowerForeign (foreign: number, running: number, ownSurely: number): number {
+  return Math.min(foreign, Math.max(0, running - ownSurely))
+}
+
+function evidenceNeeded (bearing: Bearing, bounds: Bounds): number {
+  const perStep = bearing.limit === bounds.coldBound ? coldAnswersPerStep : answersPerStep
+  return bearing.limit * perStep * bearing.caution
+}
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -1,61 +1,77 @@
 /** Role agent: the one process in an upstream's slot; everything for that upstream passes through it. */
 import { randomUUID } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { coldBearing, noteAnswer, type Bearing } from '../../core/admission.js'
 import { wantedWeights } from '../../core/configuration/resolve.js'
 import { fail, type Failure } from '../../errors.js'
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
-import { ControlService, serveControl, type FollowEvent, type FollowRequest, type ServedFollow, type WatchRequest } from '../../transports/control.js'
+import { Metrics } from '../../plugins/metrics.js'
+import { startTracing } from '../../plugins/tracing.js'
+import { ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type ServedFollow, type WatchRequest } from '../../transports/control.js'
 import { sendJson, serveHttp } from '../../transports/http-server.js'
-import { HttpLogClient } from '../../transports/log-client.js'
-import type { Service } from '../../types/configuration.js'
+import { HttpLogClient, streams } from '../../transports/log-client.js'
+import type { Configuration, Service } from '../../types/configuration.js'
 import type { AgentState, AgentStatus, NodeDescription } from '../../types/messages.js'
 import type { AgentSettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import type { Admission } from './admission.js'
+import { ClaimBook } from './claims.js'
+import type { UpstreamConnections, VerifiedConnection } from './connections.js'
 import { membersWanting } from './exchange-members.js'
 import type { ExchangeLoad, ExchangeMember } from './exchange-options.js'
 import { WeightExchange } from './exchange.js'
-import { Orders } from './orders.js'
+import { InstanceLease } from './lease.js'
+import { Orders, type OrdersHost } from './orders.js'
+import { OutcomeStore } from './outcomes.js'
 import { relay, type RelayHost } from './relay.js'
+import { StatusFeed } from './status-feed.js'
+import { Upstream } from './upstream.js'
 
 const log = logFor('agent')
 const retryMilliseconds = 500
-const heartbeatMilliseconds = 500
-const drainMilliseconds = 60_000
+const askableMilliseconds = 1500
+const pollMilliseconds = 20
 
 /** Starts an agent; resolves once both addresses are served. */
 export async function startAgent (settings: AgentSettings): Promise<RunningNode> {
+  if (settings.trace === 'on') startTracing('log')
   const agent = new Agent(settings)
   await agent.start()
   return agent
 }
 
-class Agent extends ControlService implements RunningNode, RelayHost {
+class Agent extends ControlService implements RunningNode, RelayHost, OrdersHost {
+  readonly metrics = new Metrics()
+  readonly outcomes: OutcomeStore
+  readonly claims: ClaimBook
   private readonly incarnation = randomUUID()
   private readonly follower: ConfigurationFollower
   private readonly directory: InstanceDirectory
   private readonly exchange: WeightExchange
   private readonly orders: Orders
-  private bearing: Bearing | undefined
-  private inFlight = 0
+  private readonly lease: InstanceLease
+  private readonly back: Upstream
+  private readonly feed = new StatusFeed(() => this.status)
   private leaving = false
-  private readonly watchers = new Set<(status: AgentStatus) => void>()
-  private heartbeat: NodeJS.Timeout | undefined
+  private isClaiming = false
   private closeAll: () => void = () => {}
 
   constructor (private readonly settings: AgentSettings) {
     super()
+    const { instance, dataCentre, service, control } = settings
     const client = new HttpLogClient(settings.log)
     this.directory = new InstanceDirectory(settings.instances)
-    this.follower = new ConfigurationFollower({ client, directory: this.directory, instance: settings.instance, dataCentre: settings.dataCentre })
-    const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, settings.service, this.directory.instances, manifest)
-    const load = (): ExchangeLoad => ({ inFlight: this.inFlight, limit: this.status.limit })
-    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, members, load, served: () => this.orders.served }, () => { this.publish() })
-    const source = `http://${settings.listen}/local`
-    this.orders = new Orders({ instance: settings.instance, incarnation: this.incarnation, upstream: settings.upstream, source }, client, this.exchange, restarted => { this.engineChanged(restarted) })
+    this.follower = new ConfigurationFollower({ client, directory: this.directory, instance, dataCentre })
+    const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, service, this.directory.instances, manifest)
+    const load = (): ExchangeLoad => ({ inFlight: this.admission.inFlight, limit: this.admission.limit })
+    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, members, load, served: () => this.orders.served }, () => { this.changed() })
+    this.lease = new InstanceLease(client, instance, this.incarnation, () => { this.changed() })
+    this.orders = new Orders(this, this.lease)
+    this.back = new Upstream(settings.upstream, this.hasEngine ? '/state' : '/load', () => this.service, engine => { this.orders.take(engine) }, () => { this.changed() })
+    this.outcomes = new OutcomeStore(this.incarnation)
+    this.claims = new ClaimBook(client, streams.claims(service), { instance, incarnation: this.incarnation, address: control })
   }
 
   async start (): Promise<void> {
@@ -65,8 +81,9 @@
     this.directory.onChange(() => { this.retarget() })
     this.follower.start()
     this.directory.start()
-    if (this.settings.origin !== undefined) this.orders.start()
-    this.heartbeat = setInterval(() => { this.publish() }, heartbeatMilliseconds)
+    if (this.hasEngine) this.orders.start()
+    else this.back.startWatch()
+    this.feed.start()
     this.closeAll = () => {
       http.server.close()
       control.close()
@@ -74,16 +91,15 @@
     log.info('the agent serves', { instance: this.settings.instance })
   }
 
+  /** Planned stop: refuses new work at once, finishes what runs (bounded by its deadlines), and stays askable about it for a moment. */
   async stop (): Promise<void> {
     this.leaving = true
-    this.publish()
-    const deadline = Date.now() + drainMilliseconds
-    while (this.inFlight > 0 && Date.now() < deadline) await waitUntil(Date.now() + 20)
-    clearInterval(this.heartbeat)
-    this.orders.stop()
-    this.exchange.stop()
-    this.follower.stop()
-    this.directory.stop()
+    this.admission.refuseWaiting(fail('leaving', Date.now() + retryMilliseconds))
+    this.changed()
+    while (this.admission.unfinished > 0) await waitUntil(Date.now() + pollMilliseconds)
+    const askableUntil = Date.now() + askableMilliseconds
+    while (this.feed.watcherCount > 0 && Date.now() < askableUntil) await waitUntil(Date.now() + pollMilliseconds)
+    for (const part of [this.feed, this.orders, this.exchange, this.claims, this.back, this.follower, this.directory]) part.stop()
     this.closeAll()
   }
 
@@ -91,39 +107,73 @@
     return this.settings.upstream
   }
 
-  get kind (): 'model' | 'plain' {
-    return this.service?.kind ?? 'plain'
+  get serviceName (): string {
+    return this.settings.service
   }
 
-  admit (weights: string): Failure | undefined {
+  get configuration (): Configuration | undefined {
+    return this.follower.state.configuration
+  }
+
+  get admission (): Admission {
+    return this.back.admission
+  }
+
+  get connections (): UpstreamConnections {
+    return this.back.connections
+  }
+
+  get source (): string {
+    return `http://${this.settings.listen}/local`
+  }
+
+  get wanted (): string {
+    return this.exchange.progress.manifest
+  }
+
+  get isWhole (): boolean {
+    return this.exchange.isWhole
+  }
+
+  get unfinished (): number {
+    return Math.max(this.admission.unfinished, this.admission.inFlight)
+  }
+
+  /** Whether this instance may be away for a change of weights now. */
+  maySwap (): boolean {
+    return true
+  }
+
+  async probe (): Promise<void> {
+    await this.back.probe()
+  }
+
+  refuseWaiting (): void {
+    this.admission.refuseWaiting(fail('closed', Date.now() + retryMilliseconds))
+  }
+
+  changed (): void {
+    this.feed.changed()
+  }
+
+  connectionLost (connection: VerifiedConnection, fingerprint: string): void {
+    this.back.connectionLost(connection, fingerprint)
+  }
+
+  refusal (weights: string): Failure | undefined {
     const retryAt = Date.now() + retryMilliseconds
-    const service = this.service
-    if (service === undefined) return fail('no-configuration', retryAt)
     const state = this.agentState
     if (state === 'out') return fail('data-centre-out', retryAt)
     if (state === 'leaving') return fail('leaving', retryAt)
     if (!this.follower.mayTakeWork()) return fail('isolated', retryAt)
-    if (state === 'closed' || (service.kind === 'model' && weights !== this.orders.served)) return fail('closed', retryAt)
-    this.bearing ??= coldBearing(service)
-    if (this.inFlight >= this.bearing.limit) return fail('busy', retryAt)
-    this.inFlight += 1
-    this.publish()
+    if (state === 'closed' || (this.hasEngine && weights !== this.orders.served)) return fail('closed', retryAt)
     return undefined
   }
 
-  release (firstByteMilliseconds: number | undefined): void {
-    const service = this.service
-    if (service !== undefined && this.bearing !== undefined && firstByteMilliseconds !== undefined) {
-      this.bearing = noteAnswer(this.bearing, service, firstByteMilliseconds, this.inFlight)
-    }
-    this.inFlight -= 1
-    this.publish()
-  }
-
   describe (): NodeDescription {
     const { state, confirmedUntil, logReachable } = this.follower
     const { instance, dataCentre } = this.settings
-    return { instance, role: 'agent', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.inFlight }
+    return { instance, role: 'agent', dataCentre, configurationNext: state.next, revision: state.revision, confirmedUntil, logReachable, leaving: this.leaving, inFlight: this.admission.inFlight }
   }
 
   follow (request: FollowRequest, send: (event: FollowEvent) => void): ServedFollow {
@@ -131,26 +181,33 @@
   }
 
   override watch (_request: WatchRequest, send: (status: AgentStatus) => void): () => void {
-    this.watchers.add(send)
-    send(this.status)
-    return () => { this.watchers.delete(send) }
+    return this.feed.add(send)
+  }
+
+  override outcome (request: OutcomeRequest): OutcomeReply {
+    return this.outcomes.reply(request)
+  }
+
+  /** Only an agent of a model service has an origin of weights. */
+  private get hasEngine (): boolean {
+    return this.settings.origin !== undefined
   }
 
   private get service (): Service | undefined {
-    return this.follower.state.configuration?.services[this.settings.service]
+    return this.configuration?.services[this.settings.service]
   }
 
   private get agentState (): AgentState {
     if (this.leaving) return 'leaving'
-    const configuration = this.follower.state.configuration
-    if (configuration?.dataCentres[this.settings.dataCentre]?.state !== 'in') return 'out'
-    if (this.service?.kind === 'model' && this.orders.served === '') return 'closed'
+    if (this.configuration?.dataCentres[this.settings.dataCentre]?.state !== 'in') return 'out'
+    if (this.hasEngine && this.orders.served === '') return 'closed'
     return 'open'
   }
 
   private get status (): AgentStatus {
     const { instance, dataCentre, service, listen } = this.settings
     const { manifest, held, total } = this.exchange.progress
+    const { limit, inFlight, waitingCount, isCold } = this.admission
     return {
       instance,
       incarnation: this.incarnation,
@@ -158,37 +215,32 @@
       service,
       state: this.agentState,
       weights: this.orders.served,
-      limit: this.bearing?.limit ?? this.service?.coldBound ?? 0,
-      inFlight: this.inFlight,
-      waiting: 0,
-      cold: this.bearing?.cold ?? true,
+      limit,
+      inFlight,
+      waiting: waitingCount,
+      cold: isCold,
       configurationNext: this.follower.state.next,
       address: listen,
       wanted: manifest,
       chunksHeld: held,
       chunksTotal: total,
-      suspects: []
+      suspects: this.back.suspects
     }
   }
 
-  private publish (): void {
-    const status = this.status
-    for (const send of this.watchers) send(status)
-  }
-
-  private engineChanged (restarted: boolean): void {
-    if (restarted && this.service !== undefined) this.bearing = coldBearing(this.service)
-    this.publish()
-  }
-
   private retarget (): void {
     const { configuration, revisions } = this.follower.state
+    const { service, dataCentre, instance } = this.settings
     if (configuration !== undefined && this.service?.kind === 'model') {
-      const { service, dataCentre, instance } = this.settings
       const members = this.directory.instances.filter(listed => listed.service === service && listed.dataCentre === dataCentre && listed.state === 'live')
       this.exchange.want(wantedWeights(configuration, revisions, service, dataCentre, instance, members.map(listed => listed.instance)))
     }
-    this.publish()
+    if (!this.isClaiming && this.service?.kind === 'plain' && this.service.nonIdempotent.length > 0) {
+      this.isClaiming = true
+      this.claims.start()
+    }
+    if (this.agentState === 'out') this.admission.refuseWaiting(fail('data-centre-out', Date.now() + retryMilliseconds))
+    this.changed()
   }
 
   private async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -196,6 +248,16 @@
     if (path[0] === 'run' && request.method === 'POST') await relay(this, request, response, path[1] ?? '')
     else if (path[0] === 'weights' || path[0] === 'chunks' || path[0] === 'local') this.exchange.handle(request, response, path)
     else if (path[0] === 'status') sendJson(response, 200, this.status)
+    else if (path[0] === 'metrics') this.sendMetrics(response)
     else sendJson(response, 404, { error: 'no such path' })
   }
+
+  private sendMetrics (response: ServerResponse): void {
+    const { limit, inFlight, waitingCount } = this.admission
+    this.metrics.set('limit_requests', {}, limit)
+    this.metrics.set('in_flight_requests', {}, inFlight)
+    this.metrics.set('waiting_requests', {}, waitingCount)
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' })
+    response.end(this.metrics.render())
+  }
 }
--- /dev/null
+++ b/src/roles/agent/crashes.ts
@@ -0,0 +1,32 @@
+/** Notes what ran on an incarnation of the upstream that was lost, and counts it once the crash is certain. */
+import { countCrash, currentSuspects } from '../../core/suspects.js'
+import type { SuspectCount } from '../../types/messages.js'
+
+const rememberMilliseconds = 10_000
+
+interface Lost { readonly incarnation: string, readonly fingerprint: string, readonly until: number }
+
+/** Suspect fingerprints of this agent. */
+export class Crashes {
+  private counts: readonly SuspectCount[] = []
+  private lost: readonly Lost[] = []
+
+  /** Counts that still matter. */
+  get suspects (): readonly SuspectCount[] {
+    return currentSuspects(this.counts, Date.now())
+  }
+
+  /** A connection to an incarnation broke while it ran a request. */
+  noteLoss (incarnation: string, fingerprint: string): void {
+    const now = Date.now()
+    this.lost = [...this.lost.filter(({ until }) => until > now), { incarnation, fingerprint, until: now + rememberMilliseconds }]
+  }
+
+  /** An incarnation has crashed; `running` are the fingerprints that still had a place. */
+  confirm (incarnation: string, running: readonly string[]): void {
+    const now = Date.now()
+    const noted = this.lost.filter(loss => loss.incarnation === incarnation && loss.until > now).map(({ fingerprint }) => fingerprint)
+    this.lost = this.lost.filter(loss => loss.incarnation !== incarnation)
+    if (noted.length + running.length > 0) this.counts = countCrash(this.counts, [...noted, ...running], now)
+  }
+}
--- /dev/null
+++ b/src/roles/agent/lease.ts
@@ -0,0 +1,86 @@
+/** The agent's lease on its instance's engine: a record in the log, read back by its id. */
+import { randomUUID } from 'node:crypto'
+import { foldLease, mayOrder, noLease, type LeaseView } from '../../core/gate.js'
+import { streams, type LogClient } from '../../transports/log-client.js'
+import { leaseRecordSchema, type LeaseRecord } from '../../types/configuration.js'
+import { runInBackground } from '../../utils/background.js'
+import { waitUntil } from '../../utils/clock.js'
+import { logFor } from '../../utils/log.js'
+
+const log = logFor('orders')
+const pollMilliseconds = 2000
+const retryMilliseconds = 500
+const appendMilliseconds = 3000
+
+/** Takes the lease and notices when another agent has taken it. */
+export class InstanceLease {
+  private view: LeaseView = noLease
+  private next = 0
+  private readonly record: LeaseRecord
+  private readonly stopping = new AbortController()
+
+  constructor (private readonly client: LogClient, instance: string, incarnation: string, private readonly onChange: () => void) {
+    this.record = { type: 'lease', id: randomUUID(), instance, incarnation }
+  }
+
+  start (): void {
+    runInBackground(this.tail(), log, 'tail the leases')
+    runInBackground(this.take(), log, 'take the lease')
+  }
+
+  stop (): void {
+    this.stopping.abort()
+  }
+
+  /** Fencing number of orders, undefined while the agent may not order. */
+  get fence (): number | undefined {
+    return mayOrder(this.view) ? this.view.fence : undefined
+  }
+
+  /** Whether another agent has taken the instance over; this one stops for good. */
+  get isSuperseded (): boolean {
+    return this.view.superseded
+  }
+
+  /** Appends the record until it is read back; the same id again is harmless. */
+  private async take (): Promise<void> {
+    while (this.view.fence === undefined && !this.stopping.signal.aborted) {
+      try {
+        await this.client.append(streams.leases, [JSON.stringify(this.record)], Date.now() + appendMilliseconds)
+        await waitUntil(Date.now() + pollMilliseconds, this.stopping.signal)
+      } catch {
+        await waitUntil(Date.now() + retryMilliseconds, this.stopping.signal)
+      }
+    }
+  }
+
+  private async tail (): Promise<void> {
+    while (!this.stopping.signal.aborted) {
+      try {
+        const page = await this.client.read(streams.leases, this.next, Date.now() + pollMilliseconds)
+        for (const { offset, body } of page.records) this.fold(offset, body)
+        this.next = Math.max(this.next, page.first, (page.records.at(-1)?.offset ?? -1) + 1)
+      } catch {
+        await waitUntil(Date.now() + retryMilliseconds, this.stopping.signal)
+      }
+    }
+  }
+
+  private fold (offset: number, body: string): void {
+    const record = parseLease(body)
+    if (record === undefined) return
+    const before = this.view
+    this.view = foldLease(before, this.record.instance, this.record.id, offset, record)
+    if (this.view === before) return
+    if (this.view.superseded && !before.superseded) log.warn('another agent holds the lease of this instance')
+    this.onChange()
+  }
+}
+
+function parseLease (body: string): LeaseRecord | undefined {
+  try {
+    return leaseRecordSchema.safeParse(JSON.parse(body)).data
+  } catch {
+    return undefined
+  }
+}
--- a/src/roles/agent/orders.ts
+++ b/src/roles/agent/orders.ts
@@ -1,104 +1,105 @@
-/** Orders to the engine: one at a time, with a fencing number from the log, each settled by reading the engine's state. */
+/** Orders to the engine: one at a time, behind a closed gate, with a fencing number, each settled by reading the engine's state. */
 import { randomUUID } from 'node:crypto'
-import { needsOrder, servedWeights } from '../../core/gate.js'
-import { engineStateSchema, type EngineOrder, type EngineState } from '../../types/platform.js'
-import type { LogClient } from '../../transports/log-client.js'
-import { streams } from '../../transports/log-client.js'
+import { needsOrder, servedWeights, type GateView } from '../../core/gate.js'
 import { requestJson } from '../../transports/http-client.js'
-import { logFor } from '../../utils/log.js'
+import type { EngineOrder, EngineState } from '../../types/platform.js'
 import { runInBackground } from '../../utils/background.js'
 import { waitUntil } from '../../utils/clock.js'
-import type { WeightExchange } from './exchange.js'
+import { logFor } from '../../utils/log.js'
+import type { InstanceLease } from './lease.js'
 
 const log = logFor('orders')
 const pollMilliseconds = 200
-const stateMilliseconds = 1000
+const settleMilliseconds = 20
 const orderMilliseconds = 60_000
-const appendMilliseconds = 3000
 
 /** What the orders need of the agent. */
-export interface OrdersSettings {
-  readonly instance: string
-  readonly incarnation: string
+export interface OrdersHost {
   readonly upstream: string
   /** Base URL from which the engine draws chunks. */
   readonly source: string
+  /** Manifest digest wanted, empty for none. */
+  readonly wanted: string
+  /** Whether every chunk of the wanted weights is held and verified. */
+  readonly isWhole: boolean
+  /** Requests that wait or run on the engine. */
+  readonly unfinished: number
+  /** Whether this instance may be away for a change of weights now. */
+  maySwap (): boolean
+  /** Asks the engine for its state; the answer reaches `take`. */
+  probe (): Promise<void>
+  /** Refuses whatever waits, because the gate has closed. */
+  refuseWaiting (): void
+  changed (): void
 }
 
 /** Keeps the engine on the wanted weights and says what may be served. */
 export class Orders {
   private engine: EngineState | undefined
   private ordering = false
-  private fence: number | undefined
   private readonly stopping = new AbortController()
 
-  constructor (
-    private readonly settings: OrdersSettings,
-    private readonly client: LogClient,
-    private readonly exchange: WeightExchange,
-    private readonly onChange: (restarted: boolean) => void
-  ) {}
+  constructor (private readonly host: OrdersHost, private readonly lease: InstanceLease) {}
 
   start (): void {
+    this.lease.start()
     runInBackground(this.watch(), log, 'watch the engine')
   }
 
   stop (): void {
+    this.lease.stop()
     this.stopping.abort()
   }
 
   /** Digest that requests may use now, empty while the gate is closed. */
   get served (): string {
-    return servedWeights({ wanted: this.exchange.progress.manifest, engine: this.engine, ordering: this.ordering })
+    return this.lease.isSuperseded ? '' : servedWeights(this.view)
+  }
+
+  /** Takes a state that the engine reported; undefined when it could not be asked. */
+  take (engine: EngineState | undefined): void {
+    this.engine = engine
   }
 
-  /** Requests that the engine itself counts, from its last state. */
-  get engineRunning (): number {
-    return this.engine?.running ?? 0
+  private get view (): GateView {
+    return { wanted: this.host.wanted, engine: this.engine, ordering: this.ordering }
   }
 
   private async watch (): Promise<void> {
     while (!this.stopping.signal.aborted) {
-      await this.readState()
-      const wanted = this.exchange.progress.manifest
-      if (needsOrder({ wanted, engine: this.engine, ordering: this.ordering }, this.exchange.isWhole)) await this.orderLoad(wanted)
+      await this.host.probe()
+      if (this.lease.fence !== undefined && needsOrder(this.view, this.host.isWhole) && this.host.maySwap()) await this.change(this.host.wanted)
       await waitUntil(Date.now() + pollMilliseconds, this.stopping.signal)
     }
   }
 
-  private async readState (): Promise<void> {
-    const before = this.engine
-    try {
-      const answer = await requestJson({ url: `${this.settings.upstream}/state`, method: 'GET', deadline: Date.now() + stateMilliseconds })
-      this.engine = engineStateSchema.parse(answer)
-    } catch {
-      this.engine = undefined
-    }
-    if (before?.incarnation !== this.engine?.incarnation || before?.weights !== this.engine?.weights) {
-      this.onChange(before?.incarnation !== this.engine?.incarnation)
-    }
-  }
-
-  private async orderLoad (manifest: string): Promise<void> {
+  /** Closes the gate, lets what runs end on its own weights, orders, and opens again after reading the state anew. */
+  private async change (manifest: string): Promise<void> {
     this.ordering = true
-    this.onChange(false)
+    this.host.refuseWaiting()
+    this.host.changed()
     try {
-      this.fence ??= await this.takeLease()
-      const order: EngineOrder = { id: randomUUID(), kind: 'load', fence: this.fence, manifest, source: this.settings.source }
-      await requestJson({ url: `${this.settings.upstream}/orders`, method: 'POST', body: order, deadline: Date.now() + orderMilliseconds })
+      await this.drain()
+      if (this.host.wanted === manifest && this.lease.fence !== undefined) await this.order(manifest, this.lease.fence)
     } catch (error) {
-      log.warn('an order failed; the engine state decides', { reason: String(error) })
+      log.warn('an order has no answer; the engine state decides', { reason: String(error) })
     }
+    await this.host.probe()
     this.ordering = false
-    await this.readState()
-    this.onChange(true)
+    this.host.changed()
+  }
+
+  /** Requests end at their own deadlines at the latest. */
+  private async drain (): Promise<void> {
+    while (this.host.unfinished > 0 && !this.stopping.signal.aborted) {
+      await waitUntil(Date.now() + settleMilliseconds, this.stopping.signal)
+      await this.host.probe()
+    }
   }
 
-  private async takeLease (): Promise<number> {
-    const { instance, incarnation } = this.settings
-    const body = JSON.stringify({ type: 'lease', id: randomUUID(), instance, incarnation })
-    const [offset] = await this.client.append(streams.leases, [body], Date.now() + appendMilliseconds)
-    if (offset === undefined) throw new Error('the log gave no offset')
-    return offset
+  private async order (manifest: string, fence: number): Promise<void> {
+    const order: EngineOrder = { id: randomUUID(), kind: 'load', fence, manifest, source: this.host.source }
+    log.info('the engine is ordered to load', { manifest, fence })
+    await requestJson({ url: `${this.host.upstream}/orders`, method: 'POST', body: order, deadline: Date.now() + orderMilliseconds })
   }
 }
--- /dev/null
+++ b/src/roles/agent/outcomes.ts
@@ -0,0 +1,132 @@
+/** What became of each request, by request id and by claimed key; bounded. */
+import type { Failure } from '../../errors.js'
+import type { OutcomeReply, OutcomeRequest } from '../../transports/control.js'
+
+const highestRuns = 50_000
+const highestAnswerBytes = 16 << 20
+const requestLifeMilliseconds = 600_000
+
+/** A whole answer of the upstream. */
+export interface StoredAnswer {
+  readonly status: number
+  readonly contentType: string
+  readonly body: Buffer
+}
+
+/** How a run ended. */
+export type RunResult =
+  | { readonly kind: 'answer', readonly answer: StoredAnswer }
+  /** A stream that was passed on whole and is not kept. */
+  | { readonly kind: 'streamed' }
+  | { readonly kind: 'failure', readonly failure: Failure, readonly claimHolder: string }
+
+/** One request at this agent. */
+export class Run {
+  result: RunResult | undefined
+  /** Whether the answer was dropped to keep the bound. */
+  isPruned = false
+  readonly settled: Promise<void>
+  private resolve: () => void = () => {}
+
+  constructor (readonly requestId: string, readonly key: string, readonly content: string, readonly startedAt: number) {
+    this.settled = new Promise(resolve => { this.resolve = resolve })
+  }
+
+  /** Ends the run; a later result changes nothing. */
+  settle (result: RunResult): void {
+    this.result ??= result
+    this.resolve()
+  }
+}
+
+/** Keeps the runs of this incarnation. */
+export class OutcomeStore {
+  private readonly byRequest = new Map<string, Run>()
+  private readonly byKey = new Map<string, Run>()
+  /** Runs whose answer is kept, the oldest first. */
+  private readonly answers = new Set<Run>()
+  private answerBytes = 0
+  /** Epoch milliseconds of the youngest run that was forgotten, or of the start: an earlier incarnation's runs count as forgotten. */
+  private forgottenAt = Date.now()
+  private readonly refused = new Set<string>()
+
+  constructor (private readonly incarnation: string) {}
+
+  /** Starts a run; undefined when the request's outcome was already told as `not-run`. `key` is empty for an unclaimed run. */
+  begin (requestId: string, key: string, content: string): Run | undefined {
+    if (this.refused.has(requestId)) return undefined
+    const run = new Run(requestId, key, content, Date.now())
+    this.byRequest.set(requestId, run)
+    if (key !== '') this.byKey.set(key, run)
+    this.forgetOldest()
+    return run
+  }
+
+  /** The run that holds a key here, undefined when none does. */
+  holding (key: string): Run | undefined {
+    return this.byKey.get(key)
+  }
+
+  /** Ends a run. */
+  settle (run: Run, result: RunResult): void {
+    if (run.result !== undefined) return
+    run.settle(result)
+    const holdsNothing = result.kind === 'failure' && (result.failure.outcome === 'not-run' || result.claimHolder !== '')
+    if (holdsNothing && this.byKey.get(run.key) === run) this.byKey.delete(run.key)
+    if (result.kind === 'answer') this.keepAnswer(run, result.answer)
+  }
+
+  /**
+   * Answers for this incarnation only: the asker compares `incarnation` with the one it sent the request to.
+   * A request id that never came is refused from now on, which makes `not-run` true.
+   */
+  reply (request: OutcomeRequest): OutcomeReply {
+    const run = request.key === '' ? this.byRequest.get(request.requestId) : this.byKey.get(request.key)
+    if (run !== undefined) return this.describe(run)
+    const isKnownAbsent = request.key === '' && request.requestId !== '' && Date.now() - this.forgottenAt > requestLifeMilliseconds
+    if (isKnownAbsent) this.refuse(request.requestId)
+    return { outcome: isKnownAbsent ? 'not-run' : 'unknown', status: 0, answer: Buffer.alloc(0), incarnation: this.incarnation }
+  }
+
+  private refuse (requestId: string): void {
+    this.refused.add(requestId)
+    const [oldest] = this.refused
+    if (this.refused.size > highestRuns && oldest !== undefined) this.refused.delete(oldest)
+  }
+
+  private describe (run: Run): OutcomeReply {
+    const { result } = run
+    const empty = { status: 0, answer: Buffer.alloc(0), incarnation: this.incarnation }
+    if (result === undefined) return { ...empty, outcome: 'running' }
+    if (result.kind === 'failure') return { ...empty, outcome: result.failure.outcome }
+    if (result.kind === 'streamed' || run.isPruned) return { ...empty, outcome: 'run' }
+    return { ...empty, outcome: 'run', status: result.answer.status, answer: result.answer.body }
+  }
+
+  private keepAnswer (run: Run, answer: StoredAnswer): void {
+    this.answers.add(run)
+    this.answerBytes += answer.body.length
+    while (this.answerBytes > highestAnswerBytes && this.answers.size > 0) this.dropOldestAnswer()
+  }
+
+  private dropOldestAnswer (): void {
+    const [oldest] = this.answers
+    if (oldest?.result?.kind !== 'answer') return
+    this.answers.delete(oldest)
+    this.answerBytes -= oldest.result.answer.body.length
+    oldest.result = { kind: 'answer', answer: { ...oldest.result.answer, body: Buffer.alloc(0) } }
+    oldest.isPruned = true
+  }
+
+  private forgetOldest (): void {
+    if (this.byRequest.size <= highestRuns) return
+    for (const [requestId, run] of this.byRequest) {
+      if (run.result === undefined) continue
+      this.byRequest.delete(requestId)
+      if (this.answers.delete(run) && run.result.kind === 'answer') this.answerBytes -= run.result.answer.body.length
+      if (this.byKey.get(run.key) === run) this.byKey.delete(run.key)
+      this.forgottenAt = Math.max(this.forgottenAt, run.startedAt)
+      return
+    }
+  }
+}
--- /dev/null
+++ b/src/roles/agent/relay-model.ts
@@ -0,0 +1,228 @@
+/** Passes requests to a model engine and its tokens back; a broken connection resumes on the same weights and incarnation. */
+import { once } from 'node:events'
+import type { ServerResponse } from 'node:http'
+import { z } from 'zod'
+import { fail, type Failure } from '../../errors.js'
+import { readAll, sendRequest } from '../../transports/http-client.js'
+import { sendFailure } from '../../transports/http-server.js'
+import { headers } from '../../types/messages.js'
+import type { EngineRequest } from '../../types/platform.js'
+import { logFor } from '../../utils/log.js'
+import type { Place } from './admission.js'
+import type { VerifiedConnection } from './connections.js'
+import { checkLine, lineGroups, WrongLineError } from './engine-stream.js'
+import type { RunResult } from './outcomes.js'
+import { lastRefusal, refusalOf, reserve, signalOf, upstreamHeaders, type RelayHost } from './relay.js'
+import type { RunRequest } from './run-request.js'
+
+const log = logFor('agent')
+const retryMilliseconds = 500
+const silenceMilliseconds = 5000
+const cancelMilliseconds = 2000
+const highestResumes = 3
+
+const bodySchema = z.object({
+  prompt: z.string(),
+  maximumTokens: z.number().int().nonnegative(),
+  priority: z.number().int().default(0),
+  resumeFrom: z.number().int().nonnegative().default(0)
+})
+
+/** Relays one request; resolves with the failure that ended it, if any. */
+export async function relayModel (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
+  const body = parseBody(request)
+  const run = body === undefined ? undefined : host.outcomes.begin(request.id, '', request.content)
+  if (body === undefined || run === undefined) {
+    const failure = body === undefined ? fail('malformed') : fail('late-deadline', Date.now() + retryMilliseconds)
+    sendFailure(response, request.id, failure)
+    return failure
+  }
+  let result: RunResult = { kind: 'failure', failure: fail('upstream-lost', Date.now() + retryMilliseconds), claimHolder: '' }
+  try {
+    const refused = await host.admission.run(request.ticket, signalOf(response), async place => {
+      result = await new TokenRelay(host, request, body, response, place).run()
+    })
+    if (refused !== undefined) result = { kind: 'failure', failure: refused, claimHolder: '' }
+  } finally {
+    host.outcomes.settle(run, result)
+  }
+  const failure = result.kind === 'failure' ? result.failure : undefined
+  if (failure !== undefined) endWithFailure(response, request, failure)
+  return failure
+}
+
+/** A cut stream has no `end` line, which tells the entry that the answer is not whole. */
+function endWithFailure (response: ServerResponse, request: RunRequest, failure: Failure): void {
+  if (response.writableEnded || response.destroyed) return
+  if (response.headersSent) response.destroy()
+  else sendFailure(response, request.id, failure)
+}
+
+function parseBody (request: RunRequest): EngineRequest | undefined {
+  try {
+    const parsed = bodySchema.safeParse(JSON.parse(request.body.toString('utf8')))
+    return parsed.success ? { id: request.id, ...parsed.data } : undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** How one connection's part of the answer ended. */
+type PartEnd = { readonly kind: 'whole' | 'broken' | 'wrong' } | { readonly kind: 'refused', readonly failure: Failure }
+
+/** One request's way through the engine. */
+class TokenRelay {
+  private next: number
+  private firstByteAt = 0
+  private readonly startedAt = Date.now()
+  private readonly gone = new AbortController()
+
+  constructor (
+    private readonly host: RelayHost,
+    private readonly request: RunRequest,
+    private readonly body: EngineRequest,
+    private readonly response: ServerResponse,
+    private readonly place: Place
+  ) {
+    this.next = body.resumeFrom
+  }
+
+  async run (): Promise<RunResult> {
+    const connection = await reserve(this.host, this.place, this.request)
+    if ('tag' in connection) return failed(connection)
+    const refusal = lastRefusal(this.host, this.request, connection)
+    if (refusal !== undefined) {
+      this.host.connections.give(connection)
+      return failed(refusal)
+    }
+    const timer = setTimeout(() => { this.gone.abort() }, Math.max(0, this.request.deadline - Date.now()))
+    this.response.once('close', () => { if (!this.response.writableFinished) this.gone.abort() })
+    try {
+      return await this.passAll(connection)
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  private async passAll (first: VerifiedConnection): Promise<RunResult> {
+    let connection: VerifiedConnection | undefined = first
+    for (let resumes = 0; connection !== undefined; resumes += 1) {
+      const end = await this.passPart(connection)
+      if (end.kind === 'whole') return this.finish(connection)
+      if (end.kind === 'refused') return failed(end.failure)
+      if (end.kind === 'wrong') return await this.cancel(first.incarnation, fail('wrong-answer', Date.now() + retryMilliseconds))
+      if (this.gone.signal.aborted) break
+      connection = resumes < highestResumes ? await this.reconnect(first.incarnation) : undefined
+    }
+    const isLate = Date.now() >= this.request.deadline
+    return await this.cancel(first.incarnation, fail(isLate ? 'deadline-passed' : 'upstream-lost', Date.now() + retryMilliseconds))
+  }
+
+  private finish (connection: VerifiedConnection): RunResult {
+    this.host.connections.give(connection)
+    const firstByte = this.firstByteAt - this.startedAt
+    this.host.admission.noteAnswer(this.place, firstByte, Date.now() - this.startedAt)
+    this.host.metrics.observe('first_byte_milliseconds', {}, firstByte)
+    this.host.metrics.count('tokens_total', {}, this.next - this.body.resumeFrom)
+    this.response.end()
+    return { kind: 'streamed' }
+  }
+
+  private async passPart (connection: VerifiedConnection): Promise<PartEnd> {
+    try {
+      const body = Buffer.from(JSON.stringify({ ...this.body, resumeFrom: this.next }))
+      const answer = await sendRequest({
+        url: `${this.host.upstream}/completions`,
+        method: 'POST',
+        agent: connection.agent,
+        headers: upstreamHeaders(this.request, body),
+        body,
+        deadline: Math.min(this.request.deadline, Date.now() + silenceMilliseconds),
+        signal: this.gone.signal
+      })
+      if (answer.statusCode !== 200) return this.refused(connection, answer.statusCode ?? 0)
+      this.place.isAnswering = true
+      for await (const lines of lineGroups(answer, silenceMilliseconds)) {
+        if (await this.passLines(lines)) return { kind: 'whole' }
+      }
+      throw new Error('the stream ended before its end line')
+    } catch (error) {
+      this.host.connections.drop(connection)
+      if (error instanceof WrongLineError) return { kind: 'wrong' }
+      if (!this.gone.signal.aborted) this.host.connectionLost(connection, this.request.ticket.fingerprint)
+      return { kind: 'broken' }
+    }
+  }
+
+  /** The engine said no before it ran anything. */
+  private refused (connection: VerifiedConnection, status: number): PartEnd {
+    this.host.connections.drop(connection)
+    if (this.next > this.body.resumeFrom) return { kind: 'refused', failure: fail('upstream-lost', Date.now() + retryMilliseconds) }
+    if (status === 400) return { kind: 'refused', failure: fail('malformed') }
+    return { kind: 'refused', failure: fail('upstream-refused', Date.now() + retryMilliseconds, status === 503 ? 'not-run' : 'unknown') }
+  }
+
+  /** Passes checked lines on in one write; true after the end line. */
+  private async passLines (lines: readonly string[]): Promise<boolean> {
+    const checked: string[] = []
+    let isWhole = false
+    for (const text of lines) {
+      const line = checkLine(text, { id: this.request.id, weights: this.request.weights }, this.next)
+      if (line.type === 'end' && line.reason !== 'complete') throw new Error('the engine cancelled the answer')
+      if (line.type === 'token') this.next += 1
+      checked.push(text)
+      isWhole = line.type === 'end'
+      if (isWhole) break
+    }
+    if (this.firstByteAt === 0) this.begin()
+    const canTakeMore = this.response.write(`${checked.join('\n')}\n`)
+    if (!canTakeMore && !isWhole) await once(this.response, 'drain', { signal: this.gone.signal })
+    return isWhole
+  }
+
+  private begin (): void {
+    this.firstByteAt = Date.now()
+    this.response.writeHead(200, {
+      'content-type': 'application/x-ndjson',
+      [headers.requestId]: this.request.id,
+      [headers.weights]: this.request.weights,
+      [headers.outcome]: 'run'
+    })
+  }
+
+  /** A new connection is the test: only the same incarnation on the same weights may go on with the answer. */
+  private async reconnect (incarnation: string): Promise<VerifiedConnection | undefined> {
+    try {
+      const connection = await this.host.connections.take(this.request.deadline)
+      if (connection.incarnation === incarnation && refusalOf(this.host, this.request)?.tag !== 'closed') return connection
+      this.host.connections.give(connection)
+    } catch {
+      log.warn('the engine cannot be reached again', { request: this.request.id })
+    }
+    return undefined
+  }
+
+  /** Tells the entry at once; the place stays taken until the engine no longer runs the request. */
+  private async cancel (incarnation: string, failure: Failure): Promise<RunResult> {
+    endWithFailure(this.response, this.request, failure)
+    try {
+      await this.cancelAtEngine()
+    } catch {
+      log.warn('a cancelled request may still run', { request: this.request.id })
+      this.host.admission.orphan(incarnation)
+    }
+    return failed(failure)
+  }
+
+  private async cancelAtEngine (): Promise<void> {
+    const deadline = Date.now() + cancelMilliseconds
+    const connection = await this.host.connections.take(deadline)
+    const answer = await sendRequest({ url: `${this.host.upstream}/completions/${this.request.id}`, method: 'DELETE', agent: connection.agent, deadline })
+    await readAll(answer, deadline)
+    this.host.connections.give(connection)
+  }
+}
+
+function failed (failure: Failure): RunResult {
+  return { kind: 'failure', failure, claimHolder: '' }
+}
--- /dev/null
+++ b/src/roles/agent/relay-plain.ts
@@ -0,0 +1,144 @@
+/** Passes requests to a plain service; what may not be repeated runs under a claim, once. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { fail, type Failure } from '../../errors.js'
+import { sendFailure } from '../../transports/http-server.js'
+import { sendRequest } from '../../transports/http-client.js'
+import { headers } from '../../types/messages.js'
+import { waitUntil } from '../../utils/clock.js'
+import type { Place } from './admission.js'
+import type { HeldClaim } from './claims.js'
+import type { VerifiedConnection } from './connections.js'
+import type { Run, RunResult, StoredAnswer } from './outcomes.js'
+import { lastRefusal, reserve, signalOf, upstreamHeaders, type RelayHost } from './relay.js'
+import type { RunRequest } from './run-request.js'
+
+const retryMilliseconds = 500
+const claimMilliseconds = 3000
+const lingerMilliseconds = 10_000
+const answerBytes = 8 << 20
+
+/** Relays one request; resolves with the failure that the entry was told, if any. */
+export async function relayPlain (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
+  const earlier = request.claimKey === '' ? undefined : host.outcomes.holding(request.claimKey)
+  if (earlier !== undefined) return await join(earlier, request, response)
+  const run = host.outcomes.begin(request.id, request.claimKey, request.content)
+  if (run === undefined) return refuse(response, request, fail('late-deadline', Date.now() + retryMilliseconds))
+  const working = host.admission.run(request.ticket, signalOf(response), async place => {
+    host.outcomes.settle(run, await perform(host, request, place))
+  })
+  const settling = working.then(failure => {
+    host.outcomes.settle(run, { kind: 'failure', failure: failure ?? fail('upstream-lost'), claimHolder: '' })
+  }, () => { host.outcomes.settle(run, lost()) })
+  await untilDeadline(Promise.race([settling, run.settled]), request.deadline)
+  return reply(run, request, response)
+}
+
+/** Waits for the run that has the same key. */
+async function join (run: Run, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
+  if (run.content !== request.content) return refuse(response, request, fail('key-reused'))
+  await untilDeadline(run.settled, request.deadline)
+  return reply(run, request, response)
+}
+
+async function untilDeadline (settled: Promise<void>, deadline: number): Promise<void> {
+  const done = new AbortController()
+  await Promise.race([settled, waitUntil(deadline, done.signal)])
+  done.abort()
+}
+
+function reply (run: Run, request: RunRequest, response: ServerResponse): Failure | undefined {
+  const { result } = run
+  if (result === undefined) return refuse(response, request, fail('deadline-passed', Date.now() + retryMilliseconds))
+  if (result.kind === 'streamed' || run.isPruned) return refuse(response, request, fail('outcome-pruned'))
+  if (result.kind === 'failure') {
+    if (result.claimHolder !== '' && !response.headersSent) response.setHeader(headers.claimHolder, result.claimHolder)
+    return refuse(response, request, result.failure)
+  }
+  const { status, contentType, body } = result.answer
+  response.writeHead(status, { 'content-type': contentType, 'content-length': body.length, [headers.requestId]: request.id, [headers.outcome]: 'run' })
+  response.end(body)
+  return undefined
+}
+
+function refuse (response: ServerResponse, request: RunRequest, failure: Failure): Failure {
+  sendFailure(response, request.id, failure)
+  return failure
+}
+
+/** Everything that can refuse comes before the claim, the claim before the first byte. */
+async function perform (host: RelayHost, request: RunRequest, place: Place): Promise<RunResult> {
+  const connection = await reserve(host, place, request)
+  if ('tag' in connection) return { kind: 'failure', failure: connection, claimHolder: '' }
+  const claim = request.claimKey === '' ? undefined : await host.claims.claim(request.claimKey, request.content, Math.min(request.deadline, Date.now() + claimMilliseconds))
+  if (claim !== undefined && claim.kind !== 'held') {
+    host.connections.give(connection)
+    if (claim.kind === 'unavailable') return { kind: 'failure', failure: fail('log-unavailable', Date.now() + retryMilliseconds), claimHolder: '' }
+    if (claim.kind === 'reused') return { kind: 'failure', failure: fail('key-reused'), claimHolder: '' }
+    return { kind: 'failure', failure: fail('claim-lost', Date.now() + retryMilliseconds), claimHolder: claim.holder.address }
+  }
+  const refusal = lastRefusal(host, request, connection)
+  if (refusal !== undefined || claim?.claim.markSent() === false) {
+    claim?.claim.release()
+    host.connections.give(connection)
+    return { kind: 'failure', failure: refusal ?? fail('log-unavailable', Date.now() + retryMilliseconds), claimHolder: '' }
+  }
+  return await send(host, request, place, connection, claim?.claim)
+}
+
+async function send (host: RelayHost, request: RunRequest, place: Place, connection: VerifiedConnection, claim: HeldClaim | undefined): Promise<RunResult> {
+  const startedAt = Date.now()
+  place.sentAt = startedAt
+  const deadline = claim === undefined ? request.deadline : request.deadline + lingerMilliseconds
+  try {
+    const answer = await sendRequest({
+      url: `${host.upstream}/run/${request.operation}`,
+      method: 'POST',
+      agent: connection.agent,
+      headers: upstreamHeaders(request, request.body),
+      body: request.body,
+      deadline
+    })
+    place.isAnswering = true
+    const firstByte = Date.now() - startedAt
+    const stored = await readAnswer(answer, request.id, deadline)
+    host.connections.give(connection)
+    host.admission.noteAnswer(place, firstByte, Date.now() - startedAt)
+    host.metrics.observe('first_byte_milliseconds', {}, firstByte)
+    return { kind: 'answer', answer: stored }
+  } catch (error) {
+    const timedOut = Date.now() >= deadline
+    host.connections.drop(connection)
+    if (timedOut) host.admission.orphan(connection.incarnation)
+    else host.connectionLost(connection, request.ticket.fingerprint)
+    if (error instanceof WrongAnswerError) return { kind: 'failure', failure: fail('wrong-answer', Date.now() + retryMilliseconds), claimHolder: '' }
+    return timedOut ? { kind: 'failure', failure: fail('deadline-passed', Date.now() + retryMilliseconds), claimHolder: '' } : lost()
+  }
+}
+
+function lost (): RunResult {
+  return { kind: 'failure', failure: fail('upstream-lost', Date.now() + retryMilliseconds), claimHolder: '' }
+}
+
+/** The upstream answered another request, or in a form whose end cannot be known. */
+class WrongAnswerError extends Error {}
+
+/** Reads a whole answer; its end must be explicit and its request id, when echoed, the same. */
+async function readAnswer (answer: IncomingMessage, id: string, deadline: number): Promise<StoredAnswer> {
+  const echoed = answer.headers[headers.requestId]
+  const hasEnd = answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined || answer.statusCode === 204
+  if ((echoed !== undefined && echoed !== id) || !hasEnd) throw new WrongAnswerError('the answer is not one to this request')
+  const parts: Buffer[] = []
+  let size = 0
+  const timer = setTimeout(() => { answer.destroy(new Error('the answer did not end before the deadline')) }, Math.max(0, deadline - Date.now()))
+  try {
+    for await (const part of answer) {
+      size += (part as Buffer).length
+      if (size > answerBytes) throw new WrongAnswerError('the answer is too large')
+      parts.push(part as Buffer)
+    }
+  } finally {
+    clearTimeout(timer)
+  }
+  if (!answer.complete) throw new Error('the answer was cut')
+  return { status: answer.statusCode ?? 502, contentType: answer.headers['content-type'] ?? 'application/octet-stream', body: Buffer.concat(parts) }
+}
--- a/src/roles/agent/relay.ts
+++ b/src/roles/agent/relay.ts
@@ -1,68 +1,104 @@
-/** Passes admitted requests to the upstream and its answers back, whole or with a stated failure. */
+/** Takes requests from entries and brings each to its whole answer or a stated failure. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { fail, type Failure } from '../../errors.js'
+import { startHop } from '../../plugins/tracing.js'
+import type { Metrics } from '../../plugins/metrics.js'
+import { sendFailure, headerOf } from '../../transports/http-server.js'
+import type { Configuration } from '../../types/configuration.js'
 import { headers } from '../../types/messages.js'
-import { headerOf, readBody, sendFailure } from '../../transports/http-server.js'
-import { sendRequest } from '../../transports/http-client.js'
+import type { Admission } from './admission.js'
+import type { ClaimBook } from './claims.js'
+import type { UpstreamConnections, VerifiedConnection } from './connections.js'
+import type { OutcomeStore } from './outcomes.js'
+import { relayModel } from './relay-model.js'
+import { relayPlain } from './relay-plain.js'
+import { isFailure, readRunRequest, type RunRequest } from './run-request.js'
 
-const bodyBytes = 4 << 20
 const retryMilliseconds = 500
 
-/** What the relay asks of the agent. */
+/** What the relay needs of the agent. */
 export interface RelayHost {
   readonly upstream: string
-  readonly kind: 'model' | 'plain'
-  /** A failure when the request may not run now; otherwise it counts as in flight. */
-  admit (weights: string): Failure | undefined
-  /** The request left the upstream; `firstByteMilliseconds` is undefined when no whole answer came. */
-  release (firstByteMilliseconds: number | undefined): void
+  readonly serviceName: string
+  readonly configuration: Configuration | undefined
+  readonly admission: Admission
+  readonly connections: UpstreamConnections
+  readonly claims: ClaimBook
+  readonly outcomes: OutcomeStore
+  readonly metrics: Metrics
+  /** Why a request for these weights may not enter or be sent now; undefined when it may. */
+  refusal (weights: string): Failure | undefined
+  /** A connection broke while it carried a request. */
+  connectionLost (connection: VerifiedConnection, fingerprint: string): void
 }
 
 /** Handles `POST /run/OPERATION`. */
 export async function relay (host: RelayHost, request: IncomingMessage, response: ServerResponse, operation: string): Promise<void> {
   const id = headerOf(request, headers.requestId)
-  const body = await readBody(request, bodyBytes)
-  if (body === undefined) {
-    sendFailure(response, id, fail('too-large'))
-    return
+  const hop = startHop('agent', headerOf(request, headers.traceParent), { operation, request: id })
+  const failure = await relayChecked(host, request, response, operation, hop.traceParent)
+  host.metrics.count('requests_total', { result: failure?.tag ?? 'passed' })
+  hop.end(failure?.tag)
+}
+
+async function relayChecked (host: RelayHost, request: IncomingMessage, response: ServerResponse, operation: string, traceParent: string): Promise<Failure | undefined> {
+  const refuse = (failure: Failure): Failure => {
+    sendFailure(response, headerOf(request, headers.requestId).slice(0, 64), failure)
+    return failure
   }
-  const weights = headerOf(request, headers.weights)
-  const refusal = host.admit(weights)
-  if (refusal !== undefined) {
-    sendFailure(response, id, refusal)
-    return
+  const { configuration } = host
+  if (configuration === undefined) return refuse(fail('no-configuration', Date.now() + retryMilliseconds))
+  const run = await readRunRequest(request, operation, host.serviceName, configuration)
+  if (isFailure(run)) return refuse(run)
+  const refusal = refusalOf(host, run)
+  if (refusal !== undefined) return refuse(refusal)
+  const traced: RunRequest = { ...run, traceParent }
+  if (configuration.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
+  return await relayPlain(host, traced, response)
+}
+
+/** Why a request may not run now: the agent's state, the gate, or a deadline that has passed. */
+export function refusalOf (host: RelayHost, run: RunRequest): Failure | undefined {
+  if (Date.now() >= run.deadline) return fail('late-deadline', Date.now() + retryMilliseconds)
+  return host.refusal(run.weights)
+}
+
+/** Headers that the upstream gets with a request. */
+export function upstreamHeaders (run: RunRequest, body: Buffer): Readonly<Record<string, string | number>> {
+  return {
+    [headers.requestId]: run.id,
+    [headers.deadline]: String(run.deadline),
+    ...(run.idempotencyKey === '' ? {} : { [headers.idempotencyKey]: run.idempotencyKey }),
+    ...(run.traceParent === '' ? {} : { [headers.traceParent]: run.traceParent }),
+    'content-type': 'application/json',
+    'content-length': body.length
   }
-  const started = Date.now()
-  let firstByte: number | undefined
-  let whole = false
+}
+
+/** Aborts when the entry's connection closes before the answer was written. */
+export function signalOf (response: ServerResponse): AbortSignal {
+  const controller = new AbortController()
+  response.once('close', () => { if (!response.writableFinished) controller.abort() })
+  return controller.signal
+}
+
+/** Takes a connection and a place at the upstream; a failure when there is none, and then nothing was sent. */
+export async function reserve (host: RelayHost, place: Parameters<Admission['begin']>[0], run: RunRequest): Promise<VerifiedConnection | Failure> {
+  const retryAt = Date.now() + retryMilliseconds
   try {
-    const answer = await sendRequest({
-      url: `${host.upstream}${host.kind === 'model' ? '/completions' : `/run/${operation}`}`,
-      method: 'POST',
-      headers: { [headers.requestId]: id, [headers.idempotencyKey]: headerOf(request, headers.idempotencyKey), 'content-type': 'application/json', 'content-length': body.length },
-      body,
-      deadline: Number(headerOf(request, headers.deadline))
-    })
-    firstByte = Date.now() - started
-    await pipeAnswer(answer, response, id, weights)
-    whole = answer.complete
+    const connection = await host.connections.take(run.deadline)
+    if (host.admission.begin(place, connection.incarnation)) return connection
+    host.connections.give(connection)
+    return fail('busy', retryAt)
   } catch {
-    if (response.headersSent) response.destroy()
-    else sendFailure(response, id, fail('upstream-lost', Date.now() + retryMilliseconds))
-  } finally {
-    host.release(whole ? firstByte : undefined)
+    return fail('upstream-refused', retryAt)
   }
 }
 
-async function pipeAnswer (answer: IncomingMessage, response: ServerResponse, id: string, weights: string): Promise<void> {
-  const status = answer.statusCode ?? 502
-  response.writeHead(status, {
-    'content-type': answer.headers['content-type'] ?? 'application/json',
-    [headers.requestId]: id,
-    [headers.weights]: weights,
-    [headers.outcome]: status === 503 ? 'not-run' : 'run'
-  })
-  for await (const part of answer) response.write(part)
-  if (!answer.complete) throw new Error('the answer was cut')
-  response.end()
+/** The last check before a request's first byte; whatever it refuses was not sent. */
+export function lastRefusal (host: RelayHost, run: RunRequest, connection: VerifiedConnection): Failure | undefined {
+  const refusal = refusalOf(host, run)
+  if (refusal !== undefined) return refusal
+  if (host.connections.isUsable(connection) && host.admission.isWithinLimit) return undefined
+  return fail('upstream-refused', Date.now() + retryMilliseconds)
 }
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -11,6 +11,8 @@
   readonly body?: Buffer | string
   readonly deadline: number
   readonly signal?: AbortSignal
+  /** Connections to use in place of the shared ones. */
+  readonly agent?: Agent
 }
 
 /** Says whether the request may have reached the other end before it failed. */
@@ -25,7 +27,7 @@
 export function sendRequest (outgoing: OutgoingRequest): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
     let sent = false
-    const call = request(outgoing.url, { method: outgoing.method, agent: connections, headers: outgoing.headers, signal: outgoing.signal })
+    const call = request(outgoing.url, { method: outgoing.method, agent: outgoing.agent ?? connections, headers: outgoing.headers, signal: outgoing.signal })
     const timer = setTimeout(() => { call.destroy(new Error('no answer before the deadline')) }, Math.max(0, outgoing.deadline - Date.now()))
     call.on('socket', socket => {
       if (socket.connecting) socket.once('connect', () => { sent = true })
@@ -59,7 +61,7 @@
 }
 
 /** Sends JSON, expects 200 with JSON. */
-export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly headers?: OutgoingHttpHeaders, readonly body?: unknown, readonly deadline: number, readonly signal?: AbortSignal }): Promise<unknown> {
+export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly headers?: OutgoingHttpHeaders, readonly body?: unknown, readonly deadline: number, readonly signal?: AbortSignal, readonly agent?: Agent }): Promise<unknown> {
   const body = outgoing.body === undefined ? undefined : JSON.stringify(outgoing.body)
   const contentHeaders = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
   const headers = { ...outgoing.headers, ...contentHeaders }
