Push load at most five times a second, heartbeats once a second

Cause: a watcher cost 254 bytes/s when idle and more with each request. Ruled out: fewer watchers alone, which the entry subset brings anyway. Change: the feed gathers counts for 200 ms; a state, weights, limit, incarnation or suspect change still goes out at once.

--- a/src/roles/agent/status-feed.ts
+++ b/src/roles/agent/status-feed.ts
@@ -1,8 +1,8 @@
 /** Pushes the agent's status to the entries that watch it: at once when it matters, otherwise at intervals. */
 import type { AgentStatus } from '../../types/messages.js'
 
-const heartbeatMilliseconds = 500
-const countsMilliseconds = 50
+const heartbeatMilliseconds = 1000
+const countsMilliseconds = 200
 
 /** The watchers of one agent. */
 export class StatusFeed {
