Test the fan-out through outages, isolation, dead readers and expiry

Cause found by the outage test: questions to peers were put off by each event, so frequent events starved them and the deadline that a witness of an outage grants lapsed on two hops (entry-r1 and entry-r2 refused). Change: a question follows the last one within 800 ms whatever comes; a witness speaks every 800 ms and counts for 4 s.

--- a/src/core/configuration/confirmation.ts
+++ b/src/core/configuration/confirmation.ts
@@ -4,7 +4,9 @@
 /** How long a read of the log's head confirms the configuration, milliseconds. */
 export const confirmationMilliseconds = 4000
 /** How long a witness of the log's outage counts, milliseconds. */
-export const outageMilliseconds = 3000
+export const outageMilliseconds = 4000
+/** Time between two statements of a witness, milliseconds. */
+export const witnessMilliseconds = 800
 /** A node beside the log whose own confirmation has less than this left may be a witness, milliseconds. */
 export const witnessBelowMilliseconds = 2000
 
@@ -56,7 +58,8 @@
 /** A node beside the log that cannot read it, though its neighbours hear it, is a witness of the outage. */
 export function testify (known: Confirmation, around: Surroundings, now: number): Confirmation {
   const isWitness = around.besideLog && around.logFailing && around.neighbourHeard && remaining(known.confirmedUntil, now) < witnessBelowMilliseconds
-  if (!isWitness) return known
+  const statedLately = remaining(known.outageUntil, now) > outageMilliseconds - witnessMilliseconds
+  if (!isWitness || statedLately) return known
   return { ...known, outageUntil: Math.max(known.outageUntil, now + outageMilliseconds) }
 }
 
--- a/src/nodes/followed-peers.ts
+++ b/src/nodes/followed-peers.ts
@@ -3,8 +3,10 @@
 import type { ListedInstance } from '../types/platform.js'
 import { steadyNow } from '../utils/clock.js'
 
-const firstBeatMilliseconds = 600
-const nextBeatMilliseconds = 800
+/** An answer is likely to come this long after the last one: the question goes out a little earlier. */
+const afterEventMilliseconds = 600
+const betweenBeatsMilliseconds = 800
+const leastBetweenBeatsMilliseconds = 400
 const silenceMilliseconds = 3000
 const reopenMilliseconds = 300
 const divergedMilliseconds = 30_000
@@ -49,6 +51,7 @@
   private stream: FollowStream | undefined
   private readonly asked = new Map<number, number>()
   private beat = 0
+  private askedLastAt = 0
   private heardAt = 0
   private beatTimer: NodeJS.Timeout | undefined
   private silenceTimer: NodeJS.Timeout | undefined
@@ -74,7 +77,7 @@
     this.asked.clear()
     const beat = this.nextBeat()
     this.stream = this.client.follow({ instance: this.host.instance, next: this.host.next, beat }, event => { this.receive(event) }, () => { this.reopen(reopenMilliseconds) })
-    this.planBeat(nextBeatMilliseconds)
+    this.planBeat(betweenBeatsMilliseconds)
     this.watchSilence()
   }
 
@@ -84,22 +87,27 @@
     for (const beat of this.asked.keys()) if (beat < event.beat) this.asked.delete(beat)
     this.heardAt = steadyNow()
     this.watchSilence()
-    this.planBeat(firstBeatMilliseconds)
+    this.planBeat(afterEventMilliseconds)
     if (!this.host.receive(event, this.peer, askedAt)) this.reopen(divergedMilliseconds)
   }
 
-  /** The question goes out shortly before the next answer is due, so that the answer's age is small. */
+  /** Plans the next question; frequent events never hold it up. */
   private planBeat (milliseconds: number): void {
+    const now = steadyNow()
+    const latest = this.askedLastAt + betweenBeatsMilliseconds
+    const earliest = this.askedLastAt + leastBetweenBeatsMilliseconds
+    const at = Math.max(earliest, Math.min(latest, now + milliseconds))
     clearTimeout(this.beatTimer)
     this.beatTimer = setTimeout(() => {
       this.stream?.ask(this.nextBeat())
-      this.planBeat(nextBeatMilliseconds)
-    }, milliseconds)
+      this.planBeat(betweenBeatsMilliseconds)
+    }, at - now)
   }
 
   private nextBeat (): number {
     this.beat += 1
-    this.asked.set(this.beat, steadyNow())
+    this.askedLastAt = steadyNow()
+    this.asked.set(this.beat, this.askedLastAt)
     return this.beat
   }
 
--- /dev/null
+++ b/test/fakes/log.ts
@@ -0,0 +1,78 @@
+/** A log in memory, with outages, expiry and lost answers. */
+import { LogClient } from '../../src/transports/log-client.js'
+import type { StoredRecord, StreamPage } from '../../src/types/platform.js'
+
+/** The log; `clientOf` gives each node its own way to it. */
+export class FakeLog {
+  outage = false
+  /** Answers to lose after the append took effect. */
+  answersToLose = 0
+  /** Instances whose way to the log is cut. */
+  readonly cut = new Set<string>()
+  /** Reads by instance. */
+  readonly reads = new Map<string, number>()
+  readonly records: StoredRecord[] = []
+  first = 0
+  private readonly waiting = new Set<() => void>()
+
+  get next (): number {
+    return this.first + this.records.length
+  }
+
+  clientOf (instance: string): LogClient {
+    return new FakeLogClient(this, instance)
+  }
+
+  append (...bodies: readonly string[]): readonly number[] {
+    const offsets = bodies.map(body => this.records.push({ offset: this.next, at: Date.now(), body }) + this.first - 1)
+    for (const wake of this.waiting) wake()
+    return offsets
+  }
+
+  expireBefore (offset: number): void {
+    this.records.splice(0, offset - this.first)
+    this.first = offset
+  }
+
+  async read (instance: string, from: number, waitUntil: number): Promise<StreamPage> {
+    this.reads.set(instance, (this.reads.get(instance) ?? 0) + 1)
+    this.check(instance)
+    if (from >= this.next && waitUntil > Date.now()) await this.change(waitUntil)
+    this.check(instance)
+    return { first: this.first, next: this.next, records: this.records.slice(Math.max(0, from - this.first)).slice(0, 100) }
+  }
+
+  check (instance: string): void {
+    if (this.outage || this.cut.has(instance)) throw new Error('the log cannot be reached')
+  }
+
+  private change (waitUntil: number): Promise<void> {
+    return new Promise(resolve => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.waiting.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, waitUntil - Date.now())
+      this.waiting.add(wake)
+    })
+  }
+}
+
+class FakeLogClient extends LogClient {
+  constructor (private readonly log: FakeLog, private readonly instance: string) {
+    super()
+  }
+
+  async read (_stream: string, from: number, waitUntil: number): Promise<StreamPage> {
+    return await this.log.read(this.instance, from, waitUntil)
+  }
+
+  async append (_stream: string, bodies: readonly string[]): Promise<readonly number[]> {
+    this.log.check(this.instance)
+    const offsets = this.log.append(...bodies)
+    if (this.log.answersToLose === 0) return offsets
+    this.log.answersToLose -= 1
+    throw new Error('the answer was lost')
+  }
+}
