--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -59,15 +59,30 @@
 }
 
 /** Sends JSON, expects 200 with JSON. */
-export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly body?: unknown, readonly deadline: number }): Promise<unknown> {
+export async function requestJson (outgoing: { readonly url: string, readonly method: string, readonly headers?: OutgoingHttpHeaders, readonly body?: unknown, readonly deadline: number, readonly signal?: AbortSignal }): Promise<unknown> {
   const body = outgoing.body === undefined ? undefined : JSON.stringify(outgoing.body)
-  const headers = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+  const contentHeaders = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
+  const headers = { ...outgoing.headers, ...contentHeaders }
   const response = await sendRequest({ ...outgoing, body, headers })
   const answer = await readAll(response, outgoing.deadline)
   if (response.statusCode !== 200) throw new StatusError(response.statusCode ?? 0, answer.toString('utf8').slice(0, 200))
   return JSON.parse(answer.toString('utf8'))
 }
 
+/** JSON with the tag that its server gave it. */
+export interface TaggedJson { readonly tag: string, readonly value: unknown }
+
+/** Reads JSON unless it still has the tag `known`; undefined when it is unchanged. */
+export async function requestChangedJson (url: string, known: string, deadline: number): Promise<TaggedJson | undefined> {
+  const response = await sendRequest({ url, method: 'GET', headers: known === '' ? {} : { 'if-none-match': known }, deadline })
+  const answer = await readAll(response, deadline)
+  if (response.statusCode === notModified) return undefined
+  if (response.statusCode !== 200) throw new StatusError(response.statusCode ?? 0, answer.toString('utf8').slice(0, 200))
+  return { tag: response.headers.etag ?? '', value: JSON.parse(answer.toString('utf8')) }
+}
+
+const notModified = 304
+
 /** An answer with a status other than 200. */
 export class StatusError extends Error {
   constructor (readonly status: number, text: string) {
