--- a/src/core/retry.ts
+++ b/src/core/retry.ts
@@ -4,11 +4,12 @@
 /** Upstreams that one request may be sent to at most. */
 export const mostAttempts = 3
 const burstSeconds = 2
+const milliTokensPerRetry = 1000
 const spreadMilliseconds = 500
 const hexadecimalDigits = 8
 const hexadecimalRange = 2 ** 32
 
-interface Bucket { readonly tokens: number, readonly at: number }
+interface Bucket { readonly milliTokens: number, readonly at: number }
 
 /** Token bucket for each organisation; the first attempt of a request costs nothing. */
 export class RetryBudget {
@@ -16,12 +17,13 @@
 
   /** Takes one retry for an organisation at `now` (epoch milliseconds); false when the budget is spent. */
   take (organisation: string, retriesPerSecond: number, now: number): boolean {
-    const most = retriesPerSecond * burstSeconds
-    const bucket = this.buckets.get(organisation) ?? { tokens: most, at: now }
-    const refill = Math.max(0, now - bucket.at) / 1000 * retriesPerSecond
-    const tokens = Math.min(most, bucket.tokens + refill)
-    const granted = tokens >= 1
-    this.buckets.set(organisation, { tokens: granted ? tokens - 1 : tokens, at: Math.max(now, bucket.at) })
+    const most = retriesPerSecond * burstSeconds * milliTokensPerRetry
+    const bucket = this.buckets.get(organisation) ?? { milliTokens: most, at: now }
+    const refill = Math.max(0, now - bucket.at) * retriesPerSecond
+    const milliTokens = Math.min(most, bucket.milliTokens + refill)
+    const granted = milliTokens >= milliTokensPerRetry
+    const left = granted ? milliTokens - milliTokensPerRetry : milliTokens
+    this.buckets.set(organisation, { milliTokens: left, at: Math.max(now, bucket.at) })
     return granted
   }
 }
--- /dev/null
+++ b/test/entry-quarantine.test.ts
@@ -0,0 +1,123 @@
+import { test } from 'tap'
+import { Quarantine } from '../src/core/quarantine.js'
+import { headers, type SuspectCount } from '../src/types/messages.js'
+import type { EngineRequest } from '../src/types/platform.js'
+import { answerTokens, refuseWith, type Behaviour, type FakeAgent } from './fakes/agent.js'
+import { eventually, World } from './fakes/world.js'
+
+const hour = 3_600_000
+const poison = { prompt: 'poison', maximumTokens: 4 }
+
+function suspect (crashes: number, until: number, fingerprint = 'f'): SuspectCount {
+  return { fingerprint, crashes, until }
+}
+
+type Heard = readonly [instance: string, incarnation: string, suspects: readonly SuspectCount[]]
+const standings: readonly { readonly name: string, readonly heard: readonly Heard[], readonly losses: number, readonly kind: string }[] = [
+  { name: 'nothing', heard: [], losses: 0, kind: 'clear' },
+  { name: 'one crash', heard: [['a', '1', [suspect(1, 200)]]], losses: 0, kind: 'suspect' },
+  { name: 'the same crash told again', heard: [['a', '1', [suspect(1, 200)]], ['a', '1', [suspect(1, 200)]]], losses: 0, kind: 'suspect' },
+  { name: 'two crashes at one agent', heard: [['a', '1', [suspect(2, 200)]]], losses: 0, kind: 'quarantined' },
+  { name: 'a crash at each of two agents', heard: [['a', '1', [suspect(1, 200)]], ['b', '1', [suspect(1, 200)]]], losses: 0, kind: 'quarantined' },
+  { name: 'a crash at each of two incarnations', heard: [['a', '1', [suspect(1, 200)]], ['a', '2', [suspect(1, 200)]]], losses: 0, kind: 'quarantined' },
+  { name: 'a crash that the agent tells no more', heard: [['a', '1', [suspect(1, 200)]], ['a', '1', []]], losses: 0, kind: 'suspect' },
+  { name: 'a crash of which the time is over', heard: [['a', '1', [suspect(1, 100)]]], losses: 0, kind: 'clear' },
+  { name: 'crashes of another fingerprint', heard: [['a', '1', [suspect(2, 200, 'g')]]], losses: 0, kind: 'clear' },
+  { name: 'one lost instance', heard: [], losses: 1, kind: 'clear' },
+  { name: 'two lost instances', heard: [], losses: 2, kind: 'quarantined' }
+]
+
+for (const { name, heard, losses, kind } of standings) {
+  test(`after ${name} a fingerprint is ${kind}`, async t => {
+    const quarantine = new Quarantine()
+    for (const [instance, incarnation, suspects] of heard) quarantine.hear({ instance, incarnation, suspects })
+    for (let loss = 0; loss < losses; loss += 1) quarantine.noteLoss('f', 200)
+    t.equal(quarantine.standing('f', 150).kind, kind)
+    quarantine.prune(150)
+    t.equal(quarantine.standing('f', 150).kind, kind, 'pruning changes nothing that counts')
+  })
+}
+
+/** Crashes on the poisoned prompt as an upstream does: everything running there is cut and suspect. */
+function crashOnPoison (crashes: string[], until: number): Behaviour {
+  const counts = new Map<string, number>()
+  const otherwise = answerTokens(undefined, 20)
+  return async (run, response, agent: FakeAgent) => {
+    const { prompt } = JSON.parse(run.body.toString('utf8')) as EngineRequest
+    if (prompt !== poison.prompt) {
+      await otherwise(run, response, agent)
+      return
+    }
+    crashes.push(agent.listed.instance)
+    const running = agent.runs.filter(other => !other.ended && !other.cancelled)
+    for (const { headers: sent } of running) {
+      const fingerprint = String(sent[headers.fingerprint])
+      counts.set(fingerprint, (counts.get(fingerprint) ?? 0) + 1)
+    }
+    agent.publish({ suspects: [...counts].map(([fingerprint, count]) => ({ fingerprint, crashes: count, until })) })
+    agent.cutAll()
+  }
+}
+
+test('a request that crashes upstreams, sent again and again to different entries, crashes two at most', async t => {
+  const world = await World.start({ entries: 3, citations: ['east', 'east', 'west', 'west'] })
+  t.teardown(() => { world.stop() })
+  const crashes: string[] = []
+  const until = Date.now() + hour
+  for (const agent of world.agents) agent.behave = crashOnPoison(crashes, until)
+  const failures: string[] = []
+  for (let turn = 0; turn < 9; turn += 1) failures.push((await world.call('citations/completions', poison, {}, turn % 3)).failure)
+  t.ok(crashes.length <= 2, `crashed ${crashes.join(', ')}`)
+  const last = await world.call('citations/completions', poison, {}, 1)
+  t.match(last, { status: 422, failure: 'quarantined', outcome: 'not-run' })
+  t.equal((JSON.parse(last.text) as { retryAt: number }).retryAt, until)
+  t.same([...new Set(failures.slice(1))], ['quarantined'])
+  const other = await world.call('citations/completions', { prompt: 'fine', maximumTokens: 3 })
+  t.equal(other.lines.at(-1)?.['type'], 'end', 'others are served')
+})
+
+test('a request that merely ran beside a crash is resumed alone and whole', async t => {
+  const world = await World.start({ citations: ['east', 'west', 'west'] })
+  t.teardown(() => { world.stop() })
+  const crashes: string[] = []
+  for (const agent of world.agents) agent.behave = crashOnPoison(crashes, Date.now() + hour)
+  const [near] = world.agents
+  const beside = world.call('citations/completions', { prompt: 'beside', maximumTokens: 30 })
+  await eventually(() => near?.runs.length === 1)
+  await world.call('citations/completions', poison)
+  const answer = await beside
+  t.equal(answer.lines.length, 31)
+  t.equal(answer.lines.at(-1)?.['type'], 'end')
+  const resumed = world.agents.flatMap(agent => agent.runs).filter(run => run.body.includes('beside'))
+  t.same(resumed.map(run => run.headers[headers.suspect]), [undefined, '1'])
+})
+
+test('a suspect goes to one upstream only', async t => {
+  const world = await World.start({ citations: ['east', 'east', 'west'] })
+  t.teardown(() => { world.stop() })
+  for (const agent of world.agents) agent.behave = answerTokens()
+  await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
+  const fingerprint = String(world.agents.flatMap(agent => agent.runs)[0]?.headers[headers.fingerprint])
+  for (const agent of world.agents) agent.behave = refuseWith('suspect-waits')
+  world.agents[2]?.publish({ suspects: [suspect(1, Date.now() + hour, fingerprint)] })
+  await eventually(async () => (await (await fetch(`${world.urlOf(0)}/status`)).text()).includes(fingerprint))
+  const before = world.runs
+  const answer = await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
+  t.match(answer, { status: 503, failure: 'suspect-waits', outcome: 'not-run' })
+  t.equal(world.runs, before + 1)
+  t.equal(world.agents.flatMap(agent => agent.runs).sort((left, right) => left.at - right.at).at(-1)?.headers[headers.suspect], '1')
+})
+
+test('a request under which a whole instance is lost is resumed without suspicion', async t => {
+  const world = await World.start({ citations: ['east', 'west'] })
+  t.teardown(() => { world.stop() })
+  const [near, far] = world.agents
+  if (near !== undefined) near.behave = answerTokens(undefined, 30)
+  const answering = world.call('citations/completions', { prompt: 'long', maximumTokens: 20 })
+  await eventually(() => near?.runs.length === 1)
+  near?.stop()
+  const answer = await answering
+  t.equal(answer.lines.length, 21)
+  t.equal(answer.lines.at(-1)?.['type'], 'end')
+  t.equal(far?.runs[0]?.headers[headers.suspect], undefined)
+})
--- /dev/null
+++ b/test/entry-stop.test.ts
@@ -0,0 +1,125 @@
+import { setTimeout as wait } from 'node:timers/promises'
+import { test } from 'tap'
+import type { Located } from '../src/types/messages.js'
+import type { RequestRecord } from '../src/roles/entry/journal.js'
+import { tokenAt } from '../stand-in/engine.js'
+import { answerTokens } from './fakes/agent.js'
+import { eventually, newWeights, World } from './fakes/world.js'
+
+async function locate (url: string): Promise<Located> {
+  return await (await fetch(`${url}/locate?organisation=troop&service=citations&prefix=a`)).json() as Located
+}
+
+test('a planned stop of an entry cuts no request', async t => {
+  const world = await World.start({ entries: 3, citations: ['east', 'east', 'west'] })
+  t.teardown(() => { world.stop() })
+  for (const agent of world.agents) agent.behave = answerTokens(undefined, 10)
+  const first = await locate(world.urlOf(0))
+  const leaving = world.entries.find(({ listed }) => listed.address === first.address)
+  const staying = world.entries.filter(entry => entry !== leaving)
+  if (leaving === undefined) throw new Error('the located entry is none of the world')
+  const ended = new AbortController()
+  const calls: { whole: boolean, address: string }[] = []
+  const callOn = async (ask: string, index: number): Promise<void> => {
+    while (!ended.signal.aborted) {
+      const { address, until } = await locate(ask)
+      while (Date.now() < until && !ended.signal.aborted) {
+        const prompt = `caller ${index} ${calls.length}`
+        const response = await fetch(`http://${address}/services/citations/completions`, { method: 'POST', headers: { 'pollendyke-organisation': 'troop' }, body: JSON.stringify({ prompt, maximumTokens: 15 }) })
+        const lines = (await response.text()).trim().split('\n').map(line => JSON.parse(line) as Record<string, unknown>)
+        const right = lines.slice(0, 15).every((line, position) => line['token'] === tokenAt(newWeights, prompt, position))
+        calls.push({ whole: right && lines[15]?.['type'] === 'end', address })
+      }
+    }
+  }
+  const callers = [0, 1, 2, 3].map(async index => { await callOn(staying[index % 2]?.url ?? '', index) })
+  await eventually(() => calls.some(({ address }) => address === leaving.listed.address))
+  const stopping = leaving.node.stop()
+  await eventually(async () => (await locate(staying[0]?.url ?? '')).address !== leaving.listed.address)
+  await stopping
+  const after = calls.length
+  await eventually(() => calls.length > after + 4)
+  ended.abort()
+  await Promise.all(callers)
+  t.same(calls.filter(({ whole }) => !whole), [], 'every answer is whole')
+  t.ok(calls.some(({ address }) => address !== leaving.listed.address))
+  t.same(world.agents.flatMap(agent => agent.runs).filter(run => run.cancelled), [], 'no upstream saw a cut request')
+  t.not((await locate(staying[0]?.url ?? '')).address, leaving.listed.address)
+})
+
+test('a stopping entry finishes a long answer and refuses new requests with the truth', async t => {
+  const world = await World.start({ citations: ['east'], settings: { progressMilliseconds: 60_000 } })
+  t.teardown(() => { world.stop() })
+  const [agent] = world.agents
+  let refused = false
+  if (agent !== undefined) {
+    agent.otherwise = 'running'
+    agent.behave = async (run, response) => {
+      if (run.body.includes('long')) await eventually(() => refused)
+      await answerTokens()(run, response, agent)
+    }
+  }
+  const long = world.call('citations/completions', { prompt: 'long', maximumTokens: 150 })
+  await eventually(() => agent?.runs.length === 1)
+  const stopping = world.entries[0]?.node.stop()
+  await eventually(async () => {
+    const answer = await world.call('citations/completions', { prompt: 'x', maximumTokens: 1 })
+    if (answer.failure !== 'leaving') return false
+    t.match(answer, { status: 503, outcome: 'not-run' })
+    t.equal(answer.headers.get('connection'), 'close')
+    t.equal(answer.headers.get('retry-after'), '0')
+    return true
+  })
+  refused = true
+  await stopping
+  const answer = await long
+  t.equal(answer.lines.at(-1)?.['type'], 'end')
+})
+
+test('a data centre that is out gets no new work from any entry, though its agents do not know yet', async t => {
+  const world = await World.start({ entries: 3, citations: ['east', 'west'], settings: { dataCentre: 'west', region: 'two' } })
+  t.teardown(() => { world.stop() })
+  const west = world.agents.find(agent => agent.listed.dataCentre === 'west')
+  const ask = async (): Promise<void> => {
+    for (const index of world.entries.keys()) await world.call('citations/completions', { prompt: 'x', maximumTokens: 1 }, {}, index)
+  }
+  await ask()
+  t.equal(west?.runs.length, 3, 'near entries prefer it while it is in')
+  await world.change({ kind: 'data-centre', dataCentre: 'west', state: 'out' }, 0)
+  for (const index of world.entries.keys()) {
+    await eventually(async () => (await (await fetch(`${world.urlOf(index)}/status`)).json() as { node: { revision: number } }).node.revision === 1)
+  }
+  for (let turn = 0; turn < 5; turn += 1) await ask()
+  t.equal(west?.runs.length, 3)
+  await world.change({ kind: 'data-centre', dataCentre: 'west', state: 'in' }, 1)
+  await eventually(async () => {
+    await ask()
+    return (west?.runs.length ?? 0) > 3
+  })
+})
+
+test('an upstream that the list calls leaving gets no new work', async t => {
+  const world = await World.start({ citations: ['east', 'west'] })
+  t.teardown(() => { world.stop() })
+  const [near] = world.agents
+  world.publishList(listed => listed.instance === near?.listed.instance ? { ...listed, state: 'leaving' } : listed)
+  await world.settled(1)
+  await world.call('citations/completions', { prompt: 'x', maximumTokens: 1 })
+  t.equal(near?.runs.length, 0)
+})
+
+test('an entry tells of recent requests and its metrics, without bodies or keys', async t => {
+  const world = await World.start({ ledger: ['east'] })
+  t.teardown(() => { world.stop() })
+  const answer = await world.call('ledger/sign-off', 'secret body', { 'idempotency-key': 'secret-key' })
+  const id = answer.headers.get('pollendyke-request-id') ?? ''
+  await wait(0)
+  const text = await (await fetch(`${world.urlOf(0)}/requests/${id}`)).text()
+  const record = JSON.parse(text) as RequestRecord
+  t.match(record, { id, service: 'ledger', operation: 'sign-off', organisation: 'troop', outcome: 'run', failure: '', attempts: [{ instance: 'ledger-0', result: 'answered' }] })
+  t.notMatch(text, /secret/)
+  const metrics = await (await fetch(`${world.urlOf(0)}/metrics`)).text()
+  t.match(metrics, /pollendyke_requests_total\{.*service="ledger".*outcome="run".*\} 1/)
+  t.match(metrics, /pollendyke_answer_milliseconds\{.*quantile="0.95"\}/)
+  t.equal((await fetch(`${world.urlOf(0)}/requests/nothing`)).status, 404)
+})
--- a/test/fakes/agent.ts
+++ b/test/fakes/agent.ts
@@ -40,6 +40,7 @@
   status: AgentStatus
   behave: Behaviour
   private readonly watchers = new Set<(status: AgentStatus) => void>()
+  private readonly open = new Set<ServerResponse>()
   private http: HttpServer | undefined
   private control: ControlServer | undefined
   private heartbeat: NodeJS.Timeout | undefined
@@ -61,7 +62,9 @@
       response.on('close', () => {
         run.ended = response.writableFinished
         run.cancelled = !response.writableFinished
+        this.open.delete(response)
       })
+      this.open.add(response)
       await this.behave(run, response, this)
     })
     this.control = await serveControl(this.listed.controlAddress, this)
@@ -75,6 +78,11 @@
     this.http?.server.close()
   }
 
+  /** Cuts every answer that is under way, as a crash of the upstream does. */
+  cutAll (): void {
+    for (const response of this.open) response.destroy()
+  }
+
   /** Changes the status and tells every entry. */
   publish (change: Partial<AgentStatus>): void {
     this.status = { ...this.status, ...change }
