--- a/test/entry-quarantine.test.ts
+++ b/test/entry-quarantine.test.ts
@@ -92,21 +92,23 @@
   t.same(resumed.map(run => run.headers[headers.suspect]), [undefined, '1'])
 })
 
-test('a suspect goes to one upstream only', async t => {
-  const world = await World.start({ citations: ['east', 'east', 'west'] })
-  t.teardown(() => { world.stop() })
-  for (const agent of world.agents) agent.behave = answerTokens()
-  await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
-  const fingerprint = String(world.agents.flatMap(agent => agent.runs)[0]?.headers[headers.fingerprint])
-  for (const agent of world.agents) agent.behave = refuseWith('suspect-waits')
-  world.agents[2]?.publish({ suspects: [suspect(1, Date.now() + hour, fingerprint)] })
-  await eventually(async () => (await (await fetch(`${world.urlOf(0)}/status`)).text()).includes(fingerprint))
-  const before = world.runs
-  const answer = await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
-  t.match(answer, { status: 503, failure: 'suspect-waits', outcome: 'not-run' })
-  t.equal(world.runs, before + 1)
-  t.equal(world.agents.flatMap(agent => agent.runs).sort((left, right) => left.at - right.at).at(-1)?.headers[headers.suspect], '1')
-})
+for (const tag of ['suspect-waits', 'busy'] as const) {
+  test(`a suspect that is refused with ${tag} goes to one upstream only`, async t => {
+    const world = await World.start({ citations: ['east', 'east', 'west'] })
+    t.teardown(() => { world.stop() })
+    for (const agent of world.agents) agent.behave = answerTokens()
+    await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
+    const fingerprint = String(world.agents.flatMap(agent => agent.runs)[0]?.headers[headers.fingerprint])
+    for (const agent of world.agents) agent.behave = refuseWith(tag)
+    world.agents[2]?.publish({ suspects: [suspect(1, Date.now() + hour, fingerprint)] })
+    await eventually(async () => (await (await fetch(`${world.urlOf(0)}/status`)).text()).includes(fingerprint))
+    const before = world.runs
+    const answer = await world.call('citations/completions', { prompt: 'odd', maximumTokens: 2 })
+    t.match(answer, { status: 503, failure: tag, outcome: 'not-run' })
+    t.equal(world.runs, before + 1)
+    t.equal(world.agents.flatMap(agent => agent.runs).sort((left, right) => left.at - right.at).at(-1)?.headers[headers.suspect], '1')
+  })
+}
 
 test('a request under which a whole instance is lost is resumed without suspicion', async t => {
   const world = await World.start({ citations: ['east', 'west'] })
