Learn the pace of outside draws apart from peer draws, poll less

Idle instances also polled every 100 ms although they knew what to draw (39666 polls). Ruled out: the processor of the measuring machine (workers were under it). Change: two learned times; fast polls only while nothing is known to draw.

--- a/script/measure/pool.ts
+++ b/script/measure/pool.ts
@@ -58,8 +58,7 @@
 
   /** Ends a member as a crash would: connections are cut, the list still names it. */
   kill (member: PoolMember): void {
-    member.exchange.stop()
-    endServer(member.server)
+    killMember(member)
   }
 
   /** Sets the target of every member. */
@@ -67,30 +66,61 @@
     for (const member of this.members) member.exchange.want({ manifest, finishBy })
   }
 
-  private async addMember (index: number, sources: { readonly origin: string, readonly store: string }): Promise<void> {
-    const instance = `model-${index}`
-    const dataCentre = `data-centre-${index % this.settings.dataCentres}`
-    const holder: { member?: PoolMember } = {}
-    const { server, port } = await serveHttp('127.0.0.1:0', async (request, response) => {
-      const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
-      holder.member?.exchange.handle(request, response, path)
-    })
-    const options = {
-      instance,
-      dataCentre,
-      ...sources,
-      linkBytes: this.settings.linkBytes,
-      members: () => this.listed,
-      served: () => holder.member?.served ?? '',
-      load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: 8 })
-    }
-    const exchange = new WeightExchange(options, () => {}, this.settings.makeFetcher)
-    holder.member = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0 }
-    this.members = [...this.members, holder.member]
-    this.listed = [...this.listed, { instance, dataCentre, address: holder.member.address }]
+  private async addMember (index: number, sources: Sources): Promise<void> {
+    const { dataCentres, linkBytes, makeFetcher } = this.settings
+    const member = await startMember({ index, dataCentres, linkBytes, sources, listed: () => this.listed, makeFetcher })
+    const { instance, dataCentre, address } = member
+    this.members = [...this.members, member]
+    this.listed = [...this.listed, { instance, dataCentre, address }]
   }
 }
 
+/** Base URLs of origin and store. */
+export interface Sources {
+  readonly origin: string
+  readonly store: string
+}
+
+/** What one member needs. */
+export interface MemberSettings {
+  readonly index: number
+  readonly dataCentres: number
+  readonly linkBytes: number
+  readonly sources: Sources
+  readonly listed: () => readonly ExchangeMember[]
+  readonly makeFetcher: MakeFetcher | undefined
+}
+
+/** Starts one member: an exchange behind its own HTTP server. */
+export async function startMember (settings: MemberSettings): Promise<PoolMember> {
+  const instance = `model-${settings.index}`
+  const dataCentre = `data-centre-${settings.index % settings.dataCentres}`
+  const holder: { member?: PoolMember } = {}
+  const { server, port } = await serveHttp('127.0.0.1:0', async (request, response) => {
+    const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
+    holder.member?.exchange.handle(request, response, path)
+  })
+  const options = {
+    instance,
+    dataCentre,
+    ...settings.sources,
+    linkBytes: settings.linkBytes,
+    members: settings.listed,
+    served: () => holder.member?.served ?? '',
+    load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: 8 })
+  }
+  const exchange = new WeightExchange(options, () => {}, settings.makeFetcher)
+  const member: PoolMember = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0 }
+  holder.member = member
+  return member
+}
+
+/** Ends a member as a crash would: connections are cut. */
+export function killMember (member: PoolMember): void {
+  member.exchange.stop()
+  endServer(member.server)
+}
+
 function endServer (server: Server): void {
   server.close()
   server.closeAllConnections()
--- a/src/core/weights/bitmap.ts
+++ b/src/core/weights/bitmap.ts
@@ -25,6 +25,11 @@
   return Uint8Array.from(left, (byte, index) => byte | (right[index] ?? 0))
 }
 
+/** Whether the first set has a position that the second lacks. */
+export function hasOther (bitmap: Bitmap, lacking: Bitmap): boolean {
+  return bitmap.some((byte, index) => (byte & ~(lacking[index] ?? 0)) !== 0)
+}
+
 /** How many of the first `total` positions are in the set. */
 export function countBits (bitmap: Bitmap, total: number): number {
   let count = 0
--- a/src/roles/agent/exchange-fetcher.ts
+++ b/src/roles/agent/exchange-fetcher.ts
@@ -1,4 +1,5 @@
 /** How the chunks of one manifest are fetched; behaviours differ, so that measurements can compare them. */
+import { setMaxListeners } from 'node:events'
 import type { IncomingHttpHeaders } from 'node:http'
 import type { WantedWeights } from '../../types/weights.js'
 import type { LinkLimiter } from '../../utils/link-limiter.js'
@@ -19,7 +20,9 @@
 export abstract class ChunkFetcher {
   protected readonly stopping = new AbortController()
 
-  constructor (protected readonly context: FetchContext, readonly wanted: WantedWeights) {}
+  constructor (protected readonly context: FetchContext, readonly wanted: WantedWeights) {
+    setMaxListeners(0, this.stopping.signal)
+  }
 
   abstract start (): void
 
--- a/src/roles/agent/exchange-outside.ts
+++ b/src/roles/agent/exchange-outside.ts
@@ -6,7 +6,7 @@
 const storeSlots = 1
 const faultsBeforeAvoidance = 3
 const avoidMilliseconds = 3000
-const pauseMilliseconds = 50
+const pauseMilliseconds = 0
 
 interface Outside {
   readonly id: string
--- a/src/roles/agent/exchange-peers.ts
+++ b/src/roles/agent/exchange-peers.ts
@@ -12,6 +12,8 @@
 const knownPeers = 24
 
 const faultsBeforeAvoidance = 2
+/** Refusals from which on the wait no longer grows. */
+const mostRefusals = 4
 const avoidMilliseconds = 5000
 const pauseMilliseconds = 200
 
@@ -21,6 +23,8 @@
   inFlight: number
   backAt: number
   faults: number
+  /** Busy answers since the last chunk; each makes the wait longer. */
+  refusals: number
   heardAt: number
 }
 
@@ -44,7 +48,7 @@
   add (member: ExchangeMember | undefined): void {
     if (member === undefined || member.instance === this.instance) return
     if (this.peers.has(member.instance) || this.peers.size >= knownPeers) return
-    this.peers.set(member.instance, { member, held: emptyBitmap(this.total), inFlight: 0, backAt: 0, faults: 0, heardAt: 0 })
+    this.peers.set(member.instance, { member, held: emptyBitmap(this.total), inFlight: 0, backAt: 0, faults: 0, refusals: 0, heardAt: 0 })
   }
 
   get views (): readonly PeerView[] {
@@ -92,12 +96,17 @@
 
   noteBusy (instance: string, backAt: number): void {
     const peer = this.peers.get(instance)
-    if (peer !== undefined) peer.backAt = backAt
+    if (peer === undefined) return
+    peer.refusals += 1
+    const now = Date.now()
+    peer.backAt = now + (backAt - now) * Math.min(peer.refusals, mostRefusals)
   }
 
   noteGood (instance: string): void {
     const peer = this.peers.get(instance)
-    if (peer !== undefined) peer.faults = 0
+    if (peer === undefined) return
+    peer.faults = 0
+    peer.refusals = 0
   }
 
   /** Blames a peer; after repeated faults it is left alone for a while. */
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -1,7 +1,7 @@
 /** Fetches a manifest together with the peers of the data centre: each chunk from outside once, then among peers. */
 import type { IncomingHttpHeaders } from 'node:http'
 import PQueue from 'p-queue'
-import { hasBit, parseBitmap } from '../../core/weights/bitmap.js'
+import { hasBit, hasOther, parseBitmap } from '../../core/weights/bitmap.js'
 import { dutiesOf, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
 import { requestJson } from '../../transports/http-client.js'
 import { runInBackground } from '../../utils/background.js'
@@ -27,7 +27,9 @@
 const stallMilliseconds = 1500
 const longestDrawMilliseconds = 120_000
 const hedgeFactor = 6
+const learnFactor = 8
 const rankFactor = 4
+const pollFactor = 8
 const leastRankMilliseconds = 750
 const lostHolderMilliseconds = 2000
 const assumedLinkBytes = 50 << 20
@@ -44,8 +46,9 @@
   private peerDraws = 0
   private membersKey = ''
   private duties: Duties = { order: [], ranks: [] }
-  /** Expected time of one draw, milliseconds; learned. */
-  private drawMilliseconds = 0
+  /** Usual time of one draw from a peer and from outside, milliseconds; learned. */
+  private peerMilliseconds = 0
+  private outsideMilliseconds = 0
 
   start (): void {
     runInBackground(this.run(), log, 'fetch weights')
@@ -67,7 +70,8 @@
     const weights = await findManifest(options, holdings, this.wanted.manifest, () => this.localMembers(), signal)
     if (weights === undefined) return
     this.peers = new PeerTable(weights.digest, options.instance, weights.manifest.chunks.length)
-    this.drawMilliseconds = weights.manifest.chunkBytes * originWindow / (options.linkBytes || assumedLinkBytes) * 1000
+    this.peerMilliseconds = weights.manifest.chunkBytes * peerSlots / (options.linkBytes || assumedLinkBytes) * 1000
+    this.outsideMilliseconds = weights.manifest.chunkBytes * originWindow / (options.linkBytes || assumedLinkBytes) * 1000
     this.context.onChange()
     while (!signal.aborted && !isWholeSet(this.weights(weights))) {
       this.refreshMembers(weights)
@@ -120,7 +124,7 @@
       peers: this.peers.views,
       peerSlots: peerSlots - this.peerDraws,
       sources: ready ? this.sources.views : [],
-      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.drawMilliseconds),
+      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.outsideMilliseconds),
       drawsPerPeer,
       turn: parseInt(digestBytes(this.context.options.instance).slice(0, 6), 16) % total
     }
@@ -143,7 +147,8 @@
   }
 
   private launch (weights: HeldWeights, draw: Draw): void {
-    const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * this.drawMilliseconds)
+    const usual = draw.kind === 'outside' ? this.outsideMilliseconds : this.peerMilliseconds
+    const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * usual)
     const flight = this.flights.get(draw.position) ?? { sources: [], hedgeAt }
     flight.sources.push(draw.source)
     flight.hedgeAt = hedgeAt
@@ -209,9 +214,13 @@
   }
 
   private noteGood (draw: Draw, milliseconds: number): void {
-    this.drawMilliseconds += (milliseconds - this.drawMilliseconds) / 8
-    if (draw.kind === 'outside') this.sources.noteGood(draw.source)
-    else this.peers.noteGood(draw.source)
+    if (draw.kind === 'outside') {
+      this.outsideMilliseconds += (milliseconds - this.outsideMilliseconds) / learnFactor
+      this.sources.noteGood(draw.source)
+    } else {
+      this.peerMilliseconds += (milliseconds - this.peerMilliseconds) / learnFactor
+      this.peers.noteGood(draw.source)
+    }
   }
 
   private noteBad (draw: Draw, result: ChunkResult): void {
@@ -246,12 +255,19 @@
 
   private poll (weights: HeldWeights): void {
     const chunkMilliseconds = weights.manifest.chunkBytes / (this.context.options.linkBytes || assumedLinkBytes) * 1000
-    const interval = Math.min(pollMilliseconds.most, Math.max(pollMilliseconds.least, rankFactor * chunkMilliseconds))
+    const usual = Math.min(pollMilliseconds.most, Math.max(pollMilliseconds.least, pollFactor * chunkMilliseconds))
+    const interval = this.isStarved(weights) ? pollMilliseconds.least : usual
     for (const member of this.peers.unheardSince(Date.now() - interval)) {
       if (!this.polling.has(member.instance)) runInBackground(this.ask(weights, member), log, 'ask a peer')
     }
   }
 
+  /** Whether no peer is known to hold anything that is missing here. */
+  private isStarved (weights: HeldWeights): boolean {
+    const { held } = this.weights(weights)
+    return this.peerDraws === 0 && !this.peers.views.some(peer => hasOther(peer.held, held))
+  }
+
   private async ask (weights: HeldWeights, member: ExchangeMember): Promise<void> {
     this.polling.add(member.instance)
     try {
--- a/src/roles/agent/exchange-uploads.ts
+++ b/src/roles/agent/exchange-uploads.ts
@@ -18,6 +18,8 @@
   private earliest = { finishBy: Number.MAX_SAFE_INTEGER, until: 0 }
   /** Bytes of chunks sent to peers. */
   sentBytes = 0
+  /** Answers given to peers. */
+  readonly answers = { chunks: 0, busy: 0, missing: 0, held: 0 }
 
   constructor (private readonly options: ExchangeOptions, private readonly holdings: Holdings, private readonly outgoing: LinkLimiter, private readonly swap: () => SwapState) {}
 
@@ -46,6 +48,7 @@
 
   /** Answers `GET /weights/DIGEST/held`. */
   sendHeld (response: ServerResponse, digest: string, knownVersion: number): void {
+    this.answers.held += 1
     const weights = this.holdings.get(digest)
     const { inFlight, limit } = this.options.load()
     const version = weights?.version ?? 0
@@ -60,6 +63,7 @@
     const weights = this.holdings.get(headerOf(request, heldHeaderNames.manifest))
     const headers = weights === undefined ? {} : this.headers(weights)
     if (chunk === undefined) {
+      this.answers.missing += 1
       this.refuse(response, 404, headers)
       return
     }
@@ -67,10 +71,12 @@
     this.noteUrgency(finishBy)
     const decision = decideUpload({ running: this.running, finishBy, earliestFinishBy: this.earliest.finishBy, uploadMilliseconds: this.uploadMilliseconds })
     if (decision.type === 'busy') {
+      this.answers.busy += 1
       this.refuse(response, 503, { ...headers, [heldHeaderNames.retryMilliseconds]: String(decision.retryMilliseconds) })
       return
     }
     response.writeHead(200, { 'content-type': 'application/octet-stream', 'content-length': chunk.length, ...headers })
+    this.answers.chunks += 1
     await this.upload(response, chunk)
   }
 
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -14,6 +14,13 @@
 
 const log = logFor('exchange')
 
+/** Memory and traffic of an exchange. */
+export interface ExchangeUsage {
+  readonly heldBytes: number
+  readonly sentBytes: number
+  readonly answers: Readonly<Record<'chunks' | 'busy' | 'missing' | 'held', number>>
+}
+
 /** Makes the fetcher of one manifest. */
 export type MakeFetcher = (context: FetchContext, wanted: WantedWeights) => ChunkFetcher
 
@@ -62,9 +69,9 @@
     return weights !== undefined && isWholeSet(weights)
   }
 
-  /** Bytes of chunks in memory, and bytes sent to peers. */
-  get usage (): { readonly heldBytes: number, readonly sentBytes: number } {
-    return { heldBytes: this.holdings.bytes, sentBytes: this.uploads.sentBytes }
+  /** Bytes of chunks in memory, bytes sent to peers, and answers given to them. */
+  get usage (): ExchangeUsage {
+    return { heldBytes: this.holdings.bytes, sentBytes: this.uploads.sentBytes, answers: this.uploads.answers }
   }
 
   stop (): void {
--- a/stand-in/weights.ts
+++ b/stand-in/weights.ts
@@ -54,6 +54,9 @@
   private answers = 0
   /** Bytes of chunks sent since the start. */
   sentBytes = 0
+  /** Epoch milliseconds at which the first and the last byte of a chunk were sent; 0 before. */
+  firstByteAt = 0
+  lastByteAt = 0
   /** How often each chunk was asked for. */
   readonly asked = new Map<string, number>()
 
@@ -130,6 +133,8 @@
       const slice = bytes.subarray(offset, offset + sliceBytes)
       await this.link.take(slice.length)
       this.sentBytes += slice.length
+      this.lastByteAt = Date.now()
+      if (this.firstByteAt === 0) this.firstByteAt = this.lastByteAt
       response.write(slice)
     }
   }
