--- a/src/roles/agent/exchange-manifest.ts
+++ b/src/roles/agent/exchange-manifest.ts
@@ -15,12 +15,12 @@
 const peersOnlyMilliseconds = 1500
 
 /** Resolves with the verified manifest, or with undefined once `signal` aborts. */
-export async function findManifest (options: ExchangeOptions, holdings: Holdings, digest: string, members: () => readonly ExchangeMember[], signal: AbortSignal): Promise<HeldWeights | undefined> {
+export async function findManifest (options: ExchangeOptions, holdings: Holdings, digest: string, signal: AbortSignal): Promise<HeldWeights | undefined> {
   const known = holdings.get(digest)
   if (known !== undefined) return known
   const outsideFrom = Date.now() + peersOnlyMilliseconds
   while (!signal.aborted) {
-    for (const url of placesToAsk(options, digest, members(), Date.now() >= outsideFrom)) {
+    for (const url of placesToAsk(options, digest, Date.now() >= outsideFrom)) {
       const manifest = await ask(url, digest, signal)
       if (signal.aborted) return undefined
       if (manifest !== undefined) return holdings.addManifest(digest, manifest)
@@ -30,16 +30,23 @@
   return undefined
 }
 
-/** Base URLs in the order in which they are asked. */
-function placesToAsk (options: ExchangeOptions, digest: string, members: readonly ExchangeMember[], late: boolean): readonly string[] {
-  const others = members.filter(member => member.instance !== options.instance)
+/** Base URLs in the order in which they are asked; other data centres last, and only late. */
+function placesToAsk (options: ExchangeOptions, digest: string, late: boolean): readonly string[] {
+  const everyone = options.members(digest)
+  const others = everyone.filter(member => member.dataCentre === options.dataCentre && member.instance !== options.instance)
   const ranked = rankMembers(digest, [...others.map(member => member.instance), options.instance])
   const first = ranked.slice(0, firstAskers)
-  const peers = first.flatMap(instance => others.filter(member => member.instance === instance)).map(member => `http://${member.address}`)
+  const peers = first.flatMap(instance => others.filter(member => member.instance === instance)).map(urlOf)
   const outside = [options.origin, options.store].filter(url => url !== undefined)
-  if (first.includes(options.instance)) return [...outside, ...peers]
-  if (!late) return peers
-  return [...peers, ...others.map(member => `http://${member.address}`).slice(0, firstAskers), ...outside]
+  const remote = everyone.filter(member => member.dataCentre !== options.dataCentre)
+  const farPeers = rankMembers(`${digest}/${options.instance}`, remote.map(urlOf)).slice(0, firstAskers)
+  const near = first.includes(options.instance) ? [...outside, ...peers] : peers
+  if (!late) return near
+  return [...near, ...others.map(urlOf).slice(0, firstAskers), ...outside, ...farPeers]
+}
+
+function urlOf (member: ExchangeMember): string {
+  return `http://${member.address}`
 }
 
 async function ask (url: string, digest: string, signal: AbortSignal): Promise<Manifest | undefined> {
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -67,7 +67,7 @@
   private async run (): Promise<void> {
     const { signal } = this.stopping
     const { options, holdings } = this.context
-    const weights = await findManifest(options, holdings, this.wanted.manifest, () => this.localMembers(), signal)
+    const weights = await findManifest(options, holdings, this.wanted.manifest, signal)
     if (weights === undefined) return
     this.peers = new PeerTable(weights.digest, options.instance, weights.manifest.chunks.length)
     this.peerMilliseconds = weights.manifest.chunkBytes * peerSlots / (options.linkBytes || assumedLinkBytes) * 1000
@@ -91,12 +91,15 @@
   }
 
   private refreshMembers (weights: HeldWeights): void {
+    const { options } = this.context
+    const everyone = options.members(this.wanted.manifest)
     const members = this.localMembers()
-    const key = members.map(member => `${member.instance}@${member.address}`).join(' ')
+    const key = everyone.map(member => `${member.instance}@${member.address}`).join(' ')
     if (key === this.membersKey && this.duties.order.length > 0) return
     this.membersKey = key
     this.peers.setMembers(members)
-    this.duties = dutiesOf(weights.manifest.chunks, this.context.options.instance, members.map(member => member.instance))
+    this.sources.setRemote(`${weights.digest}/${options.instance}`, everyone.filter(member => member.dataCentre !== options.dataCentre))
+    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance))
   }
 
   /** Starts every draw that can start now. */
