--- a/bin/pollendyked.ts
+++ b/bin/pollendyked.ts
@@ -4,26 +4,22 @@
 import { FindingsError } from '../src/errors.js'
 import { startAgent } from '../src/roles/agent/agent.js'
 import { startEntry } from '../src/roles/entry/entry.js'
-import { daemonSettingsSchema, type DaemonSettings } from '../src/types/settings.js'
+import type { RunningNode } from '../src/nodes/running-node.js'
+import type { DaemonSettings } from '../src/types/settings.js'
 import { runInBackground } from '../src/utils/background.js'
 import { logFor, writeLogs } from '../src/utils/log.js'
-import { readSettings } from '../src/utils/settings.js'
+import { daemonExamples, daemonFlags, readDaemonSettings } from '../src/utils/daemon-flags.js'
+import { flagOf, placeOf, variableOf } from '../src/utils/settings.js'
 
 const log = logFor('stop')
 
 /** Exit codes of the daemon. */
 const exitCodes = { stopped: 0, failed: 1, badSettings: 2 } as const
 
-const settingNames = [
-  'role', 'instance', 'dataCentre', 'region', 'listen', 'control', 'log', 'instances', 'logLevel', 'trace',
-  'bodyBytes', 'locateMilliseconds', 'requestMilliseconds',
-  'service', 'upstream', 'origin', 'store', 'linkBytes'
-] as const
-
 async function main (): Promise<void> {
   const settings = settingsOrExit()
   writeLogs(settings.logLevel)
-  const node = settings.role === 'entry' ? await startEntry(settings) : await startAgent(settings)
+  const node = await startNode(settings)
   const stop = async (): Promise<void> => {
     await node.stop()
     process.exit(exitCodes.stopped)
@@ -33,22 +29,50 @@
   process.stdout.write(`ready ${settings.instance}\n`)
 }
 
+async function startNode (settings: DaemonSettings): Promise<RunningNode> {
+  try {
+    return settings.role === 'entry' ? await startEntry(settings) : await startAgent(settings)
+  } catch (error) {
+    process.stderr.write(`pollendyked: ${explainStart(error, settings)}\n`)
+    process.exit(exitCodes.failed)
+  }
+}
+
 function settingsOrExit (): DaemonSettings {
-  const program = cac('pollendyked')
-  for (const name of settingNames) program.option(`--${name.replaceAll(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)} <value>`, '')
-  program.help()
-  const { options } = program.parse(process.argv)
-  if (options['help'] === true) process.exit(exitCodes.stopped)
-  const { '--': _rest, ...flags } = options
   try {
-    return readSettings(daemonSettingsSchema, settingNames, { flags, environment: process.env })
+    const { flags, words } = readFlags()
+    return readDaemonSettings({ flags, environment: process.env }, words)
   } catch (error) {
     if (!(error instanceof FindingsError)) throw error
-    for (const finding of error.findings) process.stderr.write(`pollendyked: ${finding.place}: ${finding.problem}\n`)
+    for (const { place, problem } of error.findings) process.stderr.write(`pollendyked: ${place}: ${problem}\n`)
     process.exit(exitCodes.badSettings)
   }
 }
 
+/** Reads the command line; `--help` ends the program. */
+function readFlags (): { readonly flags: Readonly<Record<string, unknown>>, readonly words: readonly string[] } {
+  const program = cac('pollendyked')
+  program.usage('--role entry|agent [options]')
+  for (const { name, value, text } of daemonFlags) program.option(`${flagOf(name)} <${value}>`, `${text} [${variableOf(name)}]`)
+  for (const example of daemonExamples) program.example(example)
+  program.help()
+  const { args, options } = program.parse(process.argv)
+  if (options['help'] === true) process.exit(exitCodes.stopped)
+  const { '--': rest, ...flags } = options
+  return { flags, words: [...args, ...(rest ?? []) as readonly string[]] }
+}
+
+/** Says what kept the process from serving, with the setting that is at fault. */
+function explainStart (error: unknown, settings: DaemonSettings): string {
+  const text = error instanceof Error ? error.message : String(error)
+  const name = text.includes(settings.control) ? 'control' : 'listen'
+  const address = settings[name]
+  if (text.includes('EADDRINUSE')) return `${placeOf(name)}: ${address} is already in use`
+  if (text.includes('EADDRNOTAVAIL')) return `${placeOf(name)}: ${address} is not an address of this machine`
+  if (text.includes('EACCES')) return `${placeOf(name)}: ${address} may not be bound by this user`
+  return text
+}
+
 process.on('unhandledRejection', reason => {
   log.error('an unhandled rejection was caught', { reason: String(reason) })
 })
--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -9,12 +9,19 @@
 /** Serves at `address` (`ip:port`); a handler that throws answers 500 and hurts nobody else. */
 export async function serveHttp (address: string, handler: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<HttpServer> {
   const server = createServer((request, response) => {
+    if (!URL.canParse(request.url ?? '/', 'http://node')) {
+      sendJson(response, 400, { error: 'the target is no URL' })
+      return
+    }
     handler(request, response).catch((error: unknown) => {
       if (response.headersSent) response.destroy()
       else sendJson(response, 500, { error: String(error) })
     })
   })
-  server.on('clientError', (_error, socket) => { socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n') })
+  server.on('clientError', (_error, socket) => {
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n')
+    else socket.destroy()
+  })
   const [host, port] = address.split(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
@@ -24,16 +31,20 @@
   return { server, port: typeof bound === 'object' && bound !== null ? bound.port : 0 }
 }
 
-/** Reads a body of at most `limit` bytes; undefined when it is larger. */
-export async function readBody (request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
-  const parts: Buffer[] = []
-  let size = 0
-  for await (const part of request) {
-    size += (part as Buffer).length
-    if (size > limit) return undefined
-    parts.push(part as Buffer)
-  }
-  return Buffer.concat(parts)
+/** Reads a body of at most `limit` bytes; undefined when it is larger, with the rest left to be discarded. */
+export function readBody (request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
+  return new Promise((resolve, reject) => {
+    const parts: Buffer[] = []
+    let size = 0
+    request.on('data', (part: Buffer) => {
+      size += part.length
+      if (size <= limit) parts.push(part)
+      else resolve(undefined)
+    })
+    request.on('end', () => { resolve(Buffer.concat(parts)) })
+    request.on('error', reject)
+    request.on('close', () => { reject(new Error('the request was cut')) })
+  })
 }
 
 /** Sends JSON. */
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -1,8 +1,10 @@
 /** Settings of the daemon, from flags and environment variables. */
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 
-const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be an IP number and a port, such as 127.0.0.1:8080')
-const url = z.string().regex(/^http:\/\/\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be http://IP:PORT')
+const largestPort = 65_535
+const address = z.string().refine(isAddress, 'must be an IP number and a port, such as 127.0.0.1:8080')
+const url = z.string().refine(isUrl, 'must be http://IP:PORT')
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and hyphens')
 
 const common = {
@@ -17,20 +19,20 @@
   log: url,
   /** Base URL of the platform's instance list. */
   instances: url,
-  logLevel: z.enum(['info', 'warn', 'error', 'silent']).default('info'),
+  logLevel: z.enum(['info', 'warn', 'error', 'silent'], 'must be info, warn, error or silent').default('info'),
   /** File descriptor-free trace output: spans go to the log when on. */
-  trace: z.enum(['on', 'off']).default('off')
+  trace: z.enum(['on', 'off'], 'must be on or off').default('off')
 }
 
 export const entrySettingsSchema = z.object({
   role: z.literal('entry'),
   ...common,
   /** Largest request body, bytes. */
-  bodyBytes: z.coerce.number().int().positive().default(1 << 20),
+  bodyBytes: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(1 << 20),
   /** How long callers may keep an answer of `locate`, milliseconds. */
-  locateMilliseconds: z.coerce.number().int().positive().default(2000),
+  locateMilliseconds: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(2000),
   /** Deadline of a request that states none, milliseconds. */
-  requestMilliseconds: z.coerce.number().int().positive().default(30000)
+  requestMilliseconds: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(30000)
 }).readonly()
 
 export const agentSettingsSchema = z.object({
@@ -45,11 +47,21 @@
   /** Base URL of the weight store; unused for a plain service. */
   store: url.optional(),
   /** Bytes a second that the instance's link carries for weights, each way; 0 for no limit. */
-  linkBytes: z.coerce.number().int().nonnegative().default(0)
+  linkBytes: z.coerce.number('must be a whole number').int('must be a whole number').nonnegative('must not be below 0').default(0)
 }).readonly()
 
-export const daemonSettingsSchema = z.discriminatedUnion('role', [entrySettingsSchema, agentSettingsSchema])
+export const daemonSettingsSchema = z.discriminatedUnion('role', [entrySettingsSchema, agentSettingsSchema], 'must be entry or agent')
 
 export type EntrySettings = z.infer<typeof entrySettingsSchema>
 export type AgentSettings = z.infer<typeof agentSettingsSchema>
 export type DaemonSettings = z.infer<typeof daemonSettingsSchema>
+
+/** Whether a text is `ip:port`. */
+function isAddress (text: string): boolean {
+  const [host = '', port = '', ...rest] = text.split(':')
+  return rest.length === 0 && isIPv4(host) && /^\d{1,5}$/.test(port) && Number(port) <= largestPort
+}
+
+function isUrl (text: string): boolean {
+  return text.startsWith('http://') && isAddress(text.slice('http://'.length))
+}
--- a/src/utils/settings.ts
+++ b/src/utils/settings.ts
@@ -12,11 +12,11 @@
 export function readSettings<Schema extends z.ZodType> (schema: Schema, names: readonly string[], raw: RawSettings): z.infer<Schema> {
   const known = new Set(names)
   const unknown = Object.keys(raw.flags).filter(flag => !known.has(flag))
-  const findings = unknown.map(flag => ({ place: `--${kebab(flag)}`, problem: 'is not a known flag' }))
+  const findings = unknown.map(flag => ({ place: flagOf(flag), problem: 'is not a known flag' }))
   const values = Object.fromEntries(names.map(name => [name, pick(name, raw)]).filter(([, value]) => value !== undefined))
   const parsed = schema.safeParse(values)
   if (parsed.success && findings.length === 0) return parsed.data
-  const problems = parsed.success ? [] : parsed.error.issues.map(issue => ({ place: placeOf(issue.path), problem: issue.message }))
+  const problems = parsed.success ? [] : parsed.error.issues.map(issue => ({ place: placeOf(String(issue.path[0] ?? 'role')), problem: problemOf(values, issue) }))
   throw new FindingsError([...findings, ...problems])
 }
 
@@ -25,15 +25,28 @@
   return `POLLENDYKE_${kebab(name).replaceAll('-', '_').toUpperCase()}`
 }
 
+/** Flag of a setting. */
+export function flagOf (name: string): string {
+  return `--${kebab(name)}`
+}
+
+/** Flag and environment variable of a setting, for findings. */
+export function placeOf (name: string): string {
+  return `${flagOf(name)} (${variableOf(name)})`
+}
+
 function pick (name: string, raw: RawSettings): unknown {
   const flag = raw.flags[name]
   if (flag !== undefined) return typeof flag === 'number' ? String(flag) : flag
   return raw.environment[variableOf(name)]
 }
 
-function placeOf (path: readonly PropertyKey[]): string {
-  const name = String(path[0] ?? 'role')
-  return `--${kebab(name)} (${variableOf(name)})`
+function problemOf (values: Readonly<Record<string, unknown>>, issue: { readonly path: readonly PropertyKey[], readonly message: string }): string {
+  const value = values[String(issue.path[0] ?? 'role')]
+  if (value === undefined) return 'is missing'
+  if (value === true) return 'needs a value'
+  if (Array.isArray(value)) return 'is given more than once'
+  return `${issue.message}, not "${String(value)}"`
 }
 
 function kebab (name: string): string {
