--- a/script/launch.ts
+++ b/script/launch.ts
@@ -70,7 +70,8 @@
   return { code, output, errors }
 }
 
-const firstPort = 10_000
+/** Above 10080, which `fetch` refuses as a bad port. */
+const firstPort = 10_100
 const portRange = 20_000
 const secondOctets = 250
 let addressesTaken = 0
--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -31,20 +31,19 @@
   return { server, port: typeof bound === 'object' && bound !== null ? bound.port : 0 }
 }
 
-/** Reads a body of at most `limit` bytes; undefined when it is larger, with the rest left to be discarded. */
-export function readBody (request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
-  return new Promise((resolve, reject) => {
-    const parts: Buffer[] = []
-    let size = 0
-    request.on('data', (part: Buffer) => {
-      size += part.length
-      if (size <= limit) parts.push(part)
-      else resolve(undefined)
-    })
-    request.on('end', () => { resolve(Buffer.concat(parts)) })
-    request.on('error', reject)
-    request.on('close', () => { reject(new Error('the request was cut')) })
-  })
+/** Reads a body of at most `limit` bytes; undefined when it is larger, so that the connection can still carry the refusal. */
+export async function readBody (request: IncomingMessage, limit: number): Promise<Buffer | undefined> {
+  const parts: Buffer[] = []
+  let size = 0
+  for await (const part of request.iterator({ destroyOnReturn: false })) {
+    size += (part as Buffer).length
+    if (size > limit) {
+      request.resume()
+      return undefined
+    }
+    parts.push(part as Buffer)
+  }
+  return Buffer.concat(parts)
 }
 
 /** Sends JSON. */
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -7,6 +7,9 @@
 const url = z.string().refine(isUrl, 'must be http://IP:PORT')
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and hyphens')
 
+const wholeNumber = 'must be a whole number above 0'
+const positiveNumber = z.coerce.number(wholeNumber).int(wholeNumber).positive(wholeNumber)
+
 const common = {
   instance: name,
   dataCentre: name,
@@ -28,11 +31,17 @@
   role: z.literal('entry'),
   ...common,
   /** Largest request body, bytes. */
-  bodyBytes: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(1 << 20),
+  bodyBytes: positiveNumber.default(1 << 20),
   /** How long callers may keep an answer of `locate`, milliseconds. */
-  locateMilliseconds: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(2000),
+  locateMilliseconds: positiveNumber.default(2000),
   /** Deadline of a request that states none, milliseconds. */
-  requestMilliseconds: z.coerce.number('must be a whole number above 0').int('must be a whole number above 0').positive('must be a whole number above 0').default(30000)
+  requestMilliseconds: positiveNumber.default(30000),
+  /** Silence of an upstream after which the entry asks its agent about the request, milliseconds. */
+  questionMilliseconds: positiveNumber.default(700),
+  /** Silence within an answer after which its connection is given up, milliseconds. */
+  progressMilliseconds: positiveNumber.default(2000),
+  /** Entries that watch each upstream, counted within its data centre and once more among all. */
+  upstreamWatchers: positiveNumber.default(16)
 }).readonly()
 
 export const agentSettingsSchema = z.object({
