--- a/script/demo.ts
+++ b/script/demo.ts
@@ -47,6 +47,14 @@
 
 async function play (running: RunningDeployment, answers: Answers, file: string, layout: typeof layouts[LayoutName]): Promise<void> {
   const operator = new Operator(running, answers)
+  try {
+    await playWith(operator, running, answers, file, layout)
+  } finally {
+    operator.end()
+  }
+}
+
+async function playWith (operator: Operator, running: RunningDeployment, answers: Answers, file: string, layout: typeof layouts[LayoutName]): Promise<void> {
   await operator.applyAnswers(file)
   const first = await operator.rollOut(layout.service, '1', weightBytes, chunkBytes)
   const firstMilliseconds = await waitForReplicas(running, layout.service, first.manifest, first.acceptedAt)
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -114,6 +114,7 @@
     if (this.closed) return
     this.closed = true
     for (const link of this.logLinks.values()) link.close()
+    this.operator.end()
     this.running.end()
   }
 }
--- a/script/operator.ts
+++ b/script/operator.ts
@@ -22,7 +22,6 @@
 
   constructor (private readonly running: RunningDeployment, private readonly answers: Answers) {
     this.log = `http://${running.log.listen}`
-    process.once('exit', () => { rmSync(this.folder, { recursive: true, force: true }) })
   }
 
   /** Non-idempotent operations as `service/operation`. */
@@ -71,6 +70,11 @@
     return (await setFaults(this.running.origin, {}) as { sentBytes: number }).sentBytes
   }
 
+  /** Removes the operator's files. */
+  end (): void {
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
   private async apply (name: string, text: string): Promise<number> {
     const applied = await runCommand(['apply', this.write(name, text), '--log', this.log])
     if (applied.code !== 0) throw new Error(`apply failed: ${applied.output} ${applied.errors}`)
