--- a/src/roles/agent/claims.ts
+++ b/src/roles/agent/claims.ts
@@ -140,7 +140,8 @@
   private async tail (): Promise<void> {
     while (!this.stopping.signal.aborted) {
       try {
-        this.fold(await this.client.read(this.stream, this.next, Date.now() + pollMilliseconds))
+        const wait = this.isAvailable ? pollMilliseconds : 0
+        this.fold(await this.client.read(this.stream, this.next, Date.now() + wait))
         this.failures = 0
       } catch (error) {
         this.noteFailure(error)
--- a/stand-in/engine.ts
+++ b/stand-in/engine.ts
@@ -116,11 +116,12 @@
     })
   }
 
-  /** Falls over: every running answer is cut and the engine starts anew, cold and empty. */
+  /** Falls over as a process does: every connection is cut and the engine starts anew, cold and empty. */
   crash (overload = false): void {
     if (overload) this.register.overloads += 1
     this.record({ event: 'crashed', upstream: this.name, at: Date.now(), overload })
     for (const response of this.running.values()) response.destroy()
+    this.connections.cut()
     this.running.clear()
     this.cache.clear()
     this.answered = 0
--- /dev/null
+++ b/test/agent-claims.test.ts
@@ -0,0 +1,136 @@
+import { test } from 'tap'
+import { claimKey } from '../src/core/claims.js'
+import { ServiceStandIn } from '../stand-in/service.js'
+import { SlotWorld, type Slot } from './fakes/slot.js'
+import { eventually } from './fakes/world.js'
+
+interface Pair { readonly world: SlotWorld, readonly services: readonly [ServiceStandIn, ServiceStandIn], readonly slots: readonly [Slot, Slot] }
+
+async function withPair (work: (pair: Pair) => Promise<void>): Promise<void> {
+  const world = await SlotWorld.start()
+  const services = [new ServiceStandIn(), new ServiceStandIn()] as const
+  try {
+    const slots = [await world.addLedger(services[0]), await world.addLedger(services[1])] as const
+    await work({ world, services, slots })
+  } finally {
+    world.log.faults.outage = false
+    await world.stop()
+  }
+}
+
+function runsOf (services: readonly ServiceStandIn[], key: string): number {
+  return services.reduce((sum, service) => sum + service.register.filter(line => line.key === key).length, 0)
+}
+
+test('a key sent to both agents at once runs once, and the loser names the holder', async t => {
+  await withPair(async ({ world, services, slots }) => {
+    for (let round = 0; round < 10; round += 1) {
+      const key = `key-${round}`
+      const answers = await Promise.all(slots.map(async (slot, index) => await world.call(slot, { id: `${key}-${index}`, key })))
+      t.equal(runsOf(services, key), 1)
+      const loser = answers.find(answer => answer.failure === 'claim-lost')
+      const winner = answers.findIndex(answer => answer.outcome === 'run')
+      t.equal(answers.filter(answer => answer.outcome === 'run').length, 1)
+      t.equal(loser?.claimHolder, slots[winner]?.control)
+    }
+  })
+})
+
+test('a resend gets the same answer, another body is refused, at the holder and elsewhere', async t => {
+  await withPair(async ({ world, services, slots: [holder, other] }) => {
+    const first = await world.call(holder, { id: 'first', key: 'k' })
+    const again = await world.call(holder, { id: 'again', key: 'k' })
+    t.equal(again.text, first.text)
+    t.equal((await world.call(holder, { id: 'changed', key: 'k', body: '{"other":1}' })).failure, 'key-reused')
+    t.equal((await world.call(other, { id: 'moved', key: 'k', body: '{"other":1}' })).failure, 'key-reused')
+    t.equal((await world.call(other, { id: 'elsewhere', key: 'k' })).failure, 'claim-lost')
+    t.equal(runsOf(services, 'k'), 1)
+    t.equal(await world.outcomeOf(holder, '', claimKey('troop', 'ledger', 'sign-off', 'k')), 'run')
+    t.equal(await world.outcomeOf(holder, 'first'), 'run')
+    t.equal(await world.outcomeOf(other, 'never sent'), 'unknown')
+  })
+})
+
+test('a resend while the first still runs waits for its answer', async t => {
+  await withPair(async ({ world, services, slots: [holder] }) => {
+    services[0].behaviour.workMilliseconds = 300
+    const first = world.call(holder, { id: 'first', key: 'k' })
+    await eventually(() => runsOf(services, 'k') === 1)
+    const again = await world.call(holder, { id: 'again', key: 'k' })
+    t.equal(again.text, (await first).text)
+    t.equal(runsOf(services, 'k'), 1)
+  })
+})
+
+test('lost answers of appends change nothing: each key runs once', async t => {
+  await withPair(async ({ world, services, slots }) => {
+    world.log.faults.loseAnswers = 0.5
+    const keys = Array.from({ length: 12 }, (_, index) => `lost-${index}`)
+    const answers = await Promise.all(keys.map(async (key, index) => await world.call(slots[index % 2] ?? slots[0], { id: key, key })))
+    world.log.faults.loseAnswers = 0
+    keys.forEach((key, index) => {
+      const ran = runsOf(services, key)
+      t.ok(ran <= 1)
+      if (answers[index]?.outcome === 'not-run') t.equal(ran, 0)
+      if (answers[index]?.outcome === 'run') t.equal(ran, 1)
+    })
+    t.ok(answers.some(answer => answer.outcome === 'run'))
+  })
+})
+
+test('while the log is out nothing non-idempotent runs, the rest does, and a key refused then runs afterwards', async t => {
+  await withPair(async ({ world, services, slots: [slot, other] }) => {
+    world.log.faults.outage = true
+    const refused = await world.call(slot, { id: 'out', key: 'k' })
+    t.same([refused.failure, refused.outcome], ['log-unavailable', 'not-run'])
+    t.equal((await world.call(slot, { id: 'plain', operation: 'look-up' })).outcome, 'run')
+    t.equal(runsOf(services, 'k'), 0)
+    world.log.faults.outage = false
+    await eventually(async () => (await world.call(other, { id: 'later', key: 'k' })).outcome === 'run')
+    t.equal(runsOf(services, 'k'), 1)
+  })
+})
+
+test('a key whose answer was lost stays unknown and never runs again', async t => {
+  await withPair(async ({ world, services, slots: [slot, other] }) => {
+    services[0].behaviour.loseAnswers = true
+    const lost = await world.call(slot, { id: 'lost', key: 'k' })
+    t.equal(lost.outcome, 'unknown')
+    services[0].behaviour.loseAnswers = false
+    t.equal((await world.call(slot, { id: 'again', key: 'k' })).outcome, 'unknown')
+    t.equal((await world.call(other, { id: 'elsewhere', key: 'k' })).failure, 'claim-lost')
+    t.equal(runsOf(services, 'k'), 1)
+  })
+})
+
+test('a fresh agent honours the claims of agents before it', async t => {
+  await withPair(async ({ world, services, slots: [slot] }) => {
+    await world.call(slot, { id: 'first', key: 'k' })
+    await slot.node.stop()
+    const service = new ServiceStandIn()
+    const fresh = await world.addLedger(service)
+    const answer = await world.call(fresh, { id: 'resent', key: 'k' })
+    t.same([answer.failure, answer.claimHolder], ['claim-lost', slot.control])
+    t.equal(runsOf([...services, service], 'k'), 1)
+  })
+})
+
+const malformed = [
+  { name: 'a non-idempotent operation without a key', call: { id: 'x' }, status: 400, failure: 'malformed' },
+  { name: 'no request id', call: { id: '', operation: 'look-up' }, status: 400, failure: 'malformed' },
+  { name: 'a path in the operation', call: { id: 'x', operation: '..%2fstate' }, status: 400, failure: 'malformed' },
+  { name: 'a deadline that is no number', call: { id: 'x', operation: 'look-up', more: { 'pollendyke-deadline': 'soon' } }, status: 400, failure: 'malformed' },
+  { name: 'a deadline that has passed', call: { id: 'x', operation: 'look-up', milliseconds: -1 }, status: 503, failure: 'late-deadline' },
+  { name: 'an oversized body', call: { id: 'x', operation: 'look-up', body: 'x'.repeat((4 << 20) + 1) }, status: 413, failure: 'too-large' }
+] as const
+
+test('what is malformed, late or too large is refused and did not run', async t => {
+  await withPair(async ({ world, services, slots: [slot] }) => {
+    for (const { name, call, status, failure } of malformed) {
+      const answer = await world.call(slot, call)
+      t.same([answer.status, answer.failure, answer.outcome], [status, failure, 'not-run'], name)
+    }
+    t.same(services.map(service => service.register.length), [0, 0])
+    t.equal((await world.call(slot, { id: 'after', operation: 'look-up' })).outcome, 'run')
+  })
+})
--- /dev/null
+++ b/test/fair-queue.test.ts
@@ -0,0 +1,122 @@
+import fc from 'fast-check'
+import { test } from 'tap'
+import { FairQueue } from '../src/core/fair-queue.js'
+import { enterRoom, expectedStart, type WaitingRequest } from '../src/core/waiting-room.js'
+
+const seed = 20_261
+const runs = 2000
+const shares: Readonly<Record<string, number>> = { large: 4, middle: 2, small: 1 }
+const organisation = fc.constantFrom('large', 'middle', 'small')
+const step = fc.oneof(
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('add' as const), organisation, rank: fc.nat(1) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('take' as const) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('remove' as const), place: fc.nat(9) }) }
+)
+type Step = { readonly kind: 'add', readonly organisation: string, readonly rank: number } | { readonly kind: 'take' } | { readonly kind: 'remove', readonly place: number }
+
+interface NaiveItem { readonly id: string, readonly organisation: string, readonly rank: number }
+
+/** Naive version: one flat list; what each organisation got is added up anew for each choice. */
+class NaiveQueue {
+  private items: readonly NaiveItem[] = []
+  private readonly clocks = new Map<number, number>()
+  private readonly due = new Map<string, number>()
+
+  add (item: NaiveItem): void {
+    const name = `${item.rank}/${item.organisation}`
+    const isFirst = !this.items.some(other => `${other.rank}/${other.organisation}` === name)
+    if (isFirst) this.due.set(name, Math.max(this.due.get(name) ?? 0, this.clocks.get(item.rank) ?? 0))
+    this.items = [...this.items, item]
+  }
+
+  take (): string | undefined {
+    const rank = Math.min(...this.items.map(item => item.rank))
+    const names = [...this.due.keys()].filter(name => this.items.some(item => `${item.rank}/${item.organisation}` === name && item.rank === rank))
+    const [best] = names.sort((left, right) => (this.due.get(left) ?? 0) - (this.due.get(right) ?? 0))
+    const item = this.items.find(other => `${other.rank}/${other.organisation}` === best)
+    if (best === undefined || item === undefined) return undefined
+    this.clocks.set(rank, this.due.get(best) ?? 0)
+    this.due.set(best, (this.due.get(best) ?? 0) + 1 / (shares[item.organisation] ?? 1))
+    this.remove(item.id)
+    return item.id
+  }
+
+  remove (id: string): void {
+    this.items = this.items.filter(item => item.id !== id)
+  }
+
+  get ids (): readonly string[] {
+    return this.items.map(({ id }) => id)
+  }
+
+  startOf (id: string): number {
+    const item = this.items.find(other => other.id === id)
+    return item === undefined ? Infinity : this.due.get(`${item.rank}/${item.organisation}`) ?? Infinity
+  }
+}
+
+/** Both queues take the same steps; where organisations tie, either choice is right. */
+function agree (steps: readonly Step[]): boolean {
+  const queue = new FairQueue()
+  const naive = new NaiveQueue()
+  const taken: string[] = []
+  for (const [number, taking] of steps.entries()) {
+    if (taking.kind === 'add') {
+      const item = { id: String(number), organisation: taking.organisation, rank: taking.rank }
+      naive.add(item)
+      queue.enqueue(async () => { taken.push(item.id) }, { ...item, share: shares[item.organisation] ?? 1 })
+    } else if (taking.kind === 'remove') {
+      const id = naive.ids[taking.place]
+      if (id !== undefined) {
+        naive.remove(id)
+        queue.remove(id)
+      }
+    } else {
+      const expected = naive.take()
+      queue.dequeue()?.().catch(() => {})
+      if (expected !== undefined && taken.at(-1) !== expected) return false
+    }
+    if (queue.size !== naive.ids.length) return false
+  }
+  return true
+}
+
+test('the fair queue serves in the order of the naive version', async t => {
+  fc.assert(fc.property(fc.array(step, { maxLength: 60 }), agree), { seed, numRuns: runs })
+  t.pass(`${runs} runs agree, seed ${seed}`)
+})
+
+test('a flood of one organisation leaves the others their shares', async t => {
+  const queue = new FairQueue()
+  const served: string[] = []
+  const add = (name: string, count: number): void => {
+    for (let index = 0; index < count; index += 1) queue.enqueue(async () => { served.push(name) }, { id: `${name} ${index}`, organisation: name, share: shares[name] ?? 1, rank: 1 })
+  }
+  add('large', 200)
+  add('small', 20)
+  for (let index = 0; index < 50; index += 1) await queue.dequeue()?.()
+  t.equal(served.filter(name => name === 'small').length, 10)
+})
+
+const request = (id: string, organisationName: string, rank = 1): WaitingRequest => ({ id, organisation: organisationName, rank, share: shares[organisationName] ?? 1 })
+const rooms = [
+  { name: 'a free place', waiting: [request('1', 'large')], newcomer: request('2', 'large'), verdict: { kind: 'enter' } },
+  { name: 'a full room and the same organisation', waiting: [request('1', 'small'), request('2', 'small')], newcomer: request('3', 'small'), verdict: { kind: 'over-share' } },
+  { name: 'a full room and a newcomer below its share', waiting: [request('1', 'small'), request('2', 'small')], newcomer: request('3', 'large'), verdict: { kind: 'replace', victim: '2' } },
+  { name: 'a full room and a more urgent newcomer', waiting: [request('1', 'small'), request('2', 'large')], newcomer: request('3', 'small', 0), verdict: { kind: 'replace', victim: '1' } },
+  { name: 'a full room and a less urgent newcomer', waiting: [request('1', 'small'), request('2', 'small')], newcomer: request('3', 'large', 2), verdict: { kind: 'over-share' } }
+] as const
+
+for (const { name, waiting, newcomer, verdict } of rooms) {
+  test(`waiting room: ${name}`, async t => { t.same(enterRoom(waiting, newcomer, 2), verdict) })
+}
+
+const starts = [
+  { ahead: 0, limit: 2, mean: 100, start: 1000 },
+  { ahead: 5, limit: 2, mean: 100, start: 1200 },
+  { ahead: 5, limit: 0, mean: 100, start: 1500 }
+] as const
+
+for (const { ahead, limit, mean, start } of starts) {
+  test(`expected start behind ${ahead} at limit ${limit}`, async t => { t.equal(expectedStart(1000, ahead, limit, mean), start) })
+}
--- /dev/null
+++ b/test/fakes/slot.ts
@@ -0,0 +1,159 @@
+/** Real agents in the slots of stand-in upstreams, with the platform's stand-ins, in one process. */
+import type { Server } from 'node:http'
+import type { RunningNode } from '../../src/nodes/running-node.js'
+import { startAgent } from '../../src/roles/agent/agent.js'
+import { ControlClient } from '../../src/transports/control.js'
+import type { Change, Configuration } from '../../src/types/configuration.js'
+import { headers, type AgentStatus } from '../../src/types/messages.js'
+import { agentSettingsSchema } from '../../src/types/settings.js'
+import { digestBytes } from '../../src/utils/digest.js'
+import { freshAddress } from '../../script/launch.js'
+import { EngineStandIn } from '../../stand-in/engine.js'
+import { InstancesStandIn } from '../../stand-in/instances.js'
+import { LogStandIn } from '../../stand-in/log.js'
+import { ServiceStandIn } from '../../stand-in/service.js'
+import { makeWeights, WeightsStandIn } from '../../stand-in/weights.js'
+import { configuration, eventually, intent } from './world.js'
+
+const seeded = { totalBytes: 1 << 14, chunkBytes: 1 << 12 }
+
+/** Weights that the engines of a test load. */
+export const made = { first: makeWeights('badge', null, 'first', seeded.totalBytes, seeded.chunkBytes), second: makeWeights('badge', null, 'second', seeded.totalBytes, seeded.chunkBytes) }
+
+/** One agent with its addresses. */
+export interface Slot {
+  readonly node: RunningNode
+  readonly instance: string
+  readonly listen: string
+  readonly control: string
+}
+
+/** What an entry gets from an agent. */
+export interface AgentAnswer {
+  readonly status: number
+  readonly outcome: string
+  readonly failure: string
+  readonly claimHolder: string
+  readonly text: string
+}
+
+/** A request as an entry sends it. */
+export interface AgentCall {
+  readonly id: string
+  readonly operation?: string
+  readonly body?: string
+  readonly key?: string
+  readonly weights?: string
+  readonly milliseconds?: number
+  readonly more?: Readonly<Record<string, string>>
+  readonly signal?: AbortSignal
+}
+
+/** The platform, and agents beside it. */
+export class SlotWorld {
+  readonly log = new LogStandIn()
+  readonly origin = new WeightsStandIn()
+  readonly slots: Slot[] = []
+  private readonly list = new InstancesStandIn(0)
+  private readonly servers: Server[] = []
+  private platform = { log: '', instances: '' }
+  private originUrl = ''
+  private changes = 0
+
+  static async start (): Promise<SlotWorld> {
+    const world = new SlotWorld()
+    world.origin.add(made.first)
+    world.origin.add(made.second)
+    const [log, instances, origin] = [await world.serve(world.log), await world.serve(world.list), await world.serve(world.origin)]
+    world.platform = { log, instances }
+    world.originUrl = origin
+    const base: Configuration = { ...configuration, intents: { first: intent('first', made.first.named.digest) } }
+    await world.change({ kind: 'replace', configuration: base }, -1)
+    return world
+  }
+
+  /** Listens and returns the base URL. */
+  async serve (standIn: { listen (address: string): Promise<{ readonly server: Server, readonly port: number }> }): Promise<string> {
+    const { server, port } = await standIn.listen('127.0.0.1:0')
+    this.servers.push(server)
+    return `http://127.0.0.1:${port}`
+  }
+
+  async change (change: Change, basedOn: number): Promise<void> {
+    const id = `change-${this.changes += 1}`
+    const record = { type: 'change', id, basedOn, author: 'test', at: 0, change }
+    await fetch(`${this.platform.log}/streams/configuration/records`, { method: 'POST', body: JSON.stringify({ records: [JSON.stringify(record)] }) })
+  }
+
+  /** Starts an agent of the ledger, open for work. */
+  async addLedger (service: ServiceStandIn): Promise<Slot> {
+    const slot = await this.add('ledger', await this.serve(service), {})
+    await this.until(slot, status => status.state === 'open')
+    return slot
+  }
+
+  /** Starts an agent of the model service, on its weights. */
+  async addEngine (engine: EngineStandIn): Promise<Slot> {
+    const slot = await this.add('citations', await this.serve(engine), { origin: this.originUrl })
+    await this.until(slot, status => status.state === 'open' && status.weights === made.first.named.digest)
+    return slot
+  }
+
+  /** Starts an agent at an upstream's URL. */
+  async add (service: string, upstream: string, more: Readonly<Record<string, string>>): Promise<Slot> {
+    const [listen, control] = [freshAddress(), freshAddress()]
+    const instance = `${service}-${this.slots.length}`
+    const settings = agentSettingsSchema.parse({ role: 'agent', instance, dataCentre: 'east', region: 'one', service, listen, control, upstream, ...this.platform, ...more })
+    const slot: Slot = { node: await startAgent(settings), instance, listen, control }
+    this.slots.push(slot)
+    return slot
+  }
+
+  async statusOf (slot: Slot): Promise<AgentStatus> {
+    return await (await fetch(`http://${slot.listen}/status`)).json() as AgentStatus
+  }
+
+  async until (slot: Slot, condition: (status: AgentStatus) => boolean): Promise<void> {
+    await eventually(async () => condition(await this.statusOf(slot)))
+  }
+
+  /** Sends a request to an agent as an entry does. */
+  async call (slot: Slot, call: AgentCall): Promise<AgentAnswer> {
+    const { id, operation = 'sign-off', body = '{}', key = '', weights = '', milliseconds = 20_000, more = {} } = call
+    const sent = {
+      [headers.requestId]: id,
+      [headers.organisation]: 'troop',
+      [headers.deadline]: String(Date.now() + milliseconds),
+      [headers.weights]: weights,
+      [headers.fingerprint]: digestBytes(body),
+      ...(key === '' ? {} : { [headers.idempotencyKey]: key }),
+      ...more
+    }
+    const response = await fetch(`http://${slot.listen}/run/${operation}`, { method: 'POST', headers: sent, body, signal: call.signal ?? null })
+    const header = (name: string): string => response.headers.get(name) ?? ''
+    const text = await response.text().catch(() => 'cut')
+    return { status: response.status, outcome: header(headers.outcome), failure: header(headers.failure), claimHolder: header(headers.claimHolder), text }
+  }
+
+  /** Sends a prompt to an agent of the model service. */
+  async prompt (slot: Slot, id: string, prompt: string, maximumTokens: number, more: Partial<AgentCall> = {}): Promise<AgentAnswer> {
+    const body = JSON.stringify({ id, prompt, maximumTokens, priority: 0, resumeFrom: 0 })
+    return await this.call(slot, { id, operation: 'completions', body, weights: made.first.named.digest, ...more })
+  }
+
+  /** Asks an agent what became of a request id or of a claimed key. */
+  async outcomeOf (slot: Slot, requestId: string, key = ''): Promise<string> {
+    const client = new ControlClient(slot.control, 'own')
+    const reply = await client.outcome({ requestId, key }, Date.now() + 5000)
+    client.close()
+    return reply.outcome
+  }
+
+  async stop (): Promise<void> {
+    for (const server of this.servers) {
+      server.closeAllConnections()
+      server.close()
+    }
+    await Promise.all(this.slots.map(async ({ node }) => { await node.stop() }))
+  }
+}
