Read a body before refusing it for want of a configuration

Cause: an agent without a configuration answered 503 to a body over the limit and left the body unread on a connection that is used again. Test: 'hostile HTTP leaves the agent alive' was red (503 for 413), now green. Ruled out: a shorter body in the test; the limit holds in every state. Change: the body is read and measured first.

--- a/src/roles/agent/relay.ts
+++ b/src/roles/agent/relay.ts
@@ -47,13 +47,12 @@
     return failure
   }
   const { configuration } = host
-  if (configuration === undefined) return refuse(fail('no-configuration', Date.now() + retryMilliseconds))
   const run = await readRunRequest(request, operation, host.serviceName, configuration)
   if (isFailure(run)) return refuse(run)
   const refusal = refusalOf(host, run)
   if (refusal !== undefined) return refuse(refusal)
   const traced: RunRequest = { ...run, traceParent }
-  if (configuration.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
+  if (configuration?.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
   return await relayPlain(host, traced, response)
 }
 
--- a/src/roles/agent/run-request.ts
+++ b/src/roles/agent/run-request.ts
@@ -9,6 +9,7 @@
 import type { Ticket } from './admission.js'
 
 const bodyBytes = 4 << 20
+const retryMilliseconds = 500
 const operationPattern = /^[a-z0-9][a-z0-9-]{0,62}$/
 
 /** A request to run. */
@@ -31,9 +32,10 @@
 }
 
 /** Reads a request; a failure when it is malformed or too large, and then nothing of it ran. */
-export async function readRunRequest (request: IncomingMessage, operation: string, serviceName: string, configuration: Configuration): Promise<RunRequest | Failure> {
+export async function readRunRequest (request: IncomingMessage, operation: string, serviceName: string, configuration: Configuration | undefined): Promise<RunRequest | Failure> {
   const body = await readBody(request, bodyBytes)
   if (body === undefined) return fail('too-large')
+  if (configuration === undefined) return fail('no-configuration', Date.now() + retryMilliseconds)
   const id = headerOf(request, headers.requestId)
   const deadline = Number(headerOf(request, headers.deadline))
   const service = configuration.services[serviceName]
