--- a/src/roles/entry/attempt.ts
+++ b/src/roles/entry/attempt.ts
@@ -3,7 +3,7 @@
 import type { AnswerProgress } from '../../core/answer-lines.js'
 import type { CallerRequest } from '../../core/caller-request.js'
 import type { UpstreamView } from '../../core/routing.js'
-import { fail, isFailureTag, type Failure } from '../../errors.js'
+import { fail, isFailureTag, type Failure, type FailureTag } from '../../errors.js'
 import { headerOf } from '../../transports/http-server.js'
 import { readAll, sendRequest, TransportError } from '../../transports/http-client.js'
 import { priorities, type Priority } from '../../types/configuration.js'
@@ -17,6 +17,11 @@
 const refusalMilliseconds = 1000
 const askMilliseconds = 400
 const silentAnswers = 2
+/** A model whose agent says that the request runs may wait in a queue: its first byte may take this many progress deadlines. */
+const firstByteProgresses = 3
+
+/** Runs that for all the agent knows may have happened: an idempotent request may go elsewhere. */
+const lostTags: ReadonlySet<FailureTag> = new Set(['upstream-lost', 'upstream-refused', 'wrong-answer'])
 
 /** How an attempt ended. */
 export type AttemptResult =
@@ -128,7 +133,7 @@
   const outcome = headerOf(answer, headers.outcome)
   const claimHolder = headerOf(answer, headers.claimHolder)
   const stated = fail(tag, await readRetryAt(answer), isOutcome(outcome) ? outcome : undefined)
-  if (tag === 'upstream-lost' && stated.outcome === 'unknown') return { kind: 'lost', reason: 'crashed' }
+  if (stated.outcome === 'unknown' && lostTags.has(tag)) return { kind: 'lost', reason: tag === 'upstream-lost' ? 'crashed' : 'wrong' }
   return { kind: 'failed', failure: stated, claimHolder }
 }
 
@@ -150,26 +155,29 @@
   const { caller, response, upstream } = input
   const body = await readAll(answer, caller.deadline)
   open()
-  sendWhole(response, caller.id, answer.statusCode ?? 502, body, upstream.status.instance)
+  sendWhole(response, caller.id, { status: answer.statusCode ?? 502, contentType: answer.headers['content-type'], body }, upstream.status.instance)
   return { kind: 'answered' }
 }
 
+/** A plain service's whole answer. */
+export interface PlainAnswer { readonly status: number, readonly contentType: string | undefined, readonly body: Buffer }
+
 /** Sends a plain service's whole answer to the caller. */
-export function sendWhole (response: ServerResponse, id: string, status: number, body: Buffer, instance: string): void {
-  response.writeHead(status, {
-    'content-type': 'application/json',
-    'content-length': body.length,
+export function sendWhole (response: ServerResponse, id: string, answer: PlainAnswer, instance: string): void {
+  response.writeHead(answer.status, {
+    'content-type': answer.contentType ?? 'application/json',
+    'content-length': answer.body.length,
     [headers.requestId]: id,
     [headers.outcome]: 'run',
     [headers.instance]: instance
   })
-  response.end(body)
+  response.end(answer.body)
 }
 
 /** Asks the agent on another connection while no byte has come, and gives the connection up when the agent denies the request or has long answered it. */
 async function watchSilence (host: AnswerHost, input: AttemptInput, opened: AbortSignal, giveUp: () => void): Promise<void> {
   const { caller, upstream } = input
-  const longest = Date.now() + host.settings.progressMilliseconds
+  const longest = Date.now() + firstByteProgresses * host.settings.progressMilliseconds
   let denials = 0
   while (!opened.aborted) {
     await waitUntil(Date.now() + host.settings.questionMilliseconds, opened)
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -143,7 +143,7 @@
   private takeSettled (settled: Settled, instance: string): Step {
     if (settled.kind === 'elsewhere') return next
     if (settled.kind === 'failed') return over(settled.failure)
-    sendWhole(this.serving.response, this.serving.caller.id, settled.reply.status, settled.reply.answer, instance)
+    sendWhole(this.serving.response, this.serving.caller.id, { status: settled.reply.status, contentType: undefined, body: settled.reply.answer }, instance)
     return over(undefined)
   }
 
--- a/src/roles/entry/settle.ts
+++ b/src/roles/entry/settle.ts
@@ -22,23 +22,23 @@
 /** Settles a request that may have reached an agent. */
 export async function settle (host: AnswerHost, caller: CallerRequest, upstream: UpstreamView, lost: Extract<AttemptResult, { kind: 'lost' }>, received: boolean): Promise<Settled> {
   if (lost.reason === 'crashed') noteCrash(host, caller, upstream)
-  if (caller.nonIdempotent) return await settleByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '' })
+  if (caller.nonIdempotent) return await settleByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '' }, upstream.status.incarnation)
   if (lost.reason === 'crashed' || lost.reason === 'wrong') return { kind: 'elsewhere' }
   const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '' }, Date.now() + askMilliseconds)
-  if (reply === undefined) host.quarantine.noteLoss(caller.fingerprint, Date.now() + suspicionMilliseconds)
+  if (reply?.incarnation !== upstream.status.incarnation) host.quarantine.noteLoss(caller.fingerprint, Date.now() + suspicionMilliseconds)
   else if (lost.reason === 'cut' && received && reply.outcome === 'unknown') noteCrash(host, caller, upstream)
   if (reply?.outcome === 'run' && reply.status > 0 && caller.model === undefined) return { kind: 'answer', reply }
   return { kind: 'elsewhere' }
 }
 
-/** Asks again and again until the agent knows, cannot know, is gone, or the deadline has passed. */
-export async function settleByOutcome (host: AnswerHost, caller: CallerRequest, controlAddress: string, question: OutcomeRequest): Promise<Settled> {
+/** Asks again and again until the agent knows, cannot know, is gone, or the deadline has passed. Another incarnation than the one that got the request cannot say that it was not run. */
+export async function settleByOutcome (host: AnswerHost, caller: CallerRequest, controlAddress: string, question: OutcomeRequest, incarnation?: string): Promise<Settled> {
   let silences = 0
   while (Date.now() < caller.deadline) {
     const reply = await host.ask(controlAddress, question, Math.min(caller.deadline, Date.now() + askMilliseconds))
     if (reply?.outcome === 'run') return reply.status > 0 ? { kind: 'answer', reply } : { kind: 'failed', failure: fail('outcome-pruned') }
-    if (reply?.outcome === 'not-run') return { kind: 'elsewhere' }
-    if (reply?.outcome === 'unknown') return lostForGood()
+    if (reply?.outcome === 'not-run' && (incarnation ?? reply.incarnation) === reply.incarnation) return { kind: 'elsewhere' }
+    if (reply?.outcome === 'not-run' || reply?.outcome === 'unknown') return lostForGood()
     silences = reply === undefined ? silences + 1 : 0
     if (silences >= mostSilences) return lostForGood()
     await waitUntil(Math.min(caller.deadline, Date.now() + againMilliseconds))
