Draw from outside what only an unreliable peer claims to hold

Cause: a peer that said it held everything and gave nothing kept every chunk from being drawn from the origin; nobody ever became whole. Ruled out: the window (it held the positions), the origin. Change: a peer with faults, or busy four times in a row, is not trusted; what only such peers offer counts as lost and is due by rank. A busy peer can put itself off by two seconds at most.

--- a/script/measure/pool.ts
+++ b/script/measure/pool.ts
@@ -33,6 +33,8 @@
   members: readonly PoolMember[] = []
   private readonly servers: Server[] = []
 
+  private sources: Sources = { origin: '', store: '' }
+
   private constructor (private readonly settings: PoolSettings) {
     this.origin = new WeightsStandIn(settings.seed)
     this.store = new WeightsStandIn(settings.seed + 1)
@@ -45,8 +47,8 @@
     const origin = await pool.origin.listen('127.0.0.1:0')
     const store = await pool.store.listen('127.0.0.1:0')
     pool.servers.push(origin.server, store.server)
-    const sources = { origin: `http://127.0.0.1:${origin.port}`, store: `http://127.0.0.1:${store.port}` }
-    for (let index = 0; index < settings.instances; index += 1) await pool.addMember(index, sources)
+    pool.sources = { origin: `http://127.0.0.1:${origin.port}`, store: `http://127.0.0.1:${store.port}` }
+    for (let index = 0; index < settings.instances; index += 1) await pool.addMember(index)
     return pool
   }
 
@@ -66,12 +68,14 @@
     for (const member of this.members) member.exchange.want({ manifest, finishBy })
   }
 
-  private async addMember (index: number, sources: Sources): Promise<void> {
+  /** Starts one more member; the list names it unless `isListed` is false. */
+  async addMember (index: number, isListed = true): Promise<PoolMember> {
     const { dataCentres, linkBytes, makeFetcher } = this.settings
-    const member = await startMember({ index, dataCentres, linkBytes, sources, listed: () => this.listed, makeFetcher })
+    const member = await startMember({ index, dataCentres, linkBytes, sources: this.sources, listed: () => this.listed, makeFetcher })
     const { instance, dataCentre, address } = member
     this.members = [...this.members, member]
-    this.listed = [...this.listed, { instance, dataCentre, address }]
+    if (isListed) this.listed = [...this.listed, { instance, dataCentre, address }]
+    return member
   }
 }
 
--- a/src/core/weights/plan.ts
+++ b/src/core/weights/plan.ts
@@ -19,6 +19,8 @@
   readonly inFlight: number
   /** Epoch milliseconds before which it is not asked. */
   readonly backAt: number
+  /** False while it gives nothing of what it says that it holds; others then draw from outside in spite of its word. */
+  readonly isTrusted: boolean
 }
 
 /** A source outside the data centre: the origin first, then the store, then peers of other data centres. */
@@ -86,6 +88,11 @@
   return duties.order.filter(position => !hasBit(seen, position)).slice(0, originWindow)
 }
 
+/** Whether a trusted peer holds a position. */
+export function isOffered (peers: readonly PeerView[], position: number): boolean {
+  return peers.some(peer => peer.isTrusted && hasBit(peer.held, position))
+}
+
 /** The next draw, or undefined when nothing can start now. */
 export function nextDraw (view: PlanView): Draw | undefined {
   return nextOutside(view) ?? nextFromPeer(view)
@@ -94,7 +101,7 @@
 function nextOutside (view: PlanView): Draw | undefined {
   const source = view.sources.find(candidate => candidate.backAt <= view.now)
   if (source === undefined || source.inFlight >= source.slots) return undefined
-  const position = view.duties.order.find(candidate => isDue(view, candidate) && isOpen(view, candidate, source.id) && !isOffered(view, candidate))
+  const position = view.duties.order.find(candidate => isDue(view, candidate) && isOpen(view, candidate, source.id) && !isOffered(view.peers, candidate))
   return position === undefined ? undefined : { position, source: source.id, kind: 'outside' }
 }
 
@@ -117,10 +124,6 @@
   return flight.sources.length < flightsPerChunk && view.now >= flight.hedgeAt && !flight.sources.includes(source)
 }
 
-function isOffered (view: PlanView, position: number): boolean {
-  return view.peers.some(peer => hasBit(peer.held, position))
-}
-
 function nextFromPeer (view: PlanView): Draw | undefined {
   if (view.peerSlots <= 0) return undefined
   const ready = view.peers.filter(peer => peer.backAt <= view.now && peer.inFlight < view.drawsPerPeer)
--- a/src/roles/agent/exchange-peers.ts
+++ b/src/roles/agent/exchange-peers.ts
@@ -14,6 +14,7 @@
 const faultsBeforeAvoidance = 2
 /** Refusals from which on the wait no longer grows. */
 const mostRefusals = 4
+const longestWaitMilliseconds = 2000
 const avoidMilliseconds = 5000
 const pauseMilliseconds = 200
 
@@ -52,7 +53,7 @@
   }
 
   get views (): readonly PeerView[] {
-    return [...this.peers].map(([instance, { held, inFlight, backAt }]) => ({ instance, held, inFlight, backAt }))
+    return [...this.peers].map(([instance, { held, inFlight, backAt, faults, refusals }]) => ({ instance, held, inFlight, backAt, isTrusted: faults === 0 && refusals < mostRefusals }))
   }
 
   /** Peers not heard since `before`, epoch milliseconds. */
@@ -99,7 +100,7 @@
     if (peer === undefined) return
     peer.refusals += 1
     const now = Date.now()
-    peer.backAt = now + (backAt - now) * Math.min(peer.refusals, mostRefusals)
+    peer.backAt = Math.min(now + (backAt - now) * Math.min(peer.refusals, mostRefusals), now + longestWaitMilliseconds)
   }
 
   noteGood (instance: string): void {
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import PQueue from 'p-queue'
 import { hasBit, hasOther, parseBitmap } from '../../core/weights/bitmap.js'
-import { dutiesOf, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
+import { dutiesOf, isOffered, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
 import { requestJson } from '../../transports/http-client.js'
 import { runInBackground } from '../../utils/background.js'
 import { waitUntil } from '../../utils/clock.js'
@@ -136,16 +136,16 @@
   /** Keeps since when each position waits for a draw from outside. */
   private noteWaiting (weights: HeldWeights): void {
     const now = Date.now()
-    const offered = this.peers.views
+    const peers = this.peers.views
     for (const position of this.waitingSince.keys()) {
-      if (hasBit(weights.held, position) || offered.some(peer => hasBit(peer.held, position))) this.waitingSince.delete(position)
+      if (hasBit(weights.held, position) || isOffered(peers, position)) this.waitingSince.delete(position)
     }
     for (const position of windowOf(this.duties, weights.seen)) {
       if (!this.waitingSince.has(position)) this.waitingSince.set(position, now)
     }
     for (const position of this.duties.order) {
-      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !offered.some(peer => hasBit(peer.held, position))
-      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + lostHolderMilliseconds)
+      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !isOffered(peers, position)
+      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + Math.max(lostHolderMilliseconds, rankFactor * this.outsideMilliseconds))
     }
   }
 
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -35,13 +35,13 @@
   private readonly context: FetchContext
   private readonly swap: SwapState = 'idle'
 
-  constructor (private readonly options: ExchangeOptions, private readonly onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
+  constructor (private readonly options: ExchangeOptions, onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
     const liveLoad = (): number => {
       const { inFlight, limit } = options.load()
       return limit > 0 ? inFlight / limit : 0
     }
     this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.swap)
-    this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange: () => { this.changed() } }
+    this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange }
   }
 
   /** Sets the target; fetching of another one stops, chunks of the served weights stay. */
@@ -98,9 +98,9 @@
     this.fetcher?.noteAsked(headerOf(request, heldHeaderNames.instance), request.headers)
   }
 
-  private changed (): void {
+  /** The engine's weights may have changed: drops the chunks that neither it nor the target needs. */
+  noteServed (): void {
     if (this.isWhole && this.options.served() === this.wanted?.manifest) this.holdings.keepOnly([this.wanted.manifest])
-    this.onChange()
   }
 }
 
--- a/test/weights-plan.test.ts
+++ b/test/weights-plan.test.ts
@@ -23,13 +23,14 @@
   drawsPerPeer: 2,
   turn: 0
 }
-const peer = (instance: string, held: Bitmap, inFlight = 0, backAt = 0) => ({ instance, held, inFlight, backAt })
+const peer = (instance: string, held: Bitmap, inFlight = 0, backAt = 0, isTrusted = true) => ({ instance, held, inFlight, backAt, isTrusted })
 
 const cases: readonly { readonly name: string, readonly view: Partial<PlanView>, readonly draw: Draw | undefined }[] = [
   { name: 'draws its own first chunk from the origin', view: {}, draw: { position: 0, source: 'origin', kind: 'outside' } },
   { name: 'waits while an earlier rank may still draw', view: { duties: { order: everyPosition, ranks: everyPosition.map(() => 1) } }, draw: undefined },
   { name: 'draws in place of an earlier rank after its deadline', view: { now: now + 1000, duties: { order: everyPosition, ranks: everyPosition.map(() => 1) } }, draw: { position: 0, source: 'origin', kind: 'outside' } },
   { name: 'leaves a chunk that a peer offers to the peer', view: { peers: [peer('one', bits(...everyPosition))] }, draw: { position: 0, source: 'one', kind: 'peer' } },
+  { name: 'draws from the origin what only a peer without trust claims', view: { peers: [peer('one', bits(...everyPosition), 0, now + 1, false)] }, draw: { position: 0, source: 'origin', kind: 'outside' } },
   { name: 'asks the store while the origin is left alone', view: { sources: [{ id: 'origin', inFlight: 0, slots: 2, backAt: now + 1 }, { id: 'store', inFlight: 0, slots: 1, backAt: 0 }] }, draw: { position: 0, source: 'store', kind: 'outside' } },
   { name: 'takes no second source while the origin is full', view: { sources: [{ id: 'origin', inFlight: 2, slots: 2, backAt: 0 }, { id: 'store', inFlight: 0, slots: 1, backAt: 0 }] }, draw: undefined },
   { name: 'takes the rarest chunk first', view: { waitingSince: new Map(), peers: [peer('one', bits(1, 2)), peer('two', bits(1))] }, draw: { position: 2, source: 'one', kind: 'peer' } },
@@ -59,7 +60,7 @@
   const outside = view.sources.filter(source => source.backAt <= view.now).slice(0, 1).filter(source => source.inFlight < source.slots)
   const dueAt = (position: number): number => (view.waitingSince.get(position) ?? Infinity) + rankDelay(view.duties.ranks[position] ?? 0, view.rankMilliseconds)
   const fromOutside = view.duties.order.flatMap(position => outside.map(({ id }) => ({ position, source: id, kind: 'outside' as const })))
-    .filter(({ position, source }) => dueAt(position) <= view.now && holders(position) === 0 && isFree(position, source))
+    .filter(({ position, source }) => dueAt(position) <= view.now && view.peers.every(({ held, isTrusted }) => !isTrusted || !hasBit(held, position)) && isFree(position, source))
   if (fromOutside[0] !== undefined) return fromOutside[0]
   if (view.peerSlots <= 0) return undefined
   const ready = view.peers.filter(({ backAt, inFlight }) => backAt <= view.now && inFlight < view.drawsPerPeer)
@@ -72,7 +73,7 @@
 
 const someBits = fc.uniqueArray(fc.nat(total - 1)).map(positions => bits(...positions))
 const someTime = fc.integer({ min: now - 5000, max: now + 1000 })
-const somePeers = fc.uniqueArray(fc.record({ instance: fc.constantFrom('one', 'two', 'three', 'four'), held: someBits, inFlight: fc.nat(3), backAt: someTime }), { selector: ({ instance }) => instance })
+const somePeers = fc.uniqueArray(fc.record({ instance: fc.constantFrom('one', 'two', 'three', 'four'), held: someBits, inFlight: fc.nat(3), backAt: someTime, isTrusted: fc.boolean() }), { selector: ({ instance }) => instance })
 const someSources = fc.tuple(fc.record({ id: fc.constant('origin'), inFlight: fc.nat(2), slots: fc.constant(2), backAt: someTime }), fc.record({ id: fc.constant('store'), inFlight: fc.nat(1), slots: fc.constant(1), backAt: someTime }))
 const someFlights = fc.array(fc.tuple(fc.nat(total - 1), fc.record({ sources: fc.uniqueArray(fc.constantFrom('one', 'two', 'origin'), { minLength: 1, maxLength: 2 }), hedgeAt: someTime })))
 const someView: fc.Arbitrary<PlanView> = fc.record({
