Pass the duties of silent peers on at once

Cause: with one machine killed, each of its chunks waited for the next rank's deadline, four usual draws long. Change: a listed peer that left two messages unanswered counts as gone when duties are worked out.

--- a/src/roles/agent/exchange-peers.ts
+++ b/src/roles/agent/exchange-peers.ts
@@ -14,6 +14,7 @@
 const faultsBeforeAvoidance = 2
 /** Refusals from which on the wait no longer grows. */
 const mostRefusals = 4
+const unansweredBeforeSilent = 2
 const longestWaitMilliseconds = 2000
 const avoidMilliseconds = 5000
 const pauseMilliseconds = 200
@@ -27,6 +28,8 @@
   /** Busy answers since the last chunk; each makes the wait longer. */
   refusals: number
   heardAt: number
+  /** Messages in a row that got no answer. */
+  unanswered: number
 }
 
 /** Table of peers. */
@@ -49,7 +52,7 @@
   add (member: ExchangeMember | undefined): void {
     if (member === undefined || member.instance === this.instance) return
     if (this.peers.has(member.instance) || this.peers.size >= knownPeers) return
-    this.peers.set(member.instance, { member, held: emptyBitmap(this.total), inFlight: 0, backAt: 0, faults: 0, refusals: 0, heardAt: 0 })
+    this.peers.set(member.instance, { member, held: emptyBitmap(this.total), inFlight: 0, backAt: 0, faults: 0, refusals: 0, heardAt: 0, unanswered: 0 })
   }
 
   get views (): readonly PeerView[] {
@@ -82,6 +85,7 @@
     const peer = this.peers.get(instance)
     if (peer === undefined) return
     peer.heardAt = Date.now()
+    peer.unanswered = 0
     if (held !== undefined) peer.held = held
   }
 
@@ -110,11 +114,17 @@
     peer.refusals = 0
   }
 
+  /** Peers that the list names but that answer nothing; their duties pass to others at once. */
+  get silent (): readonly string[] {
+    return [...this.peers].filter(([, peer]) => peer.unanswered >= unansweredBeforeSilent).map(([instance]) => instance)
+  }
+
   /** Blames a peer; after repeated faults it is left alone for a while. */
-  noteFault (instance: string): void {
+  noteFault (instance: string, answered: boolean): void {
     const peer = this.peers.get(instance)
     if (peer === undefined) return
     peer.faults += 1
+    if (!answered) peer.unanswered += 1
     const pause = peer.faults >= faultsBeforeAvoidance ? avoidMilliseconds : pauseMilliseconds
     peer.backAt = Date.now() + pause
   }
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -94,12 +94,13 @@
     const { options } = this.context
     const everyone = options.members(this.wanted.manifest)
     const members = this.localMembers()
-    const key = everyone.map(member => `${member.instance}@${member.address}`).join(' ')
+    const { silent } = this.peers
+    const key = silent.join(' ') + everyone.map(member => `${member.instance}@${member.address}`).join(' ')
     if (key === this.membersKey && this.duties.order.length > 0) return
     this.membersKey = key
     this.peers.setMembers(members)
     this.sources.setRemote(`${weights.digest}/${options.instance}`, everyone.filter(member => member.dataCentre !== options.dataCentre))
-    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance))
+    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance).filter(instance => !silent.includes(instance)))
   }
 
   /** Starts every draw that can start now. */
@@ -233,7 +234,7 @@
       return
     }
     if (result.type === 'busy') this.peers.noteBusy(draw.source, result.backAt)
-    else this.peers.noteFault(draw.source)
+    else this.peers.noteFault(draw.source, result.type !== 'failed')
   }
 
   private noteHeaders (instance: string, headers: IncomingHttpHeaders): void {
@@ -282,7 +283,7 @@
       if (seen !== undefined) this.context.holdings.noteSeen(weights.digest, seen)
       if (!this.stopping.signal.aborted) this.fill(weights)
     } catch {
-      this.peers.noteFault(member.instance)
+      this.peers.noteFault(member.instance, false)
     } finally {
       this.polling.delete(member.instance)
     }
