--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import PQueue from 'p-queue'
 import { hasBit, hasOther, parseBitmap } from '../../core/weights/bitmap.js'
-import { dutiesOf, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
+import { dutiesOf, isOffered, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
 import { requestJson } from '../../transports/http-client.js'
 import { runInBackground } from '../../utils/background.js'
 import { waitUntil } from '../../utils/clock.js'
@@ -94,12 +94,13 @@
     const { options } = this.context
     const everyone = options.members(this.wanted.manifest)
     const members = this.localMembers()
-    const key = everyone.map(member => `${member.instance}@${member.address}`).join(' ')
+    const { silent } = this.peers
+    const key = silent.join(' ') + everyone.map(member => `${member.instance}@${member.address}`).join(' ')
     if (key === this.membersKey && this.duties.order.length > 0) return
     this.membersKey = key
     this.peers.setMembers(members)
     this.sources.setRemote(`${weights.digest}/${options.instance}`, everyone.filter(member => member.dataCentre !== options.dataCentre))
-    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance))
+    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance).filter(instance => !silent.includes(instance)))
   }
 
   /** Starts every draw that can start now. */
@@ -136,16 +137,16 @@
   /** Keeps since when each position waits for a draw from outside. */
   private noteWaiting (weights: HeldWeights): void {
     const now = Date.now()
-    const offered = this.peers.views
+    const peers = this.peers.views
     for (const position of this.waitingSince.keys()) {
-      if (hasBit(weights.held, position) || offered.some(peer => hasBit(peer.held, position))) this.waitingSince.delete(position)
+      if (hasBit(weights.held, position) || isOffered(peers, position)) this.waitingSince.delete(position)
     }
     for (const position of windowOf(this.duties, weights.seen)) {
       if (!this.waitingSince.has(position)) this.waitingSince.set(position, now)
     }
     for (const position of this.duties.order) {
-      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !offered.some(peer => hasBit(peer.held, position))
-      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + lostHolderMilliseconds)
+      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !isOffered(peers, position)
+      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + Math.max(lostHolderMilliseconds, rankFactor * this.outsideMilliseconds))
     }
   }
 
@@ -233,7 +234,7 @@
       return
     }
     if (result.type === 'busy') this.peers.noteBusy(draw.source, result.backAt)
-    else this.peers.noteFault(draw.source)
+    else this.peers.noteFault(draw.source, result.type !== 'failed')
   }
 
   private noteHeaders (instance: string, headers: IncomingHttpHeaders): void {
@@ -282,7 +283,7 @@
       if (seen !== undefined) this.context.holdings.noteSeen(weights.digest, seen)
       if (!this.stopping.signal.aborted) this.fill(weights)
     } catch {
-      this.peers.noteFault(member.instance)
+      this.peers.noteFault(member.instance, false)
     } finally {
       this.polling.delete(member.instance)
     }
