--- a/script/failure/operator-faults.ts
+++ b/script/failure/operator-faults.ts
@@ -4,7 +4,7 @@
 import type { StreamPage } from '../../src/types/platform.js'
 import { waitUntil } from '../../src/utils/clock.js'
 import { lastWorkAfter } from '../judge.js'
-import { Fault } from './fault.js'
+import { Fault, type Harm } from './fault.js'
 import type { World } from './world.js'
 
 /** New work may reach a zone for this long after it was taken out. */
@@ -14,7 +14,7 @@
 /** Takes a zone out and brings it back. */
 export class ZoneMove extends Fault {
   readonly name: string = 'zone-move'
-  readonly harm = 'none'
+  readonly harm: Harm = 'none'
   protected outAt = 0
   protected inAt = 0
   protected zone = ''
@@ -39,6 +39,8 @@
 /** Takes a zone out that is cut off from the log and whose peers elsewhere are silent. */
 export class IsolatedZoneOut extends ZoneMove {
   override readonly name = 'isolated-zone-out'
+  /** The processes elsewhere are paused, entries among them. */
+  override readonly harm = 'cut'
 
   override async begin (world: World): Promise<void> {
     this.zone = 'south'
--- /dev/null
+++ b/test/failure-operator.test.ts
@@ -0,0 +1,8 @@
+import { testScenarios } from '../script/failure/tests.js'
+
+testScenarios([
+  { names: ['zone-move'], seed: 1 },
+  { names: ['isolated-zone-out'], seed: 2 },
+  { names: ['operators-race', 'leaving'], seed: 3 },
+  { names: ['crashing-request'], seed: 4 }
+])
