--- a/script/demo.ts
+++ b/script/demo.ts
@@ -4,7 +4,7 @@
 import { waitUntil } from '../src/utils/clock.js'
 import { startDeployment, type RunningDeployment } from './deployment.js'
 import { countFailures, judge, lastWorkAfter } from './judge.js'
-import { endAll } from './process.js'
+import { endAll, type ManagedProcess } from './process.js'
 import { Load } from './load.js'
 import { Operator, waitForReplicas } from './operator.js'
 import { printTable } from './table.js'
@@ -112,8 +112,10 @@
 
 function printMemory (running: RunningDeployment): void {
   for (const managed of running.processes) managed.readPeak()
-  const bytes = running.processes.reduce((sum, managed) => sum + managed.peakBytes, 0)
-  process.stdout.write(`peak resident memory of ${running.processes.length} processes, shared pages counted in each: ${Math.round(bytes / (1 << 20))} MiB\n`)
+  const mebibytes = (read: (managed: ManagedProcess) => number): number => Math.round(running.processes.reduce((sum, managed) => sum + read(managed), 0) / (1 << 20))
+  const held = mebibytes(managed => managed.proportionalBytes)
+  const peak = mebibytes(managed => managed.peakBytes)
+  process.stdout.write(`memory of ${running.processes.length} processes: ${held} MiB held at the end; peak resident ${peak} MiB, with shared pages counted in each\n`)
 }
 
 try {
--- a/script/operator.ts
+++ b/script/operator.ts
@@ -3,6 +3,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { Answers } from '../src/types/answers.js'
+import type { Change } from '../src/types/configuration.js'
+import type { StreamPage } from '../src/types/platform.js'
+import { canonicalJson } from '../src/utils/digest.js'
 import { waitUntil } from '../src/utils/clock.js'
 import type { RunningDeployment } from './deployment.js'
 import { setFaults } from './deployment.js'
@@ -53,11 +56,11 @@
     return { manifest: digest, acceptedAt }
   }
 
-  /** Takes a data centre out or back in; returns when the command line said that it was accepted. */
+  /** Takes a data centre out or back in; resolves with the time at which the log took the change, epoch milliseconds. */
   async moveZone (direction: 'in' | 'out', dataCentre: string): Promise<number> {
     const moved = await this.tryZone(direction, dataCentre)
     if (moved.code !== 0) throw new Error(`zone ${direction} failed: ${moved.output} ${moved.errors}`)
-    return Date.now()
+    return await this.lastMoveAt(direction, dataCentre)
   }
 
   /** Takes a data centre out or back in, whatever the command line answers. */
@@ -65,6 +68,13 @@
     return await runCommand(['zone', direction, dataCentre, '--log', this.log])
   }
 
+  /** When the log took the last such move, by its own record. */
+  private async lastMoveAt (state: 'in' | 'out', dataCentre: string): Promise<number> {
+    const page = await (await fetch(`${this.log}/streams/configuration/records?from=0`)).json() as StreamPage
+    const moves = page.records.filter(({ body }) => isMatch(body, { kind: 'data-centre', dataCentre, state }))
+    return moves.at(-1)?.at ?? Date.now()
+  }
+
   /** Bytes of chunks that the origin sent. */
   async originBytes (): Promise<number> {
     return (await setFaults(this.running.origin, {}) as { sentBytes: number }).sentBytes
@@ -88,6 +98,11 @@
   }
 }
 
+function isMatch (body: string, wanted: Change): boolean {
+  const { change } = JSON.parse(body) as { change?: Change }
+  return change !== undefined && canonicalJson(change) === canonicalJson(wanted)
+}
+
 /** Waits until every engine of the service reports the manifest itself; returns milliseconds since `from`. */
 export async function waitForReplicas (running: RunningDeployment, service: string, manifest: string, from: number): Promise<number> {
   const engines = running.instances.filter(({ listed }) => listed.service === service)
--- a/script/process.ts
+++ b/script/process.ts
@@ -97,6 +97,16 @@
     }
   }
 
+  /** Memory that the process holds now, its part of shared pages counted, bytes. */
+  get proportionalBytes (): number {
+    try {
+      const found = /^Pss:\s+(\d+) kB/m.exec(readFileSync(`/proc/${this.pid}/smaps_rollup`, 'utf8'))
+      return Number(found?.[1] ?? 0) * 1024
+    } catch {
+      return 0
+    }
+  }
+
   private keepError (line: string): void {
     this.errorLines.push(line)
     if (this.errorLines.length > tailLines) this.errorLines.shift()
