--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -107,6 +107,10 @@
     return this.settings.upstream
   }
 
+  get progressMilliseconds (): number {
+    return this.settings.progressMilliseconds
+  }
+
   get serviceName (): string {
     return this.settings.service
   }
--- a/src/roles/agent/relay-model.ts
+++ b/src/roles/agent/relay-model.ts
@@ -3,7 +3,7 @@
 import type { ServerResponse } from 'node:http'
 import { z } from 'zod'
 import { fail, type Failure } from '../../errors.js'
-import { readAll, sendRequest } from '../../transports/http-client.js'
+import { readAll, sendRequest, TransportError } from '../../transports/http-client.js'
 import { sendFailure } from '../../transports/http-server.js'
 import { headers } from '../../types/messages.js'
 import type { EngineRequest } from '../../types/platform.js'
@@ -17,7 +17,6 @@
 
 const log = logFor('agent')
 const retryMilliseconds = 500
-const silenceMilliseconds = 5000
 const cancelMilliseconds = 2000
 const highestResumes = 3
 
@@ -129,6 +128,7 @@
   }
 
   private async passPart (connection: VerifiedConnection): Promise<PartEnd> {
+    let isWhole = false
     try {
       const body = Buffer.from(JSON.stringify({ ...this.body, resumeFrom: this.next }))
       const answer = await sendRequest({
@@ -137,19 +137,23 @@
         agent: connection.agent,
         headers: upstreamHeaders(this.request, body),
         body,
-        deadline: Math.min(this.request.deadline, Date.now() + silenceMilliseconds),
+        deadline: Math.min(this.request.deadline, Date.now() + this.host.progressMilliseconds),
         signal: this.gone.signal
       })
       if (answer.statusCode !== 200) return this.refused(connection, answer.statusCode ?? 0)
       this.place.isAnswering = true
-      for await (const lines of lineGroups(answer, silenceMilliseconds)) {
-        if (await this.passLines(lines)) return { kind: 'whole' }
+      for await (const lines of lineGroups(answer, this.host.progressMilliseconds)) {
+        if (isWhole) throw new WrongLineError('lines follow the end of the answer')
+        isWhole = await this.passLines(lines)
       }
-      throw new Error('the stream ended before its end line')
+      if (!isWhole || !answer.complete) throw new Error('the stream ended before its end line')
+      return { kind: 'whole' }
     } catch (error) {
       this.host.connections.drop(connection)
+      if (isWhole) return { kind: 'whole' }
       if (error instanceof WrongLineError) return { kind: 'wrong' }
-      if (!this.gone.signal.aborted) this.host.connectionLost(connection, this.request.ticket.fingerprint)
+      const wasSent = !(error instanceof TransportError) || error.sent
+      if (wasSent && !this.gone.signal.aborted) this.host.connectionLost(connection, this.request.ticket.fingerprint)
       return { kind: 'broken' }
     }
   }
--- a/src/roles/agent/relay-plain.ts
+++ b/src/roles/agent/relay-plain.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { fail, type Failure } from '../../errors.js'
 import { sendFailure } from '../../transports/http-server.js'
-import { sendRequest } from '../../transports/http-client.js'
+import { sendRequest, TransportError } from '../../transports/http-client.js'
 import { headers } from '../../types/messages.js'
 import { waitUntil } from '../../utils/clock.js'
 import type { Place } from './admission.js'
@@ -108,6 +108,7 @@
   } catch (error) {
     const timedOut = Date.now() >= deadline
     host.connections.drop(connection)
+    if (error instanceof TransportError && !error.sent && claim === undefined) return { kind: 'failure', failure: fail('upstream-refused', Date.now() + retryMilliseconds), claimHolder: '' }
     if (timedOut) host.admission.orphan(connection.incarnation)
     else host.connectionLost(connection, request.ticket.fingerprint)
     if (error instanceof WrongAnswerError) return { kind: 'failure', failure: fail('wrong-answer', Date.now() + retryMilliseconds), claimHolder: '' }
--- a/src/roles/agent/relay.ts
+++ b/src/roles/agent/relay.ts
@@ -21,6 +21,8 @@
   readonly upstream: string
   readonly serviceName: string
   readonly configuration: Configuration | undefined
+  /** Silence within an engine's answer after which its connection is given up, milliseconds. */
+  readonly progressMilliseconds: number
   readonly admission: Admission
   readonly connections: UpstreamConnections
   readonly claims: ClaimBook
--- a/stand-in/engine.ts
+++ b/stand-in/engine.ts
@@ -78,7 +78,7 @@
   }
 
   readonly register: EngineRegister = { highestRunning: 0, overloads: 0, orders: [], started: [] }
-  private readonly connections = new Connections()
+  readonly connections = new Connections()
   private readonly random: () => number
   private readonly cache: PrefixCache
   private state: EngineState = { incarnation: randomUUID(), weights: null, role: 'serve', loading: null, fence: -1, running: 0 }
@@ -128,6 +128,11 @@
     this.state = { ...this.state, incarnation: randomUUID(), weights: null, loading: null, fence: -1 }
   }
 
+  /** Requests that run now. */
+  get runningCount (): number {
+    return this.running.size
+  }
+
   /** Requests that the engine bears now. */
   private get bound (): number {
     const { coldBound, fullBound, warmAfter } = this.behaviour
--- a/test/fakes/slot.ts
+++ b/test/fakes/slot.ts
@@ -82,7 +82,12 @@
   async change (change: Change, basedOn: number): Promise<void> {
     const id = `change-${this.changes += 1}`
     const record = { type: 'change', id, basedOn, author: 'test', at: 0, change }
-    await fetch(`${this.platform.log}/streams/configuration/records`, { method: 'POST', body: JSON.stringify({ records: [JSON.stringify(record)] }) })
+    await this.append('configuration', record)
+  }
+
+  /** Appends a record to a stream of the log. */
+  async append (stream: string, record: unknown): Promise<void> {
+    await fetch(`${this.platform.log}/streams/${stream}/records`, { method: 'POST', body: JSON.stringify({ records: [JSON.stringify(record)] }) })
   }
 
   /** Starts an agent of the ledger, open for work. */
@@ -103,7 +108,7 @@
   async add (service: string, upstream: string, more: Readonly<Record<string, string>>): Promise<Slot> {
     const [listen, control] = [freshAddress(), freshAddress()]
     const instance = `${service}-${this.slots.length}`
-    const settings = agentSettingsSchema.parse({ role: 'agent', instance, dataCentre: 'east', region: 'one', service, listen, control, upstream, ...this.platform, ...more })
+    const settings = agentSettingsSchema.parse({ role: 'agent', instance, dataCentre: 'east', region: 'one', service, listen, control, upstream, progressMilliseconds: 300, ...this.platform, ...more })
     const slot: Slot = { node: await startAgent(settings), instance, listen, control }
     this.slots.push(slot)
     return slot
