Keep an engine's connection after an answer's end line

Cause: the loop over an answer's lines left the iterator at the end line, which destroys the answer and its socket: each request opened and verified a new connection. Test: 'requests one after another to an engine share a verified connection' was red (22 connections for 20 requests), now green. Ruled out: the pool's idle time (2 s; the requests came without pause); plain services, which stayed at 2 connections.

--- a/src/roles/agent/engine-stream.ts
+++ b/src/roles/agent/engine-stream.ts
@@ -42,7 +42,7 @@
   let timer = setTimeout(giveUp, silenceMilliseconds)
   try {
     answer.setEncoding('utf8')
-    for await (const part of answer) {
+    for await (const part of answer.iterator({ destroyOnReturn: false })) {
       clearTimeout(timer)
       const lines = (rest + String(part)).split('\n')
       rest = lines.pop() ?? ''
@@ -52,6 +52,7 @@
     }
   } finally {
     clearTimeout(timer)
+    answer.resume()
   }
 }
 
