Route by prefix with a bounded wait, compare the policies, share the watching of upstreams

Ruled out: a larger bound on the mean (waits at low load too). Change: a full home may be waited for once nine tenths of the places are taken. The differential test found that one overloaded upstream made an idle pool look busy; loads are capped now, and the test states when a full home may be chosen.

--- a/script/measure.ts
+++ b/script/measure.ts
@@ -2,6 +2,7 @@
 import { writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import { writeLogs } from '../src/utils/log.js'
+import { measureRouting } from './measure/routing.js'
 import { tableText, type MeasureTable } from './measure/table.js'
 import { measureWeights } from './measure/weights.js'
 
@@ -9,6 +10,7 @@
 export type Measure = (seed: number, words: readonly string[]) => Promise<MeasureTable>
 
 const measures: Readonly<Record<string, Measure>> = {
+  routing: measureRouting,
   weights: measureWeights
 }
 
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -40,17 +40,19 @@
 export function chooseUpstream (candidates: readonly UpstreamView[], demand: Demand, place: Place, policy: RoutingPolicy): UpstreamView | undefined {
   if (candidates.length === 0) return undefined
   if (demand.suspect) return leastLoaded(candidates)
-  const tiers = candidates.map(view => tierOf(view, demand, place))
-  const best = Math.min(...tiers)
-  return policy.choose(candidates.filter((_view, index) => tiers[index] === best), demand)
+  const preferred = policy.prefer(firstTier(candidates, view => closenessOf(view, demand, place)), demand)
+  if (preferred !== undefined) return preferred
+  return policy.choose(firstTier(candidates, view => tierOf(view, demand, place)), demand)
 }
 
 /** Chooses among upstreams that are equally good otherwise. */
 export abstract class RoutingPolicy {
   abstract choose (candidates: readonly UpstreamView[], demand: Demand): UpstreamView | undefined
 
-  /** Notes where a request with a prefix went. */
-  noteSent (_demand: Demand, _instance: string): void {}
+  /** An upstream worth a short wait, although another may have room; undefined for none. */
+  prefer (_candidates: readonly UpstreamView[], _demand: Demand): UpstreamView | undefined {
+    return undefined
+  }
 }
 
 /** The least share of its limit in use. */
@@ -74,25 +76,37 @@
   }
 }
 
-const affinityLoadFactor = 1.25
-
-/** The upstream that the prefix hashes to, passed over in hash order while its load is well above the average; the rest goes by another policy. */
+/** Upstreams of a prefix that may hold its cache. */
+const homes = 2
+/** Requests that may wait at a full home once the pool is busy, for each request in flight that it allows. */
+const waitingShare = 0.5
+/** Share of a pool's limits in use from which the pool is busy. */
+const busyShare = 0.9
+
+/**
+ * An upstream that the prefix hashes to, while it has room; the rest goes by another policy.
+ * In a busy pool few may wait there: a miss elsewhere costs the pool more than the wait costs the caller.
+ */
 export class PrefixAffinity extends RoutingPolicy {
   constructor (private readonly otherwise: RoutingPolicy) {
     super()
   }
 
   choose (candidates: readonly UpstreamView[], demand: Demand): UpstreamView | undefined {
-    if (demand.prefix === '') return this.otherwise.choose(candidates, demand)
-    const mean = candidates.reduce((sum, view) => sum + view.load, 0) / candidates.length
-    const mostLoad = Math.ceil((mean + 1) * affinityLoadFactor)
-    const byInstance = new Map(candidates.map(view => [view.status.instance, view]))
-    for (const instance of rankMembers(demand.prefix, [...byInstance.keys()])) {
-      const view = byInstance.get(instance)
-      if (view !== undefined && view.load < mostLoad && hasRoom(view)) return view
-    }
     return this.otherwise.choose(candidates, demand)
   }
+
+  override prefer (candidates: readonly UpstreamView[], demand: Demand): UpstreamView | undefined {
+    if (demand.prefix === '') return undefined
+    const used = candidates.reduce((sum, view) => sum + Math.min(view.load, view.status.limit), 0)
+    const limits = candidates.reduce((sum, view) => sum + view.status.limit, 0)
+    const waiting = used >= busyShare * limits ? waitingShare : 0
+    const byInstance = new Map(candidates.map(view => [view.status.instance, view]))
+    return rankMembers(demand.prefix, [...byInstance.keys()])
+      .slice(0, homes)
+      .flatMap(instance => byInstance.get(instance) ?? [])
+      .find(view => view.load < Math.ceil(view.status.limit * (1 + waiting)))
+  }
 }
 
 /** Whether one more request would stay within the upstream's limit. */
@@ -100,11 +114,23 @@
   return view.load < view.status.limit
 }
 
+/** Upstreams of the lowest tier. */
+function firstTier (candidates: readonly UpstreamView[], tier: (view: UpstreamView) => number): readonly UpstreamView[] {
+  const tiers = candidates.map(tier)
+  const lowest = Math.min(...tiers)
+  return candidates.filter((_view, index) => tiers[index] === lowest)
+}
+
 function tierOf (view: UpstreamView, demand: Demand, place: Place): number {
   const full = hasRoom(view) ? 0 : 1
+  return full * (demand.weights?.length ?? 1) * distances + closenessOf(view, demand, place)
+}
+
+/** Newer weights before older, then near before far. */
+function closenessOf (view: UpstreamView, demand: Demand, place: Place): number {
   const age = demand.weights?.indexOf(view.status.weights) ?? 0
   const distance = view.status.dataCentre === place.dataCentre ? 0 : view.region === place.region ? 1 : 2
-  return (full * (demand.weights?.length ?? 1) + age) * distances + distance
+  return age * distances + distance
 }
 
 function leastLoaded (candidates: readonly UpstreamView[]): UpstreamView | undefined {
--- a/src/core/subset.ts
+++ b/src/core/subset.ts
@@ -1,22 +1,45 @@
 /** Which upstreams an entry watches: a deterministic part of the list, so that each upstream has enough watchers. */
+import { createHash } from 'node:crypto'
 import type { ListedInstance } from '../types/platform.js'
 import { rankMembers } from '../utils/rendezvous.js'
 
+const hashBytes = 6
+const hashRange = 2 ** (8 * hashBytes)
+
 /** The entry for which the part is chosen. */
 export interface Watcher { readonly instance: string, readonly dataCentre: string }
 
-/** Upstreams that an entry watches. Each upstream is watched by `watchers` entries of its own data centre and by as many among all entries; with few entries everybody watches all. */
+/**
+ * Upstreams that an entry watches; with few entries everybody watches all.
+ * Each upstream is watched by `watchers` entries of its own data centre and by about as many from anywhere, drawn by hash.
+ * Where a data centre has too few entries of its own, all entries share its upstreams by rendezvous.
+ */
 export function watchedUpstreams (listed: readonly ListedInstance[], watcher: Watcher, watchers: number): readonly ListedInstance[] {
-  const entries = listed.filter(({ role, instance }) => role === 'entry' && instance !== watcher.instance)
+  const others = listed.filter(({ role, instance }) => role === 'entry' && instance !== watcher.instance)
   const upstreams = listed.filter(({ role }) => role === 'upstream')
-  if (entries.length < watchers) return upstreams
-  const all = [...entries.map(({ instance }) => instance), watcher.instance]
-  const near = [...entries.filter(({ dataCentre }) => dataCentre === watcher.dataCentre).map(({ instance }) => instance), watcher.instance]
-  return upstreams.filter(({ instance, dataCentre }) =>
-    (dataCentre === watcher.dataCentre && isAmongFirst(instance, near, watcher, watchers)) ||
-    isAmongFirst(instance, all, watcher, watchers))
+  if (others.length < watchers) return upstreams
+  const all = [...others, watcher]
+  const near = membersByDataCentre(all)
+  const farShare = watchers / all.length
+  return upstreams.filter(upstream => {
+    const own = near.get(upstream.dataCentre) ?? []
+    if (own.length < watchers) return isAmongFirst(upstream.instance, all.map(({ instance }) => instance), watcher, watchers)
+    if (upstream.dataCentre === watcher.dataCentre && isAmongFirst(upstream.instance, own, watcher, watchers)) return true
+    return hashPart(`${upstream.instance}\u0000${watcher.instance}`) < farShare
+  })
+}
+
+function membersByDataCentre (entries: readonly Watcher[]): ReadonlyMap<string, readonly string[]> {
+  const members = new Map<string, string[]>()
+  for (const { instance, dataCentre } of entries) members.set(dataCentre, [...members.get(dataCentre) ?? [], instance])
+  return members
 }
 
 function isAmongFirst (upstream: string, members: readonly string[], watcher: Watcher, count: number): boolean {
-  return members.length <= count || rankMembers(upstream, members).slice(0, count).includes(watcher.instance)
+  return rankMembers(upstream, members).slice(0, count).includes(watcher.instance)
+}
+
+/** Part of the hash's range, in [0, 1). */
+function hashPart (text: string): number {
+  return createHash('md5').update(text).digest().readUIntBE(0, hashBytes) / hashRange
 }
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -95,7 +95,6 @@
     const { instance, dataCentre, weights } = upstream.status
     this.tried.add(instance)
     this.tracker.progress = { ...this.tracker.progress, weights }
-    this.host.policy.noteSent({ service: caller.service, weights: undefined, prefix: caller.prefix, suspect }, instance)
     const sentAt = Date.now()
     const organisationClass = organisation.priority
     const result = await attempt(this.host, { caller, receivedAt, priority: organisation.priority, organisationClass, upstream, suspect, traceParent, response, signal, tracker: this.tracker })
--- a/test/entry-limits.test.ts
+++ b/test/entry-limits.test.ts
@@ -5,6 +5,7 @@
 import { watchedUpstreams } from '../src/core/subset.js'
 import { rankEntries, type NamedEntry } from '../src/core/locate.js'
 import type { ListedInstance } from '../src/types/platform.js'
+import { rankMembers } from '../src/utils/rendezvous.js'
 import { seededRandom } from '../src/utils/random.js'
 import { configuration, eventually, World, newWeights, oldWeights } from './fakes/world.js'
 import { refuseWith } from './fakes/agent.js'
@@ -56,6 +57,18 @@
   return sorted.filter(entry => JSON.stringify(rank(entry)) === JSON.stringify(rank(sorted[0] ?? entry)))
 }
 
+/** Whether a prefix may choose an upstream with or without room: a home of its own among the newest and nearest, and if full, in a pool of which nine tenths are in use. */
+function mayBeHome (chosen: UpstreamView, candidates: readonly UpstreamView[], demand: Demand): boolean {
+  const emptied = candidates.map(entry => ({ ...entry, load: 0 }))
+  const closest = naiveBest(emptied, demand, 'in', new Set()).map(({ status }) => status.instance)
+  const pool = candidates.filter(({ status }) => closest.includes(status.instance))
+  const homes = rankMembers(demand.prefix, closest).slice(0, 2)
+  const places = pool.flatMap(({ status, load }) => Array.from({ length: status.limit }, (_, index) => index < load))
+  const isBusy = places.filter(taken => taken).length >= 0.9 * places.length
+  const most = isBusy ? chosen.status.limit * 1.5 : chosen.status.limit
+  return demand.prefix !== '' && homes.includes(chosen.status.instance) && chosen.load < most
+}
+
 test('every policy chooses among those that the naive sort puts first, and the least loaded where it should', async t => {
   fc.assert(fc.property(views, demands, dataCentreStates, fc.boolean(), (list, demand, west, first) => {
     const tried = new Set(first ? ['i0'] : [])
@@ -66,6 +79,7 @@
     return [new LeastLoad(), new TwoChoices(seededRandom(1)), new PrefixAffinity(new LeastLoad())].every((policy, index) => {
       const chosen = chooseUpstream(candidates, demand, here, policy)
       if (chosen === undefined) return best.length === 0
+      if (policy instanceof PrefixAffinity && !demand.suspect && mayBeHome(chosen, candidates, demand)) return true
       const least = chosen.load / chosen.status.limit === lowest
       return best.includes(chosen) && (least || (index > 0 && !demand.suspect))
     })
