--- a/script/operator.ts
+++ b/script/operator.ts
@@ -3,6 +3,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import type { Answers } from '../src/types/answers.js'
+import type { Change } from '../src/types/configuration.js'
+import type { StreamPage } from '../src/types/platform.js'
+import { canonicalJson } from '../src/utils/digest.js'
 import { waitUntil } from '../src/utils/clock.js'
 import type { RunningDeployment } from './deployment.js'
 import { setFaults } from './deployment.js'
@@ -22,7 +25,6 @@
 
   constructor (private readonly running: RunningDeployment, private readonly answers: Answers) {
     this.log = `http://${running.log.listen}`
-    process.once('exit', () => { rmSync(this.folder, { recursive: true, force: true }) })
   }
 
   /** Non-idempotent operations as `service/operation`. */
@@ -54,11 +56,11 @@
     return { manifest: digest, acceptedAt }
   }
 
-  /** Takes a data centre out or back in; returns when the command line said that it was accepted. */
+  /** Takes a data centre out or back in; resolves with the time at which the log took the change, epoch milliseconds. */
   async moveZone (direction: 'in' | 'out', dataCentre: string): Promise<number> {
     const moved = await this.tryZone(direction, dataCentre)
     if (moved.code !== 0) throw new Error(`zone ${direction} failed: ${moved.output} ${moved.errors}`)
-    return Date.now()
+    return await this.lastMoveAt(direction, dataCentre)
   }
 
   /** Takes a data centre out or back in, whatever the command line answers. */
@@ -66,11 +68,23 @@
     return await runCommand(['zone', direction, dataCentre, '--log', this.log])
   }
 
+  /** When the log took the last such move, by its own record. */
+  private async lastMoveAt (state: 'in' | 'out', dataCentre: string): Promise<number> {
+    const page = await (await fetch(`${this.log}/streams/configuration/records?from=0`)).json() as StreamPage
+    const moves = page.records.filter(({ body }) => isMatch(body, { kind: 'data-centre', dataCentre, state }))
+    return moves.at(-1)?.at ?? Date.now()
+  }
+
   /** Bytes of chunks that the origin sent. */
   async originBytes (): Promise<number> {
     return (await setFaults(this.running.origin, {}) as { sentBytes: number }).sentBytes
   }
 
+  /** Removes the operator's files. */
+  end (): void {
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
   private async apply (name: string, text: string): Promise<number> {
     const applied = await runCommand(['apply', this.write(name, text), '--log', this.log])
     if (applied.code !== 0) throw new Error(`apply failed: ${applied.output} ${applied.errors}`)
@@ -84,6 +98,11 @@
   }
 }
 
+function isMatch (body: string, wanted: Change): boolean {
+  const { change } = JSON.parse(body) as { change?: Change }
+  return change !== undefined && canonicalJson(change) === canonicalJson(wanted)
+}
+
 /** Waits until every engine of the service reports the manifest itself; returns milliseconds since `from`. */
 export async function waitForReplicas (running: RunningDeployment, service: string, manifest: string, from: number): Promise<number> {
   const engines = running.instances.filter(({ listed }) => listed.service === service)
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -1,8 +1,8 @@
 /** Fetches a manifest together with the peers of the data centre: each chunk from outside once, then among peers. */
 import type { IncomingHttpHeaders } from 'node:http'
 import PQueue from 'p-queue'
-import { hasBit, parseBitmap } from '../../core/weights/bitmap.js'
-import { dutiesOf, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
+import { hasBit, hasOther, parseBitmap } from '../../core/weights/bitmap.js'
+import { dutiesOf, isOffered, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
 import { requestJson } from '../../transports/http-client.js'
 import { runInBackground } from '../../utils/background.js'
 import { waitUntil } from '../../utils/clock.js'
@@ -27,7 +27,9 @@
 const stallMilliseconds = 1500
 const longestDrawMilliseconds = 120_000
 const hedgeFactor = 6
+const learnFactor = 8
 const rankFactor = 4
+const pollFactor = 8
 const leastRankMilliseconds = 750
 const lostHolderMilliseconds = 2000
 const assumedLinkBytes = 50 << 20
@@ -44,8 +46,9 @@
   private peerDraws = 0
   private membersKey = ''
   private duties: Duties = { order: [], ranks: [] }
-  /** Expected time of one draw, milliseconds; learned. */
-  private drawMilliseconds = 0
+  /** Usual time of one draw from a peer and from outside, milliseconds; learned. */
+  private peerMilliseconds = 0
+  private outsideMilliseconds = 0
 
   start (): void {
     runInBackground(this.run(), log, 'fetch weights')
@@ -64,10 +67,11 @@
   private async run (): Promise<void> {
     const { signal } = this.stopping
     const { options, holdings } = this.context
-    const weights = await findManifest(options, holdings, this.wanted.manifest, () => this.localMembers(), signal)
+    const weights = await findManifest(options, holdings, this.wanted.manifest, signal)
     if (weights === undefined) return
     this.peers = new PeerTable(weights.digest, options.instance, weights.manifest.chunks.length)
-    this.drawMilliseconds = weights.manifest.chunkBytes * originWindow / (options.linkBytes || assumedLinkBytes) * 1000
+    this.peerMilliseconds = weights.manifest.chunkBytes * peerSlots / (options.linkBytes || assumedLinkBytes) * 1000
+    this.outsideMilliseconds = weights.manifest.chunkBytes * originWindow / (options.linkBytes || assumedLinkBytes) * 1000
     this.context.onChange()
     while (!signal.aborted && !isWholeSet(this.weights(weights))) {
       this.refreshMembers(weights)
@@ -87,12 +91,16 @@
   }
 
   private refreshMembers (weights: HeldWeights): void {
+    const { options } = this.context
+    const everyone = options.members(this.wanted.manifest)
     const members = this.localMembers()
-    const key = members.map(member => `${member.instance}@${member.address}`).join(' ')
+    const { silent } = this.peers
+    const key = silent.join(' ') + everyone.map(member => `${member.instance}@${member.address}`).join(' ')
     if (key === this.membersKey && this.duties.order.length > 0) return
     this.membersKey = key
     this.peers.setMembers(members)
-    this.duties = dutiesOf(weights.manifest.chunks, this.context.options.instance, members.map(member => member.instance))
+    this.sources.setRemote(`${weights.digest}/${options.instance}`, everyone.filter(member => member.dataCentre !== options.dataCentre))
+    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance).filter(instance => !silent.includes(instance)))
   }
 
   /** Starts every draw that can start now. */
@@ -120,7 +128,7 @@
       peers: this.peers.views,
       peerSlots: peerSlots - this.peerDraws,
       sources: ready ? this.sources.views : [],
-      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.drawMilliseconds),
+      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.outsideMilliseconds),
       drawsPerPeer,
       turn: parseInt(digestBytes(this.context.options.instance).slice(0, 6), 16) % total
     }
@@ -129,21 +137,22 @@
   /** Keeps since when each position waits for a draw from outside. */
   private noteWaiting (weights: HeldWeights): void {
     const now = Date.now()
-    const offered = this.peers.views
+    const peers = this.peers.views
     for (const position of this.waitingSince.keys()) {
-      if (hasBit(weights.held, position) || offered.some(peer => hasBit(peer.held, position))) this.waitingSince.delete(position)
+      if (hasBit(weights.held, position) || isOffered(peers, position)) this.waitingSince.delete(position)
     }
     for (const position of windowOf(this.duties, weights.seen)) {
       if (!this.waitingSince.has(position)) this.waitingSince.set(position, now)
     }
     for (const position of this.duties.order) {
-      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !offered.some(peer => hasBit(peer.held, position))
-      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + lostHolderMilliseconds)
+      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !isOffered(peers, position)
+      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + Math.max(lostHolderMilliseconds, rankFactor * this.outsideMilliseconds))
     }
   }
 
   private launch (weights: HeldWeights, draw: Draw): void {
-    const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * this.drawMilliseconds)
+    const usual = draw.kind === 'outside' ? this.outsideMilliseconds : this.peerMilliseconds
+    const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * usual)
     const flight = this.flights.get(draw.position) ?? { sources: [], hedgeAt }
     flight.sources.push(draw.source)
     flight.hedgeAt = hedgeAt
@@ -209,9 +218,13 @@
   }
 
   private noteGood (draw: Draw, milliseconds: number): void {
-    this.drawMilliseconds += (milliseconds - this.drawMilliseconds) / 8
-    if (draw.kind === 'outside') this.sources.noteGood(draw.source)
-    else this.peers.noteGood(draw.source)
+    if (draw.kind === 'outside') {
+      this.outsideMilliseconds += (milliseconds - this.outsideMilliseconds) / learnFactor
+      this.sources.noteGood(draw.source)
+    } else {
+      this.peerMilliseconds += (milliseconds - this.peerMilliseconds) / learnFactor
+      this.peers.noteGood(draw.source)
+    }
   }
 
   private noteBad (draw: Draw, result: ChunkResult): void {
@@ -221,7 +234,7 @@
       return
     }
     if (result.type === 'busy') this.peers.noteBusy(draw.source, result.backAt)
-    else this.peers.noteFault(draw.source)
+    else this.peers.noteFault(draw.source, result.type !== 'failed')
   }
 
   private noteHeaders (instance: string, headers: IncomingHttpHeaders): void {
@@ -246,12 +259,19 @@
 
   private poll (weights: HeldWeights): void {
     const chunkMilliseconds = weights.manifest.chunkBytes / (this.context.options.linkBytes || assumedLinkBytes) * 1000
-    const interval = Math.min(pollMilliseconds.most, Math.max(pollMilliseconds.least, rankFactor * chunkMilliseconds))
+    const usual = Math.min(pollMilliseconds.most, Math.max(pollMilliseconds.least, pollFactor * chunkMilliseconds))
+    const interval = this.isStarved(weights) ? pollMilliseconds.least : usual
     for (const member of this.peers.unheardSince(Date.now() - interval)) {
       if (!this.polling.has(member.instance)) runInBackground(this.ask(weights, member), log, 'ask a peer')
     }
   }
 
+  /** Whether no peer is known to hold anything that is missing here. */
+  private isStarved (weights: HeldWeights): boolean {
+    const { held } = this.weights(weights)
+    return this.peerDraws === 0 && !this.peers.views.some(peer => hasOther(peer.held, held))
+  }
+
   private async ask (weights: HeldWeights, member: ExchangeMember): Promise<void> {
     this.polling.add(member.instance)
     try {
@@ -263,7 +283,7 @@
       if (seen !== undefined) this.context.holdings.noteSeen(weights.digest, seen)
       if (!this.stopping.signal.aborted) this.fill(weights)
     } catch {
-      this.peers.noteFault(member.instance)
+      this.peers.noteFault(member.instance, false)
     } finally {
       this.polling.delete(member.instance)
     }
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -14,6 +14,13 @@
 
 const log = logFor('exchange')
 
+/** Memory and traffic of an exchange. */
+export interface ExchangeUsage {
+  readonly heldBytes: number
+  readonly sentBytes: number
+  readonly answers: Readonly<Record<'chunks' | 'busy' | 'missing' | 'held', number>>
+}
+
 /** Makes the fetcher of one manifest. */
 export type MakeFetcher = (context: FetchContext, wanted: WantedWeights) => ChunkFetcher
 
@@ -28,13 +35,13 @@
   private readonly context: FetchContext
   private readonly swap: SwapState = 'idle'
 
-  constructor (private readonly options: ExchangeOptions, private readonly onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
+  constructor (private readonly options: ExchangeOptions, onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
     const liveLoad = (): number => {
       const { inFlight, limit } = options.load()
       return limit > 0 ? inFlight / limit : 0
     }
     this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.swap)
-    this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange: () => { this.changed() } }
+    this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange }
   }
 
   /** Sets the target; fetching of another one stops, chunks of the served weights stay. */
@@ -62,9 +69,9 @@
     return weights !== undefined && isWholeSet(weights)
   }
 
-  /** Bytes of chunks in memory, and bytes sent to peers. */
-  get usage (): { readonly heldBytes: number, readonly sentBytes: number } {
-    return { heldBytes: this.holdings.bytes, sentBytes: this.uploads.sentBytes }
+  /** Bytes of chunks in memory, bytes sent to peers, and answers given to them. */
+  get usage (): ExchangeUsage {
+    return { heldBytes: this.holdings.bytes, sentBytes: this.uploads.sentBytes, answers: this.uploads.answers }
   }
 
   stop (): void {
@@ -91,9 +98,9 @@
     this.fetcher?.noteAsked(headerOf(request, heldHeaderNames.instance), request.headers)
   }
 
-  private changed (): void {
+  /** The engine's weights may have changed: drops the chunks that neither it nor the target needs. */
+  noteServed (): void {
     if (this.isWhole && this.options.served() === this.wanted?.manifest) this.holdings.keepOnly([this.wanted.manifest])
-    this.onChange()
   }
 }
 
--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -9,12 +9,19 @@
 /** Serves at `address` (`ip:port`); a handler that throws answers 500 and hurts nobody else. */
 export async function serveHttp (address: string, handler: (request: IncomingMessage, response: ServerResponse) => Promise<void>): Promise<HttpServer> {
   const server = createServer((request, response) => {
+    if (!URL.canParse(request.url ?? '/', 'http://node')) {
+      sendJson(response, 400, { error: 'the target is no URL' })
+      return
+    }
     handler(request, response).catch((error: unknown) => {
       if (response.headersSent) response.destroy()
       else sendJson(response, 500, { error: String(error) })
     })
   })
-  server.on('clientError', (_error, socket) => { socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n') })
+  server.on('clientError', (_error, socket) => {
+    if (socket.writable) socket.end('HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n')
+    else socket.destroy()
+  })
   const [host, port] = address.split(':')
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject)
