Bring about crossed answers, silent agent connections, changing versions and misreporting engines

Change: stand-ins cross answers; entries reach an agent at the address that the list gives (one line in src/roles/entry/upstreams.ts), so that a link can be put before it; weights of every run must be ones that were rolled out.

--- a/script/failure-sweep.ts
+++ b/script/failure-sweep.ts
@@ -15,18 +15,18 @@
   return Array.from({ length: count }, (_, index) => {
     const random = seededRandom((seed + index) * 7919)
     const draw = (): string => faultNames[Math.floor(random() * faultNames.length)] ?? ''
-    const names = random() < 0.4 ? [draw()] : [...new Set([draw(), draw()])]
+    const names = random() < 0.3 ? [draw()] : [draw(), draw()]
     return { names, seed: seed + index }
   })
 }
 
-function printResult ({ name, seed, verdict, findings, recoveryMilliseconds, failures }: ScenarioResult): void {
+function printResult ({ name, seed, verdict, findings, recoveryMilliseconds, failures }: ScenarioResult, verbose: boolean): void {
   const { sent, whole, notRun, unknown, run, cut, unreached, wrong, doubled, falseNotRun, overloads } = verdict
   const state = findings.length === 0 ? 'held  ' : 'BROKEN'
   process.stdout.write(`${state} ${name.padEnd(40)} seed ${seed}: sent ${sent}, whole ${whole}, not-run ${notRun}, unknown ${unknown}, run ${run}, cut ${cut + unreached}, wrong ${wrong}, doubled ${doubled}, false not-run ${falseNotRun}, overloads ${overloads}; served again after ${recoveryMilliseconds} ms\n`)
   for (const finding of findings.slice(0, shownFindings)) process.stdout.write(`       ${finding}\n`)
   if (findings.length > shownFindings) process.stdout.write(`       and ${findings.length - shownFindings} more\n`)
-  if (findings.length > 0) for (const [failure, number] of failures.slice(0, shownFindings)) process.stdout.write(`       ${number} x ${failure}\n`)
+  if (findings.length > 0 || verbose) for (const [failure, number] of failures.slice(0, shownFindings)) process.stdout.write(`       ${number} x ${failure}\n`)
 }
 
 async function main (): Promise<void> {
@@ -34,16 +34,17 @@
   program.option('--seed <number>', 'First seed', { default: 1 })
   program.option('--count <number>', 'Number of seeds', { default: 1 })
   program.option('--only <names>', `Faults, joined by + for one scenario and by , for several: ${faultNames.join(', ')}`, { default: '' })
-  program.option('--verbose', 'Print the error output of the processes when a promise broke')
+  program.option('--verbose', 'Print the failures that callers were told, and the error output of the processes when a promise broke')
   program.help()
   const { options } = program.parse()
   if (options['help'] === true) return
   let broken = 0
   for (const { names, seed } of planSweep(Number(options['seed']), Number(options['count']), String(options['only']))) {
     const result = await runScenario(names, seed)
-    printResult(result)
+    const verbose = options['verbose'] === true
+    printResult(result, verbose)
     if (result.findings.length > 0) broken += 1
-    if (result.findings.length > 0 && options['verbose'] === true) process.stdout.write(`${result.tails}\n`)
+    if (result.findings.length > 0 && verbose) process.stdout.write(`${result.tails}\n`)
   }
   process.stdout.write(`${broken} scenarios broke a promise\n`)
   process.exitCode = broken === 0 ? 0 : 1
--- a/script/failure/catalogue.ts
+++ b/script/failure/catalogue.ts
@@ -1,7 +1,7 @@
 /** Every fault by name. */
 import type { Fault } from './fault.js'
 import { IsolatedZoneOut, OperatorRace, ZoneMove } from './operator-faults.js'
-import { CrashingRequest, LogCutOff, LogSilence, LostAnswers, PlatformFault, RolloutFault, UpstreamAct } from './platform-faults.js'
+import { AgentLinkFault, CrashingRequest, LogCutOff, LogSilence, LostAnswers, Misreport, PlatformFault, RolloutFault, UpstreamAct, VersionChange } from './platform-faults.js'
 import { Kill, Leaving, Pause, PlannedStop, ReplaceAgent } from './process-faults.js'
 import { modelService, plainService } from './world.js'
 
@@ -37,6 +37,14 @@
   () => new UpstreamAct('crash', modelService),
   () => new LostAnswers('service-loses-answers', plainService, { loseShare: 0.5 }, { loseShare: 0 }),
   () => new LostAnswers('orders-lose-answers', modelService, { loseOrderShare: 1 }, { loseOrderShare: 0 }),
+  () => new LostAnswers('engine-crosses-answers', modelService, { crossShare: 0.3 }, { crossShare: 0 }),
+  () => new LostAnswers('service-crosses-answers', plainService, { crossShare: 0.3 }, { crossShare: 0 }),
+  () => new RolloutFault('chunks-stall', ['origin', 'store'], { stall: 0.3, lost: 0.2 }, { stall: 0, lost: 0 }),
+  () => new VersionChange(),
+  () => new Misreport(),
+  () => new AgentLinkFault('silence'),
+  () => new AgentLinkFault('cut'),
+  () => new AgentLinkFault('block'),
   () => new CrashingRequest(),
   () => new ZoneMove(),
   () => new IsolatedZoneOut(),
--- a/script/failure/platform-faults.ts
+++ b/script/failure/platform-faults.ts
@@ -2,6 +2,7 @@
 import type { RegisterLine } from '../../stand-in/register.js'
 import { setFaults } from '../deployment.js'
 import type { Started } from '../launch.js'
+import type { Link } from '../link.js'
 import { waitForReplicas } from '../operator.js'
 import { Fault, type Harm } from './fault.js'
 import { modelService, plainService, type World } from './world.js'
@@ -82,6 +83,64 @@
   }
 }
 
+/** Callers' way to one agent: its connections go silent, are cut, or are refused, while its control address works. */
+export class AgentLinkFault extends Fault {
+  readonly harm = 'unknown'
+  readonly name: string
+  private link: Link | undefined
+
+  constructor (private readonly act: 'silence' | 'cut' | 'block') {
+    super()
+    this.name = `${act}-agent-link`
+  }
+
+  async begin (world: World): Promise<void> {
+    this.link = world.pick([...world.agentLinks.values()])
+    this.link[this.act]()
+  }
+
+  async heal (): Promise<void> {
+    this.link?.unblock()
+  }
+}
+
+/** A second rollout while the first is still under way; all replicas end on the second. */
+export class VersionChange extends Fault {
+  readonly harm = 'unknown'
+  readonly name = 'version-change'
+  private manifest = ''
+
+  async begin (world: World): Promise<void> {
+    await world.rollOutNext()
+    this.manifest = (await world.rollOutNext()).manifest
+  }
+
+  async heal (world: World): Promise<void> {
+    await waitForReplicas(world.running, modelService, this.manifest, Date.now())
+  }
+}
+
+/** An engine that reports other weights than it was ordered to load, until it heals. */
+export class Misreport extends Fault {
+  readonly harm = 'unknown'
+  readonly name = 'engine-misreports'
+  private struck: Started | undefined
+  private manifest = ''
+
+  async begin (world: World): Promise<void> {
+    this.struck = upstreamOf(world, modelService)
+    await setFaults(this.struck, { reportedWeights: foreignDigest })
+    this.manifest = (await world.rollOutNext()).manifest
+  }
+
+  async heal (world: World): Promise<void> {
+    if (this.struck !== undefined) await setFaults(this.struck, { reportedWeights: '' })
+    await waitForReplicas(world.running, modelService, this.manifest, Date.now())
+  }
+}
+
+const foreignDigest = 'f'.repeat(64)
+
 /** Cuts an instance's way to the log, or all instances' of a data centre. */
 export class LogCutOff extends Fault {
   readonly name = 'log-cut-off'
--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -106,14 +106,14 @@
   async begin (world: World): Promise<void> {
     const left = world.pick(world.agents())
     this.left = left
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === left.listed.instance ? { ...listed, state: 'leaving' } : listed))
+    await world.publishChanged(left.listed.instance, { state: 'leaving' })
     this.publishedAt = Date.now()
     await waitUntil(this.publishedAt + leavingMilliseconds + watchedMilliseconds)
   }
 
   async heal (world: World): Promise<void> {
     this.backAt = Date.now()
-    await world.running.publish(world.running.instances.map(({ listed }) => listed))
+    await world.publishChanged('', {})
   }
 
   override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
@@ -139,7 +139,7 @@
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
     this.old.kill('SIGSTOP')
     const next = await world.running.replaceAgent(replaced.listed.instance)
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === replaced.listed.instance ? next.listed : listed))
+    await world.publishChanged(replaced.listed.instance, next.listed)
   }
 
   async heal (): Promise<void> {
--- a/script/failure/scenario.ts
+++ b/script/failure/scenario.ts
@@ -1,5 +1,6 @@
 /** One scenario: callers call, faults come and heal, registers judge. */
 import { waitUntil } from '../../src/utils/clock.js'
+import type { RegisterLine } from '../../stand-in/register.js'
 import type { Sending } from '../caller.js'
 import { countFailures, judge, type Verdict } from '../judge.js'
 import { waitFor } from '../operator.js'
@@ -53,7 +54,7 @@
   const sendings = await world.load.stop()
   const register = world.running.register()
   const verdict = judge(sendings, register, world.operator.nonIdempotent)
-  const findings = [...trouble, ...verdict.findings, ...judgeHarm(faults, sendings), ...faults.flatMap(fault => fault.check(world, register, sendings))]
+  const findings = [...trouble, ...verdict.findings, ...judgeWeights(world, register), ...judgeHarm(faults, sendings), ...faults.flatMap(fault => fault.check(world, register, sendings))]
   return { name: faults.map(({ name }) => name).join('+'), seed, verdict, findings, recoveryMilliseconds, failures: countFailures(sendings), tails: world.tails }
 }
 
@@ -62,6 +63,11 @@
   return world.answers.services.every(({ name }) => served.has(name))
 }
 
+/** Completions on weights that were never rolled out. */
+function judgeWeights (world: World, register: readonly RegisterLine[]): readonly string[] {
+  return register.flatMap(line => line.event === 'started' && !world.manifests.has(line.weights) ? [`${line.upstream} ran ${line.id} on the unknown weights ${line.weights.slice(0, 8)}`] : [])
+}
+
 /** Endings that no fault of the scenario excuses. */
 function judgeHarm (faults: readonly Fault[], sendings: readonly Sending[]): readonly string[] {
   const harms = faults.map(({ harm }) => harm)
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -1,5 +1,6 @@
 /** A small deployment with callers, on which faults are brought about. */
 import type { Answers } from '../../src/types/answers.js'
+import type { ListedInstance } from '../../src/types/platform.js'
 import { seededRandom } from '../../src/utils/random.js'
 import { setFaults, startDeployment, type RunningDeployment } from '../deployment.js'
 import { Link } from '../link.js'
@@ -33,7 +34,9 @@
 /** The deployment with its operator, its callers and the links that can be cut. */
 export class World {
   readonly load: Load
-  private version = 1
+  /** Manifests that were rolled out. */
+  readonly manifests = new Set<string>()
+  private version = 0
   private closed = false
 
   private constructor (
@@ -42,6 +45,8 @@
     readonly answers: Answers,
     /** Links to the log, by instance. */
     readonly logLinks: ReadonlyMap<string, Link>,
+    /** Links on which entries reach the agents, by instance. */
+    readonly agentLinks: ReadonlyMap<string, Link>,
     readonly random: () => number,
     seed: number
   ) {
@@ -66,11 +71,13 @@
     const links = new Map<string, Link>()
     const flagsOf = linkLogs(links)
     const running = await startDeployment(answers, 2, { [modelService]: 2, [plainService]: 2 }, { logLevel: 'warn', flagsOf })
-    const world = new World(running, new Operator(running, answers), answers, links, random, seed)
+    const agentLinks = linkAgents(running)
+    const world = new World(running, new Operator(running, answers), answers, links, agentLinks, random, seed)
     try {
+      await running.publish(world.listed)
       await Promise.all(world.agents(modelService).map(async ({ upstream }) => upstream && await setFaults(upstream, { checksFence: checksOrders })))
       await world.operator.applyGenerated()
-      const { manifest, acceptedAt } = await world.operator.rollOut(modelService, '1', weightBytes, chunkBytes)
+      const { manifest, acceptedAt } = await world.rollOutNext()
       await waitForReplicas(running, modelService, manifest, acceptedAt)
     } catch (error) {
       world.end()
@@ -87,6 +94,16 @@
     return this.running.instances.filter(({ listed }) => listed.role === 'upstream' && (service === undefined || listed.service === service))
   }
 
+  /** The list of instances as it is published: agents are reached over their links. */
+  get listed (): readonly ListedInstance[] {
+    return this.running.instances.map(({ listed }) => ({ ...listed, address: this.agentLinks.get(listed.instance)?.listen ?? listed.address }))
+  }
+
+  /** Publishes the list with some instances changed. */
+  async publishChanged (instance: string, change: Partial<ListedInstance>): Promise<void> {
+    await this.running.publish(this.listed.map(listed => listed.instance === instance ? { ...listed, ...change } : listed))
+  }
+
   /** One of several, drawn from the seed. */
   pick<Value> (choices: readonly Value[]): Value {
     const choice = choices[Math.floor(this.random() * choices.length)]
@@ -102,7 +119,9 @@
   /** Rolls out the next version; resolves with its manifest once the command line said accepted. */
   async rollOutNext (): Promise<{ readonly manifest: string, readonly acceptedAt: number }> {
     this.version += 1
-    return await this.operator.rollOut(modelService, String(this.version), weightBytes, chunkBytes)
+    const rollout = await this.operator.rollOut(modelService, String(this.version), weightBytes, chunkBytes)
+    this.manifests.add(rollout.manifest)
+    return rollout
   }
 
   /** Error output of every process, for a report of a failure. */
@@ -113,12 +132,21 @@
   end (): void {
     if (this.closed) return
     this.closed = true
-    for (const link of this.logLinks.values()) link.close()
+    for (const link of [...this.logLinks.values(), ...this.agentLinks.values()]) link.close()
     this.operator.end()
     this.running.end()
   }
 }
 
+function linkAgents (running: RunningDeployment): ReadonlyMap<string, Link> {
+  const agents = running.instances.filter(({ listed }) => listed.role === 'upstream')
+  return new Map(agents.map(({ listed, listen }) => {
+    const link = new Link(listen)
+    link.open()
+    return [listed.instance, link]
+  }))
+}
+
 type FlagsOf = (instance: string, platform: Readonly<Record<string, string>>) => Readonly<Record<string, string>>
 
 /** Puts a link between each instance and the log. */
--- a/src/roles/entry/upstreams.ts
+++ b/src/roles/entry/upstreams.ts
@@ -104,5 +104,5 @@
 function viewOf ({ status, freshUntil, listed, own, since }: Watched, now: number): UpstreamView | undefined {
   if (status === undefined || freshUntil <= now) return undefined
   const load = Math.max(own, status.inFlight + status.waiting + since)
-  return { status, region: listed.region, controlAddress: listed.controlAddress, load }
+  return { status: { ...status, address: listed.address }, region: listed.region, controlAddress: listed.controlAddress, load }
 }
--- a/stand-in/engine.ts
+++ b/stand-in/engine.ts
@@ -39,6 +39,8 @@
   loseOrderShare: number
   /** Digest reported in place of the computed one; empty for the true one. */
   reportedWeights: string
+  /** Probability that an answer goes over into that of another request. */
+  crossShare: number
 }
 
 /** What the engine recorded, for the judges of tests. */
@@ -52,6 +54,9 @@
   started: { id: string, weights: string, at: number }[]
 }
 
+/** Request whose answer a crossed answer goes over into. */
+const otherRequest = { id: 'another-request', prompt: 'the prompt of another request' }
+
 /** Token `index` of the answer to `prompt` on `weights`: anybody can check a whole answer. */
 export function tokenAt (weights: string, prompt: string, index: number): string {
   return digestBytes(`${weights}/${prompt}/${index}`).slice(0, 8)
@@ -74,7 +79,8 @@
     cacheSize: 64,
     loadMilliseconds: 0,
     loseOrderShare: 0,
-    reportedWeights: ''
+    reportedWeights: '',
+    crossShare: 0
   }
 
   readonly register: EngineRegister = { highestRunning: 0, overloads: 0, orders: [], started: [] }
@@ -175,14 +181,16 @@
   private async stream (request: EngineRequest, response: ServerResponse, weights: string): Promise<undefined> {
     const prefix = prefixOf(request.prompt)
     const prefill = this.cache.has(prefix) ? 0 : this.behaviour.prefillTokens
+    const crossed = this.random() < this.behaviour.crossShare
     await delay(this.tokenTime * prefill)
     for (let index = request.resumeFrom; index < request.maximumTokens; index += 1) {
       await this.waitTurn(request.priority)
       if (this.running.get(request.id) !== response || response.destroyed) return this.forget(request.id, response)
       const used = this.state.weights ?? weights
-      sendLine(response, { type: 'token', id: request.id, index, token: tokenAt(used, request.prompt, index), weights: used })
+      const { id, prompt } = crossed && index > request.resumeFrom ? otherRequest : request
+      sendLine(response, { type: 'token', id, index, token: tokenAt(used, prompt, index), weights: used })
     }
-    sendLine(response, { type: 'end', id: request.id, tokens: request.maximumTokens, weights: this.state.weights ?? weights, reason: 'complete' })
+    sendLine(response, { type: 'end', id: crossed ? otherRequest.id : request.id, tokens: request.maximumTokens, weights: this.state.weights ?? weights, reason: 'complete' })
     response.end()
     this.answered += 1
     this.cache.store(prefix, `${weights}/${prefix}`, this.behaviour.cacheSize, this.behaviour.cacheLossShare)
--- a/stand-in/service.ts
+++ b/stand-in/service.ts
@@ -16,6 +16,8 @@
   loseShare: number
   /** A body that contains this text crashes the service after it ran; empty for none. */
   crashText: string
+  /** Probability that the answer is that of another request, by its header and its body. */
+  crossShare: number
 }
 
 /** One operation that ran. */
@@ -23,7 +25,7 @@
 
 /** The service. */
 export class ServiceStandIn {
-  readonly behaviour: ServiceFaults = { workMilliseconds: 5, loseAnswers: false, loseShare: 0, crashText: '' }
+  readonly behaviour: ServiceFaults = { workMilliseconds: 5, loseAnswers: false, loseShare: 0, crashText: '', crossShare: 0 }
   readonly register: RegisterLine[] = []
   private readonly connections = new Connections()
   private readonly random: () => number
@@ -74,6 +76,9 @@
     const { loseAnswers, loseShare, crashText } = this.behaviour
     if (crashText !== '' && bytes.includes(crashText)) this.crash()
     if (loseAnswers || this.random() < loseShare) response.destroy()
-    return response.destroyed ? undefined : { id, operation, body }
+    if (response.destroyed) return undefined
+    const answered = this.random() < this.behaviour.crossShare ? { id: 'another-request', operation, body: digestBytes('the body of another request') } : { id, operation, body }
+    response.setHeader('pollendyke-request-id', answered.id)
+    return answered
   }
 }
