--- a/script/failure/platform-faults.ts
+++ b/script/failure/platform-faults.ts
@@ -95,8 +95,9 @@
   }
 
   async begin (world: World): Promise<void> {
-    this.link = world.pick([...world.agentLinks.values()])
-    this.link[this.act]()
+    const { listed } = world.pickWorking(world.agents(world.pick([modelService, plainService])))
+    this.link = world.agentLinks.get(listed.instance)
+    this.link?.[this.act]()
   }
 
   async heal (): Promise<void> {
@@ -204,7 +205,7 @@
 const poisonRuns = 2
 
 function upstreamOf (world: World, service: string): Started {
-  const { upstream } = world.pick(world.agents(service))
+  const { upstream } = world.pickWorking(world.agents(service))
   if (upstream === undefined) throw new Error('the instance has no upstream')
   return upstream
 }
--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -12,10 +12,10 @@
 function chooseTarget (world: World, target: Target): ManagedProcess {
   switch (target) {
     case 'entry': return world.pick(world.entries).process
-    case 'model-agent': return world.pick(world.agents(modelService)).process
-    case 'plain-agent': return world.pick(world.agents(plainService)).process
-    case 'engine': return upstreamOf(world.pick(world.agents(modelService)))
-    case 'service': return upstreamOf(world.pick(world.agents(plainService)))
+    case 'model-agent': return world.pickWorking(world.agents(modelService)).process
+    case 'plain-agent': return world.pickWorking(world.agents(plainService)).process
+    case 'engine': return upstreamOf(world.pickWorking(world.agents(modelService)))
+    case 'service': return upstreamOf(world.pickWorking(world.agents(plainService)))
   }
 }
 
@@ -82,7 +82,7 @@
 
   async begin (world: World): Promise<void> {
     const service = this.target === 'model-agent' ? modelService : plainService
-    this.stopped = world.pick(this.target === 'entry' ? world.entries : world.agents(service))
+    this.stopped = this.target === 'entry' ? world.pick(world.entries) : world.pickWorking(world.agents(service))
     this.exitCode = await this.stopped.process.stop()
   }
 
@@ -104,7 +104,7 @@
   private backAt = 0
 
   async begin (world: World): Promise<void> {
-    const left = world.pick(world.agents())
+    const left = world.pickWorking(world.agents())
     this.left = left
     await world.publishChanged(left.listed.instance, { state: 'leaving' })
     this.publishedAt = Date.now()
@@ -133,7 +133,7 @@
   private old: ManagedProcess | undefined
 
   async begin (world: World): Promise<void> {
-    const replaced = world.pick(world.agents(modelService))
+    const replaced = world.pickWorking(world.agents(modelService))
     this.old = replaced.process
     await world.rollOutNext()
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -14,6 +14,7 @@
 
 const weightBytes = 1 << 20
 const chunkBytes = 1 << 16
+const workingShare = 0.75
 
 /** Answers for two data centres, two organisations, two engines and two ledgers. */
 export function smallAnswers (checksOrders: boolean): Answers {
@@ -111,6 +112,15 @@
     return choice
   }
 
+  /** One of several upstreams, mostly the one that worked most, so that a fault is felt. */
+  pickWorking (choices: readonly StartedInstance[]): StartedInstance {
+    if (this.random() >= workingShare) return this.pick(choices)
+    const register = this.running.register()
+    const work = ({ upstream }: StartedInstance): number => register.filter(line => (line.event === 'started' || line.event === 'ran') && line.upstream === upstream?.listen).length
+    const [busiest] = [...choices].sort((left, right) => work(right) - work(left))
+    return busiest ?? this.pick(choices)
+  }
+
   /** Addresses of the back ends in a data centre, as registers name them. */
   upstreamsIn (dataCentre: string): ReadonlySet<string> {
     return new Set(this.agents().flatMap(({ listed, upstream }) => listed.dataCentre === dataCentre && upstream !== undefined ? [upstream.listen] : []))
