--- a/script/measure-capacity.ts
+++ b/script/measure-capacity.ts
@@ -4,6 +4,7 @@
 import { fitLine, type Fit, type Point } from './capacity/fit.js'
 import { measureRelay, type RelayCost } from './capacity/relay-slopes.js'
 import { controlSubjects, type Subject } from './capacity/slopes.js'
+import { workSubjects } from './capacity/work-slopes.js'
 
 const linearSpread = 0.15
 
@@ -69,7 +70,7 @@
 }
 
 const only = flagOf('--only')
-const chosen = controlSubjects.filter(subject => only === undefined || subject.name.includes(only))
+const chosen = [...controlSubjects, ...workSubjects].filter(subject => only === undefined || subject.name.includes(only))
 if (chosen.length === 0 && only !== 'relay') throw new Error(`--only: no subject matches "${only}"`)
 const results: SubjectResult[] = []
 for (const subject of chosen) {
