Refuse at once a deadline shorter than any first byte seen lately

Cause: a request whose deadline could not be made took a place at an upstream and failed at its deadline. Change: the entry keeps the shortest first byte of each service over ten to twenty seconds.

--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -74,7 +74,7 @@
   if (isRefused(checked)) return malformed(checked)
   const organisation = own(configuration.organisations, name)
   if (organisation === undefined) return fail('unknown-organisation')
-  if (checked.deadline <= now) return fail('late-deadline', retryAt)
+  if (!host.pace.canMake(checked.service, checked.deadline, now)) return fail('late-deadline', retryAt)
   const standing = host.quarantine.standing(checked.fingerprint, now)
   if (standing.kind === 'quarantined') return fail('quarantined', standing.until)
   return { caller: checked, configuration, organisation }
--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { prefixKey } from '../../core/caller-request.js'
 import { rankEntries, type NamedEntry } from '../../core/locate.js'
+import { Pace } from '../../core/pace.js'
 import { Quarantine } from '../../core/quarantine.js'
 import { RetryBudget } from '../../core/retry.js'
 import { LeastLoad, PrefixAffinity, type Place } from '../../core/routing.js'
@@ -44,6 +45,7 @@
   readonly policy = new PrefixAffinity(new LeastLoad())
   readonly budget = new RetryBudget()
   readonly quarantine = new Quarantine()
+  readonly pace = new Pace()
   readonly journal = new RequestJournal()
   readonly metrics = new Metrics()
   readonly upstreams: Upstreams
--- a/src/roles/entry/host.ts
+++ b/src/roles/entry/host.ts
@@ -1,4 +1,5 @@
 /** What answering needs of the entry. */
+import type { Pace } from '../../core/pace.js'
 import type { Quarantine } from '../../core/quarantine.js'
 import type { RetryBudget } from '../../core/retry.js'
 import type { Place, RoutingPolicy } from '../../core/routing.js'
@@ -20,6 +21,7 @@
   readonly policy: RoutingPolicy
   readonly budget: RetryBudget
   readonly quarantine: Quarantine
+  readonly pace: Pace
   readonly journal: RequestJournal
   readonly metrics: Metrics
   /** Asks an agent over a connection of its own; undefined when it does not answer. `deadline` in epoch milliseconds. */
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -59,7 +59,7 @@
       const standing = this.host.quarantine.standing(this.serving.caller.fingerprint, Date.now())
       if (standing.kind === 'quarantined') return this.quarantined(standing.until)
       const upstream = this.choose(standing.kind === 'suspect')
-      if (upstream === undefined || (sent > 0 && !this.takeRetry())) return this.giveUp()
+      if (upstream === undefined || (sent > 0 && !this.mayRetry())) return this.giveUp()
       const step = await this.send(upstream, standing.kind === 'suspect')
       if (step.kind === 'over') return step.failure
       if (this.serving.signal.aborted) return this.giveUp()
@@ -85,8 +85,9 @@
     return intentsOf(configuration, revisions, caller.service, caller.organisation).map(({ manifest }) => manifest)
   }
 
-  private takeRetry (): boolean {
+  private mayRetry (): boolean {
     const { caller, organisation } = this.serving
+    if (!this.host.pace.canMake(caller.service, caller.deadline, Date.now())) return false
     return this.host.budget.take(caller.organisation, organisation.retriesPerSecond, Date.now())
   }
 
@@ -100,6 +101,7 @@
     const result = await attempt(this.host, { caller, receivedAt, priority: organisation.priority, organisationClass, upstream, suspect, traceParent, response, signal, tracker: this.tracker })
     this.host.journal.noteAttempt(caller.id, { instance, dataCentre, sentAt, result: describeResult(result) })
     this.host.metrics.count('attempts_total', { service: caller.service, result: describeResult(result) })
+    if (result.kind === 'answered' && caller.model === undefined) this.host.pace.note(caller.service, Date.now() - sentAt, Date.now())
     return await this.judge(upstream, result)
   }
 
--- a/src/roles/entry/stream.ts
+++ b/src/roles/entry/stream.ts
@@ -95,8 +95,11 @@
   const { tracker, caller, receivedAt, organisationClass } = input
   const now = Date.now()
   const labels = { service: caller.service, organisations: organisationClass }
-  if (tracker.lastAt === 0) host.metrics.observe('first_token_milliseconds', labels, now - receivedAt)
-  else host.metrics.observe('between_tokens_milliseconds', labels, now - tracker.lastAt)
+  if (tracker.lastAt === 0) {
+    host.pace.note(caller.service, now - receivedAt, now)
+    host.metrics.observe('first_token_milliseconds', labels, now - receivedAt)
+  }
+  if (tracker.lastAt > 0) host.metrics.observe('between_tokens_milliseconds', labels, now - tracker.lastAt)
   tracker.lastAt = now
 }
 
--- a/test/entry-answers.test.ts
+++ b/test/entry-answers.test.ts
@@ -228,3 +228,18 @@
   }
   t.equal(world.runs, 0)
 })
+
+test('a deadline shorter than any first byte seen lately is refused at once', async t => {
+  const world = await World.start({ citations: ['east'] })
+  t.teardown(() => { world.stop() })
+  const [agent] = world.agents
+  if (agent !== undefined) {
+    agent.otherwise = 'running'
+    agent.behave = answerTokens(undefined, 400)
+  }
+  await world.call('citations/completions', { prompt: 'x', maximumTokens: 1 })
+  const answer = await world.call('citations/completions', { prompt: 'x', maximumTokens: 1 }, { [headers.deadline]: String(Date.now() + 200) })
+  t.match(answer, { status: 503, failure: 'late-deadline', outcome: 'not-run' })
+  t.ok((JSON.parse(answer.text) as { retryAt: number }).retryAt > 0)
+  t.equal(agent?.runs.length, 1)
+})
--- a/test/entry-request.test.ts
+++ b/test/entry-request.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'tap'
 import { checkRequest, isRefused, type RawRequest } from '../src/core/caller-request.js'
+import { Pace } from '../src/core/pace.js'
 import { judgeLine } from '../src/core/answer-lines.js'
 import { claimKey } from '../src/core/claims.js'
 import type { Service } from '../src/types/configuration.js'
@@ -61,3 +62,22 @@
   t.not(claimKey('a', 'b', 'c', 'd'), claimKey('ab', '', 'c', 'd'))
   t.match(claimKey('a', 'b', 'c', 'd'), /^[0-9a-f]{64}$/)
 })
+
+const paces: readonly { readonly name: string, readonly noted: ReadonlyArray<readonly [milliseconds: number, at: number]>, readonly at: number, readonly makeable: number }[] = [
+  { name: 'nothing', noted: [], at: 100, makeable: 1 },
+  { name: 'one first byte', noted: [[40, 0]], at: 100, makeable: 41 },
+  { name: 'the shortest of several', noted: [[40, 0], [30, 5000], [50, 9000]], at: 9500, makeable: 31 },
+  { name: 'a first byte one window ago', noted: [[40, 0]], at: 15_000, makeable: 41 },
+  { name: 'a first byte long ago', noted: [[40, 0]], at: 25_000, makeable: 1 },
+  { name: 'slower first bytes after a fast one', noted: [[10, 0], [40, 12_000], [45, 22_000]], at: 23_000, makeable: 41 }
+]
+
+for (const { name, noted, at, makeable } of paces) {
+  test(`after ${name} a deadline ${makeable} ms away can be made, and no earlier one`, async t => {
+    const pace = new Pace()
+    for (const [milliseconds, when] of noted) pace.note('s', milliseconds, when)
+    t.equal(pace.canMake('s', at + makeable, at), true)
+    t.equal(pace.canMake('s', at + makeable - 1, at), false)
+    t.equal(pace.canMake('another', at + 1, at), true)
+  })
+}
