--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -12,10 +12,10 @@
 function chooseTarget (world: World, target: Target): ManagedProcess {
   switch (target) {
     case 'entry': return world.pick(world.entries).process
-    case 'model-agent': return world.pick(world.agents(modelService)).process
-    case 'plain-agent': return world.pick(world.agents(plainService)).process
-    case 'engine': return upstreamOf(world.pick(world.agents(modelService)))
-    case 'service': return upstreamOf(world.pick(world.agents(plainService)))
+    case 'model-agent': return world.pickWorking(world.agents(modelService)).process
+    case 'plain-agent': return world.pickWorking(world.agents(plainService)).process
+    case 'engine': return upstreamOf(world.pickWorking(world.agents(modelService)))
+    case 'service': return upstreamOf(world.pickWorking(world.agents(plainService)))
   }
 }
 
@@ -82,7 +82,7 @@
 
   async begin (world: World): Promise<void> {
     const service = this.target === 'model-agent' ? modelService : plainService
-    this.stopped = world.pick(this.target === 'entry' ? world.entries : world.agents(service))
+    this.stopped = this.target === 'entry' ? world.pick(world.entries) : world.pickWorking(world.agents(service))
     this.exitCode = await this.stopped.process.stop()
   }
 
@@ -104,16 +104,16 @@
   private backAt = 0
 
   async begin (world: World): Promise<void> {
-    const left = world.pick(world.agents())
+    const left = world.pickWorking(world.agents())
     this.left = left
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === left.listed.instance ? { ...listed, state: 'leaving' } : listed))
+    await world.publishChanged(left.listed.instance, { state: 'leaving' })
     this.publishedAt = Date.now()
     await waitUntil(this.publishedAt + leavingMilliseconds + watchedMilliseconds)
   }
 
   async heal (world: World): Promise<void> {
     this.backAt = Date.now()
-    await world.running.publish(world.running.instances.map(({ listed }) => listed))
+    await world.publishChanged('', {})
   }
 
   override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
@@ -133,13 +133,13 @@
   private old: ManagedProcess | undefined
 
   async begin (world: World): Promise<void> {
-    const replaced = world.pick(world.agents(modelService))
+    const replaced = world.pickWorking(world.agents(modelService))
     this.old = replaced.process
     await world.rollOutNext()
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
     this.old.kill('SIGSTOP')
     const next = await world.running.replaceAgent(replaced.listed.instance)
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === replaced.listed.instance ? next.listed : listed))
+    await world.publishChanged(replaced.listed.instance, next.listed)
   }
 
   async heal (): Promise<void> {
