--- a/script/failure-sweep.ts
+++ b/script/failure-sweep.ts
@@ -21,9 +21,9 @@
 }
 
 function printResult ({ name, seed, verdict, findings, recoveryMilliseconds, failures }: ScenarioResult, verbose: boolean): void {
-  const { sent, whole, notRun, unknown, run, cut, unreached, wrong, doubled, falseNotRun, overloads } = verdict
+  const { sent, whole, notRun, unknown, run, cut, unreached, wrong, doubled, falseNotRun, staleNotRun, overloads } = verdict
   const state = findings.length === 0 ? 'held  ' : 'BROKEN'
-  process.stdout.write(`${state} ${name.padEnd(40)} seed ${seed}: sent ${sent}, whole ${whole}, not-run ${notRun}, unknown ${unknown}, run ${run}, cut ${cut + unreached}, wrong ${wrong}, doubled ${doubled}, false not-run ${falseNotRun}, overloads ${overloads}; served again after ${recoveryMilliseconds} ms\n`)
+  process.stdout.write(`${state} ${name.padEnd(40)} seed ${seed}: sent ${sent}, whole ${whole}, not-run ${notRun}, unknown ${unknown}, run ${run}, cut ${cut + unreached}, wrong ${wrong}, doubled ${doubled}, false not-run ${falseNotRun}, stale not-run ${staleNotRun}, overloads ${overloads}; served again after ${recoveryMilliseconds} ms\n`)
   for (const finding of findings.slice(0, shownFindings)) process.stdout.write(`       ${finding}\n`)
   if (findings.length > shownFindings) process.stdout.write(`       and ${findings.length - shownFindings} more\n`)
   if (findings.length > 0 || verbose) for (const [failure, number] of failures.slice(0, shownFindings)) process.stdout.write(`       ${number} x ${failure}\n`)
--- a/script/failure/catalogue.ts
+++ b/script/failure/catalogue.ts
@@ -2,7 +2,7 @@
 import type { Fault } from './fault.js'
 import { IsolatedZoneOut, OperatorRace, ZoneMove } from './operator-faults.js'
 import { AgentLinkFault, CrashingRequest, LogCutOff, LogSilence, LostAnswers, Misreport, PlatformFault, RolloutFault, UpstreamAct, VersionChange } from './platform-faults.js'
-import { Kill, Leaving, Pause, PlannedStop, ReplaceAgent } from './process-faults.js'
+import { Burst, Kill, KillDataCentre, Leaving, Pause, PlannedStop, ReplaceAgent, Stutter } from './process-faults.js'
 import { modelService, plainService } from './world.js'
 
 const makers: ReadonlyArray<() => Fault> = [
@@ -20,7 +20,14 @@
   () => new PlannedStop('model-agent'),
   () => new PlannedStop('plain-agent'),
   () => new Leaving(),
-  () => new ReplaceAgent(),
+  () => new ReplaceAgent(modelService),
+  () => new ReplaceAgent(plainService),
+  () => new Stutter('entry'),
+  () => new Stutter('model-agent'),
+  () => new Stutter('plain-agent'),
+  () => new Stutter('engine'),
+  () => new KillDataCentre(),
+  () => new Burst(),
   () => new PlatformFault('log-out', 'log', { outage: true }, { outage: false }),
   () => new PlatformFault('log-slow', 'log', { delayMilliseconds: 1500 }, { delayMilliseconds: 0 }),
   () => new PlatformFault('log-loses-answers', 'log', { loseAnswers: 0.5, loseReads: 0.3 }, { loseAnswers: 0, loseReads: 0 }),
--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -1,4 +1,5 @@
 /** Faults of processes: killed, paused, stopped as planned, replaced. */
+import type { Load } from '../load.js'
 import type { StartedInstance } from '../launch.js'
 import type { ManagedProcess } from '../process.js'
 import type { RegisterLine } from '../../stand-in/register.js'
@@ -68,6 +69,73 @@
   }
 }
 
+/** Pauses a process again and again for moments, so that a pause falls between any check and what follows it. */
+export class Stutter extends Fault {
+  readonly name: string
+  readonly harm: Harm
+  private stopped = false
+
+  constructor (private readonly target: Target) {
+    super()
+    this.name = `stutter-${target}`
+    this.harm = target === 'entry' ? 'cut' : 'unknown'
+  }
+
+  async begin (world: World): Promise<void> {
+    const struck = chooseTarget(world, this.target)
+    for (let moment = 0; moment < moments && !this.stopped; moment += 1) {
+      struck.kill('SIGSTOP')
+      await waitUntil(Date.now() + world.random() * longestMomentMilliseconds)
+      struck.kill('SIGCONT')
+      await waitUntil(Date.now() + world.random() * shortestGapMilliseconds)
+    }
+  }
+
+  async heal (): Promise<void> {
+    this.stopped = true
+  }
+}
+
+const moments = 12
+const longestMomentMilliseconds = 700
+const shortestGapMilliseconds = 150
+
+/** Kills every process of a data centre at once, back ends too; all start again empty. */
+export class KillDataCentre extends Fault {
+  readonly name = 'kill-data-centre'
+  readonly harm = 'cut'
+  private struck: readonly ManagedProcess[] = []
+
+  async begin (world: World): Promise<void> {
+    const { name } = world.pick(world.answers.dataCentres)
+    const instances = world.running.instances.filter(({ listed }) => listed.dataCentre === name)
+    this.struck = instances.flatMap(({ process: managed, upstream }) => upstream === undefined ? [managed] : [managed, upstream.process])
+    await Promise.all(this.struck.map(async managed => { await managed.end() }))
+  }
+
+  async heal (): Promise<void> {
+    await Promise.all(this.struck.map(async managed => { await managed.ensureRunning() }))
+  }
+}
+
+/** Many more callers for a while. */
+export class Burst extends Fault {
+  readonly name = 'burst'
+  /** A request that waited long may be cut by its own deadline. */
+  readonly harm = 'unknown'
+  private load: Load | undefined
+
+  async begin (world: World): Promise<void> {
+    this.load = world.addCallers(burstCallers)
+  }
+
+  async heal (): Promise<void> {
+    await this.load?.stop()
+  }
+}
+
+const burstCallers = 25
+
 /** Planned stop of an entry or an agent; the list calls it leaving first. */
 export class PlannedStop extends Fault {
   readonly name: string
@@ -128,14 +196,19 @@
 
 /** A second agent takes over an engine in the middle of a rollout while the first is paused; then the first goes on. */
 export class ReplaceAgent extends Fault {
-  readonly name = 'replace-agent'
+  readonly name: string
   readonly harm = 'unknown'
   private old: ManagedProcess | undefined
 
+  constructor (private readonly service: typeof modelService | typeof plainService) {
+    super()
+    this.name = service === modelService ? 'replace-agent' : 'replace-plain-agent'
+  }
+
   async begin (world: World): Promise<void> {
-    const replaced = world.pickWorking(world.agents(modelService))
+    const replaced = world.pickWorking(world.agents(this.service))
     this.old = replaced.process
-    await world.rollOutNext()
+    if (this.service === modelService) await world.rollOutNext()
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
     this.old.kill('SIGSTOP')
     const next = await world.running.replaceAgent(replaced.listed.instance)
--- a/script/failure/scenario.ts
+++ b/script/failure/scenario.ts
@@ -51,7 +51,7 @@
   const healedAt = Date.now()
   await note(trouble, 'recovery', waitFor('whole answers of every service', async () => isServing(world, healedAt)))
   const recoveryMilliseconds = Date.now() - healedAt
-  const sendings = await world.load.stop()
+  const sendings = await world.stopCallers()
   const register = world.running.register()
   const verdict = judge(sendings, register, world.operator.nonIdempotent)
   const findings = [...trouble, ...verdict.findings, ...judgeWeights(world, register), ...judgeHarm(faults, sendings), ...faults.flatMap(fault => fault.check(world, register, sendings))]
--- a/script/judge.ts
+++ b/script/judge.ts
@@ -20,6 +20,8 @@
   readonly doubled: number
   /** Sendings said to have not run whose id a register lists. */
   readonly falseNotRun: number
+  /** Sendings of a key said to have not run although an earlier sending of it had; true of the sending, and apt to mislead. */
+  readonly staleNotRun: number
   /** Times an engine fell over from more work than it bears. */
   readonly overloads: number
   /** Sendings with an id that stated an answer before any run of their call, or without one. */
@@ -31,11 +33,14 @@
 export function judge (sendings: readonly Sending[], register: readonly RegisterLine[], nonIdempotent: ReadonlySet<string>): Verdict {
   const runsOfId = countBy(register.flatMap(line => line.event === 'started' || line.event === 'ran' ? [line.id] : []))
   const runsOfText = countBy(register.flatMap(textOf))
+  const firstRuns = new Map(register.flatMap(line => line.event === 'ran' ? [[line.body, line.at] as const] : []).reverse())
   const count = (end: Sending['end']): number => sendings.filter(sending => sending.end === end).length
   const isRisky = ({ call }: Sending): boolean => nonIdempotent.has(`${call.service}/${call.operation}`)
   const runsOf = ({ call }: Sending): number => runsOfText.get(call.kind === 'model' ? call.text : digestBytes(call.text)) ?? 0
   const doubled = uniqueCalls(sendings.filter(sending => isRisky(sending) && runsOf(sending) > 1))
   const falseNotRun = sendings.filter(sending => sending.end === 'not-run' && sending.id !== '' && runsOfId.has(sending.id))
+  const firstRunOf = ({ call }: Sending): number => firstRuns.get(digestBytes(call.text)) ?? Infinity
+  const staleNotRun = sendings.filter(sending => sending.end === 'not-run' && sending.call.key !== '' && !runsOfId.has(sending.id) && firstRunOf(sending) < sending.sentAt)
   const unrecorded = sendings.filter(sending => sending.end === 'whole' && runsOf(sending) === 0)
   const wrong = sendings.filter(sending => sending.end === 'wrong')
   const overloads = register.filter(line => line.event === 'crashed' && line.overload)
@@ -57,6 +62,7 @@
     wrong: wrong.length,
     doubled: doubled.length,
     falseNotRun: falseNotRun.length,
+    staleNotRun: staleNotRun.length,
     overloads: overloads.length,
     unrecorded: unrecorded.length,
     findings
