Pace the change of weights within a pool

Instances announce, ask the pool, and go when fewer than the allowed number are away or announced; their order follows from rendezvous hashing. The allowed number follows from load, pool size, deadline and weighting. A crashed engine gets the weights that it served before from its agent while the new ones are not whole.

--- a/script/measure/pool.ts
+++ b/script/measure/pool.ts
@@ -111,6 +111,8 @@
     linkBytes: settings.linkBytes,
     members: settings.listed,
     served: () => holder.member?.served ?? '',
+    pool: () => settings.listed().filter(listed => listed.dataCentre === dataCentre),
+    weighting: () => 'replicas' as const,
     load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: 8 })
   }
   const exchange = new WeightExchange(options, () => {}, settings.makeFetcher)
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -13,6 +13,7 @@
 import { HttpLogClient, streams } from '../../transports/log-client.js'
 import type { Configuration, Service } from '../../types/configuration.js'
 import type { AgentState, AgentStatus, NodeDescription } from '../../types/messages.js'
+import type { ListedInstance } from '../../types/platform.js'
 import type { AgentSettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -65,8 +66,9 @@
     this.directory = new InstanceDirectory(settings.instances)
     this.follower = new ConfigurationFollower({ client, directory: this.directory, instance, dataCentre })
     const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, service, this.directory.instances, manifest)
-    const load = (): ExchangeLoad => ({ inFlight: this.admission.inFlight, limit: this.admission.limit })
-    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, members, load, served: () => this.orders.served }, () => { this.changed() })
+    const load = (): ExchangeLoad => ({ inFlight: this.admission.unfinished, limit: this.admission.limit })
+    const views = { members, pool: () => this.pool, load, served: () => this.orders.served, weighting: () => this.configuration?.deployment.weighting ?? 'service' }
+    this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, ...views }, () => { this.changed() })
     this.lease = new InstanceLease(client, instance, this.incarnation, () => { this.changed() })
     this.orders = new Orders(this, this.lease)
     this.back = new Upstream(settings.upstream, this.hasEngine ? '/state' : '/load', () => this.service, engine => { this.orders.take(engine) }, () => { this.changed() })
@@ -128,11 +130,11 @@
   }
 
   get wanted (): string {
-    return this.exchange.progress.manifest
+    return this.exchange.loadable?.manifest ?? ''
   }
 
   get isWhole (): boolean {
-    return this.exchange.isWhole
+    return this.exchange.isLoadable
   }
 
   get unfinished (): number {
@@ -141,7 +143,7 @@
 
   /** Whether this instance may be away for a change of weights now. */
   maySwap (): boolean {
-    return true
+    return this.exchange.maySwap()
   }
 
   async probe (): Promise<void> {
@@ -153,6 +155,7 @@
   }
 
   changed (): void {
+    this.exchange.noteServed()
     this.feed.changed()
   }
 
@@ -193,6 +196,12 @@
     return this.settings.origin !== undefined
   }
 
+  /** Live instances of the same service and data centre, from the lagging list. */
+  private get pool (): readonly ListedInstance[] {
+    const { service, dataCentre } = this.settings
+    return this.directory.instances.filter(listed => listed.service === service && listed.dataCentre === dataCentre && listed.state === 'live')
+  }
+
   private get service (): Service | undefined {
     return this.configuration?.services[this.settings.service]
   }
@@ -232,8 +241,7 @@
     const { configuration, revisions } = this.follower.state
     const { service, dataCentre, instance } = this.settings
     if (configuration !== undefined && this.service?.kind === 'model') {
-      const members = this.directory.instances.filter(listed => listed.service === service && listed.dataCentre === dataCentre && listed.state === 'live')
-      this.exchange.want(wantedWeights(configuration, revisions, service, dataCentre, instance, members.map(listed => listed.instance)))
+      this.exchange.want(wantedWeights(configuration, revisions, service, dataCentre, instance, this.pool.map(listed => listed.instance)))
     }
     if (!this.isClaiming && this.service?.kind === 'plain' && this.service.nonIdempotent.length > 0) {
       this.isClaiming = true
--- a/src/roles/agent/exchange-options.ts
+++ b/src/roles/agent/exchange-options.ts
@@ -30,6 +30,10 @@
   /** Manifest digest that the engine serves, empty for none. */
   readonly served: () => string
   readonly load: () => ExchangeLoad
+  /** Live instances of the same service and data centre, whatever they want. */
+  readonly pool: () => readonly ExchangeMember[]
+  /** What the deployment weighs more. */
+  readonly weighting: () => 'replicas' | 'service'
 }
 
 /** What an instance answers about a manifest at `GET /weights/DIGEST/held`. */
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -1,6 +1,5 @@
 /** Exchange of weights: fetches the wanted weights, and serves them to peers and to the engine. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { SwapState } from '../../core/weights/swap.js'
 import type { WantedWeights, WeightProgress } from '../../types/weights.js'
 import { headerOf, sendJson } from '../../transports/http-server.js'
 import { LinkLimiter } from '../../utils/link-limiter.js'
@@ -9,6 +8,7 @@
 import type { ChunkFetcher, FetchContext } from './exchange-fetcher.js'
 import { heldCount, heldHeaderNames, Holdings, isWholeSet } from './exchange-holdings.js'
 import type { ExchangeOptions } from './exchange-options.js'
+import { SwapPace } from './exchange-swap.js'
 import { SwarmFetcher } from './exchange-swarm.js'
 import { Uploads } from './exchange-uploads.js'
 
@@ -33,14 +33,16 @@
   private readonly holdings = new Holdings()
   private readonly uploads: Uploads
   private readonly context: FetchContext
-  private readonly swap: SwapState = 'idle'
+  private readonly pace: SwapPace
+  private previous = ''
 
   constructor (private readonly options: ExchangeOptions, onChange: () => void, private readonly makeFetcher: MakeFetcher = makeSwarm) {
     const liveLoad = (): number => {
       const { inFlight, limit } = options.load()
       return limit > 0 ? inFlight / limit : 0
     }
-    this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.swap)
+    this.pace = new SwapPace(options)
+    this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.pace.state)
     this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange }
   }
 
@@ -51,7 +53,8 @@
     this.fetcher = undefined
     this.wanted = wanted
     if (wanted === undefined) return
-    this.holdings.keepOnly([wanted.manifest, this.options.served()])
+    this.rememberServed()
+    this.holdings.keepOnly([wanted.manifest, this.previous])
     this.fetcher = this.makeFetcher(this.context, wanted)
     this.fetcher.start()
   }
@@ -98,9 +101,36 @@
     this.fetcher?.noteAsked(headerOf(request, heldHeaderNames.instance), request.headers)
   }
 
+  /** What the engine should have now: the wanted weights once they are whole, until then the ones that it served before. */
+  get loadable (): WantedWeights | undefined {
+    if (this.wanted === undefined || this.isWhole) return this.wanted
+    const previous = this.holdings.get(this.previous)
+    if (previous === undefined || !isWholeSet(previous)) return this.wanted
+    return { manifest: this.previous, finishBy: this.wanted.finishBy }
+  }
+
+  /** Whether every chunk of the loadable weights is held and verified. */
+  get isLoadable (): boolean {
+    const weights = this.holdings.get(this.loadable?.manifest ?? '')
+    return weights !== undefined && isWholeSet(weights)
+  }
+
+  /** Whether the engine may be away for a change of weights now. */
+  maySwap (): boolean {
+    const target = this.loadable
+    return target !== undefined && this.pace.maySwap(target)
+  }
+
   /** The engine's weights may have changed: drops the chunks that neither it nor the target needs. */
   noteServed (): void {
-    if (this.isWhole && this.options.served() === this.wanted?.manifest) this.holdings.keepOnly([this.wanted.manifest])
+    this.pace.noteServed()
+    this.rememberServed()
+    if (this.isWhole && this.previous === this.wanted?.manifest) this.holdings.keepOnly([this.previous])
+  }
+
+  private rememberServed (): void {
+    const served = this.options.served()
+    if (served !== '') this.previous = served
   }
 }
 
