Let replicas go before capacity, check the swap pace by model

Change: weighting replicas always lets one instance go, service waits for room or the deadline, with twice the usual change set aside; the second rank waits 1.5 s at least. The model walks the announce-ask-decide protocol, no more away than allowed and nobody stuck; check-then-act is refuted.

--- /dev/null
+++ b/model/swap.ts
@@ -0,0 +1,128 @@
+/** Specification: never more than the allowed number of a pool's instances are away at once. Drives src/core/weights/swap.ts. */
+import { nextSwapStep, type SwapPeer, type SwapState, type SwapStep } from '../src/core/weights/swap.js'
+import type { Action, Specification } from './explore.js'
+
+const wanted = 'new'
+
+interface ModelInstance {
+  readonly alive: boolean
+  readonly served: string
+  readonly swap: SwapState
+  /** What it read of each other instance since it announced; undefined where it has not asked yet. */
+  readonly read: ReadonlyArray<SwapState | 'done' | 'dead' | undefined>
+}
+
+interface World {
+  readonly instances: readonly ModelInstance[]
+  readonly crashesLeft: number
+}
+
+/** Bounds of the walk. */
+export interface SwapBounds {
+  readonly instances: number
+  readonly allowed: number
+  readonly crashes: number
+  /** Whether instances may announce before their turn, as one that waited too long does. */
+  readonly overdue: boolean
+}
+
+/** How an instance decides once it has asked every other one. */
+type Decide = (world: World, index: number, bounds: SwapBounds) => SwapStep
+
+/** Announce, then ask, then decide: what the product does. */
+export function swapSpecification (bounds: SwapBounds): Specification<World> {
+  return specification(bounds, decide, true)
+}
+
+/** The naive variant: ask who is away, then go, without having announced. */
+export function checkThenActSpecification (bounds: SwapBounds): Specification<World> {
+  const checkThenAct: Decide = (world, index) => {
+    const away = world.instances[index]?.read.filter(swap => swap === 'away').length ?? 0
+    return away < bounds.allowed ? 'start' : 'withdraw'
+  }
+  return specification(bounds, checkThenAct, false)
+}
+
+/** Whether every living instance serves the wanted weights. */
+export function isSwapDone (world: object): boolean {
+  return (world as World).instances.every(instance => !instance.alive || instance.served === wanted)
+}
+
+function specification (bounds: SwapBounds, choose: Decide, announces: boolean): Specification<World> {
+  const unread = Array.from({ length: bounds.instances }, () => undefined)
+  const fresh: ModelInstance = { alive: true, served: 'old', swap: 'idle', read: unread }
+  const told = (instance: ModelInstance): SwapState | 'done' | 'dead' => {
+    if (!instance.alive) return 'dead'
+    if (instance.swap === 'intending' && !announces) return 'idle'
+    return instance.swap === 'idle' && instance.served === wanted ? 'done' : instance.swap
+  }
+  const steps: Readonly<Record<string, (world: World, index: number, other: number) => World>> = {
+    announce: (world, index) => change(world, index, { swap: 'intending', read: unread }),
+    read: (world, index, other) => {
+      const read = world.instances[index]?.read.map((known, position) => position === other ? told(world.instances[other] ?? fresh) : known) ?? unread
+      return change(world, index, { read })
+    },
+    decide: (world, index) => apply(world, index, choose(world, index, bounds), unread),
+    finish: (world, index) => change(world, index, { swap: 'idle', served: wanted }),
+    crash: (world, index) => ({ ...change(world, index, { alive: false, swap: 'idle', read: unread }), crashesLeft: world.crashesLeft - 1 })
+  }
+  return {
+    initial: { instances: Array.from({ length: bounds.instances }, () => fresh), crashesLeft: bounds.crashes },
+    actionsOf: world => actionsOf(world, bounds),
+    next: (world, action) => {
+      const [verb = '', index = '0', other = '0'] = action.type.split(' ')
+      return steps[verb]?.(world, Number(index), Number(other)) ?? world
+    },
+    broken: world => world.instances.filter(instance => instance.alive && instance.swap === 'away').length > bounds.allowed ? 'more instances are away than allowed' : undefined
+  }
+}
+
+function actionsOf (world: World, bounds: SwapBounds): readonly Action[] {
+  const names = world.instances.flatMap((instance, index) => {
+    if (!instance.alive) return []
+    const crash = world.crashesLeft > 0 ? [`crash ${index}`] : []
+    if (instance.swap === 'away') return [...crash, `finish ${index}`]
+    if (instance.swap === 'intending') return [...crash, ...readsOf(instance, index)]
+    const mayAnnounce = instance.served !== wanted && turnOf(world, index, bounds) === 'intend'
+    return mayAnnounce ? [...crash, `announce ${index}`] : crash
+  })
+  return names.map(type => ({ type }))
+}
+
+/** Asks are answered in any order; the decision comes when all are. */
+function readsOf (instance: ModelInstance, index: number): readonly string[] {
+  const open = instance.read.flatMap((known, other) => known === undefined && other !== index ? [`read ${index} ${other}`] : [])
+  return open.length > 0 ? open : [`decide ${index}`]
+}
+
+function turnOf (world: World, index: number, bounds: SwapBounds): SwapStep {
+  const peers = world.instances.flatMap((other, position) => position === index || !other.alive ? [] : [peerOf(position, other.swap, other.served)])
+  return nextSwapStep({ instance: nameOf(index), served: 'old', swap: 'idle', wanted, peers, allowed: bounds.allowed, isOverdue: bounds.overdue })
+}
+
+function decide (world: World, index: number, bounds: SwapBounds): SwapStep {
+  const peers = world.instances[index]?.read.flatMap((known, position) => {
+    if (known === undefined || known === 'dead') return []
+    return [peerOf(position, known === 'done' ? 'idle' : known, known === 'done' ? wanted : 'old')]
+  }) ?? []
+  return nextSwapStep({ instance: nameOf(index), served: 'old', swap: 'intending', wanted, peers, allowed: bounds.allowed, isOverdue: bounds.overdue })
+}
+
+/** Waiting asks everyone again; the announcement stays. */
+function apply (world: World, index: number, step: SwapStep, unread: ModelInstance['read']): World {
+  if (step === 'start') return change(world, index, { swap: 'away', read: unread })
+  if (step === 'withdraw') return change(world, index, { swap: 'idle', read: unread })
+  return change(world, index, { read: unread })
+}
+
+function change (world: World, index: number, changes: Partial<ModelInstance>): World {
+  return { ...world, instances: world.instances.map((instance, position) => position === index ? { ...instance, ...changes } : instance) }
+}
+
+function peerOf (position: number, swap: SwapState, served: string): SwapPeer {
+  return { instance: nameOf(position), served, swap, inFlight: 0, limit: 1 }
+}
+
+function nameOf (index: number): string {
+  return `model-${index}`
+}
--- a/src/core/weights/swap.ts
+++ b/src/core/weights/swap.ts
@@ -38,21 +38,25 @@
 const awayShare = { replicas: 0.5, service: 0.25 } as const
 /** Largest share that a deadline can force away. */
 const forcedShare = { replicas: 1, service: 0.5 } as const
+/** Instances that may be away whatever the load: time to replicas goes before capacity, service does not. */
+const leastAway = { replicas: 1, service: 0 } as const
+/** Times the usual change that are set aside for each change before the deadline. */
+const deadlineMargin = 2
 /** Room above the present load that stays free. */
 const headroom = 1.2
 
-/** Instances that may be away at once. The pool keeps what its load needs, unless the deadline forces more away. */
+/** Instances that may be away at once. Beyond the least, the pool keeps what its load needs, unless the deadline forces more away. */
 export function allowedAway (view: PaceView): number {
   const byWeighting = Math.max(1, Math.floor(view.size * awayShare[view.weighting]))
   const limitOfOne = view.serving > 0 ? Math.max(1, view.limit / view.serving) : 1
   const needed = Math.ceil(view.inFlight * headroom / limitOfOne)
-  const paced = Math.max(0, Math.min(byWeighting, view.serving - needed))
+  const paced = Math.max(leastAway[view.weighting], Math.min(byWeighting, view.serving - needed))
   return Math.max(paced, forcedAway(view, byWeighting))
 }
 
 /** Instances that must be away at once for the rollout to end in time; 0 while one at a time can still wait. */
 function forcedAway (view: PaceView, byWeighting: number): number {
-  const rounds = Math.floor((view.finishBy - view.now) / view.changeMilliseconds)
+  const rounds = Math.floor((view.finishBy - view.now) / (view.changeMilliseconds * deadlineMargin))
   if (rounds > view.remaining) return 0
   const most = Math.max(byWeighting, Math.floor((view.size - 1) * forcedShare[view.weighting]))
   if (rounds < 1) return Math.min(view.remaining, byWeighting)
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -66,7 +66,7 @@
     this.directory = new InstanceDirectory(settings.instances)
     this.follower = new ConfigurationFollower({ client, directory: this.directory, instance, dataCentre })
     const members = (manifest: string): readonly ExchangeMember[] => membersWanting(this.follower.state, service, this.directory.instances, manifest)
-    const load = (): ExchangeLoad => ({ inFlight: this.admission.unfinished, limit: this.admission.limit })
+    const load = (): ExchangeLoad => ({ inFlight: this.admission.inFlight, limit: this.admission.limit })
     const views = { members, pool: () => this.pool, load, served: () => this.orders.served, weighting: () => this.configuration?.deployment.weighting ?? 'service' }
     this.exchange = new WeightExchange({ ...settings, origin: settings.origin, store: settings.store, ...views }, () => { this.changed() })
     this.lease = new InstanceLease(client, instance, this.incarnation, () => { this.changed() })
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -30,7 +30,7 @@
 const learnFactor = 8
 const rankFactor = 4
 const pollFactor = 8
-const leastRankMilliseconds = 750
+const leastRankMilliseconds = 1500
 const lostHolderMilliseconds = 2000
 const assumedLinkBytes = 50 << 20
 
