--- a/script/measure.ts
+++ b/script/measure.ts
@@ -3,13 +3,15 @@
 import { cac } from 'cac'
 import { writeLogs } from '../src/utils/log.js'
 import { tableText, type MeasureTable } from './measure/table.js'
+import { measureSwap } from './measure/swap.js'
 import { measureWeights } from './measure/weights.js'
 
 /** A measurement; `words` choose among its trials. */
 export type Measure = (seed: number, words: readonly string[]) => Promise<MeasureTable>
 
 const measures: Readonly<Record<string, Measure>> = {
-  weights: measureWeights
+  weights: measureWeights,
+  swap: measureSwap
 }
 
 async function main (): Promise<void> {
--- a/script/measure/pool.ts
+++ b/script/measure/pool.ts
@@ -1,10 +1,14 @@
 /** Many exchanges in one process, over real HTTP on loopback: for measurements and tests of the exchange. */
 import type { Server } from 'node:http'
+import type { PaceView } from '../../src/core/weights/swap.js'
 import type { ExchangeMember } from '../../src/roles/agent/exchange-options.js'
 import { WeightExchange, type MakeFetcher } from '../../src/roles/agent/exchange.js'
 import { serveHttp } from '../../src/transports/http-server.js'
 import { WeightsStandIn } from '../../stand-in/weights.js'
 
+/** Requests in flight that a warm member allows. */
+export const warmLimit = 8
+
 /** Links and size of a pool, bytes and bytes a second. */
 export interface PoolSettings {
   readonly instances: number
@@ -13,6 +17,8 @@
   readonly linkBytes: number
   readonly seed: number
   readonly makeFetcher?: MakeFetcher
+  readonly weighting?: 'replicas' | 'service'
+  readonly allowedAway?: (view: PaceView) => number
 }
 
 /** One instance of the pool. */
@@ -22,6 +28,7 @@
   /** Digest that its engine serves; tests set it. */
   served: string
   inFlight: number
+  limit: number
 }
 
 /** A running pool with its origin and store. */
@@ -70,8 +77,7 @@
 
   /** Starts one more member; the list names it unless `isListed` is false. */
   async addMember (index: number, isListed = true): Promise<PoolMember> {
-    const { dataCentres, linkBytes, makeFetcher } = this.settings
-    const member = await startMember({ index, dataCentres, linkBytes, sources: this.sources, listed: () => this.listed, makeFetcher })
+    const member = await startMember({ ...this.settings, index, sources: this.sources, listed: () => this.listed })
     const { instance, dataCentre, address } = member
     this.members = [...this.members, member]
     if (isListed) this.listed = [...this.listed, { instance, dataCentre, address }]
@@ -92,7 +98,9 @@
   readonly linkBytes: number
   readonly sources: Sources
   readonly listed: () => readonly ExchangeMember[]
-  readonly makeFetcher: MakeFetcher | undefined
+  readonly makeFetcher?: MakeFetcher
+  readonly weighting?: 'replicas' | 'service'
+  readonly allowedAway?: (view: PaceView) => number
 }
 
 /** Starts one member: an exchange behind its own HTTP server. */
@@ -112,11 +120,12 @@
     members: settings.listed,
     served: () => holder.member?.served ?? '',
     pool: () => settings.listed().filter(listed => listed.dataCentre === dataCentre),
-    weighting: () => 'replicas' as const,
-    load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: 8 })
+    weighting: () => settings.weighting ?? 'replicas',
+    allowedAway: settings.allowedAway,
+    load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: holder.member?.limit ?? 0 })
   }
   const exchange = new WeightExchange(options, () => {}, settings.makeFetcher)
-  const member: PoolMember = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0 }
+  const member: PoolMember = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0, limit: warmLimit }
   holder.member = member
   return member
 }
--- a/src/roles/agent/exchange-options.ts
+++ b/src/roles/agent/exchange-options.ts
@@ -1,5 +1,5 @@
 /** What the exchange needs of its agent. */
-import type { SwapState } from '../../core/weights/swap.js'
+import type { PaceView, SwapState } from '../../core/weights/swap.js'
 
 /** An instance that exchanges weights. */
 export interface ExchangeMember {
@@ -34,6 +34,8 @@
   readonly pool: () => readonly ExchangeMember[]
   /** What the deployment weighs more. */
   readonly weighting: () => 'replicas' | 'service'
+  /** Instances that may be away at once; measurements replace it. */
+  readonly allowedAway?: (view: PaceView) => number
 }
 
 /** What an instance answers about a manifest at `GET /weights/DIGEST/held`. */
--- a/src/roles/agent/exchange-swap.ts
+++ b/src/roles/agent/exchange-swap.ts
@@ -163,6 +163,6 @@
       limit: serving.reduce((sum, member) => sum + member.limit, 0),
       changeMilliseconds: this.changeMilliseconds
     }
-    return allowedAway(view)
+    return (this.options.allowedAway ?? allowedAway)(view)
   }
 }
