--- a/script/measure.ts
+++ b/script/measure.ts
@@ -4,6 +4,7 @@
 import { writeLogs } from '../src/utils/log.js'
 import { measureRouting } from './measure/routing.js'
 import { tableText, type MeasureTable } from './measure/table.js'
+import { measureSwap } from './measure/swap.js'
 import { measureWeights } from './measure/weights.js'
 
 /** A measurement; `words` choose among its trials. */
@@ -11,7 +12,8 @@
 
 const measures: Readonly<Record<string, Measure>> = {
   routing: measureRouting,
-  weights: measureWeights
+  weights: measureWeights,
+  swap: measureSwap
 }
 
 async function main (): Promise<void> {
