--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -1,4 +1,5 @@
 /** Faults of processes: killed, paused, stopped as planned, replaced. */
+import type { Load } from '../load.js'
 import type { StartedInstance } from '../launch.js'
 import type { ManagedProcess } from '../process.js'
 import type { RegisterLine } from '../../stand-in/register.js'
@@ -12,10 +13,10 @@
 function chooseTarget (world: World, target: Target): ManagedProcess {
   switch (target) {
     case 'entry': return world.pick(world.entries).process
-    case 'model-agent': return world.pick(world.agents(modelService)).process
-    case 'plain-agent': return world.pick(world.agents(plainService)).process
-    case 'engine': return upstreamOf(world.pick(world.agents(modelService)))
-    case 'service': return upstreamOf(world.pick(world.agents(plainService)))
+    case 'model-agent': return world.pickWorking(world.agents(modelService)).process
+    case 'plain-agent': return world.pickWorking(world.agents(plainService)).process
+    case 'engine': return upstreamOf(world.pickWorking(world.agents(modelService)))
+    case 'service': return upstreamOf(world.pickWorking(world.agents(plainService)))
   }
 }
 
@@ -68,6 +69,73 @@
   }
 }
 
+/** Pauses a process again and again for moments, so that a pause falls between any check and what follows it. */
+export class Stutter extends Fault {
+  readonly name: string
+  readonly harm: Harm
+  private stopped = false
+
+  constructor (private readonly target: Target) {
+    super()
+    this.name = `stutter-${target}`
+    this.harm = target === 'entry' ? 'cut' : 'unknown'
+  }
+
+  async begin (world: World): Promise<void> {
+    const struck = chooseTarget(world, this.target)
+    for (let moment = 0; moment < moments && !this.stopped; moment += 1) {
+      struck.kill('SIGSTOP')
+      await waitUntil(Date.now() + world.random() * longestMomentMilliseconds)
+      struck.kill('SIGCONT')
+      await waitUntil(Date.now() + world.random() * shortestGapMilliseconds)
+    }
+  }
+
+  async heal (): Promise<void> {
+    this.stopped = true
+  }
+}
+
+const moments = 12
+const longestMomentMilliseconds = 700
+const shortestGapMilliseconds = 150
+
+/** Kills every process of a data centre at once, back ends too; all start again empty. */
+export class KillDataCentre extends Fault {
+  readonly name = 'kill-data-centre'
+  readonly harm = 'cut'
+  private struck: readonly ManagedProcess[] = []
+
+  async begin (world: World): Promise<void> {
+    const { name } = world.pick(world.answers.dataCentres)
+    const instances = world.running.instances.filter(({ listed }) => listed.dataCentre === name)
+    this.struck = instances.flatMap(({ process: managed, upstream }) => upstream === undefined ? [managed] : [managed, upstream.process])
+    await Promise.all(this.struck.map(async managed => { await managed.end() }))
+  }
+
+  async heal (): Promise<void> {
+    await Promise.all(this.struck.map(async managed => { await managed.ensureRunning() }))
+  }
+}
+
+/** Many more callers for a while. */
+export class Burst extends Fault {
+  readonly name = 'burst'
+  /** A request that waited long may be cut by its own deadline. */
+  readonly harm = 'unknown'
+  private load: Load | undefined
+
+  async begin (world: World): Promise<void> {
+    this.load = world.addCallers(burstCallers)
+  }
+
+  async heal (): Promise<void> {
+    await this.load?.stop()
+  }
+}
+
+const burstCallers = 25
+
 /** Planned stop of an entry or an agent; the list calls it leaving first. */
 export class PlannedStop extends Fault {
   readonly name: string
@@ -82,7 +150,7 @@
 
   async begin (world: World): Promise<void> {
     const service = this.target === 'model-agent' ? modelService : plainService
-    this.stopped = world.pick(this.target === 'entry' ? world.entries : world.agents(service))
+    this.stopped = this.target === 'entry' ? world.pick(world.entries) : world.pickWorking(world.agents(service))
     this.exitCode = await this.stopped.process.stop()
   }
 
@@ -104,16 +172,16 @@
   private backAt = 0
 
   async begin (world: World): Promise<void> {
-    const left = world.pick(world.agents())
+    const left = world.pickWorking(world.agents())
     this.left = left
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === left.listed.instance ? { ...listed, state: 'leaving' } : listed))
+    await world.publishChanged(left.listed.instance, { state: 'leaving' })
     this.publishedAt = Date.now()
     await waitUntil(this.publishedAt + leavingMilliseconds + watchedMilliseconds)
   }
 
   async heal (world: World): Promise<void> {
     this.backAt = Date.now()
-    await world.running.publish(world.running.instances.map(({ listed }) => listed))
+    await world.publishChanged('', {})
   }
 
   override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
@@ -128,18 +196,23 @@
 
 /** A second agent takes over an engine in the middle of a rollout while the first is paused; then the first goes on. */
 export class ReplaceAgent extends Fault {
-  readonly name = 'replace-agent'
+  readonly name: string
   readonly harm = 'unknown'
   private old: ManagedProcess | undefined
 
+  constructor (private readonly service: typeof modelService | typeof plainService) {
+    super()
+    this.name = service === modelService ? 'replace-agent' : 'replace-plain-agent'
+  }
+
   async begin (world: World): Promise<void> {
-    const replaced = world.pick(world.agents(modelService))
+    const replaced = world.pickWorking(world.agents(this.service))
     this.old = replaced.process
-    await world.rollOutNext()
+    if (this.service === modelService) await world.rollOutNext()
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
     this.old.kill('SIGSTOP')
     const next = await world.running.replaceAgent(replaced.listed.instance)
-    await world.running.publish(world.running.instances.map(({ listed }) => listed.instance === replaced.listed.instance ? next.listed : listed))
+    await world.publishChanged(replaced.listed.instance, next.listed)
   }
 
   async heal (): Promise<void> {
