--- a/src/utils/log.ts
+++ b/src/utils/log.ts
@@ -1,6 +1,10 @@
 /** Structured logs: a short sentence with the prefix of its part, one JSON line each. */
+import './enable-log.js'
 import { ROARR, Roarr, type Logger } from 'roarr'
 
+/** Nothing is written until `writeLogs` says where and how much. */
+ROARR.write = () => {}
+
 /** Parts of the system that log. */
 export type Part = 'admission' | 'claims' | 'command' | 'configuration' | 'entry' | 'agent' | 'exchange' | 'gate' | 'instances' | 'orders' | 'routing' | 'settings' | 'stop' | 'trace'
 
@@ -23,11 +27,11 @@
 
 const levelNumbers = { info: 30, warn: 40, error: 50, silent: 100 } as const
 
-/** Writes lines at or above a level to standard error. */
-export function writeLogs (level: keyof typeof levelNumbers): void {
+/** Writes lines at or above a level, to standard error unless told otherwise. */
+export function writeLogs (level: keyof typeof levelNumbers, write: (line: string) => void = line => { process.stderr.write(`${line}\n`) }): void {
   const lowest: number = levelNumbers[level]
   ROARR.write = line => {
     const parsed = JSON.parse(line) as { context: { logLevel: number } }
-    if (parsed.context.logLevel >= lowest) process.stderr.write(`${line}\n`)
+    if (parsed.context.logLevel >= lowest) write(line)
   }
 }
