Abort nothing for an answer that has been written whole

Cause: each caller's closed connection made an abort and its DOMException, 3.3% of the entry's samples (a tenth of its busy time) in a processor profile of one- to 200-token requests. Change: only an answer cut short aborts its upstream work.

--- a/src/roles/agent/exchange-uploads.ts
+++ b/src/roles/agent/exchange-uploads.ts
@@ -84,7 +84,7 @@
     const started = Date.now()
     const deadline = setTimeout(() => { response.destroy() }, longestUploadMilliseconds)
     const gone = new AbortController()
-    response.once('close', () => { gone.abort() })
+    response.once('close', () => { if (!response.writableFinished) gone.abort() })
     this.running += 1
     try {
       await this.writeSlices(response, chunk, gone.signal)
--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -42,7 +42,7 @@
   host.journal.open({ id, service, operation, organisation: caller.organisation, receivedAt, deadline })
   const over = new AbortController()
   const timer = setTimeout(() => { over.abort() }, Math.max(0, deadline - Date.now()))
-  const leave = (): void => { if (!caller.nonIdempotent) over.abort() }
+  const leave = (): void => { if (!caller.nonIdempotent && !response.writableFinished) over.abort() }
   response.once('close', leave)
   try {
     const failure = await serve(host, { ...accepted, receivedAt, response, traceParent: hop.traceParent, signal: over.signal })
