Model-check the configuration protocol; plan, settle and rebase changes at the command line

The command line plans before it applies, settles a lost answer by id, rebases over unrelated changes and watches the change come into force; every finding has its place.

--- a/bin/pollendyke.ts
+++ b/bin/pollendyke.ts
@@ -1,44 +1,32 @@
 #!/usr/bin/env node
 /** The operators' command line. */
-import { readFileSync } from 'node:fs'
-import { userInfo } from 'node:os'
-import { cac } from 'cac'
-import { appendChange } from '../src/commands/append-change.js'
-import { generateConfiguration } from '../src/core/configuration/generate.js'
-import { readState } from '../src/queries/read-state.js'
-import { HttpLogClient } from '../src/transports/log-client.js'
-import { answersSchema } from '../src/types/answers.js'
-import { changeSchema, type Change } from '../src/types/configuration.js'
+import { buildProgram } from '../src/cli/program.js'
+import { exitCodes, UnreachableError } from '../src/cli/settings.js'
+import { FindingsError } from '../src/errors.js'
+import { writeLogs } from '../src/utils/log.js'
 
-const changeMilliseconds = 10_000
-const program = cac('pollendyke')
-
-program.command('generate <answers>', 'Make the whole configuration from an answers file')
-  .action((file: string) => {
-    const answers = answersSchema.parse(JSON.parse(readFileSync(file, 'utf8')))
-    process.stdout.write(`${JSON.stringify(generateConfiguration(answers), null, 2)}\n`)
-  })
-
-program.command('apply <file>', 'Append a change, or a whole configuration, to the log')
-  .option('--log <url>', 'Base URL of the log')
-  .action(async (file: string, options: { log: string }) => {
-    const value: unknown = JSON.parse(readFileSync(file, 'utf8'))
-    const parsed = changeSchema.safeParse(value)
-    await apply(options.log, parsed.success ? parsed.data : changeSchema.parse({ kind: 'replace', configuration: value }))
-  })
-
-program.command('zone <direction> <dataCentre>', 'Take a data centre out, or bring it back in')
-  .option('--log <url>', 'Base URL of the log')
-  .action(async (direction: 'in' | 'out', dataCentre: string, options: { log: string }) => {
-    await apply(options.log, { kind: 'data-centre', dataCentre, state: direction })
-  })
+async function main (): Promise<number> {
+  const program = buildProgram()
+  const { options, args } = program.parse(process.argv, { run: false })
+  if (options['help'] === true) return exitCodes.ok
+  if (program.matchedCommand === undefined) {
+    process.stderr.write(args.length === 0 ? 'pollendyke: name a command; see pollendyke --help\n' : `pollendyke: "${args[0]}" is no command; see pollendyke --help\n`)
+    return exitCodes.badInput
+  }
+  return await program.runMatchedCommand() as number
+}
 
-async function apply (log: string, change: Change): Promise<void> {
-  const client = new HttpLogClient(log)
-  const result = await appendChange(client, await readState(client), change, userInfo().username, Date.now() + changeMilliseconds)
-  process.stdout.write(`${JSON.stringify(result)}\n`)
-  process.exitCode = result.tag === 'accepted' ? 0 : 1
+function tellError (error: unknown): number {
+  if (error instanceof FindingsError) {
+    for (const { place, problem } of error.findings) process.stderr.write(`${place}: ${problem}\n`)
+    return exitCodes.badInput
+  }
+  const { message, name } = error as Error
+  process.stderr.write(`pollendyke: ${message}\n`)
+  if (name === 'CACError') return exitCodes.badInput
+  if (error instanceof UnreachableError) return exitCodes.unknown
+  return exitCodes.unknown
 }
 
-program.help()
-program.parse()
+writeLogs('silent')
+process.exitCode = await main().catch(tellError)
--- /dev/null
+++ b/model/confirmation.ts
@@ -0,0 +1,78 @@
+/** Specification: a confirmation never outlives the read of the log that it rests on. Drives src/core/configuration/confirmation.ts. */
+import { confirmationMilliseconds, confirmByPeer, confirmByRead, mayTakeWork, tellPeers, unconfirmed, type Confirmation, type PeerConfirmation } from '../src/core/configuration/confirmation.js'
+import type { Action, Specification } from './explore.js'
+
+/** One step of time in the model, milliseconds. */
+const tickMilliseconds = 2000
+const ticks = 4
+/** Time of the first step; zero would count as never. */
+const startAt = 10_000
+
+interface Question { readonly from: number, readonly to: number, readonly sentAt: number, readonly answer: PeerConfirmation | undefined }
+
+interface World {
+  readonly now: number
+  /** Last moment at which any node could read the log; it is cut from all nodes afterwards. */
+  readonly cutAt: number | undefined
+  readonly nodes: readonly Confirmation[]
+  /** Questions and answers under way, however long they take. */
+  readonly questions: readonly Question[]
+}
+
+/** From when a follower counts a peer's remaining time: from its question, or naively from the answer's arrival. */
+export type CountedFrom = 'question' | 'arrival'
+
+/** One node beside the log and others that follow each other in a ring; messages wait for any time, as at a paused node. */
+export function confirmationSpecification (nodes: number, countedFrom: CountedFrom): Specification<World> {
+  return {
+    initial: { now: startAt, cutAt: undefined, nodes: Array.from({ length: nodes }, () => unconfirmed), questions: [] },
+    actionsOf: world => actionsOf(world),
+    next: (world, action) => next(world, action.type, countedFrom),
+    broken: ({ now, cutAt, nodes: known }) => {
+      const isStale = cutAt !== undefined && known.some(node => now >= cutAt + confirmationMilliseconds && mayTakeWork(node, 'refuse', now))
+      return isStale ? 'a node relies on a configuration that nobody could confirm' : undefined
+    }
+  }
+}
+
+function actionsOf (world: World): readonly Action[] {
+  const names: string[] = []
+  if (world.now < startAt + ticks * tickMilliseconds) names.push('tick')
+  if (world.cutAt === undefined) names.push('cut')
+  if (world.cutAt === undefined && world.nodes[0]?.confirmedUntil !== world.now + confirmationMilliseconds) names.push('read 0')
+  world.nodes.forEach((_node, index) => {
+    const isAsking = world.questions.some(({ from }) => from === index)
+    if (!isAsking) names.push(`ask ${index}`)
+  })
+  world.questions.forEach(({ answer }, index) => names.push(answer === undefined ? `answer ${index}` : `receive ${index}`))
+  return names.map(type => ({ type }))
+}
+
+function next (world: World, type: string, countedFrom: CountedFrom): World {
+  const [verb, subject = '0'] = type.split(' ')
+  const index = Number(subject)
+  const question = world.questions[index]
+  switch (verb) {
+    case 'tick': return { ...world, now: world.now + tickMilliseconds }
+    case 'cut': return { ...world, cutAt: world.now }
+    case 'read': return changeNode(world, 0, confirmByRead(world.nodes[0] ?? unconfirmed, world.now))
+    case 'ask': return { ...world, questions: [...world.questions, { from: index, to: (index + 1) % world.nodes.length, sentAt: world.now, answer: undefined }] }
+    case 'answer': return question === undefined ? world : answer(world, question, index)
+    default: return question?.answer === undefined ? world : receive(world, question, question.answer, index, countedFrom)
+  }
+}
+
+function answer (world: World, question: Question, index: number): World {
+  const told = tellPeers(world.nodes[question.to] ?? unconfirmed, world.now)
+  return { ...world, questions: world.questions.with(index, { ...question, answer: told }) }
+}
+
+function receive (world: World, question: Question, told: PeerConfirmation, index: number, countedFrom: CountedFrom): World {
+  const known = world.nodes[question.from] ?? unconfirmed
+  const askedAt = countedFrom === 'question' ? question.sentAt : world.now
+  return changeNode({ ...world, questions: world.questions.toSpliced(index, 1) }, question.from, confirmByPeer(known, told, askedAt, true))
+}
+
+function changeNode (world: World, index: number, node: Confirmation): World {
+  return { ...world, nodes: world.nodes.with(index, node) }
+}
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,184 @@
+/** The commands of `pollendyke`, with their flags and examples. */
+import { writeFileSync } from 'node:fs'
+import { cac, type CAC } from 'cac'
+import { readHead, runChange, listOrFail } from '../commands/change.js'
+import { makeIntent, readManifest } from '../commands/intent.js'
+import { askAtTerminal } from '../commands/questionnaire.js'
+import { checkAnswers, checkChange } from '../core/configuration/check-answers.js'
+import { generateConfiguration } from '../core/configuration/generate.js'
+import { planChange } from '../core/configuration/plan.js'
+import { FindingsError } from '../errors.js'
+import { readHistory } from '../queries/history.js'
+import { findRequest, readStatus } from '../queries/nodes.js'
+import { HttpLogClient } from '../transports/log-client.js'
+import { waitUntil } from '../utils/clock.js'
+import { historyLines, planLines, print, statusLines } from './output.js'
+import { exitCodes, readChecked, settingsFrom, UnreachableError } from './settings.js'
+
+type Options = Readonly<Record<string, unknown>>
+
+const watchMilliseconds = 1000
+
+/** Builds the program; every action resolves with its exit code. */
+export function buildProgram (): CAC {
+  const program = cac('pollendyke')
+  addAnswerCommands(program)
+  addChangeCommands(program)
+  addIntentCommands(program)
+  addQueries(program)
+  program.help(sections => [...sections, { title: 'Settings', body: settingsHelp }, { title: 'Exit codes', body: exitHelp }])
+  return program
+}
+
+const settingsHelp = '  Each flag that names a place has a variable too: --log is POLLENDYKE_LOG, --instances is POLLENDYKE_INSTANCES,\n  --entry is POLLENDYKE_ENTRY, --origin is POLLENDYKE_ORIGIN, --author is POLLENDYKE_AUTHOR, --wait is POLLENDYKE_WAIT.'
+const exitHelp = [
+  '  0  done',
+  '  1  the change was refused, or lost a race',
+  '  2  the input has findings; each is printed with its place',
+  '  3  unreachable, or the outcome of a change is not known',
+  '  4  the change was accepted, but is not in force on every node yet'
+].join('\n')
+
+function addAnswerCommands (program: CAC): void {
+  program.command('questionnaire', 'Ask the questions of a new deployment, or check an answers file')
+    .option('--answers <file>', 'Check this file in place of asking')
+    .option('--out <file>', 'Write the answers here; standard output otherwise')
+    .option('--json', 'Print JSON on one line')
+    .example('pollendyke questionnaire --out answers.json')
+    .example('pollendyke questionnaire --answers answers.json')
+    .action(async (options: Options) => {
+      const { answers: file, out } = options
+      const answers = typeof file === 'string' ? readChecked(file, checkAnswers) : await askAtTerminal()
+      const text = options['json'] === true ? JSON.stringify(answers) : JSON.stringify(answers, null, 2)
+      if (typeof out === 'string') writeFileSync(out, `${text}\n`)
+      else process.stdout.write(`${text}\n`)
+      return exitCodes.ok
+    })
+  program.command('generate <answers>', 'Make the whole configuration from an answers file')
+    .example('pollendyke generate answers.json > configuration.json')
+    .action((file: string) => {
+      process.stdout.write(`${JSON.stringify(generateConfiguration(readChecked(file, checkAnswers)), null, 2)}\n`)
+      return exitCodes.ok
+    })
+  program.command('validate <file>', 'Check an answers file, a configuration or a change; prints every finding with its place')
+    .option('--json', 'Print JSON')
+    .example('pollendyke validate answers.json')
+    .action((file: string, options: Options) => {
+      readChecked(file, value => isAnswers(value) ? checkAnswers(value) : checkChange(value))
+      print(options['json'] === true, { findings: [] }, [`${file}: no findings`])
+      return exitCodes.ok
+    })
+}
+
+function addChangeCommands (program: CAC): void {
+  program.command('plan <file>', 'Show what a change or a configuration would change, before anything does')
+    .option('--log <url>', 'Base URL of the log')
+    .option('--instances <url>', 'Base URL of the instance list, to name the instances affected')
+    .option('--json', 'Print JSON')
+    .example('pollendyke plan configuration.json --log http://10.0.0.5:7000 --instances http://10.0.0.6:7000')
+    .action(async (file: string, options: Options) => {
+      const { log, instances } = settingsFrom(['log', 'instances'], options)
+      const change = readChecked(file, checkChange)
+      const listed = instances === undefined ? [] : await listOrFail(instances)
+      const plan = planChange(await readHead(new HttpLogClient(log), log), change, listed)
+      print(options['json'] === true, plan, planLines(plan))
+      return plan.findings.length === 0 ? exitCodes.ok : exitCodes.badInput
+    })
+  changeOptions(program.command('apply <file>', 'Append a change, or a whole configuration, to the log'))
+    .example('pollendyke apply configuration.json --log http://10.0.0.5:7000 --instances http://10.0.0.6:7000')
+    .action(async (file: string, options: Options) => {
+      const change = readChecked(file, checkChange)
+      return await runChange(options, () => change)
+    })
+  changeOptions(program.command('zone <direction> <name>', 'Take a data centre out, or bring it back in'))
+    .example('pollendyke zone out rajkot --log http://10.0.0.5:7000')
+    .action(async (direction: string, name: unknown, options: Options) => {
+      if (direction !== 'in' && direction !== 'out') throw new FindingsError([{ place: 'zone', problem: `the direction must be in or out, not "${direction}"` }])
+      return await runChange(options, () => ({ kind: 'data-centre', dataCentre: String(name), state: direction }))
+    })
+}
+
+function addIntentCommands (program: CAC): void {
+  changeOptions(program.command('intent <id>', 'Roll weights out: which model serves which organisations, where, and by when'))
+    .option('--manifest <source>', 'Manifest file, or the digest of a manifest that the origin holds')
+    .option('--origin <url>', 'Base URL of the origin of weights')
+    .option('--service <name>', 'Service whose engines load the weights')
+    .option('--organisations <names>', 'Organisations, separated by commas, or all', { default: 'all' })
+    .option('--data-centres <names>', 'Data centres, separated by commas, or all', { default: 'all' })
+    .option('--finish-by <time>', 'ISO time, or minutes from now such as 15m', { default: '15m' })
+    .example('pollendyke intent badges-7 --service citations --manifest badges-7.json --finish-by 2030-01-31T18:00:00Z --log http://10.0.0.5:7000')
+    .action(async (id: unknown, options: Options) => {
+      const { manifest: source, service } = options
+      if (typeof source !== 'string' || typeof service !== 'string') throw new FindingsError(['manifest', 'service'].filter(flag => typeof options[flag] !== 'string').map(flag => ({ place: `--${flag}`, problem: 'is needed' })))
+      const manifest = await readManifest(source, settingsFrom(['origin'], options).origin)
+      const flags = { service, organisations: String(options['organisations']), dataCentres: String(options['dataCentres']), finishBy: String(options['finishBy']) }
+      return await runChange(options, ({ configuration }) => makeIntent(String(id), manifest, flags, configuration, Date.now()))
+    })
+  changeOptions(program.command('withdraw <id>', 'Withdraw a rollout intent'))
+    .example('pollendyke withdraw badges-7 --log http://10.0.0.5:7000')
+    .action(async (id: unknown, options: Options) => await runChange(options, () => ({ kind: 'withdraw', intent: String(id) })))
+}
+
+function addQueries (program: CAC): void {
+  placeOptions(program.command('status', 'Progress and load of every upstream, as an entry sees them'))
+    .option('--watch', 'Print again every second')
+    .example('pollendyke status --watch --instances http://10.0.0.6:7000')
+    .action(async (options: Options) => {
+      do {
+        const status = await readStatus(await entriesOf(options))
+        if (status === undefined) throw new UnreachableError('no entry answered')
+        print(options['json'] === true, status, statusLines(status))
+        if (options['watch'] === true) await waitUntil(Date.now() + watchMilliseconds)
+      } while (options['watch'] === true)
+      return exitCodes.ok
+    })
+  program.command('history', 'The changes that the log still keeps, and what became of each')
+    .option('--log <url>', 'Base URL of the log')
+    .option('--json', 'Print JSON')
+    .example('pollendyke history --log http://10.0.0.5:7000')
+    .action(async (options: Options) => {
+      const { log } = settingsFrom(['log'], options)
+      const client = new HttpLogClient(log)
+      await readHead(client, log)
+      const lines = await readHistory(client)
+      print(options['json'] === true, lines, historyLines(lines))
+      return exitCodes.ok
+    })
+  placeOptions(program.command('explain <id>', 'What the entries remember of a request'))
+    .example('pollendyke explain 0d5c3f6e-9b1a-4a53-8f5e-2f1f0e7c9a10 --instances http://10.0.0.6:7000')
+    .action(async (id: unknown, options: Options) => {
+      const answer = await findRequest(await entriesOf(options), String(id))
+      const lines = answer.found.map(({ entry, request }) => `${entry}: ${JSON.stringify(request, null, 2)}`)
+      const silent = answer.silent.length === 0 ? [] : [`silent entries, which may know it: ${answer.silent.join(', ')}`]
+      print(options['json'] === true, answer, lines.length === 0 ? ['no entry that answered remembers this request', ...silent] : [...lines, ...silent])
+      if (answer.found.length > 0) return exitCodes.ok
+      return answer.silent.length > 0 ? exitCodes.unknown : exitCodes.refused
+    })
+}
+
+async function entriesOf (options: Options): Promise<readonly string[]> {
+  const { instances, entry } = settingsFrom(['instances', 'entry'], options)
+  if (entry !== undefined) return [entry]
+  if (instances === undefined) throw new FindingsError([{ place: '--instances (POLLENDYKE_INSTANCES) or --entry (POLLENDYKE_ENTRY)', problem: 'one of them is needed' }])
+  return (await listOrFail(instances)).filter(({ role }) => role === 'entry').map(({ address }) => address)
+}
+
+function changeOptions (command: ReturnType<CAC['command']>): ReturnType<CAC['command']> {
+  return command
+    .option('--log <url>', 'Base URL of the log')
+    .option('--instances <url>', 'Base URL of the instance list, to see the change come into force on every node')
+    .option('--wait <seconds>', 'How long to watch it come into force (default 15)')
+    .option('--author <name>', 'Name in the history; the user of this machine by default')
+    .option('--json', 'Print JSON')
+}
+
+function placeOptions (command: ReturnType<CAC['command']>): ReturnType<CAC['command']> {
+  return command
+    .option('--instances <url>', 'Base URL of the instance list')
+    .option('--entry <address>', 'HTTP address of one entry, IP:PORT')
+    .option('--json', 'Print JSON')
+}
+
+function isAnswers (value: unknown): boolean {
+  return typeof value === 'object' && value !== null && !('kind' in value) && typeof (value as Readonly<Record<string, unknown>>)['deployment'] !== 'object'
+}
--- /dev/null
+++ b/src/cli/settings.ts
@@ -0,0 +1,85 @@
+/** Settings, exit codes and files of the command line. */
+import { readFileSync } from 'node:fs'
+import { userInfo } from 'node:os'
+import { z } from 'zod'
+import { FindingsError } from '../errors.js'
+import { readSettings } from '../utils/settings.js'
+
+/** Exit codes of the command line. */
+export const exitCodes = {
+  ok: 0,
+  /** The change was refused, or lost a race. */
+  refused: 1,
+  /** The input has findings; each was printed with its place. */
+  badInput: 2,
+  /** The log or the nodes cannot be reached, or the outcome of a change is not known. */
+  unknown: 3,
+  /** The change was accepted, but some nodes do not have it in force yet. */
+  notEverywhere: 4
+} as const
+
+/** Thrown where something cannot be reached. */
+export class UnreachableError extends Error {
+  constructor (message: string) {
+    super(message)
+    this.name = 'UnreachableError'
+  }
+}
+
+const url = z.string().regex(/^http:\/\/\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be http://IP:PORT')
+const entry = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, 'must be IP:PORT')
+
+const shapes = {
+  log: url,
+  instances: url.optional(),
+  entry: entry.optional(),
+  origin: url.optional(),
+  author: z.string().min(1).max(128).default(() => userInfo().username),
+  wait: z.coerce.number().positive().max(3600).default(15)
+} as const
+
+/** Name of a setting. */
+export type SettingName = keyof typeof shapes
+
+/** Reads the named settings from flags and environment variables; `flags` holds only flags that are settings. */
+export function settingsFrom<Name extends SettingName> (names: readonly Name[], options: Readonly<Record<string, unknown>>): { readonly [Key in Name]: z.infer<typeof shapes[Key]> } {
+  const schema = z.object(Object.fromEntries(names.map(name => [name, shapes[name]])))
+  const flags = Object.fromEntries(names.flatMap(name => options[name] === undefined ? [] : [[name, options[name]]]))
+  return readSettings(schema, names, { flags, environment: process.env }) as { readonly [Key in Name]: z.infer<typeof shapes[Key]> }
+}
+
+/** Parses a JSON file; a fault names the file, line and column. */
+export function readJsonFile (file: string): unknown {
+  const text = readFile(file)
+  try {
+    return JSON.parse(text)
+  } catch (error) {
+    throw new FindingsError([{ place: `${file}${placeIn(text, String(error))}`, problem: `is not JSON: ${(error as Error).message}` }])
+  }
+}
+
+/** Parses a JSON file and checks it; findings are placed in the file. */
+export function readChecked<Value> (file: string, check: (value: unknown) => Value): Value {
+  const value = readJsonFile(file)
+  try {
+    return check(value)
+  } catch (error) {
+    if (!(error instanceof FindingsError)) throw error
+    throw new FindingsError(error.findings.map(({ place, problem }) => ({ place: `${file}: ${place}`, problem })))
+  }
+}
+
+function readFile (file: string): string {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch (error) {
+    throw new FindingsError([{ place: file, problem: `cannot be read: ${(error as Error).message}` }])
+  }
+}
+
+/** Node names the position for some faults only; an early end is at the end of the file. */
+function placeIn (text: string, message: string): string {
+  const position = Number(/position (\d+)/.exec(message)?.[1] ?? text.length)
+  const lines = text.slice(0, position).split('\n')
+  return `:${lines.length}:${(lines.at(-1)?.length ?? 0) + 1}`
+}
--- a/src/commands/append-change.ts
+++ b/src/commands/append-change.ts
@@ -1,45 +1,76 @@
 /** Appends an operator's change and settles it by reading its own record back. */
 import { randomUUID } from 'node:crypto'
-import { scopeOf } from '../core/configuration/change.js'
-import { foldPage, revisionOfScope } from '../core/configuration/fold.js'
+import { foldPage } from '../core/configuration/fold.js'
+import { makeChange, mayRebase, settleChange, type Settlement } from '../core/configuration/settle.js'
+import { readPage } from '../nodes/log-reader.js'
+import { readState } from '../queries/read-state.js'
 import { streams, type LogClient } from '../transports/log-client.js'
 import type { Change, FoldState } from '../types/configuration.js'
 import { waitUntil } from '../utils/clock.js'
 
 /** What became of a change. */
 export type ChangeResult =
-  | { readonly tag: 'accepted', readonly offset: number }
-  | { readonly tag: 'refused', readonly offset: number, readonly reason: string }
+  | { readonly tag: 'accepted', readonly id: string, readonly offset: number, readonly rebased: boolean }
+  | { readonly tag: 'refused', readonly id: string, readonly offset: number, readonly reason: string }
+  /** The append may have taken effect or still do so; the log could not tell before the deadline. */
   | { readonly tag: 'unknown', readonly id: string }
 
 const appendMilliseconds = 5000
 const retryMilliseconds = 200
+const rebasesAtMost = 5
 
-/** Appends `change` once; a lost answer is settled by reading to the head, never by a blind second append. */
+/** Appends `change` once; a lost answer is settled by reading on, never by a blind second append. */
 export async function appendChange (client: LogClient, state: FoldState, change: Change, author: string, deadline: number): Promise<ChangeResult> {
   const id = randomUUID()
-  const basedOn = revisionOfScope(state, scopeOf(change))
-  const body = JSON.stringify({ type: 'change', id, basedOn, author, at: Date.now(), change })
-  const offset = await appendOnce(client, state.next, id, body, deadline)
-  if (offset === undefined) return { tag: 'unknown', id }
-  const folded = foldPage(state, await client.read(streams.configuration, state.next, Date.now()))
-  const refusal = folded.refused.find(refused => refused.offset === offset)
-  return refusal === undefined ? { tag: 'accepted', offset } : { tag: 'refused', offset, reason: refusal.reason }
+  const settled = await appendOnce(client, state, change, id, author, deadline)
+  return tell(settled, id, false)
 }
 
-async function appendOnce (client: LogClient, from: number, id: string, body: string, deadline: number): Promise<number | undefined> {
+/** As `appendChange`; a change that lost only to unrelated ones is appended anew on top of them. */
+export async function appendRebased (client: LogClient, state: FoldState, change: Change, author: string, deadline: number): Promise<ChangeResult> {
+  let seen = state
+  for (let turn = 0; ; turn++) {
+    const id = randomUUID()
+    const settled = await appendOnce(client, seen, change, id, author, deadline)
+    const result = tell(settled, id, turn > 0)
+    if (settled.tag !== 'refused' || settled.reason !== 'stale' || turn === rebasesAtMost) return result
+    const current = await readState(client, settled.state)
+    if (!mayRebase(change, seen, current)) return result
+    seen = current
+  }
+}
+
+function tell (settled: Settlement, id: string, rebased: boolean): ChangeResult {
+  switch (settled.tag) {
+    case 'accepted': return { tag: 'accepted', id, offset: settled.offset, rebased }
+    case 'refused': return { tag: 'refused', id, offset: settled.offset, reason: settled.reason }
+    case 'absent': return { tag: 'unknown', id }
+  }
+}
+
+async function appendOnce (client: LogClient, seen: FoldState, change: Change, id: string, author: string, deadline: number): Promise<Settlement> {
+  const body = JSON.stringify(makeChange(seen, change, id, author, Date.now()))
   try {
     await client.append(streams.configuration, [body], Math.min(deadline, Date.now() + appendMilliseconds))
   } catch {
     // The answer may be lost after the effect: the log itself decides below.
   }
+  return await settle(client, seen, id, deadline)
+}
+
+async function settle (client: LogClient, seen: FoldState, id: string, deadline: number): Promise<Settlement> {
+  let state = seen
   while (Date.now() < deadline) {
     try {
-      const page = await client.read(streams.configuration, from, Date.now())
-      return page.records.find(record => record.body.includes(id))?.offset
+      const page = await readPage(client, state, Date.now())
+      const settled = settleChange(state, page, id)
+      if (settled.tag !== 'absent') return settled
+      state = foldPage(state, page)
+      if (state.next < page.next) continue
     } catch {
-      await waitUntil(Date.now() + retryMilliseconds)
+      // The log may come back before the deadline.
     }
+    await waitUntil(Math.min(deadline, Date.now() + retryMilliseconds))
   }
-  return undefined
+  return { tag: 'absent', state }
 }
--- /dev/null
+++ b/src/commands/change.ts
@@ -0,0 +1,78 @@
+/** Commands that append a change: they plan, append, settle, and watch it come into force. */
+import { print, forceLines, sortNodes } from '../cli/output.js'
+import { exitCodes, settingsFrom, UnreachableError } from '../cli/settings.js'
+import { planChange } from '../core/configuration/plan.js'
+import { FindingsError } from '../errors.js'
+import { describeNodes, readInstances, type AskedNode } from '../queries/nodes.js'
+import { readState } from '../queries/read-state.js'
+import { HttpLogClient, type LogClient } from '../transports/log-client.js'
+import type { Change, FoldState } from '../types/configuration.js'
+import { waitUntil } from '../utils/clock.js'
+import { appendRebased, type ChangeResult } from './append-change.js'
+
+const changeMilliseconds = 10_000
+const askMilliseconds = 300
+
+/** Options that every changing command takes. */
+export type ChangeOptions = Readonly<Record<string, unknown>>
+
+/** Reads the state at the log's head, or says that the log cannot be reached. */
+export async function readHead (client: LogClient, url: string): Promise<FoldState> {
+  try {
+    return await readState(client)
+  } catch (error) {
+    throw new UnreachableError(`the log at ${url} cannot be read: ${(error as Error).message}`)
+  }
+}
+
+/** Appends a change that `choose` makes from the state at the head; returns the exit code. */
+export async function runChange (options: ChangeOptions, choose: (state: FoldState) => Change): Promise<number> {
+  const { log, instances, author, wait } = settingsFrom(['log', 'instances', 'author', 'wait'], options)
+  const json = options['json'] === true
+  const client = new HttpLogClient(log)
+  const state = await readHead(client, log)
+  const change = choose(state)
+  const { findings } = planChange(state, change, [])
+  if (findings.length > 0) throw new FindingsError(findings)
+  const result = await appendRebased(client, state, change, author, Date.now() + changeMilliseconds)
+  if (result.tag !== 'accepted') return tellFailure(json, result)
+  if (!json) print(false, result, [`accepted at offset ${result.offset}${result.rebased ? ', on top of unrelated changes' : ''} (id ${result.id})`])
+  if (instances === undefined) {
+    print(json, result, [])
+    return exitCodes.ok
+  }
+  const asked = await watchForce(instances, result.offset, Date.now() + wait * 1000)
+  const sorted = sortNodes(asked, result.offset)
+  print(json, { ...result, ...sorted }, forceLines(asked, result.offset))
+  return sorted.inForce.length === asked.length ? exitCodes.ok : exitCodes.notEverywhere
+}
+
+function tellFailure (json: boolean, result: Exclude<ChangeResult, { tag: 'accepted' }>): number {
+  if (result.tag === 'unknown') {
+    print(json, result, [`unknown: the log could not say before the deadline whether the change took effect; look for id ${result.id} in "pollendyke history" before trying again`])
+    return exitCodes.unknown
+  }
+  const reason = result.reason === 'stale' ? 'another operator changed the same scope first; look at "pollendyke history" and plan anew' : `the record is ${result.reason}`
+  print(json, result, [`refused at offset ${result.offset}: ${reason}`])
+  return exitCodes.refused
+}
+
+/** Asks every live node until all have the offset in force, or until the deadline. */
+async function watchForce (url: string, offset: number, deadline: number): Promise<readonly AskedNode[]> {
+  for (;;) {
+    const live = (await listOrFail(url)).filter(({ state }) => state === 'live')
+    const asked = await describeNodes(live)
+    const isEverywhere = asked.every(({ description }) => description !== undefined && description.configurationNext > offset)
+    if (isEverywhere || Date.now() + askMilliseconds >= deadline) return asked
+    await waitUntil(Date.now() + askMilliseconds)
+  }
+}
+
+/** The instance list, or a statement that it cannot be reached. */
+export async function listOrFail (url: string): ReturnType<typeof readInstances> {
+  try {
+    return await readInstances(url)
+  } catch (error) {
+    throw new UnreachableError(`the instance list at ${url} cannot be read: ${(error as Error).message}`)
+  }
+}
--- /dev/null
+++ b/src/commands/intent.ts
@@ -0,0 +1,64 @@
+/** Makes a rollout intent from flags and the manifest of its weights. */
+import { readJsonFile, UnreachableError } from '../cli/settings.js'
+import { shapeFindings } from '../core/configuration/check-answers.js'
+import { FindingsError, type Finding } from '../errors.js'
+import { requestJson } from '../transports/http-client.js'
+import { changeSchema, intentSchema, type Change, type Configuration } from '../types/configuration.js'
+import { manifestSchema, type Manifest } from '../types/platform.js'
+import { digestValue } from '../utils/digest.js'
+
+const answerMilliseconds = 5000
+const all = 'all'
+
+/** Flags of the command. */
+export interface IntentFlags {
+  readonly service: string
+  /** Comma-separated names, or `all`. */
+  readonly organisations: string
+  /** Comma-separated names, or `all`. */
+  readonly dataCentres: string
+  /** ISO time, or minutes from now such as `15m`. */
+  readonly finishBy: string
+}
+
+/** Reads a manifest from a file, or by digest from the origin; what the origin sends must have the digest. */
+export async function readManifest (source: string, origin: string | undefined): Promise<Manifest> {
+  const isDigest = /^[0-9a-f]{64}$/.test(source)
+  if (isDigest && origin === undefined) throw new FindingsError([{ place: '--origin (POLLENDYKE_ORIGIN)', problem: 'is needed to read a manifest by its digest' }])
+  const value = isDigest ? await fetchManifest(`${origin}/weights/${source}`) : readJsonFile(source)
+  const findings = shapeFindings(manifestSchema, value)
+  if (findings.length > 0) throw new FindingsError(findings.map(({ place, problem }) => ({ place: `${source}: ${place}`, problem })))
+  const manifest = manifestSchema.parse(value)
+  if (isDigest && digestValue(manifest) !== source) throw new FindingsError([{ place: `${origin}/weights/${source}`, problem: 'holds another manifest than its digest says' }])
+  return manifest
+}
+
+/** Intent for the configuration in force. */
+export function makeIntent (id: string, manifest: Manifest, flags: IntentFlags, configuration: Configuration | undefined, now: number): Change {
+  const { model, adapter, version } = manifest
+  const organisations = namesOf(flags.organisations, Object.keys(configuration?.organisations ?? {}))
+  const dataCentres = namesOf(flags.dataCentres, Object.keys(configuration?.dataCentres ?? {}))
+  const intent = { id, service: flags.service, model, adapter, version, manifest: digestValue(manifest), organisations, dataCentres, finishBy: timeOf(flags.finishBy, now) }
+  const findings: readonly Finding[] = shapeFindings(intentSchema, intent)
+  if (findings.length > 0) throw new FindingsError(findings.map(({ place, problem }) => ({ place: `intent: ${place}`, problem })))
+  return changeSchema.parse({ kind: 'intent', intent })
+}
+
+async function fetchManifest (url: string): Promise<unknown> {
+  try {
+    return await requestJson({ url, method: 'GET', deadline: Date.now() + answerMilliseconds })
+  } catch (error) {
+    throw new UnreachableError(`the manifest at ${url} cannot be read: ${(error as Error).message}`)
+  }
+}
+
+function namesOf (text: string, known: readonly string[]): readonly string[] {
+  return text === all ? known : text.split(',').map(name => name.trim()).filter(name => name !== '')
+}
+
+function timeOf (text: string, now: number): number {
+  const minutes = /^(\d{1,5})m$/.exec(text)?.[1]
+  const time = minutes === undefined ? Date.parse(text) : now + Number(minutes) * 60_000
+  if (Number.isNaN(time)) throw new FindingsError([{ place: '--finish-by', problem: `"${text}" is neither a time such as 2030-01-31T18:00:00Z nor minutes such as 15m` }])
+  return time
+}
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -14,9 +14,13 @@
 
 /** Folds a page; a page that starts after `state.next` is folded from a snapshot in it, or not at all. */
 export function foldPage (state: FoldState, page: StreamPage): FoldState {
-  const start = page.first > state.next ? recover(state, page) : state
-  if (start === undefined) return state
-  return page.records.reduce(foldRecord, start)
+  const start = startOf(state, page)
+  return start === undefined ? state : page.records.reduce(foldRecord, start)
+}
+
+/** State from which a page is folded on: the given one, or that of a snapshot when older records expired; undefined when none fits. */
+export function startOf (state: FoldState, page: StreamPage): FoldState | undefined {
+  return page.first > state.next ? recover(state, page) : state
 }
 
 /** Folds one record; records before `state.next` or after a gap change nothing. */
--- /dev/null
+++ b/src/core/configuration/settle.ts
@@ -0,0 +1,57 @@
+/** What became of an operator's change, judged by reading its own record back. */
+import { configurationRecordSchema, type Change, type ChangeRecord, type Configuration, type FoldState, type RefusedRecord } from '../../types/configuration.js'
+import type { StreamPage } from '../../types/platform.js'
+import { canonicalJson } from '../../utils/digest.js'
+import { scopeOf } from './change.js'
+import { foldRecord, revisionOfScope, startOf } from './fold.js'
+
+/** What reading on from the state that the operator saw shows. */
+export type Settlement =
+  | { readonly tag: 'accepted', readonly offset: number, readonly state: FoldState }
+  | { readonly tag: 'refused', readonly offset: number, readonly reason: RefusedRecord['reason'], readonly state: FoldState }
+  /** Not in the log up to the offset of `state`; it may still arrive while its append is in doubt. */
+  | { readonly tag: 'absent', readonly state: FoldState }
+
+/** Record of a change that builds on what `seen` holds. */
+export function makeChange (seen: FoldState, change: Change, id: string, author: string, at: number): ChangeRecord {
+  return { type: 'change', id, basedOn: revisionOfScope(seen, scopeOf(change)), author, at, change }
+}
+
+/** Looks for the record `id` in the page that follows `state`. */
+export function settleChange (state: FoldState, page: StreamPage, id: string): Settlement {
+  let folded = startOf(state, page) ?? state
+  for (const stored of page.records) {
+    folded = foldRecord(folded, stored)
+    if (recordId(stored.body) !== id || folded.next <= stored.offset) continue
+    const refusal = folded.refused.find(({ offset }) => offset === stored.offset)
+    if (refusal !== undefined) return { tag: 'refused', offset: stored.offset, reason: refusal.reason, state: folded }
+    return { tag: 'accepted', offset: stored.offset, state: folded }
+  }
+  return { tag: 'absent', state: folded }
+}
+
+/** Whether a change that was refused as stale lost only to changes that left its own part as the operator saw it. */
+export function mayRebase (change: Change, seen: FoldState, current: FoldState): boolean {
+  const scope = scopeOf(change)
+  if (change.kind === 'replace' || seen.configuration === undefined || current.configuration === undefined) return false
+  const own = current.revisions[scope]
+  if (own !== undefined && own !== seen.revisions[scope]) return false
+  return canonicalJson(partOf(seen.configuration, change)) === canonicalJson(partOf(current.configuration, change))
+}
+
+function partOf (configuration: Configuration, change: Exclude<Change, { kind: 'replace' }>): unknown {
+  switch (change.kind) {
+    case 'data-centre': return configuration.dataCentres[change.dataCentre] ?? null
+    case 'intent': return configuration.intents[change.intent.id] ?? null
+    case 'withdraw': return configuration.intents[change.intent] ?? null
+  }
+}
+
+function recordId (body: string): string | undefined {
+  try {
+    const parsed = configurationRecordSchema.safeParse(JSON.parse(body))
+    return parsed.success ? parsed.data.id : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/src/queries/nodes.ts
@@ -0,0 +1,73 @@
+/** Asks the system's nodes what they have in force and what they remember. */
+import PQueue from 'p-queue'
+import { ControlClient } from '../transports/control.js'
+import { requestJson, StatusError } from '../transports/http-client.js'
+import type { AgentStatus, NodeDescription } from '../types/messages.js'
+import { instanceListSchema, type ListedInstance } from '../types/platform.js'
+
+const askedAtOnce = 64
+const answerMilliseconds = 2000
+
+/** What an entry answers at `GET /status`. */
+export interface EntryStatus {
+  readonly node: NodeDescription
+  readonly upstreams: readonly AgentStatus[]
+}
+
+/** A listed instance and what it said of itself; undefined when it was silent. */
+export interface AskedNode {
+  readonly listed: ListedInstance
+  readonly description: NodeDescription | undefined
+}
+
+/** The platform's list. */
+export async function readInstances (url: string): Promise<readonly ListedInstance[]> {
+  return instanceListSchema.parse(await requestJson({ url: `${url}/instances`, method: 'GET', deadline: Date.now() + answerMilliseconds })).instances
+}
+
+/** Asks each instance over gRPC. */
+export async function describeNodes (instances: readonly ListedInstance[]): Promise<readonly AskedNode[]> {
+  const queue = new PQueue({ concurrency: askedAtOnce })
+  return await Promise.all(instances.map(async listed => {
+    const description = await queue.add(async () => await describeNode(listed.controlAddress))
+    return { listed, description }
+  }))
+}
+
+/** Status of the first entry that answers; undefined when none does. */
+export async function readStatus (entries: readonly string[]): Promise<EntryStatus | undefined> {
+  for (const entry of entries) {
+    try {
+      return await requestJson({ url: `http://${entry}/status`, method: 'GET', deadline: Date.now() + answerMilliseconds }) as EntryStatus
+    } catch {
+      // The next entry may answer.
+    }
+  }
+  return undefined
+}
+
+/** What entries remember of a request, and which entries gave no answer. */
+export async function findRequest (entries: readonly string[], id: string): Promise<{ readonly found: ReadonlyArray<{ readonly entry: string, readonly request: unknown }>, readonly silent: readonly string[] }> {
+  const found: { readonly entry: string, readonly request: unknown }[] = []
+  const silent: string[] = []
+  await Promise.all(entries.map(async entry => {
+    try {
+      const request = await requestJson({ url: `http://${entry}/requests/${encodeURIComponent(id)}`, method: 'GET', deadline: Date.now() + answerMilliseconds })
+      found.push({ entry, request })
+    } catch (error) {
+      if (!(error instanceof StatusError) || error.status !== 404) silent.push(entry)
+    }
+  }))
+  return { found, silent: silent.sort() }
+}
+
+async function describeNode (address: string): Promise<NodeDescription | undefined> {
+  const client = new ControlClient(address)
+  try {
+    return await client.describe(Date.now() + answerMilliseconds)
+  } catch {
+    return undefined
+  } finally {
+    client.close()
+  }
+}
