--- a/script/measure/pool.ts
+++ b/script/measure/pool.ts
@@ -1,10 +1,14 @@
 /** Many exchanges in one process, over real HTTP on loopback: for measurements and tests of the exchange. */
 import type { Server } from 'node:http'
+import type { PaceView } from '../../src/core/weights/swap.js'
 import type { ExchangeMember } from '../../src/roles/agent/exchange-options.js'
 import { WeightExchange, type MakeFetcher } from '../../src/roles/agent/exchange.js'
 import { serveHttp } from '../../src/transports/http-server.js'
 import { WeightsStandIn } from '../../stand-in/weights.js'
 
+/** Requests in flight that a warm member allows. */
+export const warmLimit = 8
+
 /** Links and size of a pool, bytes and bytes a second. */
 export interface PoolSettings {
   readonly instances: number
@@ -13,6 +17,8 @@
   readonly linkBytes: number
   readonly seed: number
   readonly makeFetcher?: MakeFetcher
+  readonly weighting?: 'replicas' | 'service'
+  readonly allowedAway?: (view: PaceView) => number
 }
 
 /** One instance of the pool. */
@@ -22,6 +28,7 @@
   /** Digest that its engine serves; tests set it. */
   served: string
   inFlight: number
+  limit: number
 }
 
 /** A running pool with its origin and store. */
@@ -33,6 +40,8 @@
   members: readonly PoolMember[] = []
   private readonly servers: Server[] = []
 
+  private sources: Sources = { origin: '', store: '' }
+
   private constructor (private readonly settings: PoolSettings) {
     this.origin = new WeightsStandIn(settings.seed)
     this.store = new WeightsStandIn(settings.seed + 1)
@@ -45,8 +54,8 @@
     const origin = await pool.origin.listen('127.0.0.1:0')
     const store = await pool.store.listen('127.0.0.1:0')
     pool.servers.push(origin.server, store.server)
-    const sources = { origin: `http://127.0.0.1:${origin.port}`, store: `http://127.0.0.1:${store.port}` }
-    for (let index = 0; index < settings.instances; index += 1) await pool.addMember(index, sources)
+    pool.sources = { origin: `http://127.0.0.1:${origin.port}`, store: `http://127.0.0.1:${store.port}` }
+    for (let index = 0; index < settings.instances; index += 1) await pool.addMember(index)
     return pool
   }
 
@@ -58,8 +67,7 @@
 
   /** Ends a member as a crash would: connections are cut, the list still names it. */
   kill (member: PoolMember): void {
-    member.exchange.stop()
-    endServer(member.server)
+    killMember(member)
   }
 
   /** Sets the target of every member. */
@@ -67,28 +75,65 @@
     for (const member of this.members) member.exchange.want({ manifest, finishBy })
   }
 
-  private async addMember (index: number, sources: { readonly origin: string, readonly store: string }): Promise<void> {
-    const instance = `model-${index}`
-    const dataCentre = `data-centre-${index % this.settings.dataCentres}`
-    const holder: { member?: PoolMember } = {}
-    const { server, port } = await serveHttp('127.0.0.1:0', async (request, response) => {
-      const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
-      holder.member?.exchange.handle(request, response, path)
-    })
-    const options = {
-      instance,
-      dataCentre,
-      ...sources,
-      linkBytes: this.settings.linkBytes,
-      members: () => this.listed,
-      served: () => holder.member?.served ?? '',
-      load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: 8 })
-    }
-    const exchange = new WeightExchange(options, () => {}, this.settings.makeFetcher)
-    holder.member = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0 }
-    this.members = [...this.members, holder.member]
-    this.listed = [...this.listed, { instance, dataCentre, address: holder.member.address }]
+  /** Starts one more member; the list names it unless `isListed` is false. */
+  async addMember (index: number, isListed = true): Promise<PoolMember> {
+    const member = await startMember({ ...this.settings, index, sources: this.sources, listed: () => this.listed })
+    const { instance, dataCentre, address } = member
+    this.members = [...this.members, member]
+    if (isListed) this.listed = [...this.listed, { instance, dataCentre, address }]
+    return member
+  }
+}
+
+/** Base URLs of origin and store. */
+export interface Sources {
+  readonly origin: string
+  readonly store: string
+}
+
+/** What one member needs. */
+export interface MemberSettings {
+  readonly index: number
+  readonly dataCentres: number
+  readonly linkBytes: number
+  readonly sources: Sources
+  readonly listed: () => readonly ExchangeMember[]
+  readonly makeFetcher?: MakeFetcher
+  readonly weighting?: 'replicas' | 'service'
+  readonly allowedAway?: (view: PaceView) => number
+}
+
+/** Starts one member: an exchange behind its own HTTP server. */
+export async function startMember (settings: MemberSettings): Promise<PoolMember> {
+  const instance = `model-${settings.index}`
+  const dataCentre = `data-centre-${settings.index % settings.dataCentres}`
+  const holder: { member?: PoolMember } = {}
+  const { server, port } = await serveHttp('127.0.0.1:0', async (request, response) => {
+    const path = (request.url ?? '/').split('?')[0]?.split('/').filter(part => part !== '') ?? []
+    holder.member?.exchange.handle(request, response, path)
+  })
+  const options = {
+    instance,
+    dataCentre,
+    ...settings.sources,
+    linkBytes: settings.linkBytes,
+    members: settings.listed,
+    served: () => holder.member?.served ?? '',
+    pool: () => settings.listed().filter(listed => listed.dataCentre === dataCentre),
+    weighting: () => settings.weighting ?? 'replicas',
+    allowedAway: settings.allowedAway,
+    load: () => ({ inFlight: holder.member?.inFlight ?? 0, limit: holder.member?.limit ?? 0 })
   }
+  const exchange = new WeightExchange(options, () => {}, settings.makeFetcher)
+  const member: PoolMember = { instance, dataCentre, address: `127.0.0.1:${port}`, exchange, server, served: '', inFlight: 0, limit: warmLimit }
+  holder.member = member
+  return member
+}
+
+/** Ends a member as a crash would: connections are cut. */
+export function killMember (member: PoolMember): void {
+  member.exchange.stop()
+  endServer(member.server)
 }
 
 function endServer (server: Server): void {
