Keep room by deviations of the load, learn change times from the pool

Cause: a fixed headroom did not follow the spread of the load, away instances counted twice, and the first estimate of a change forced two away at once before a near deadline. Change: room of 1 (replicas) or 3 (service) standard deviations; away instances count once; the time of a change is the mean over the pool.

--- a/src/core/weights/swap.ts
+++ b/src/core/weights/swap.ts
@@ -12,6 +12,8 @@
   readonly swap: SwapState
   readonly inFlight: number
   readonly limit: number
+  /** How long its last change took, milliseconds; 0 before the first. */
+  readonly changeMilliseconds: number
 }
 
 /** What the pace follows from. */
@@ -24,12 +26,14 @@
   readonly size: number
   /** Of these, instances that do not serve the wanted weights yet. */
   readonly remaining: number
-  /** Instances that serve any weights. */
-  readonly serving: number
+  /** Instances that are away now. */
+  readonly away: number
   /** Requests in flight in the pool. */
   readonly inFlight: number
   /** Requests in flight that the serving instances allow. */
   readonly limit: number
+  /** The largest limit of one of them; the next one to leave takes at most that much with it. */
+  readonly largestLimit: number
   /** Usual time that one change takes, milliseconds. */
   readonly changeMilliseconds: number
 }
@@ -42,15 +46,15 @@
 const leastAway = { replicas: 1, service: 0 } as const
 /** Times the usual change that are set aside for each change before the deadline. */
 const deadlineMargin = 2
-/** Room above the present load that stays free. */
-const headroom = 1.2
+/** Spare room in standard deviations of the number of requests in flight, which is near Poisson. */
+const spareDeviations = { replicas: 1, service: 3 } as const
 
 /** Instances that may be away at once. Beyond the least, the pool keeps what its load needs, unless the deadline forces more away. */
 export function allowedAway (view: PaceView): number {
   const byWeighting = Math.max(1, Math.floor(view.size * awayShare[view.weighting]))
-  const limitOfOne = view.serving > 0 ? Math.max(1, view.limit / view.serving) : 1
-  const needed = Math.ceil(view.inFlight * headroom / limitOfOne)
-  const paced = Math.max(leastAway[view.weighting], Math.min(byWeighting, view.serving - needed))
+  const needed = view.inFlight + spareDeviations[view.weighting] * Math.sqrt(view.inFlight)
+  const more = Math.floor((view.limit - needed) / Math.max(1, view.largestLimit))
+  const paced = Math.max(leastAway[view.weighting], Math.min(byWeighting, view.away + more))
   return Math.max(paced, forcedAway(view, byWeighting))
 }
 
--- a/src/roles/agent/exchange-options.ts
+++ b/src/roles/agent/exchange-options.ts
@@ -51,4 +51,6 @@
   readonly swap: SwapState
   readonly inFlight: number
   readonly limit: number
+  /** How long the last change of weights took here, milliseconds; 0 before the first. */
+  readonly changeMilliseconds: number
 }
--- a/src/roles/agent/exchange-swap.ts
+++ b/src/roles/agent/exchange-swap.ts
@@ -9,7 +9,6 @@
 const askMilliseconds = 500
 const answerMilliseconds = 1000
 const firstChangeMilliseconds = 3000
-const learnFactor = 4
 /** Usual changes after which an instance that waits for its turn announces in any case. */
 const patienceFactor = 10
 /** Usual changes after which an instance that is still away no longer counts. */
@@ -36,7 +35,8 @@
   private awayUntil = 0
   private awaySince = 0
   private overdueAt = 0
-  private changeMilliseconds = firstChangeMilliseconds
+  /** How long the last change took, milliseconds; 0 before the first. */
+  lastChangeMilliseconds = 0
   private isAsking = false
   private nextAskAt = 0
   private mayGo = false
@@ -66,7 +66,15 @@
   noteServed (): void {
     if (this.current !== 'away' || this.options.served() === '') return
     this.current = 'idle'
-    this.changeMilliseconds += (Date.now() - this.awaySince - this.changeMilliseconds) / learnFactor
+    this.lastChangeMilliseconds = Date.now() - this.awaySince
+  }
+
+  /** Usual time of a change: the mean over the pool. */
+  private get changeMilliseconds (): number {
+    const own = this.lastChangeMilliseconds
+    const taken = [own, ...[...this.heard.values()].map(peer => peer.changeMilliseconds)].filter(milliseconds => milliseconds > 0)
+    if (taken.length === 0) return firstChangeMilliseconds
+    return taken.reduce((sum, milliseconds) => sum + milliseconds, 0) / taken.length
   }
 
   private retarget (target: SwapTarget): void {
@@ -108,8 +116,8 @@
     const askedAt = Date.now()
     try {
       const url = `http://${member.address}/weights/${manifest}/held?version=0`
-      const { served, swap, inFlight, limit } = await requestJson({ url, method: 'GET', deadline: askedAt + answerMilliseconds }) as HeldAnswer
-      this.heard.set(member.instance, { instance: member.instance, served, swap, inFlight, limit, askedAt })
+      const { served, swap, inFlight, limit, changeMilliseconds } = await requestJson({ url, method: 'GET', deadline: askedAt + answerMilliseconds }) as HeldAnswer
+      this.heard.set(member.instance, { instance: member.instance, served, swap, inFlight, limit, changeMilliseconds, askedAt })
     } catch {
       const last = this.heard.get(member.instance)
       if (last !== undefined && last.askedAt < askedAt - silentMilliseconds) this.heard.delete(member.instance)
@@ -158,9 +166,10 @@
       weighting: this.options.weighting(),
       size: pool.length,
       remaining: pool.filter(({ served }) => served !== this.target.manifest).length,
-      serving: serving.length,
+      away: known.filter(({ swap, served }) => swap === 'away' && served === '').length,
       inFlight: pool.reduce((sum, member) => sum + member.inFlight, 0),
       limit: serving.reduce((sum, member) => sum + member.limit, 0),
+      largestLimit: Math.max(0, ...serving.map(member => member.limit)),
       changeMilliseconds: this.changeMilliseconds
     }
     return (this.options.allowedAway ?? allowedAway)(view)
--- a/src/roles/agent/exchange-uploads.ts
+++ b/src/roles/agent/exchange-uploads.ts
@@ -6,7 +6,7 @@
 import { LinkLimiter, sliceBytes } from '../../utils/link-limiter.js'
 import { heldHeaderNames, heldHeaders, type HeldWeights, type Holdings } from './exchange-holdings.js'
 import type { ExchangeOptions, HeldAnswer } from './exchange-options.js'
-import type { SwapState } from '../../core/weights/swap.js'
+import type { SwapPace } from './exchange-swap.js'
 
 const urgentMilliseconds = 2000
 const longestUploadMilliseconds = 120_000
@@ -21,7 +21,7 @@
   /** Answers given to peers. */
   readonly answers = { chunks: 0, busy: 0, missing: 0, held: 0 }
 
-  constructor (private readonly options: ExchangeOptions, private readonly holdings: Holdings, private readonly outgoing: LinkLimiter, private readonly swap: () => SwapState) {}
+  constructor (private readonly options: ExchangeOptions, private readonly holdings: Holdings, private readonly outgoing: LinkLimiter, private readonly pace: SwapPace) {}
 
   /** Answers the engine of this instance. */
   handleLocal (response: ServerResponse, kind: string, digest: string): void {
@@ -53,7 +53,7 @@
     const { inFlight, limit } = this.options.load()
     const version = weights?.version ?? 0
     const sets = weights === undefined || version === knownVersion ? {} : { held: bitmapText(weights.held), seen: bitmapText(weights.seen) }
-    const answer: HeldAnswer = { instance: this.options.instance, version, ...sets, served: this.options.served(), swap: this.swap(), inFlight, limit }
+    const answer: HeldAnswer = { instance: this.options.instance, version, ...sets, served: this.options.served(), swap: this.pace.state, inFlight, limit, changeMilliseconds: this.pace.lastChangeMilliseconds }
     sendJson(response, 200, answer)
   }
 
--- a/src/roles/agent/exchange.ts
+++ b/src/roles/agent/exchange.ts
@@ -42,7 +42,7 @@
       return limit > 0 ? inFlight / limit : 0
     }
     this.pace = new SwapPace(options)
-    this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), () => this.pace.state)
+    this.uploads = new Uploads(options, this.holdings, new LinkLimiter(options.linkBytes, liveLoad), this.pace)
     this.context = { options, holdings: this.holdings, incoming: new LinkLimiter(options.linkBytes, liveLoad), onChange }
   }
 
