--- a/src/core/weights/swap.ts
+++ b/src/core/weights/swap.ts
@@ -47,7 +47,7 @@
 /** Times the usual change that are set aside for each change before the deadline. */
 const deadlineMargin = 2
 /** Spare room in standard deviations of the number of requests in flight, which is near Poisson. */
-const spareDeviations = { replicas: 1, service: 3 } as const
+const spareDeviations = { replicas: 1, service: 2 } as const
 
 /** Instances that may be away at once. Beyond the least, the pool keeps what its load needs, unless the deadline forces more away. */
 export function allowedAway (view: PaceView): number {
