--- a/script/failure/catalogue.ts
+++ b/script/failure/catalogue.ts
@@ -1,8 +1,8 @@
 /** Every fault by name. */
 import type { Fault } from './fault.js'
 import { IsolatedZoneOut, OperatorRace, ZoneMove } from './operator-faults.js'
-import { CrashingRequest, LogCutOff, LogSilence, LostAnswers, PlatformFault, RolloutFault, UpstreamAct } from './platform-faults.js'
-import { Kill, Leaving, Pause, PlannedStop, ReplaceAgent } from './process-faults.js'
+import { AgentLinkFault, CrashingRequest, LogCutOff, LogSilence, LostAnswers, Misreport, PlatformFault, RolloutFault, UpstreamAct, VersionChange } from './platform-faults.js'
+import { Burst, Kill, KillDataCentre, Leaving, Pause, PlannedStop, ReplaceAgent, Stutter } from './process-faults.js'
 import { modelService, plainService } from './world.js'
 
 const makers: ReadonlyArray<() => Fault> = [
@@ -20,7 +20,14 @@
   () => new PlannedStop('model-agent'),
   () => new PlannedStop('plain-agent'),
   () => new Leaving(),
-  () => new ReplaceAgent(),
+  () => new ReplaceAgent(modelService),
+  () => new ReplaceAgent(plainService),
+  () => new Stutter('entry'),
+  () => new Stutter('model-agent'),
+  () => new Stutter('plain-agent'),
+  () => new Stutter('engine'),
+  () => new KillDataCentre(),
+  () => new Burst(),
   () => new PlatformFault('log-out', 'log', { outage: true }, { outage: false }),
   () => new PlatformFault('log-slow', 'log', { delayMilliseconds: 1500 }, { delayMilliseconds: 0 }),
   () => new PlatformFault('log-loses-answers', 'log', { loseAnswers: 0.5, loseReads: 0.3 }, { loseAnswers: 0, loseReads: 0 }),
@@ -37,6 +44,14 @@
   () => new UpstreamAct('crash', modelService),
   () => new LostAnswers('service-loses-answers', plainService, { loseShare: 0.5 }, { loseShare: 0 }),
   () => new LostAnswers('orders-lose-answers', modelService, { loseOrderShare: 1 }, { loseOrderShare: 0 }),
+  () => new LostAnswers('engine-crosses-answers', modelService, { crossShare: 0.6 }, { crossShare: 0 }),
+  () => new LostAnswers('service-crosses-answers', plainService, { crossShare: 0.6 }, { crossShare: 0 }),
+  () => new RolloutFault('chunks-stall', ['origin', 'store'], { stall: 0.3, lost: 0.2 }, { stall: 0, lost: 0 }),
+  () => new VersionChange(),
+  () => new Misreport(),
+  () => new AgentLinkFault('silence'),
+  () => new AgentLinkFault('cut'),
+  () => new AgentLinkFault('block'),
   () => new CrashingRequest(),
   () => new ZoneMove(),
   () => new IsolatedZoneOut(),
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -1,9 +1,11 @@
 /** A small deployment with callers, on which faults are brought about. */
 import type { Answers } from '../../src/types/answers.js'
+import type { ListedInstance } from '../../src/types/platform.js'
 import { seededRandom } from '../../src/utils/random.js'
 import { setFaults, startDeployment, type RunningDeployment } from '../deployment.js'
 import { Link } from '../link.js'
 import type { StartedInstance } from '../launch.js'
+import type { Sending } from '../caller.js'
 import { Load } from '../load.js'
 import { Operator, waitForReplicas } from '../operator.js'
 
@@ -13,6 +15,10 @@
 
 const weightBytes = 1 << 20
 const chunkBytes = 1 << 16
+const workingShare = 0.75
+const callersOfOrganisation = 3
+const callMilliseconds = 8000
+const burstCallMilliseconds = 3000
 
 /** Answers for two data centres, two organisations, two engines and two ledgers. */
 export function smallAnswers (checksOrders: boolean): Answers {
@@ -33,7 +39,10 @@
 /** The deployment with its operator, its callers and the links that can be cut. */
 export class World {
   readonly load: Load
-  private version = 1
+  private readonly bursts: Load[] = []
+  /** Manifests that were rolled out. */
+  readonly manifests = new Set<string>()
+  private version = 0
   private closed = false
 
   private constructor (
@@ -42,20 +51,12 @@
     readonly answers: Answers,
     /** Links to the log, by instance. */
     readonly logLinks: ReadonlyMap<string, Link>,
+    /** Links on which entries reach the agents, by instance. */
+    readonly agentLinks: ReadonlyMap<string, Link>,
     readonly random: () => number,
     seed: number
   ) {
-    this.load = new Load({
-      seed,
-      organisations: answers.organisations.map(({ name }) => name),
-      services: answers.services,
-      entries: this.entries.map(({ listen }) => listen),
-      callers: 3,
-      pauseMilliseconds: 60,
-      tokens: 20,
-      callMilliseconds: 8000,
-      resendShare: 0.3
-    })
+    this.load = this.makeLoad(seed, callersOfOrganisation, callMilliseconds)
   }
 
   /** Starts everything and rolls the first version out; nothing calls yet. */
@@ -66,11 +67,13 @@
     const links = new Map<string, Link>()
     const flagsOf = linkLogs(links)
     const running = await startDeployment(answers, 2, { [modelService]: 2, [plainService]: 2 }, { logLevel: 'warn', flagsOf })
-    const world = new World(running, new Operator(running, answers), answers, links, random, seed)
+    const agentLinks = linkAgents(running)
+    const world = new World(running, new Operator(running, answers), answers, links, agentLinks, random, seed)
     try {
+      await running.publish(world.listed)
       await Promise.all(world.agents(modelService).map(async ({ upstream }) => upstream && await setFaults(upstream, { checksFence: checksOrders })))
       await world.operator.applyGenerated()
-      const { manifest, acceptedAt } = await world.operator.rollOut(modelService, '1', weightBytes, chunkBytes)
+      const { manifest, acceptedAt } = await world.rollOutNext()
       await waitForReplicas(running, modelService, manifest, acceptedAt)
     } catch (error) {
       world.end()
@@ -87,6 +90,29 @@
     return this.running.instances.filter(({ listed }) => listed.role === 'upstream' && (service === undefined || listed.service === service))
   }
 
+  /** The list of instances as it is published: agents are reached over their links. */
+  get listed (): readonly ListedInstance[] {
+    return this.running.instances.map(({ listed }) => ({ ...listed, address: this.agentLinks.get(listed.instance)?.listen ?? listed.address }))
+  }
+
+  /** Publishes the list with some instances changed. */
+  async publishChanged (instance: string, change: Partial<ListedInstance>): Promise<void> {
+    await this.running.publish(this.listed.map(listed => listed.instance === instance ? { ...listed, ...change } : listed))
+  }
+
+  /** Callers beside the steady ones, who start at once and stop with them. */
+  addCallers (callers: number): Load {
+    const load = this.makeLoad(Math.floor(this.random() * 1e6), callers, burstCallMilliseconds)
+    this.bursts.push(load)
+    load.start()
+    return load
+  }
+
+  /** Lets every caller finish its call. */
+  async stopCallers (): Promise<readonly Sending[]> {
+    return (await Promise.all([this.load, ...this.bursts].map(async load => await load.stop()))).flat()
+  }
+
   /** One of several, drawn from the seed. */
   pick<Value> (choices: readonly Value[]): Value {
     const choice = choices[Math.floor(this.random() * choices.length)]
@@ -94,6 +120,15 @@
     return choice
   }
 
+  /** One of several upstreams, mostly the one that worked most, so that a fault is felt. */
+  pickWorking (choices: readonly StartedInstance[]): StartedInstance {
+    if (this.random() >= workingShare) return this.pick(choices)
+    const register = this.running.register()
+    const work = ({ upstream }: StartedInstance): number => register.filter(line => (line.event === 'started' || line.event === 'ran') && line.upstream === upstream?.listen).length
+    const [busiest] = [...choices].sort((left, right) => work(right) - work(left))
+    return busiest ?? this.pick(choices)
+  }
+
   /** Addresses of the back ends in a data centre, as registers name them. */
   upstreamsIn (dataCentre: string): ReadonlySet<string> {
     return new Set(this.agents().flatMap(({ listed, upstream }) => listed.dataCentre === dataCentre && upstream !== undefined ? [upstream.listen] : []))
@@ -102,7 +137,9 @@
   /** Rolls out the next version; resolves with its manifest once the command line said accepted. */
   async rollOutNext (): Promise<{ readonly manifest: string, readonly acceptedAt: number }> {
     this.version += 1
-    return await this.operator.rollOut(modelService, String(this.version), weightBytes, chunkBytes)
+    const rollout = await this.operator.rollOut(modelService, String(this.version), weightBytes, chunkBytes)
+    this.manifests.add(rollout.manifest)
+    return rollout
   }
 
   /** Error output of every process, for a report of a failure. */
@@ -110,15 +147,38 @@
     return this.running.processes.filter(({ tail }) => tail !== '').map(({ name, tail }) => `--- ${name}\n${tail}`).join('\n')
   }
 
+  private makeLoad (seed: number, callers: number, milliseconds: number): Load {
+    return new Load({
+      seed,
+      organisations: this.answers.organisations.map(({ name }) => name),
+      services: this.answers.services,
+      entries: this.entries.map(({ listen }) => listen),
+      callers,
+      pauseMilliseconds: 60,
+      tokens: 20,
+      callMilliseconds: milliseconds,
+      resendShare: 0.3
+    })
+  }
+
   end (): void {
     if (this.closed) return
     this.closed = true
-    for (const link of this.logLinks.values()) link.close()
+    for (const link of [...this.logLinks.values(), ...this.agentLinks.values()]) link.close()
     this.operator.end()
     this.running.end()
   }
 }
 
+function linkAgents (running: RunningDeployment): ReadonlyMap<string, Link> {
+  const agents = running.instances.filter(({ listed }) => listed.role === 'upstream')
+  return new Map(agents.map(({ listed, listen }) => {
+    const link = new Link(listen)
+    link.open()
+    return [listed.instance, link]
+  }))
+}
+
 type FlagsOf = (instance: string, platform: Readonly<Record<string, string>>) => Readonly<Record<string, string>>
 
 /** Puts a link between each instance and the log. */
--- a/src/roles/agent/relay.ts
+++ b/src/roles/agent/relay.ts
@@ -21,6 +21,8 @@
   readonly upstream: string
   readonly serviceName: string
   readonly configuration: Configuration | undefined
+  /** Silence within an engine's answer after which its connection is given up, milliseconds. */
+  readonly progressMilliseconds: number
   readonly admission: Admission
   readonly connections: UpstreamConnections
   readonly claims: ClaimBook
@@ -47,13 +49,12 @@
     return failure
   }
   const { configuration } = host
-  if (configuration === undefined) return refuse(fail('no-configuration', Date.now() + retryMilliseconds))
   const run = await readRunRequest(request, operation, host.serviceName, configuration)
   if (isFailure(run)) return refuse(run)
   const refusal = refusalOf(host, run)
   if (refusal !== undefined) return refuse(refusal)
   const traced: RunRequest = { ...run, traceParent }
-  if (configuration.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
+  if (configuration?.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
   return await relayPlain(host, traced, response)
 }
 
