--- a/script/failure/catalogue.ts
+++ b/script/failure/catalogue.ts
@@ -1,7 +1,8 @@
 /** Every fault by name. */
+import { CrashingRequest } from './crashing-request.js'
 import type { Fault } from './fault.js'
 import { IsolatedZoneOut, OperatorRace, ZoneMove } from './operator-faults.js'
-import { AgentLinkFault, CrashingRequest, LogCutOff, LogSilence, LostAnswers, Misreport, PlatformFault, RolloutFault, UpstreamAct, VersionChange } from './platform-faults.js'
+import { AgentLinkFault, LogCutOff, LogSilence, LostAnswers, Misreport, PlatformFault, RolloutFault, UpstreamAct, VersionChange } from './platform-faults.js'
 import { Burst, Kill, KillDataCentre, Leaving, Pause, PlannedStop, ReplaceAgent, Stutter } from './process-faults.js'
 import { modelService, plainService } from './world.js'
 
@@ -52,7 +53,9 @@
   () => new AgentLinkFault('silence'),
   () => new AgentLinkFault('cut'),
   () => new AgentLinkFault('block'),
-  () => new CrashingRequest(),
+  () => new CrashingRequest('completion'),
+  () => new CrashingRequest('lookUp'),
+  () => new CrashingRequest('signOff'),
   () => new ZoneMove(),
   () => new IsolatedZoneOut(),
   () => new OperatorRace()
--- a/script/failure/platform-faults.ts
+++ b/script/failure/platform-faults.ts
@@ -1,5 +1,4 @@
 /** Faults of the platform and of back ends, set at the stand-ins' control ports. */
-import type { RegisterLine } from '../../stand-in/register.js'
 import { setFaults } from '../deployment.js'
 import type { Started } from '../launch.js'
 import type { Link } from '../link.js'
@@ -174,36 +173,6 @@
   async heal (): Promise<void> {}
 }
 
-/** A request that crashes every engine it reaches, sent again and again. */
-export class CrashingRequest extends Fault {
-  readonly name = 'crashing-request'
-  readonly harm = 'unknown'
-  private readonly ends: string[] = []
-
-  async begin (world: World): Promise<void> {
-    await Promise.all(world.agents(modelService).map(async ({ upstream }) => upstream && await setFaults(upstream, { crashText: poison })))
-    for (let sending = 0; sending < sendings; sending += 1) {
-      const entry = world.entries[sending % world.entries.length]
-      const body = JSON.stringify({ prompt: poison, maximumTokens: 5 })
-      const answer = await fetch(`http://${entry?.listen}/services/${modelService}/completions`, { method: 'POST', headers: { 'pollendyke-organisation': 'small-one', 'pollendyke-deadline': String(Date.now() + 3000) }, body })
-      this.ends.push(`${answer.status} ${(await answer.text()).slice(0, 120)}`)
-      await new Promise(resolve => setTimeout(resolve, 300))
-    }
-  }
-
-  async heal (): Promise<void> {}
-
-  override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
-    const runs = register.filter(line => line.event === 'started' && line.prompt === poison)
-    return runs.length <= poisonRuns ? [] : [`the crashing request ran ${runs.length} times: ${this.ends.join('; ')}`]
-  }
-}
-
-const poison = 'a prompt that crashes the engine'
-const sendings = 8
-/** A second crash quarantines a request everywhere. */
-const poisonRuns = 2
-
 function upstreamOf (world: World, service: string): Started {
   const { upstream } = world.pickWorking(world.agents(service))
   if (upstream === undefined) throw new Error('the instance has no upstream')
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -17,7 +17,7 @@
 const chunkBytes = 1 << 16
 const workingShare = 0.75
 const callersOfOrganisation = 3
-const callMilliseconds = 8000
+const callMilliseconds = 5000
 const burstCallMilliseconds = 3000
 
 /** Answers for two data centres, two organisations, two engines and two ledgers. */
--- a/test/failure-process.test.ts
+++ b/test/failure-process.test.ts
@@ -1,8 +1,9 @@
 import { testScenarios } from '../script/failure/tests.js'
 
 testScenarios([
-  { names: ['kill-entry'], seed: 1 },
-  { names: ['pause-plain-agent'], seed: 2 },
+  { names: ['kill-entry', 'kill-plain-agent'], seed: 1 },
+  { names: ['stutter-plain-agent', 'service-loses-answers'], seed: 2 },
   { names: ['stop-entry', 'stop-model-agent'], seed: 3 },
-  { names: ['replace-agent'], seed: 4 }
+  { names: ['replace-agent'], seed: 4 },
+  { names: ['burst', 'crash-engine'], seed: 5 }
 ])
