Say not-run of a request that never came, only in the incarnation it was sent to

Cause: a fresh agent could not say not-run of a request that never reached it without guessing about its predecessor, so it said unknown for its first ten minutes, and after them a long deadline could have made not-run false. The question now names the incarnation, and forgotten runs are minded by their deadlines.

--- a/src/roles/agent/outcomes.ts
+++ b/src/roles/agent/outcomes.ts
@@ -4,7 +4,7 @@
 
 const highestRuns = 50_000
 const highestAnswerBytes = 16 << 20
-const requestLifeMilliseconds = 600_000
+const clockMilliseconds = 10_000
 
 /** A whole answer of the upstream. */
 export interface StoredAnswer {
@@ -28,7 +28,7 @@
   readonly settled: Promise<void>
   private resolve: () => void = () => {}
 
-  constructor (readonly requestId: string, readonly key: string, readonly content: string, readonly startedAt: number) {
+  constructor (readonly requestId: string, readonly key: string, readonly content: string, readonly deadline: number) {
     this.settled = new Promise(resolve => { this.resolve = resolve })
   }
 
@@ -46,16 +46,16 @@
   /** Runs whose answer is kept, the oldest first. */
   private readonly answers = new Set<Run>()
   private answerBytes = 0
-  /** Epoch milliseconds of the youngest run that was forgotten, or of the start: an earlier incarnation's runs count as forgotten. */
-  private forgottenAt = Date.now()
+  /** Latest deadline of the runs that were forgotten, epoch milliseconds; nobody asks for a run past its deadline. */
+  private forgottenUntil = 0
   private readonly refused = new Set<string>()
 
   constructor (private readonly incarnation: string) {}
 
   /** Starts a run; undefined when the request's outcome was already told as `not-run`. `key` is empty for an unclaimed run. */
-  begin (requestId: string, key: string, content: string): Run | undefined {
+  begin (requestId: string, key: string, content: string, deadline: number): Run | undefined {
     if (this.refused.has(requestId)) return undefined
-    const run = new Run(requestId, key, content, Date.now())
+    const run = new Run(requestId, key, content, deadline)
     this.byRequest.set(requestId, run)
     if (key !== '') this.byKey.set(key, run)
     this.forgetOldest()
@@ -77,13 +77,13 @@
   }
 
   /**
-   * Answers for this incarnation only: the asker compares `incarnation` with the one it sent the request to.
-   * A request id that never came is refused from now on, which makes `not-run` true.
+   * Answers for this incarnation only. A request id that was sent to it and never came is refused from now on,
+   * which makes `not-run` true.
    */
   reply (request: OutcomeRequest): OutcomeReply {
     const run = request.key === '' ? this.byRequest.get(request.requestId) : this.byKey.get(request.key)
     if (run !== undefined) return this.describe(run)
-    const isKnownAbsent = request.key === '' && request.requestId !== '' && Date.now() - this.forgottenAt > requestLifeMilliseconds
+    const isKnownAbsent = request.key === '' && request.incarnation === this.incarnation && Date.now() > this.forgottenUntil + clockMilliseconds
     if (isKnownAbsent) this.refuse(request.requestId)
     return { outcome: isKnownAbsent ? 'not-run' : 'unknown', status: 0, answer: Buffer.alloc(0), incarnation: this.incarnation }
   }
@@ -125,7 +125,7 @@
       this.byRequest.delete(requestId)
       if (this.answers.delete(run) && run.result.kind === 'answer') this.answerBytes -= run.result.answer.body.length
       if (this.byKey.get(run.key) === run) this.byKey.delete(run.key)
-      this.forgottenAt = Math.max(this.forgottenAt, run.startedAt)
+      this.forgottenUntil = Math.max(this.forgottenUntil, run.deadline)
       return
     }
   }
--- a/src/roles/agent/relay-model.ts
+++ b/src/roles/agent/relay-model.ts
@@ -30,7 +30,7 @@
 /** Relays one request; resolves with the failure that ended it, if any. */
 export async function relayModel (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
   const body = parseBody(request)
-  const run = body === undefined ? undefined : host.outcomes.begin(request.id, '', request.content)
+  const run = body === undefined ? undefined : host.outcomes.begin(request.id, '', request.content, request.deadline)
   if (body === undefined || run === undefined) {
     const failure = body === undefined ? fail('malformed') : fail('late-deadline', Date.now() + retryMilliseconds)
     sendFailure(response, request.id, failure)
--- a/src/roles/agent/relay-plain.ts
+++ b/src/roles/agent/relay-plain.ts
@@ -21,7 +21,7 @@
 export async function relayPlain (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
   const earlier = request.claimKey === '' ? undefined : host.outcomes.holding(request.claimKey)
   if (earlier !== undefined) return await join(earlier, request, response)
-  const run = host.outcomes.begin(request.id, request.claimKey, request.content)
+  const run = host.outcomes.begin(request.id, request.claimKey, request.content, request.deadline)
   if (run === undefined) return refuse(response, request, fail('late-deadline', Date.now() + retryMilliseconds))
   const working = host.admission.run(request.ticket, signalOf(response), async place => {
     host.outcomes.settle(run, await perform(host, request, place))
--- a/src/roles/entry/attempt.ts
+++ b/src/roles/entry/attempt.ts
@@ -182,7 +182,7 @@
   while (!opened.aborted) {
     await waitUntil(Date.now() + host.settings.questionMilliseconds, opened)
     if (opened.aborted) return
-    const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '' }, Date.now() + askMilliseconds)
+    const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, Date.now() + askMilliseconds)
     if (opened.aborted) return
     denials = reply?.outcome === 'running' ? 0 : denials + 1
     const waitedLong = !caller.nonIdempotent && caller.model !== undefined && Date.now() > longest
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -135,7 +135,7 @@
       const step = await this.send(upstream, false)
       if (step.kind === 'over' && step.failure?.outcome !== 'not-run') return step
     }
-    const settled = await settleByOutcome(this.host, caller, holder, { requestId: '', key: claimKey(caller.organisation, caller.service, caller.operation, caller.idempotencyKey) })
+    const settled = await settleByOutcome(this.host, caller, holder, { requestId: '', key: claimKey(caller.organisation, caller.service, caller.operation, caller.idempotencyKey), incarnation: '' })
     if (settled.kind === 'elsewhere') return over(fail('claim-lost', spreadRetry(Date.now(), caller.id), 'not-run'))
     if (settled.kind === 'failed' && settled.failure.tag === 'upstream-lost') return over(fail('claim-lost', settled.failure.retryAt))
     return this.takeSettled(settled, upstream?.status.instance ?? '')
--- a/src/roles/entry/settle.ts
+++ b/src/roles/entry/settle.ts
@@ -22,9 +22,9 @@
 /** Settles a request that may have reached an agent. */
 export async function settle (host: AnswerHost, caller: CallerRequest, upstream: UpstreamView, lost: Extract<AttemptResult, { kind: 'lost' }>, received: boolean): Promise<Settled> {
   if (lost.reason === 'crashed') noteCrash(host, caller, upstream)
-  if (caller.nonIdempotent) return await settleByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '' }, upstream.status.incarnation)
+  if (caller.nonIdempotent) return await settleByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, upstream.status.incarnation)
   if (lost.reason === 'crashed' || lost.reason === 'wrong') return { kind: 'elsewhere' }
-  const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '' }, Date.now() + askMilliseconds)
+  const reply = await host.ask(upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, Date.now() + askMilliseconds)
   if (reply?.incarnation !== upstream.status.incarnation) host.quarantine.noteLoss(caller.fingerprint, Date.now() + suspicionMilliseconds)
   else if (lost.reason === 'cut' && received && reply.outcome === 'unknown') noteCrash(host, caller, upstream)
   if (reply?.outcome === 'run' && reply.status > 0 && caller.model === undefined) return { kind: 'answer', reply }
--- a/src/transports/control.ts
+++ b/src/transports/control.ts
@@ -34,8 +34,8 @@
   cancel (): void
 }
 export interface WatchRequest { readonly instance: string }
-/** `key` is empty when the outcome is asked by request id. */
-export interface OutcomeRequest { readonly requestId: string, readonly key: string }
+/** `key` is empty when the outcome is asked by request id; only the same `incarnation` can say `not-run` of a request it never saw. */
+export interface OutcomeRequest { readonly requestId: string, readonly key: string, readonly incarnation: string }
 export interface OutcomeReply {
   readonly outcome: 'not-run' | 'running' | 'run' | 'unknown'
   /** Status of the answer, 0 unless it is kept. */
