--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -54,7 +54,7 @@
   try {
     return JSON.parse(text)
   } catch (error) {
-    throw new FindingsError([{ place: `${file}${placeIn(text, String(error))}`, problem: `is not JSON: ${(error as Error).message}` }])
+    throw new FindingsError([{ place: `${file}${placeIn(text)}`, problem: `is not JSON: ${(error as Error).message.replaceAll(/\s+/g, ' ')}` }])
   }
 }
 
@@ -77,9 +77,27 @@
   }
 }
 
-/** Node names the position for some faults only; an early end is at the end of the file. */
-function placeIn (text: string, message: string): string {
-  const position = Number(/position (\d+)/.exec(message)?.[1] ?? text.length)
-  const lines = text.slice(0, position).split('\n')
+/** Line and column of the first character after which no JSON can follow; the parser does not always name it. */
+function placeIn (text: string): string {
+  let good = 0
+  let bad = text.length + 1
+  while (bad - good > 1) {
+    const middle = Math.floor((good + bad) / 2)
+    if (isBeginning(text.slice(0, middle))) good = middle
+    else bad = middle
+  }
+  const lines = text.slice(0, good).split('\n')
   return `:${lines.length}:${(lines.at(-1)?.length ?? 0) + 1}`
 }
+
+/** Whether more text could still make it JSON. */
+function isBeginning (text: string): boolean {
+  try {
+    JSON.parse(text)
+    return true
+  } catch (error) {
+    const { message } = error as Error
+    const position = /position (\d+)/.exec(message)?.[1]
+    return message.includes('end of JSON input') || message.startsWith('Unterminated') || Number(position ?? -1) >= text.length
+  }
+}
--- /dev/null
+++ b/test/command-line.test.ts
@@ -0,0 +1,126 @@
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { test } from 'tap'
+import { appendChange, appendRebased } from '../src/commands/append-change.js'
+import { askAnswers } from '../src/commands/questionnaire.js'
+import { checkAnswers } from '../src/core/configuration/check-answers.js'
+import { readState } from '../src/queries/read-state.js'
+import { LogStandIn } from '../stand-in/log.js'
+import type { Change } from '../src/types/configuration.js'
+import { runProgram } from '../script/launch.js'
+import { changeBody, configuration, moveBody } from './fakes/followers.js'
+import { FakeLog } from './fakes/log.js'
+
+const folder = mkdtempSync(join(tmpdir(), 'pollendyke-test-'))
+process.once('exit', () => { rmSync(folder, { recursive: true, force: true }) })
+
+function write (name: string, content: unknown): string {
+  const file = join(folder, name)
+  writeFileSync(file, typeof content === 'string' ? content : JSON.stringify(content))
+  return file
+}
+
+const good = JSON.parse(readFileSync('answers/khakhi-patrak.json', 'utf8')) as Record<string, unknown>
+const faulty = {
+  ...good,
+  weighting: 'speed',
+  logDataCentre: 'surat',
+  dataCentres: [{ name: 'Ahmedabad', region: 'west' }, { name: 'rajkot', region: 'west' }],
+  services: [{ name: 'ledger', kind: 'plain', nonIdempotent: [], bearsCold: 9, bearsWarm: 2, firstByteMilliseconds: 300 }, { name: 'portal', kind: 'plain', nonIdempotent: [], bearsCold: 0, bearsWarm: 2, firstByteMilliseconds: 300 }]
+}
+const closed = 'http://127.0.0.1:9'
+
+const runs = [
+  { name: 'five faults print five findings', words: ['validate', write('faulty.json', faulty)], code: 2, errors: [/weighting: /, /logDataCentre: /, /dataCentres\[0\]\.name: /, /services\[0\]\.bearsCold: /, /services\[1\]\.bearsCold: /] },
+  { name: 'good answers have no findings', words: ['questionnaire', '--answers', 'answers/lakeshore.json', '--json'], code: 0, errors: [] },
+  { name: 'a file that is no JSON is placed', words: ['apply', write('broken.json', '{\n  "kind": x\n}'), '--log', closed], code: 2, errors: [/broken\.json:2:11: is not JSON/] },
+  { name: 'a file that is cut is placed at its end', words: ['validate', write('cut.json', '{\n  "kind":')], code: 2, errors: [/cut\.json:2:10: is not JSON/] },
+  { name: 'a file that is missing is named', words: ['plan', join(folder, 'none.json'), '--log', closed], code: 2, errors: [/none\.json: cannot be read/] },
+  { name: 'an unknown flag is named', words: ['history', '--logg', closed], code: 2, errors: [/--logg/] },
+  { name: 'an unknown command is named', words: ['explode'], code: 2, errors: [/"explode" is no command/] },
+  { name: 'a bad address names its flag and variable', words: ['history', '--log', 'log.example:80'], code: 2, errors: [/--log \(POLLENDYKE_LOG\): must be http:\/\/IP:PORT/] },
+  { name: 'a missing setting names its flag and variable', words: ['status'], code: 2, errors: [/POLLENDYKE_INSTANCES.*POLLENDYKE_ENTRY/] },
+  { name: 'a log that is not there is unreachable', words: ['zone', 'out', 'rajkot', '--log', closed], code: 3, errors: [/the log at http:\/\/127\.0\.0\.1:9 cannot be read/] },
+  { name: 'a wrong direction is refused', words: ['zone', 'sideways', 'rajkot', '--log', closed], code: 2, errors: [/direction must be in or out/] },
+  { name: 'an intent names its missing flags together', words: ['intent', 'first', '--log', closed], code: 2, errors: [/--manifest: is needed/, /--service: is needed/] }
+] as const
+
+for (const { name, words, code, errors } of runs) {
+  test(`the command line: ${name}`, async t => {
+    const run = await runProgram('pollendyke', words)
+    t.equal(run.code, code, run.errors)
+    const lines = run.errors.split('\n').filter(line => line !== '')
+    t.equal(lines.length, errors.length, run.errors)
+    for (const wanted of errors) t.match(run.errors, wanted)
+  })
+}
+
+test('an operator plans, applies, moves a zone, loses a race and reads the history', async t => {
+  const log = new LogStandIn()
+  const { server, port } = await log.listen('127.0.0.1:0')
+  t.teardown(() => { server.closeAllConnections(); server.close() })
+  const environment = { POLLENDYKE_LOG: `http://127.0.0.1:${port}` }
+  const run = async (...words: readonly string[]): ReturnType<typeof runProgram> => await runProgram('pollendyke', words, environment)
+  const generated = await run('generate', 'answers/khakhi-patrak.json')
+  const file = write('configuration.json', generated.output)
+  t.match((await run('plan', file)).output, /\+ services\.citations/)
+  t.match((await run('apply', file)).output, /accepted at offset 0/)
+  t.match((await run('plan', file)).output, /nothing would change/)
+  const moved = await run('zone', 'out', 'rajkot', '--json')
+  t.match(JSON.parse(moved.output), { tag: 'accepted', offset: 1, rebased: false })
+  const manifest = write('manifest.json', { model: 'badge', adapter: null, version: '1.0', chunkBytes: 1, totalBytes: 1, chunks: ['a'.repeat(64)] })
+  t.equal((await run('intent', 'first', '--service', 'citations', '--manifest', manifest)).code, 0)
+  t.match(await run('intent', 'second', '--service', 'ledger', '--manifest', manifest), { code: 2, errors: /plain service/ })
+  t.match(await run('zone', 'out', 'surat'), { code: 2, errors: /no such data centre/ })
+  t.equal((await run('withdraw', 'first')).code, 0)
+  const history = JSON.parse((await run('history', '--json')).output) as Array<{ what: string, result: string }>
+  t.same(history.map(({ what, result }) => `${what} ${result}`), ['replace * accepted', 'data-centre/rajkot out accepted', 'intent intent/first accepted', 'withdraw intent/first accepted'])
+})
+
+const takeOut: Change = { kind: 'data-centre', dataCentre: 'rajkot', state: 'out' }
+const races = [
+  { name: 'the same zone moved meanwhile', rival: moveBody('rajkot', 'out', 0), result: { tag: 'refused', reason: 'stale' } },
+  { name: 'another zone moved meanwhile', rival: moveBody('vadodara', 'out', 0), result: { tag: 'accepted', rebased: false } },
+  { name: 'the whole was replaced with the zone as it was', rival: changeBody({ kind: 'replace', configuration }, 0), result: { tag: 'accepted', rebased: true } },
+  { name: 'the whole was replaced with the zone changed', rival: changeBody({ kind: 'replace', configuration: { ...configuration, dataCentres: { ...configuration.dataCentres, rajkot: { region: 'moved', state: 'in' } } } }, 0), result: { tag: 'refused', reason: 'stale' } }
+] as const
+
+for (const { name, rival, result } of races) {
+  test(`taking a zone out when ${name}`, async t => {
+    const log = new FakeLog()
+    log.append(changeBody({ kind: 'replace', configuration }, -1))
+    const client = log.clientOf('operator')
+    const seen = await readState(client)
+    log.append(rival)
+    t.match(await appendRebased(client, seen, takeOut, 'test', Date.now() + 60_000), result)
+  })
+}
+
+test('an append whose answer is lost is settled by its id and made once', async t => {
+  const log = new FakeLog()
+  log.append(changeBody({ kind: 'replace', configuration }, -1))
+  log.answersToLose = 1
+  const client = log.clientOf('operator')
+  t.match(await appendChange(client, await readState(client), takeOut, 'test', Date.now() + 60_000), { tag: 'accepted', offset: 1 })
+  t.equal(log.next, 2)
+})
+
+test('an append that never arrives, with a log that goes out, is unknown and not made again', async t => {
+  const log = new FakeLog()
+  log.append(changeBody({ kind: 'replace', configuration }, -1))
+  const client = log.clientOf('operator')
+  const seen = await readState(client)
+  log.outage = true
+  t.match(await appendChange(client, seen, takeOut, 'test', Date.now() + 500), { tag: 'unknown' })
+  t.equal(log.next, 1)
+})
+
+test('the questionnaire asks again after a wrong answer and gives checked answers', async t => {
+  const script = ['Lake Shore', 'lakeshore', 'service', 'ontario', 'north', 'no', 'ontario', 'refuse', 'flocks', 'tiny', 'large', 'no', 'booking', 'plain', 'book, Bad', 'book,send', '0', '2', '8', '300', 'no']
+  const said: string[] = []
+  const answers = await askAnswers(async () => script.shift() ?? '', text => { said.push(text) })
+  t.equal(script.length, 0)
+  t.equal(said.filter(text => text.includes('please answer')).length, 4)
+  t.same(checkAnswers(answers), answers)
+})
