--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -181,7 +181,7 @@
 
   async heal (world: World): Promise<void> {
     this.backAt = Date.now()
-    await world.publishChanged('', {})
+    if (this.left !== undefined) await world.publishChanged(this.left.listed.instance, { state: 'live' })
   }
 
   override check (_world: World, register: readonly RegisterLine[]): readonly string[] {
@@ -212,7 +212,7 @@
     await waitUntil(Date.now() + world.random() * rolloutMilliseconds)
     this.old.kill('SIGSTOP')
     const next = await world.running.replaceAgent(replaced.listed.instance)
-    await world.publishChanged(replaced.listed.instance, next.listed)
+    await world.publishChanged(replaced.listed.instance, { address: next.listen, controlAddress: next.control })
   }
 
   async heal (): Promise<void> {
--- a/script/failure/world.ts
+++ b/script/failure/world.ts
@@ -39,6 +39,7 @@
 /** The deployment with its operator, its callers and the links that can be cut. */
 export class World {
   readonly load: Load
+  private readonly changes = new Map<string, Partial<ListedInstance>>()
   private readonly bursts: Load[] = []
   /** Manifests that were rolled out. */
   readonly manifests = new Set<string>()
@@ -92,12 +93,13 @@
 
   /** The list of instances as it is published: agents are reached over their links. */
   get listed (): readonly ListedInstance[] {
-    return this.running.instances.map(({ listed }) => ({ ...listed, address: this.agentLinks.get(listed.instance)?.listen ?? listed.address }))
+    return this.running.instances.map(({ listed }) => ({ ...listed, address: this.agentLinks.get(listed.instance)?.listen ?? listed.address, ...this.changes.get(listed.instance) }))
   }
 
-  /** Publishes the list with some instances changed. */
+  /** Changes an instance's line in the list, beside what was changed before, and publishes the list. */
   async publishChanged (instance: string, change: Partial<ListedInstance>): Promise<void> {
-    await this.running.publish(this.listed.map(listed => listed.instance === instance ? { ...listed, ...change } : listed))
+    this.changes.set(instance, { ...this.changes.get(instance), ...change })
+    await this.running.publish(this.listed)
   }
 
   /** Callers beside the steady ones, who start at once and stop with them. */
--- a/script/operator.ts
+++ b/script/operator.ts
@@ -12,6 +12,7 @@
 import { runCommand } from './launch.js'
 
 const rolloutMilliseconds = 60_000
+const moveMilliseconds = 30_000
 const pollMilliseconds = 50
 
 /** A rollout that was accepted; times in epoch milliseconds. */
@@ -56,10 +57,14 @@
     return { manifest: digest, acceptedAt }
   }
 
-  /** Takes a data centre out or back in; resolves with the time at which the log took the change, epoch milliseconds. */
+  /** Takes a data centre out or back in, trying again while the platform fails; resolves with the time at which the log took the change, epoch milliseconds. */
   async moveZone (direction: 'in' | 'out', dataCentre: string): Promise<number> {
-    const moved = await this.tryZone(direction, dataCentre)
-    if (moved.code !== 0) throw new Error(`zone ${direction} failed: ${moved.output} ${moved.errors}`)
+    const deadline = Date.now() + moveMilliseconds
+    for (;;) {
+      const moved = await this.tryZone(direction, dataCentre)
+      if (moved.code === 0) break
+      if (Date.now() > deadline) throw new Error(`zone ${direction} failed: ${moved.output} ${moved.errors}`)
+    }
     return await this.lastMoveAt(direction, dataCentre)
   }
 
