Answer a resend from the claims that are known, also while the log is out

Cause: an agent looked at the log's availability before the claims that it had already folded, so a key that had run was refused as log-unavailable, not-run; the caller could take it that the sign-off was never made. Ruled out: the refusal's id (it was true of that sending alone). Change: ClaimBook.claim looks at known holders first. Conclusion: what remains is an agent that has not read the claims up to the outage.

--- a/src/roles/agent/claims.ts
+++ b/src/roles/agent/claims.ts
@@ -82,9 +82,9 @@
 
   /** Claims a key; settles at `deadline` (epoch milliseconds) at the latest. */
   async claim (key: string, content: string, deadline: number): Promise<ClaimResult> {
-    if (!this.isAvailable) return { kind: 'unavailable' }
     const held = this.holders.get(key)
     if (held !== undefined && !this.isReleasing(held)) return { kind: held.content === content ? 'lost' : 'reused', holder: held }
+    if (!this.isAvailable) return { kind: 'unavailable' }
     const record: ClaimRecord = { type: 'claim', id: randomUUID(), key, content, ...this.claimer }
     return await new Promise<ClaimResult>(resolve => {
       const own: Own = { state: { id: record.id, phase: 'appending' }, record, settle: () => {} }
