Answer a key that was claimed before any refusal

The agent now looks into its outcomes and into the claims it has read first, and refuses afterwards.

--- a/src/roles/agent/claims.ts
+++ b/src/roles/agent/claims.ts
@@ -80,10 +80,17 @@
     return this.failures < failuresToRefuse
   }
 
+  /** The claim that holds a key already, as far as the stream was read. */
+  knownClaim (key: string, content: string): Extract<ClaimResult, { kind: 'lost' | 'reused' }> | undefined {
+    const holder = this.holders.get(key)
+    if (holder === undefined || this.isReleasing(holder)) return undefined
+    return { kind: holder.content === content ? 'lost' : 'reused', holder }
+  }
+
   /** Claims a key; settles at `deadline` (epoch milliseconds) at the latest. */
   async claim (key: string, content: string, deadline: number): Promise<ClaimResult> {
-    const held = this.holders.get(key)
-    if (held !== undefined && !this.isReleasing(held)) return { kind: held.content === content ? 'lost' : 'reused', holder: held }
+    const known = this.knownClaim(key, content)
+    if (known !== undefined) return known
     if (!this.isAvailable) return { kind: 'unavailable' }
     const record: ClaimRecord = { type: 'claim', id: randomUUID(), key, content, ...this.claimer }
     return await new Promise<ClaimResult>(resolve => {
--- a/src/roles/agent/relay-plain.ts
+++ b/src/roles/agent/relay-plain.ts
@@ -6,7 +6,7 @@
 import { headers } from '../../types/messages.js'
 import { waitUntil } from '../../utils/clock.js'
 import type { Place } from './admission.js'
-import type { HeldClaim } from './claims.js'
+import type { ClaimResult, HeldClaim } from './claims.js'
 import type { VerifiedConnection } from './connections.js'
 import type { Run, RunResult, StoredAnswer } from './outcomes.js'
 import { lastRefusal, reserve, signalOf, upstreamHeaders, type RelayHost } from './relay.js'
@@ -17,10 +17,23 @@
 const lingerMilliseconds = 10_000
 const answerBytes = 8 << 20
 
+/**
+ * Answers a request whose key was claimed before, here or elsewhere; undefined when no claim is known.
+ * It goes before every refusal: `not-run` would mislead about a key that ran.
+ */
+export async function relayEarlier (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<{ readonly failure: Failure | undefined } | undefined> {
+  if (request.claimKey === '') return undefined
+  const run = host.outcomes.holding(request.claimKey)
+  if (run !== undefined) return { failure: await join(run, request, response) }
+  const known = host.claims.knownClaim(request.claimKey, request.content)
+  if (known === undefined) return undefined
+  const lost = claimFailure(known)
+  if (lost.claimHolder !== '') response.setHeader(headers.claimHolder, lost.claimHolder)
+  return { failure: refuse(response, request, lost.failure) }
+}
+
 /** Relays one request; resolves with the failure that the entry was told, if any. */
 export async function relayPlain (host: RelayHost, request: RunRequest, response: ServerResponse): Promise<Failure | undefined> {
-  const earlier = request.claimKey === '' ? undefined : host.outcomes.holding(request.claimKey)
-  if (earlier !== undefined) return await join(earlier, request, response)
   const run = host.outcomes.begin(request.id, request.claimKey, request.content, request.deadline)
   if (run === undefined) return refuse(response, request, fail('late-deadline', Date.now() + retryMilliseconds))
   const working = host.admission.run(request.ticket, signalOf(response), async place => {
@@ -72,9 +85,7 @@
   const claim = request.claimKey === '' ? undefined : await host.claims.claim(request.claimKey, request.content, Math.min(request.deadline, Date.now() + claimMilliseconds))
   if (claim !== undefined && claim.kind !== 'held') {
     host.connections.give(connection)
-    if (claim.kind === 'unavailable') return { kind: 'failure', failure: fail('log-unavailable', Date.now() + retryMilliseconds), claimHolder: '' }
-    if (claim.kind === 'reused') return { kind: 'failure', failure: fail('key-reused'), claimHolder: '' }
-    return { kind: 'failure', failure: fail('claim-lost', Date.now() + retryMilliseconds), claimHolder: claim.holder.address }
+    return claimFailure(claim)
   }
   const refusal = lastRefusal(host, request, connection)
   if (refusal !== undefined || claim?.claim.markSent() === false) {
@@ -85,6 +96,13 @@
   return await send(host, request, place, connection, claim?.claim)
 }
 
+function claimFailure (claim: Exclude<ClaimResult, { kind: 'held' }>): Extract<RunResult, { kind: 'failure' }> {
+  const retryAt = Date.now() + retryMilliseconds
+  if (claim.kind === 'unavailable') return { kind: 'failure', failure: fail('log-unavailable', retryAt), claimHolder: '' }
+  if (claim.kind === 'reused') return { kind: 'failure', failure: fail('key-reused'), claimHolder: '' }
+  return { kind: 'failure', failure: fail('claim-lost', retryAt), claimHolder: claim.holder.address }
+}
+
 async function send (host: RelayHost, request: RunRequest, place: Place, connection: VerifiedConnection, claim: HeldClaim | undefined): Promise<RunResult> {
   const startedAt = Date.now()
   place.sentAt = startedAt
--- a/src/roles/agent/relay.ts
+++ b/src/roles/agent/relay.ts
@@ -11,7 +11,7 @@
 import type { UpstreamConnections, VerifiedConnection } from './connections.js'
 import type { OutcomeStore } from './outcomes.js'
 import { relayModel } from './relay-model.js'
-import { relayPlain } from './relay-plain.js'
+import { relayEarlier, relayPlain } from './relay-plain.js'
 import { isFailure, readRunRequest, type RunRequest } from './run-request.js'
 
 const retryMilliseconds = 500
@@ -51,9 +51,11 @@
   const { configuration } = host
   const run = await readRunRequest(request, operation, host.serviceName, configuration)
   if (isFailure(run)) return refuse(run)
+  const traced: RunRequest = { ...run, traceParent }
+  const earlier = await relayEarlier(host, traced, response)
+  if (earlier !== undefined) return earlier.failure
   const refusal = refusalOf(host, run)
   if (refusal !== undefined) return refuse(refusal)
-  const traced: RunRequest = { ...run, traceParent }
   if (configuration?.services[host.serviceName]?.kind === 'model') return await relayModel(host, traced, response)
   return await relayPlain(host, traced, response)
 }
--- a/test/agent-claims.test.ts
+++ b/test/agent-claims.test.ts
@@ -118,6 +118,20 @@
   })
 })
 
+test('a key that ran is never told not-run, whatever else would refuse it', async t => {
+  await withPair(async ({ world, services, slots: [holder, other] }) => {
+    const first = await world.call(holder, { id: 'first', key: 'k' })
+    t.equal((await world.call(other, { id: 'read', key: 'k' })).failure, 'claim-lost')
+    await world.change({ kind: 'data-centre', dataCentre: 'east', state: 'out' }, 0)
+    for (const slot of [holder, other]) await world.until(slot, status => status.state === 'out')
+    t.equal((await world.call(holder, { id: 'again', key: 'k' })).text, first.text)
+    t.equal((await world.call(other, { id: 'elsewhere', key: 'k' })).failure, 'claim-lost')
+    t.equal((await world.call(other, { id: 'late', key: 'k', milliseconds: -5 })).outcome, 'unknown')
+    t.equal((await world.call(other, { id: 'new', key: 'new' })).failure, 'data-centre-out')
+    t.equal(runsOf(services, 'k'), 1)
+  })
+})
+
 const malformed = [
   { name: 'a non-idempotent operation without a key', call: { id: 'x' }, status: 400, failure: 'malformed' },
   { name: 'no request id', call: { id: '', operation: 'look-up' }, status: 400, failure: 'malformed' },
