--- a/script/measure.ts
+++ b/script/measure.ts
@@ -2,6 +2,7 @@
 import { writeFileSync } from 'node:fs'
 import { cac } from 'cac'
 import { writeLogs } from '../src/utils/log.js'
+import { measureConfiguration } from './measure/configuration.js'
 import { measureRouting } from './measure/routing.js'
 import { tableText, type MeasureTable } from './measure/table.js'
 import { measureSwap } from './measure/swap.js'
@@ -11,6 +12,7 @@
 export type Measure = (seed: number, words: readonly string[]) => Promise<MeasureTable>
 
 const measures: Readonly<Record<string, Measure>> = {
+  configuration: measureConfiguration,
   routing: measureRouting,
   weights: measureWeights,
   swap: measureSwap
