--- /dev/null
+++ b/test/configuration-fan-out.test.ts
@@ -0,0 +1,74 @@
+import { test } from 'tap'
+import { childrenPerNode, parentsPerNode, placeNode, readersPerDataCentre } from '../src/core/configuration/fan-out.js'
+import { isSnapshotDue, noteSnapshots, snapshotMilliseconds, snapshotRecords, writerRank } from '../src/core/configuration/snapshots.js'
+import { passedRecord } from '../src/core/configuration/fold.js'
+import type { ListedInstance } from '../src/types/platform.js'
+
+function list (entries: number, upstreams: number, dataCentre: string): readonly ListedInstance[] {
+  return Array.from({ length: entries + upstreams }, (_, index) => {
+    const instance = `${dataCentre}-${index}`
+    return { instance, role: index < entries ? 'entry' as const : 'upstream' as const, service: '', dataCentre, region: 'west', state: 'live' as const, address: '', controlAddress: instance }
+  })
+}
+
+const sizes = [
+  { name: 'one entry', entries: 1, upstreams: 0, depth: 0 },
+  { name: 'two entries', entries: 2, upstreams: 0, depth: 0 },
+  { name: 'no entry', entries: 0, upstreams: 5, depth: 1 },
+  { name: 'a data centre of today', entries: 3, upstreams: 7, depth: 1 },
+  { name: 'a data centre at design size', entries: 25, upstreams: 332, depth: 4 }
+] as const
+
+for (const { name, entries, upstreams, depth } of sizes) {
+  test(`the tree of ${name} is bounded and ends at readers`, async t => {
+    const members = list(entries, upstreams, 'west')
+    const placements = new Map(members.map(({ instance }) => [instance, placeNode([...members, ...list(2, 0, 'east')], { instance, dataCentre: 'west' }, 'east')]))
+    const followers = new Map<string, number>()
+    for (const { parents } of placements.values()) for (const { instance } of parents) followers.set(instance, (followers.get(instance) ?? 0) + 1)
+    const depthOf = (instance: string): number => {
+      const placement = placements.get(instance)
+      if (placement === undefined || placement.reader) return 0
+      return 1 + Math.max(...placement.parents.map(parent => depthOf(parent.instance)))
+    }
+    const readers = [...placements.values()].filter(({ reader }) => reader)
+    t.equal(readers.length, Math.min(readersPerDataCentre, members.length))
+    t.ok(Math.max(0, ...followers.values()) <= childrenPerNode + 1, 'at most the children and the other reader follow a node')
+    t.equal(Math.max(...members.map(({ instance }) => depthOf(instance))), depth)
+    for (const { reader, parents, backups } of placements.values()) {
+      t.equal(backups.length, 1)
+      t.equal(parents.length, reader ? Math.min(1, members.length - 1) : Math.min(parentsPerNode, members.length - 1))
+    }
+    if (entries >= readersPerDataCentre) t.ok(members.filter(({ instance }) => placements.get(instance)?.reader === true).every(({ role }) => role === 'entry'))
+  })
+}
+
+test('a node that is not listed, or leaving, is a leaf that nobody follows', async t => {
+  const members = list(3, 3, 'west')
+  for (const instance of ['west-new', 'west-0']) {
+    const listed = members.map(member => member.instance === 'west-0' ? { ...member, state: 'leaving' as const } : member)
+    const placement = placeNode(listed, { instance, dataCentre: 'west' }, '')
+    t.equal(placement.reader, false)
+    t.equal(placement.parents.length, parentsPerNode)
+  }
+})
+
+const due = [
+  { name: 'nothing was ever applied', next: 0, revision: -1, age: snapshotMilliseconds, due: false },
+  { name: 'few records and young', next: 10, revision: 5, age: 0, due: false },
+  { name: 'many records', next: snapshotRecords + 1, revision: 5, age: 0, due: true },
+  { name: 'an old snapshot and no record since', next: 1, revision: 0, age: snapshotMilliseconds, due: true }
+] as const
+
+for (const { name, next, revision, age, due: expected } of due) {
+  test(`a snapshot is ${expected ? '' : 'not '}due: ${name}`, async t => {
+    t.equal(isSnapshotDue({ offset: 0, at: 1000 }, { next, revision }, 1000 + age), expected)
+  })
+}
+
+test('a snapshot that passed resets what is due, and possible writers wait in turn', async t => {
+  t.same(noteSnapshots({ offset: 3, at: 0 }, [{ offset: 7, at: 70, body: passedRecord }, { offset: 8, at: 80, body: '{"type":"change"}' }]), { offset: 7, at: 70 })
+  t.same(noteSnapshots({ offset: 9, at: 90 }, [{ offset: 7, at: 70, body: passedRecord }]), { offset: 9, at: 90 })
+  const instances = [...list(2, 0, 'west'), ...list(2, 0, 'east')]
+  const ranks = ['west', 'east'].flatMap(dataCentre => [0, 1].map(position => writerRank(instances, dataCentre, position)))
+  t.same([...ranks].sort(), [0, 1, 2, 3])
+})
