Ask a late drawer before drawing in its place

Cause: at 100 replicas on a busy machine news of a drawn chunk took longer than the second rank's deadline, so that chunks were drawn twice. Change: half-way to that deadline the first drawer is asked directly; its answer carries what it and its peers hold.

--- a/src/core/weights/plan.ts
+++ b/src/core/weights/plan.ts
@@ -45,6 +45,8 @@
   readonly order: readonly number[]
   /** This instance's rank for each position; 0 draws at once, others when their deadline comes. */
   readonly ranks: readonly number[]
+  /** Instance of rank 0 for each position. */
+  readonly first: readonly string[]
 }
 
 /** All that a choice looks at. */
@@ -79,8 +81,12 @@
 /** Duties of an instance among the members of its data centre. */
 export function dutiesOf (chunks: readonly string[], instance: string, members: readonly string[]): Duties {
   const everyone = members.includes(instance) ? members : [...members, instance]
-  const ranks = chunks.map(chunk => rankMembers(chunk, everyone).indexOf(instance))
-  return { order: chunks.map((_, position) => position), ranks }
+  const ranked = chunks.map(chunk => rankMembers(chunk, everyone))
+  return {
+    order: chunks.map((_, position) => position),
+    ranks: ranked.map(order => order.indexOf(instance)),
+    first: ranked.map(order => order[0] ?? instance)
+  }
 }
 
 /** Positions that the data centre draws from outside now: the first ones that nobody there was heard to hold. */
--- a/src/roles/agent/exchange-swarm.ts
+++ b/src/roles/agent/exchange-swarm.ts
@@ -1,8 +1,8 @@
 /** Fetches a manifest together with the peers of the data centre: each chunk from outside once, then among peers. */
 import type { IncomingHttpHeaders } from 'node:http'
 import PQueue from 'p-queue'
-import { hasBit, hasOther, parseBitmap } from '../../core/weights/bitmap.js'
-import { dutiesOf, isOffered, nextDraw, originWindow, windowOf, type Draw, type Duties, type Flight, type PlanView } from '../../core/weights/plan.js'
+import { hasOther, parseBitmap } from '../../core/weights/bitmap.js'
+import { nextDraw, originWindow, type Draw, type Flight, type PlanView } from '../../core/weights/plan.js'
 import { requestJson } from '../../transports/http-client.js'
 import { runInBackground } from '../../utils/background.js'
 import { waitUntil } from '../../utils/clock.js'
@@ -14,6 +14,7 @@
 import type { ExchangeMember, HeldAnswer } from './exchange-options.js'
 import { OutsideSources } from './exchange-outside.js'
 import { PeerTable } from './exchange-peers.js'
+import { OutsideTurns } from './exchange-turns.js'
 import { drawChunk, type ChunkResult } from './exchange-transfer.js'
 
 const log = logFor('exchange')
@@ -38,14 +39,13 @@
 export class SwarmFetcher extends ChunkFetcher {
   private readonly queue = new PQueue({ concurrency: peerSlots + outsideSlots })
   private readonly flights = new Map<number, { sources: string[], hedgeAt: number }>()
-  private readonly waitingSince = new Map<number, number>()
+  private readonly turns = new OutsideTurns()
+  private readonly drawerAskedAt = new Map<string, number>()
   private readonly sources = new OutsideSources(this.context.options)
   private readonly startedAt = Date.now()
   private peers = new PeerTable('', '', 0)
   private polling = new Set<string>()
   private peerDraws = 0
-  private membersKey = ''
-  private duties: Duties = { order: [], ranks: [] }
   /** Usual time of one draw from a peer and from outside, milliseconds; learned. */
   private peerMilliseconds = 0
   private outsideMilliseconds = 0
@@ -76,6 +76,7 @@
     while (!signal.aborted && !isWholeSet(this.weights(weights))) {
       this.refreshMembers(weights)
       this.poll(weights)
+      this.askLateDrawers(weights)
       this.fill(weights)
       await waitUntil(Date.now() + tickMilliseconds, signal)
     }
@@ -96,16 +97,15 @@
     const members = this.localMembers()
     const { silent } = this.peers
     const key = silent.join(' ') + everyone.map(member => `${member.instance}@${member.address}`).join(' ')
-    if (key === this.membersKey && this.duties.order.length > 0) return
-    this.membersKey = key
+    if (!this.turns.isNew(key)) return
     this.peers.setMembers(members)
     this.sources.setRemote(`${weights.digest}/${options.instance}`, everyone.filter(member => member.dataCentre !== options.dataCentre))
-    this.duties = dutiesOf(weights.manifest.chunks, options.instance, members.map(member => member.instance).filter(instance => !silent.includes(instance)))
+    this.turns.setMembers(weights.manifest.chunks, options.instance, members.map(member => member.instance).filter(instance => !silent.includes(instance)))
   }
 
   /** Starts every draw that can start now. */
   private fill (first: HeldWeights): void {
-    this.noteWaiting(this.weights(first))
+    this.turns.note(this.weights(first), this.peers.views, Math.max(lostHolderMilliseconds, rankFactor * this.outsideMilliseconds))
     while (!this.stopping.signal.aborted) {
       const draw = nextDraw(this.view(this.weights(first)))
       if (draw === undefined) return
@@ -122,34 +122,18 @@
       total,
       held: weights.held,
       seen: weights.seen,
-      duties: this.duties,
-      waitingSince: this.waitingSince,
+      duties: this.turns.duties,
+      waitingSince: this.turns.waitingSince,
       flights: this.flights as ReadonlyMap<number, Flight>,
       peers: this.peers.views,
       peerSlots: peerSlots - this.peerDraws,
       sources: ready ? this.sources.views : [],
-      rankMilliseconds: Math.max(leastRankMilliseconds, rankFactor * this.outsideMilliseconds),
+      rankMilliseconds: this.rankMilliseconds,
       drawsPerPeer,
       turn: parseInt(digestBytes(this.context.options.instance).slice(0, 6), 16) % total
     }
   }
 
-  /** Keeps since when each position waits for a draw from outside. */
-  private noteWaiting (weights: HeldWeights): void {
-    const now = Date.now()
-    const peers = this.peers.views
-    for (const position of this.waitingSince.keys()) {
-      if (hasBit(weights.held, position) || isOffered(peers, position)) this.waitingSince.delete(position)
-    }
-    for (const position of windowOf(this.duties, weights.seen)) {
-      if (!this.waitingSince.has(position)) this.waitingSince.set(position, now)
-    }
-    for (const position of this.duties.order) {
-      const isLost = hasBit(weights.seen, position) && !hasBit(weights.held, position) && !isOffered(peers, position)
-      if (isLost && !this.waitingSince.has(position)) this.waitingSince.set(position, now + Math.max(lostHolderMilliseconds, rankFactor * this.outsideMilliseconds))
-    }
-  }
-
   private launch (weights: HeldWeights, draw: Draw): void {
     const usual = draw.kind === 'outside' ? this.outsideMilliseconds : this.peerMilliseconds
     const hedgeAt = Date.now() + Math.max(stallMilliseconds, hedgeFactor * usual)
@@ -266,6 +250,22 @@
     }
   }
 
+  private get rankMilliseconds (): number {
+    return Math.max(leastRankMilliseconds, rankFactor * this.outsideMilliseconds)
+  }
+
+  /** Asks those whose draw is late, before this instance draws in their place. */
+  private askLateDrawers (weights: HeldWeights): void {
+    const now = Date.now()
+    const late = this.turns.lateDrawers(now - this.rankMilliseconds / 2)
+    for (const member of this.localMembers()) {
+      const isAsked = this.polling.has(member.instance) || (this.drawerAskedAt.get(member.instance) ?? 0) > now - this.rankMilliseconds / 4
+      if (isAsked || !late.has(member.instance)) continue
+      this.drawerAskedAt.set(member.instance, now)
+      runInBackground(this.ask(weights, member), log, 'ask a drawer')
+    }
+  }
+
   /** Whether no peer is known to hold anything that is missing here. */
   private isStarved (weights: HeldWeights): boolean {
     const { held } = this.weights(weights)
--- a/test/weights-plan.test.ts
+++ b/test/weights-plan.test.ts
@@ -13,7 +13,7 @@
   total,
   held: bits(),
   seen: bits(),
-  duties: { order: everyPosition, ranks: everyPosition.map(() => 0) },
+  duties: { order: everyPosition, ranks: everyPosition.map(() => 0), first: [] },
   waitingSince: new Map(everyPosition.map(position => [position, now])),
   flights: new Map(),
   peers: [],
@@ -27,8 +27,8 @@
 
 const cases: readonly { readonly name: string, readonly view: Partial<PlanView>, readonly draw: Draw | undefined }[] = [
   { name: 'draws its own first chunk from the origin', view: {}, draw: { position: 0, source: 'origin', kind: 'outside' } },
-  { name: 'waits while an earlier rank may still draw', view: { duties: { order: everyPosition, ranks: everyPosition.map(() => 1) } }, draw: undefined },
-  { name: 'draws in place of an earlier rank after its deadline', view: { now: now + 1000, duties: { order: everyPosition, ranks: everyPosition.map(() => 1) } }, draw: { position: 0, source: 'origin', kind: 'outside' } },
+  { name: 'waits while an earlier rank may still draw', view: { duties: { order: everyPosition, ranks: everyPosition.map(() => 1), first: [] } }, draw: undefined },
+  { name: 'draws in place of an earlier rank after its deadline', view: { now: now + 1000, duties: { order: everyPosition, ranks: everyPosition.map(() => 1), first: [] } }, draw: { position: 0, source: 'origin', kind: 'outside' } },
   { name: 'leaves a chunk that a peer offers to the peer', view: { peers: [peer('one', bits(...everyPosition))] }, draw: { position: 0, source: 'one', kind: 'peer' } },
   { name: 'draws from the origin what only a peer without trust claims', view: { peers: [peer('one', bits(...everyPosition), 0, now + 1, false)] }, draw: { position: 0, source: 'origin', kind: 'outside' } },
   { name: 'asks the store while the origin is left alone', view: { sources: [{ id: 'origin', inFlight: 0, slots: 2, backAt: now + 1 }, { id: 'store', inFlight: 0, slots: 1, backAt: 0 }] }, draw: { position: 0, source: 'store', kind: 'outside' } },
@@ -81,7 +81,7 @@
   total: fc.constant(total),
   held: someBits,
   seen: someBits,
-  duties: fc.array(fc.nat(4), { minLength: total, maxLength: total }).map(ranks => ({ order: everyPosition, ranks })),
+  duties: fc.array(fc.nat(4), { minLength: total, maxLength: total }).map(ranks => ({ order: everyPosition, ranks, first: [] })),
   waitingSince: fc.array(fc.tuple(fc.nat(total - 1), someTime)).map(pairs => new Map(pairs)),
   flights: someFlights.map(pairs => new Map(pairs)),
   peers: somePeers,
@@ -107,14 +107,16 @@
   const members = ['a', 'b', 'c', 'd', 'e']
   const ranks = members.map(instance => dutiesOf(chunks, instance, [...members].reverse()).ranks)
   for (const [position] of chunks.entries()) t.same(ranks.map(row => row[position]).sort(), [0, 1, 2, 3, 4])
+  const { first } = dutiesOf(chunks, 'a', members)
+  for (const [position, instance] of first.entries()) t.equal(ranks[members.indexOf(instance)]?.[position], 0)
   t.same(dutiesOf(chunks, 'f', members).ranks.length, 40, 'a member that the list lacks has ranks as well')
 })
 
 test('the window holds the first chunks that nobody holds', async t => {
   const order = Array.from({ length: 20 }, (_, position) => position)
   const seen = [0, 1, 3].reduce(withBit, emptyBitmap(20))
-  t.same(windowOf({ order, ranks: [] }, seen), [2, 4, 5, 6, 7, 8])
-  t.equal(windowOf({ order, ranks: [] }, seen).length, originWindow)
+  t.same(windowOf({ order, ranks: [], first: [] }, seen), [2, 4, 5, 6, 7, 8])
+  t.equal(windowOf({ order, ranks: [], first: [] }, seen).length, originWindow)
 })
 
 test('bitmaps act as sets of positions', async t => {
