--- a/script/failure-sweep.ts
+++ b/script/failure-sweep.ts
@@ -25,6 +25,7 @@
   const state = findings.length === 0 ? 'held  ' : 'BROKEN'
   process.stdout.write(`${state} ${name.padEnd(40)} seed ${seed}: sent ${sent}, whole ${whole}, not-run ${notRun}, unknown ${unknown}, run ${run}, cut ${cut + unreached}, wrong ${wrong}, doubled ${doubled}, false not-run ${falseNotRun}, stale not-run ${staleNotRun}, overloads ${overloads}; served again after ${recoveryMilliseconds} ms\n`)
   for (const finding of findings.slice(0, shownFindings)) process.stdout.write(`       ${finding}\n`)
+  if (staleNotRun > 0) process.stdout.write(`       stale not-run: ${[...new Set(verdict.staleFailures)].join(', ')}\n`)
   if (findings.length > shownFindings) process.stdout.write(`       and ${findings.length - shownFindings} more\n`)
   if (findings.length > 0 || verbose) for (const [failure, number] of failures.slice(0, shownFindings)) process.stdout.write(`       ${number} x ${failure}\n`)
 }
--- a/script/judge.ts
+++ b/script/judge.ts
@@ -22,6 +22,7 @@
   readonly falseNotRun: number
   /** Sendings of a key said to have not run although an earlier sending of it had; true of the sending, and apt to mislead. */
   readonly staleNotRun: number
+  readonly staleFailures: readonly string[]
   /** Times an engine fell over from more work than it bears. */
   readonly overloads: number
   /** Sendings with an id that stated an answer before any run of their call, or without one. */
@@ -63,6 +64,7 @@
     doubled: doubled.length,
     falseNotRun: falseNotRun.length,
     staleNotRun: staleNotRun.length,
+    staleFailures: staleNotRun.map(sending => sending.failure),
     overloads: overloads.length,
     unrecorded: unrecorded.length,
     findings
