--- a/script/measure.ts
+++ b/script/measure.ts
@@ -4,6 +4,7 @@
 import { writeLogs } from '../src/utils/log.js'
 import { measureConfiguration } from './measure/configuration.js'
 import { measureRouting } from './measure/routing.js'
+import { makePage } from './report/page.js'
 import { tableText, type MeasureTable } from './measure/table.js'
 import { measureSwap } from './measure/swap.js'
 import { measureWeights } from './measure/weights.js'
@@ -23,6 +24,7 @@
   program.option('--only <name>', `one of ${Object.keys(measures).join(', ')}`)
   program.option('--seed <number>', 'seed of every random choice', { default: 1 })
   program.option('--json <file>', 'also write the tables as JSON')
+  program.option('--report <file>', 'also write a page with plots')
   program.help()
   const { args, options } = program.parse(process.argv)
   if (options['help'] === true) return
@@ -35,6 +37,7 @@
     process.stdout.write(`${name}: ${tableText(table)}\n`)
     tables.push(table)
   }
+  if (typeof options['report'] === 'string') writeFileSync(options['report'], await makePage(tables, `npm run measure -- ${process.argv.slice(2).join(' ')}`, new Date()))
   if (typeof options['json'] === 'string') writeFileSync(options['json'], `${JSON.stringify(tables, null, 2)}\n`)
 }
 
--- a/script/measure/routing.ts
+++ b/script/measure/routing.ts
@@ -3,7 +3,7 @@
 import { chooseUpstream, hasRoom, LeastLoad, PrefixAffinity, RoutingPolicy, TwoChoices, type Demand, type UpstreamView } from '../../src/core/routing.js'
 import { rankMembers } from '../../src/utils/rendezvous.js'
 import { seededRandom } from '../../src/utils/random.js'
-import type { MeasureTable } from './table.js'
+import type { MeasureTable, PlotRequest } from './table.js'
 
 const upstreamCount = 12
 const entryCount = 3
@@ -65,9 +65,14 @@
 /** Runs every trial at several loads. */
 export async function measureRouting (seed: number): Promise<MeasureTable> {
   const rows = [0.7, 0.9, 1.1, 1.5].flatMap(share => trials.map(trial => ({ load: `${Math.round(share * 100)}%`, policy: trial.name, ...new Experiment(trial, seed, share).run() })))
-  return { subject: `routing policies, ${upstreamCount} upstreams, ${entryCount} entries, seed ${seed}, ${loadSeconds} s of load, 100% = ${Math.round(capacity)} requests/s without any cache hit`, rows }
+  return { subject: `routing policies, ${upstreamCount} upstreams, ${entryCount} entries, seed ${seed}, ${loadSeconds} s of load, 100% = ${Math.round(capacity)} requests/s without any cache hit`, plots, rows }
 }
 
+const plots: readonly PlotRequest[] = [
+  { title: 'first token, 95th percentile, milliseconds', x: 'load', y: 'p95', kind: 'ordinal', series: ['policy'] },
+  { title: 'cache hits, per cent', x: 'load', y: 'hitsPercent', kind: 'ordinal', series: ['policy'] }
+]
+
 class Experiment {
   private readonly random: () => number
   private readonly events = new EventQueue()
--- a/script/measure/table.ts
+++ b/script/measure/table.ts
@@ -1,8 +1,21 @@
 /** Tables of measured figures. */
 
+/** A plot of some columns of a table. */
+export interface PlotRequest {
+  readonly title: string
+  readonly x: string
+  readonly y: string
+  readonly kind: 'quantitative' | 'ordinal'
+  /** Columns whose values tell the lines apart. */
+  readonly series: readonly string[]
+  /** Column with a lower bound, drawn dashed. */
+  readonly bound?: string
+}
+
 /** One table: a subject and rows with the same columns. */
 export interface MeasureTable {
   readonly subject: string
+  readonly plots?: readonly PlotRequest[]
   readonly rows: ReadonlyArray<Readonly<Record<string, string | number>>>
 }
 
--- a/script/measure/weights.ts
+++ b/script/measure/weights.ts
@@ -39,6 +39,7 @@
   const naive = await Promise.all(chosen.filter(({ policy }) => policy === 'naive').map(async trial => await run(trial, seed)))
   return {
     subject: 'time to N replicas (copy 4 MiB in 64 KiB chunks, origin 2 MiB/s, machines 1 MiB/s each way, 3 data centres)',
+    plots: [{ title: 'time to N replicas; dashed: lower bound of the links', x: 'replicas', y: 'milliseconds', kind: 'quantitative', series: ['policy', 'faults'], bound: 'lower bound' }],
     rows: [...exchanges, ...naive]
   }
 }
