Send a suspect to one upstream that every entry names alike; never suspect requests without a body

Cause: each entry sent a suspect to the upstream that looked idlest, so copies at three entries went to three upstreams. Requests without a body share one fingerprint, so one crash beside a lookup would have made all lookups suspect. Change: the suspect's upstream is the first by rendezvous over its fingerprint; an empty body has no fingerprint.

--- a/script/measure/routing.ts
+++ b/script/measure/routing.ts
@@ -120,7 +120,7 @@
   private route (entry: Entry, prefix: string): void {
     this.counts.requests += 1
     const tried = new Set<string>()
-    const demand: Demand = { service: 's', weights: undefined, prefix, suspect: false }
+    const demand: Demand = { service: 's', weights: undefined, prefix, suspect: '' }
     for (let attempt = 0; attempt < mostAttempts; attempt += 1) {
       const candidates = entry.seen.map(({ view }) => view).filter(view => !tried.has(view.status.instance) && (attempt === 0 || !this.trial.bounded || hasRoom(view)))
       const chosen = chooseUpstream(candidates, demand, here, entry.policy)
--- a/src/core/quarantine.ts
+++ b/src/core/quarantine.ts
@@ -5,8 +5,9 @@
 const quarantineCrashes = 2
 const mostLosses = 10_000
 
-/** SHA-256 in hexadecimal over service, operation and body. */
+/** SHA-256 in hexadecimal over service, operation and body; empty without a body, as nothing then tells one caller's request from another's. */
 export function fingerprintOf (service: string, operation: string, body: Buffer): string {
+  if (body.length === 0) return ''
   return digestBytes(Buffer.concat([Buffer.from(`${service}\u0000${operation}\u0000`), body]))
 }
 
@@ -52,6 +53,7 @@
   }
 
   private raise (fingerprint: string, source: string, heard: Count): void {
+    if (fingerprint === '') return
     const bySource = this.counts.get(fingerprint) ?? new Map<string, Count>()
     const known = bySource.get(source) ?? { crashes: 0, until: 0 }
     bySource.set(source, { crashes: Math.max(known.crashes, heard.crashes), until: Math.max(known.until, heard.until) })
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -20,8 +20,8 @@
   readonly weights: readonly string[] | undefined
   /** Digest of the prompt's prefix, empty for none. */
   readonly prefix: string
-  /** Whether the request must run alone. */
-  readonly suspect: boolean
+  /** Fingerprint of a request that must run alone, empty for any other. */
+  readonly suspect: string
 }
 
 /** Where the entry is. */
@@ -39,7 +39,7 @@
 /** The next upstream for a request: with room before full, newer weights before older, near before far, then by the policy. */
 export function chooseUpstream (candidates: readonly UpstreamView[], demand: Demand, place: Place, policy: RoutingPolicy): UpstreamView | undefined {
   if (candidates.length === 0) return undefined
-  if (demand.suspect) return leastLoaded(candidates)
+  if (demand.suspect !== '') return homeOf(candidates, demand.suspect)
   const preferred = policy.prefer(firstTier(candidates, view => closenessOf(view, demand, place)), demand)
   if (preferred !== undefined) return preferred
   return policy.choose(firstTier(candidates, view => tierOf(view, demand, place)), demand)
@@ -114,6 +114,12 @@
   return view.load < view.status.limit
 }
 
+/** The one upstream of a suspect: the same for every entry, so that its copies are not fanned out. */
+function homeOf (candidates: readonly UpstreamView[], fingerprint: string): UpstreamView | undefined {
+  const [home] = rankMembers(fingerprint, candidates.map(({ status }) => status.instance))
+  return candidates.find(({ status }) => status.instance === home)
+}
+
 /** Upstreams of the lowest tier. */
 function firstTier (candidates: readonly UpstreamView[], tier: (view: UpstreamView) => number): readonly UpstreamView[] {
   const tiers = candidates.map(tier)
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -69,7 +69,7 @@
 
   private choose (suspect: boolean): UpstreamView | undefined {
     const { caller, configuration } = this.serving
-    const demand: Demand = { service: caller.service, weights: this.acceptableWeights(), prefix: caller.prefix, suspect }
+    const demand: Demand = { service: caller.service, weights: this.acceptableWeights(), prefix: caller.prefix, suspect: suspect ? caller.fingerprint : '' }
     const candidates = candidatesOf(this.host.upstreams.views, demand, configuration, this.tried)
     const again = this.tried.size > 0
     const useful = candidates.filter(view => !again || (suspect ? view.load === 0 : hasRoom(view)))
--- a/test/entry-answers.test.ts
+++ b/test/entry-answers.test.ts
@@ -151,8 +151,8 @@
     const [near, far] = world.agents
     if (near === undefined || far === undefined) return
     near.behave = refuseWith('claim-lost', 1000, far.listed.controlAddress)
-    if (holder !== 'routed') world.publishList(listed => listed.instance === far.listed.instance ? { ...listed, controlAddress: near.listed.controlAddress, instance: 'nobody' } : listed)
-    if (holder !== 'routed') await eventually(async () => !(await (await fetch(`${world.urlOf(0)}/status`)).text()).includes('"ledger-1"'))
+    if (holder !== 'routed') world.publishList(listed => listed.instance === far.listed.instance ? undefined : listed)
+    if (holder !== 'routed') await world.settled(1)
     if (holder === 'asked') far.outcome = () => ({ ...kept, incarnation: '' })
     if (holder === 'gone') far.stop()
     const answer = await world.call('ledger/sign-off', 'badge', { [headers.idempotencyKey]: 'key-1' })
--- a/test/entry-limits.test.ts
+++ b/test/entry-limits.test.ts
@@ -45,14 +45,14 @@
   load,
   status: { instance: `i${index}`, incarnation: '', limit, inFlight: load, waiting: 0, cold: false, configurationNext: 0, address: '', wanted: '', chunksHeld: 0, chunksTotal: 0, suspects: [], ...facts }
 })))
-const demands = fc.record({ service: fc.constant('citations'), weights: fc.constantFrom([newWeights, oldWeights], [oldWeights], undefined), prefix: fc.constantFrom('', 'p', 'q'), suspect: fc.boolean() })
+const demands = fc.record({ service: fc.constant('citations'), weights: fc.constantFrom([newWeights, oldWeights], [oldWeights], undefined), prefix: fc.constantFrom('', 'p', 'q'), suspect: fc.constantFrom('', 'fingerprint') })
 const dataCentreStates = fc.constantFrom('in' as const, 'out' as const)
 
 /** Sorts every upstream by every rule, the slow way. */
 function naiveBest (list: readonly UpstreamView[], demand: Demand, west: 'in' | 'out', tried: ReadonlySet<string>): readonly UpstreamView[] {
   const may = list.filter(({ status }) => status.state === 'open' && status.service === demand.service && (status.dataCentre !== 'west' || west === 'in') && !tried.has(status.instance))
   const right = demand.weights === undefined ? may : may.filter(({ status }) => demand.weights?.some(weights => weights === status.weights))
-  const rank = (entry: UpstreamView): readonly number[] => demand.suspect ? [] : [entry.load < entry.status.limit ? 0 : 1, demand.weights?.indexOf(entry.status.weights) ?? 0, entry.status.dataCentre === 'east' ? 0 : 1]
+  const rank = (entry: UpstreamView): readonly number[] => demand.suspect !== '' ? [] : [entry.load < entry.status.limit ? 0 : 1, demand.weights?.indexOf(entry.status.weights) ?? 0, entry.status.dataCentre === 'east' ? 0 : 1]
   const sorted = [...right].sort((left, other) => rank(left).map((value, index) => value - (rank(other)[index] ?? 0)).find(difference => difference !== 0) ?? 0)
   return sorted.filter(entry => JSON.stringify(rank(entry)) === JSON.stringify(rank(sorted[0] ?? entry)))
 }
@@ -79,9 +79,10 @@
     return [new LeastLoad(), new TwoChoices(seededRandom(1)), new PrefixAffinity(new LeastLoad())].every((policy, index) => {
       const chosen = chooseUpstream(candidates, demand, here, policy)
       if (chosen === undefined) return best.length === 0
-      if (policy instanceof PrefixAffinity && !demand.suspect && mayBeHome(chosen, candidates, demand)) return true
+      if (demand.suspect !== '') return chosen.status.instance === rankMembers(demand.suspect, best.map(({ status }) => status.instance))[0]
+      if (policy instanceof PrefixAffinity && mayBeHome(chosen, candidates, demand)) return true
       const least = chosen.load / chosen.status.limit === lowest
-      return best.includes(chosen) && (least || (index > 0 && !demand.suspect))
+      return best.includes(chosen) && (least || index > 0)
     })
   }), { seed, numRuns: runs })
   t.pass()
--- a/test/entry-quarantine.test.ts
+++ b/test/entry-quarantine.test.ts
@@ -1,5 +1,5 @@
 import { test } from 'tap'
-import { Quarantine } from '../src/core/quarantine.js'
+import { fingerprintOf, Quarantine } from '../src/core/quarantine.js'
 import { headers, type SuspectCount } from '../src/types/messages.js'
 import type { EngineRequest } from '../src/types/platform.js'
 import { answerTokens, refuseWith, type Behaviour, type FakeAgent } from './fakes/agent.js'
@@ -110,6 +110,26 @@
   })
 }
 
+test('copies of a suspect that come to three entries at once all go to one upstream', async t => {
+  const world = await World.start({ entries: 3, citations: ['east', 'east', 'west'] })
+  t.teardown(() => { world.stop() })
+  const body = JSON.stringify({ prompt: 'odd', maximumTokens: 2 })
+  const fingerprint = fingerprintOf('citations', 'completions', Buffer.from(body))
+  world.agents[0]?.publish({ suspects: [suspect(1, Date.now() + hour, fingerprint)] })
+  for (const index of world.entries.keys()) await eventually(async () => JSON.stringify(await world.status(index)).includes(fingerprint))
+  for (const agent of world.agents) {
+    agent.otherwise = 'running'
+    agent.behave = async (run, response) => {
+      agent.publish({ inFlight: agent.runs.length })
+      await eventually(() => world.runs === 3)
+      await answerTokens()(run, response, agent)
+    }
+  }
+  await Promise.all([0, 1, 2].map(async entry => await world.call('citations/completions', body, {}, entry)))
+  t.equal(world.agents.filter(agent => agent.runs.length > 0).length, 1)
+  t.ok(world.agents.flatMap(agent => agent.runs).every(run => run.headers[headers.suspect] === '1'))
+})
+
 test('a request under which a whole instance is lost is resumed without suspicion', async t => {
   const world = await World.start({ citations: ['east', 'west'] })
   t.teardown(() => { world.stop() })
@@ -123,3 +143,10 @@
   t.equal(answer.lines.at(-1)?.['type'], 'end')
   t.equal(far?.runs[0]?.headers[headers.suspect], undefined)
 })
+
+test('requests without a body are never suspect, as they are all alike', async t => {
+  const quarantine = new Quarantine()
+  const fingerprint = fingerprintOf('ledger', 'lookup', Buffer.alloc(0))
+  quarantine.hear({ instance: 'a', incarnation: '1', suspects: [suspect(2, 200, fingerprint)] })
+  t.equal(quarantine.standing(fingerprint, 100).kind, 'clear')
+})
--- a/test/fakes/world.ts
+++ b/test/fakes/world.ts
@@ -92,8 +92,9 @@
     await fetch(`${this.platform.log}/streams/configuration/records`, { method: 'POST', body: JSON.stringify({ records: [JSON.stringify(record)] }) })
   }
 
-  publishList (change: (listed: ListedInstance) => ListedInstance = listed => listed): void {
-    this.list.set([...this.entries.map(({ listed }) => listed), ...this.agents.map(({ listed }) => listed)].map(change))
+  /** Publishes the list; an instance changed to undefined is left out. */
+  publishList (change: (listed: ListedInstance) => ListedInstance | undefined = listed => listed): void {
+    this.list.set([...this.entries.map(({ listed }) => listed), ...this.agents.map(({ listed }) => listed)].flatMap(listed => change(listed) ?? []))
   }
 
   /** Waits until every entry sees as many open upstreams as there are agents. */
