Say not run of a key only when nobody has claimed it

Ruled out: always unknown for keys, which says less than is known; asking the caller whether it sends again, which trusts what callers forget. Change: before an entry tells not run of a non-idempotent request, it asks two agents about the key; an agent says free only after a read of the log that began after the question.

--- a/script/judge.ts
+++ b/script/judge.ts
@@ -48,6 +48,7 @@
   const findings = [
     ...doubled.map(sending => `ran twice: ${describe(sending)}`),
     ...falseNotRun.map(sending => `said not run and ran: ${describe(sending)}`),
+    ...staleNotRun.map(sending => `said not run of a key that had run: ${describe(sending)}`),
     ...unrecorded.map(sending => `answered and never ran: ${describe(sending)}`),
     ...wrong.map(sending => `wrong answer: ${describe(sending)}`),
     ...overloads.map(line => `overload: ${line.upstream} at ${line.at}`)
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -34,6 +34,7 @@
 const retryMilliseconds = 500
 const askableMilliseconds = 1500
 const pollMilliseconds = 20
+const claimReadMilliseconds = 200
 
 /** Starts an agent; resolves once both addresses are served. */
 export async function startAgent (settings: AgentSettings): Promise<RunningNode> {
@@ -191,8 +192,11 @@
     return this.feed.add(send)
   }
 
-  override outcome (request: OutcomeRequest): OutcomeReply {
-    return this.outcomes.reply(request)
+  override async outcome (request: OutcomeRequest): Promise<OutcomeReply> {
+    const reply = this.outcomes.reply(request)
+    if (request.key === '' || reply.outcome !== 'unknown') return reply
+    const isFree = await this.claims.isFree(request.key, Date.now() + claimReadMilliseconds)
+    return isFree ? { ...reply, outcome: 'not-run' } : reply
   }
 
   /** Only an agent of a model service has an origin of weights. */
--- a/src/roles/agent/claims.ts
+++ b/src/roles/agent/claims.ts
@@ -6,7 +6,7 @@
 import { claimRecordSchema, type ClaimRecord } from '../../types/configuration.js'
 import type { StoredRecord, StreamPage } from '../../types/platform.js'
 import { runInBackground } from '../../utils/background.js'
-import { waitUntil } from '../../utils/clock.js'
+import { settleBy, waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 
 const log = logFor('claims')
@@ -98,6 +98,21 @@
     })
   }
 
+  /** Whether nobody has claimed a key, by a read of the log that began after the question; false when that cannot be known before `deadline` (epoch milliseconds). */
+  async isFree (key: string, deadline: number): Promise<boolean> {
+    try {
+      const page = await settleBy(this.client.read(this.stream, this.next, Date.now()), deadline, 'the log gave no answer in time')
+      this.fold(page)
+      return this.next >= page.next && !this.holders.has(key) && !this.isAppending(key)
+    } catch {
+      return false
+    }
+  }
+
+  private isAppending (key: string): boolean {
+    return [...this.own.values()].some(({ record, state }) => record.key === key && state.phase === 'appending')
+  }
+
   /** Gives up an own claim; the log frees its key as soon as its record is found there. */
   giveUp (own: Own): void {
     const abandoned = abandon(own.state)
--- a/src/roles/entry/answer.ts
+++ b/src/roles/entry/answer.ts
@@ -9,6 +9,7 @@
 import type { Configuration, Organisation } from '../../types/configuration.js'
 import { headers } from '../../types/messages.js'
 import type { AnswerHost } from './host.js'
+import { confirmNotRun } from './key-standing.js'
 import { serve } from './serve.js'
 import { formatLine } from './stream.js'
 
@@ -29,7 +30,8 @@
   const accepted = body === undefined ? fail('too-large') : accept(host, request, { id, service, operation, body }, receivedAt)
   if (isFailure(accepted)) {
     if (accepted.tag === 'too-large') response.setHeader('connection', 'close')
-    finish(host, response, { id, service, receivedAt, organisations: 'none' }, accepted)
+    const keyed = { service, operation, organisation: headerOf(request, headers.organisation), idempotencyKey: headerOf(request, headers.idempotencyKey) }
+    finish(host, response, { id, service, receivedAt, organisations: 'none' }, await confirmNotRun(host, keyed, accepted))
     return
   }
   await answer(host, response, accepted, receivedAt)
@@ -47,7 +49,8 @@
   try {
     const failure = await serve(host, { ...accepted, receivedAt, response, traceParent: hop.traceParent, signal: over.signal })
     hop.end(failure?.tag)
-    finish(host, response, { id, service, receivedAt, organisations: organisation.priority }, failure)
+    const told = failure === undefined ? undefined : await confirmNotRun(host, caller, failure)
+    finish(host, response, { id, service, receivedAt, organisations: organisation.priority }, told)
   } finally {
     clearTimeout(timer)
     response.removeListener('close', leave)
--- a/src/transports/control.ts
+++ b/src/transports/control.ts
@@ -55,7 +55,7 @@
     return undefined
   }
 
-  outcome (_request: OutcomeRequest): OutcomeReply {
+  outcome (_request: OutcomeRequest): OutcomeReply | Promise<OutcomeReply> {
     return { outcome: 'unknown', status: 0, answer: Buffer.alloc(0), incarnation: '' }
   }
 }
@@ -92,7 +92,9 @@
       answer(null, service.describe())
     },
     Outcome: (call: grpc.ServerUnaryCall<OutcomeRequest, OutcomeReply>, answer: grpc.sendUnaryData<OutcomeReply>) => {
-      answer(null, service.outcome(call.request))
+      Promise.resolve(service.outcome(call.request)).then(reply => { answer(null, reply) }, (error: unknown) => {
+        answer({ code: grpc.status.INTERNAL, details: String(error) })
+      })
     },
     Follow: (call: grpc.ServerDuplexStream<FollowRequest, FollowEvent>) => {
       serveFollow(call, service)
