Sign changes with operators' keys, where the configuration names any

Change: operatorKeys are part of the configuration, so every node judges a record alike; a setting of each node was ruled out because nodes with other settings would fork. A record without a good signature is refused 'unsigned'.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -30,7 +30,7 @@
   return program
 }
 
-const settingsHelp = '  Each flag that names a place has a variable too: --log is POLLENDYKE_LOG, --instances is POLLENDYKE_INSTANCES,\n  --entry is POLLENDYKE_ENTRY, --origin is POLLENDYKE_ORIGIN, --author is POLLENDYKE_AUTHOR, --wait is POLLENDYKE_WAIT.'
+const settingsHelp = '  Each flag that names a place has a variable too: --log is POLLENDYKE_LOG, --instances is POLLENDYKE_INSTANCES,\n  --entry is POLLENDYKE_ENTRY, --origin is POLLENDYKE_ORIGIN, --author is POLLENDYKE_AUTHOR, --key is POLLENDYKE_KEY, --wait is POLLENDYKE_WAIT.'
 const exitHelp = [
   '  0  done',
   '  1  the change was refused, or lost a race',
@@ -168,6 +168,7 @@
     .option('--log <url>', 'Base URL of the log')
     .option('--instances <url>', 'Base URL of the instance list, to see the change come into force on every node')
     .option('--wait <seconds>', 'How long to watch it come into force (default 15)')
+    .option('--key <file>', 'Private Ed25519 key in PEM that signs the change')
     .option('--author <name>', 'Name in the history; the user of this machine by default')
     .option('--json', 'Print JSON')
 }
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -1,4 +1,5 @@
 /** Settings, exit codes and files of the command line. */
+import { createPrivateKey, type KeyObject } from 'node:crypto'
 import { readFileSync } from 'node:fs'
 import { userInfo } from 'node:os'
 import { z } from 'zod'
@@ -35,6 +36,7 @@
   entry: entry.optional(),
   origin: url.optional(),
   author: z.string().min(1).max(128).default(() => userInfo().username),
+  key: z.string().min(1).optional(),
   wait: z.coerce.number().positive().max(3600).default(15)
 } as const
 
@@ -69,6 +71,18 @@
   }
 }
 
+/** Reads a private Ed25519 key, PEM. */
+export function readKey (file: string): KeyObject {
+  const text = readFile(file)
+  try {
+    const key = createPrivateKey(text)
+    if (key.asymmetricKeyType === 'ed25519') return key
+  } catch {
+    // The finding below says what the file should be.
+  }
+  throw new FindingsError([{ place: file, problem: 'is no private Ed25519 key in PEM' }])
+}
+
 function readFile (file: string): string {
   try {
     return readFileSync(file, 'utf8')
--- a/src/commands/append-change.ts
+++ b/src/commands/append-change.ts
@@ -1,5 +1,5 @@
 /** Appends an operator's change and settles it by reading its own record back. */
-import { randomUUID } from 'node:crypto'
+import { randomUUID, type KeyObject } from 'node:crypto'
 import { foldPage } from '../core/configuration/fold.js'
 import { makeChange, mayRebase, settleChange, type Settlement } from '../core/configuration/settle.js'
 import { readPage } from '../nodes/log-reader.js'
@@ -20,18 +20,18 @@
 const rebasesAtMost = 5
 
 /** Appends `change` once; a lost answer is settled by reading on, never by a blind second append. */
-export async function appendChange (client: LogClient, state: FoldState, change: Change, author: string, deadline: number): Promise<ChangeResult> {
+export async function appendChange (client: LogClient, state: FoldState, change: Change, author: string, deadline: number, key?: KeyObject): Promise<ChangeResult> {
   const id = randomUUID()
-  const settled = await appendOnce(client, state, change, id, author, deadline)
+  const settled = await appendOnce(client, state, change, id, author, deadline, key)
   return tell(settled, id, false)
 }
 
 /** As `appendChange`; a change that lost only to unrelated ones is appended anew on top of them. */
-export async function appendRebased (client: LogClient, state: FoldState, change: Change, author: string, deadline: number): Promise<ChangeResult> {
+export async function appendRebased (client: LogClient, state: FoldState, change: Change, author: string, deadline: number, key?: KeyObject): Promise<ChangeResult> {
   let seen = state
   for (let turn = 0; ; turn++) {
     const id = randomUUID()
-    const settled = await appendOnce(client, seen, change, id, author, deadline)
+    const settled = await appendOnce(client, seen, change, id, author, deadline, key)
     const result = tell(settled, id, turn > 0)
     if (settled.tag !== 'refused' || settled.reason !== 'stale' || turn === rebasesAtMost) return result
     const current = await readState(client, settled.state)
@@ -48,8 +48,8 @@
   }
 }
 
-async function appendOnce (client: LogClient, seen: FoldState, change: Change, id: string, author: string, deadline: number): Promise<Settlement> {
-  const body = JSON.stringify(makeChange(seen, change, id, author, Date.now()))
+async function appendOnce (client: LogClient, seen: FoldState, change: Change, id: string, author: string, deadline: number, key?: KeyObject): Promise<Settlement> {
+  const body = JSON.stringify(makeChange(seen, change, id, author, Date.now(), key))
   try {
     await client.append(streams.configuration, [body], Math.min(deadline, Date.now() + appendMilliseconds))
   } catch {
--- a/src/commands/change.ts
+++ b/src/commands/change.ts
@@ -1,6 +1,6 @@
 /** Commands that append a change: they plan, append, settle, and watch it come into force. */
 import { print, forceLines, sortNodes } from '../cli/output.js'
-import { exitCodes, settingsFrom, UnreachableError } from '../cli/settings.js'
+import { exitCodes, readKey, settingsFrom, UnreachableError } from '../cli/settings.js'
 import { planChange } from '../core/configuration/plan.js'
 import { FindingsError } from '../errors.js'
 import { describeNodes, readInstances, type AskedNode } from '../queries/nodes.js'
@@ -27,14 +27,14 @@
 
 /** Appends a change that `choose` makes from the state at the head; returns the exit code. */
 export async function runChange (options: ChangeOptions, choose: (state: FoldState) => Change): Promise<number> {
-  const { log, instances, author, wait } = settingsFrom(['log', 'instances', 'author', 'wait'], options)
+  const { log, instances, author, wait, key } = settingsFrom(['log', 'instances', 'author', 'wait', 'key'], options)
   const json = options['json'] === true
   const client = new HttpLogClient(log)
   const state = await readHead(client, log)
   const change = choose(state)
   const { findings } = planChange(state, change, [])
   if (findings.length > 0) throw new FindingsError(findings)
-  const result = await appendRebased(client, state, change, author, Date.now() + changeMilliseconds)
+  const result = await appendRebased(client, state, change, author, Date.now() + changeMilliseconds, key === undefined ? undefined : readKey(key))
   if (result.tag !== 'accepted') return tellFailure(json, result)
   if (!json) print(false, result, [`accepted at offset ${result.offset}${result.rebased ? ', on top of unrelated changes' : ''} (id ${result.id})`])
   if (instances === undefined) {
@@ -52,6 +52,10 @@
     print(json, result, [`unknown: the log could not say before the deadline whether the change took effect; look for id ${result.id} in "pollendyke history" before trying again`])
     return exitCodes.unknown
   }
+  if (result.reason === 'unsigned') {
+    print(json, result, [`refused at offset ${result.offset}: the configuration in force asks for a signature by one of its operatorKeys; see --key`])
+    return exitCodes.refused
+  }
   const reason = result.reason === 'stale' ? 'another operator changed the same scope first; look at "pollendyke history" and plan anew' : `the record is ${result.reason}`
   print(json, result, [`refused at offset ${result.offset}: ${reason}`])
   return exitCodes.refused
--- a/src/core/configuration/fold.ts
+++ b/src/core/configuration/fold.ts
@@ -2,6 +2,7 @@
 import { configurationRecordSchema, type ChangeRecord, type FoldState, type RefusedRecord, type SnapshotRecord } from '../../types/configuration.js'
 import type { StoredRecord, StreamPage } from '../../types/platform.js'
 import { digestValue } from '../../utils/digest.js'
+import { isAuthorised } from './signature.js'
 import { applyChange, isFindings, scopeOf, wholeScope } from './change.js'
 
 const keptRefusals = 50
@@ -48,6 +49,7 @@
 }
 
 function foldChange (passed: FoldState, offset: number, record: ChangeRecord): FoldState {
+  if (!isAuthorised(passed.configuration, record)) return refuse(passed, { offset, id: record.id, reason: 'unsigned' })
   const scope = scopeOf(record.change)
   if (record.basedOn !== revisionOfScope(passed, scope)) return refuse(passed, { offset, id: record.id, reason: 'stale' })
   const configuration = applyChange(passed.configuration, record.change)
--- a/src/core/configuration/generate.ts
+++ b/src/core/configuration/generate.ts
@@ -9,8 +9,9 @@
 
 /** Configuration of a new deployment, without intents. */
 export function generateConfiguration (answers: Answers): Configuration {
+  const keys = answers.operatorKeys === undefined ? {} : { operatorKeys: answers.operatorKeys }
   return {
-    deployment: { name: answers.deployment, weighting: answers.weighting, logDataCentre: answers.logDataCentre, whenIsolated: answers.whenIsolated },
+    deployment: { name: answers.deployment, weighting: answers.weighting, logDataCentre: answers.logDataCentre, whenIsolated: answers.whenIsolated, ...keys },
     dataCentres: Object.fromEntries(answers.dataCentres.map(({ name, region }) => [name, { region, state: 'in' as const }])),
     organisations: Object.fromEntries(answers.organisations.map(({ name, size }) => [name, sizes[size]])),
     services: Object.fromEntries(answers.services.map(service => [service.name, generateService(service)])),
--- a/src/core/configuration/settle.ts
+++ b/src/core/configuration/settle.ts
@@ -1,8 +1,10 @@
 /** What became of an operator's change, judged by reading its own record back. */
+import type { KeyObject } from 'node:crypto'
 import { configurationRecordSchema, type Change, type ChangeRecord, type Configuration, type FoldState, type RefusedRecord } from '../../types/configuration.js'
 import type { StreamPage } from '../../types/platform.js'
 import { canonicalJson } from '../../utils/digest.js'
 import { scopeOf } from './change.js'
+import { signChange } from './signature.js'
 import { foldRecord, revisionOfScope, startOf } from './fold.js'
 
 /** What reading on from the state that the operator saw shows. */
@@ -12,9 +14,10 @@
   /** Not in the log up to the offset of `state`; it may still arrive while its append is in doubt. */
   | { readonly tag: 'absent', readonly state: FoldState }
 
-/** Record of a change that builds on what `seen` holds. */
-export function makeChange (seen: FoldState, change: Change, id: string, author: string, at: number): ChangeRecord {
-  return { type: 'change', id, basedOn: revisionOfScope(seen, scopeOf(change)), author, at, change }
+/** Record of a change that builds on what `seen` holds, signed when there is a key. */
+export function makeChange (seen: FoldState, change: Change, id: string, author: string, at: number, key?: KeyObject): ChangeRecord {
+  const record: ChangeRecord = { type: 'change', id, basedOn: revisionOfScope(seen, scopeOf(change)), author, at, change }
+  return key === undefined ? record : signChange(record, key)
 }
 
 /** Looks for the record `id` in the page that follows `state`. */
--- a/src/queries/history.ts
+++ b/src/queries/history.ts
@@ -14,7 +14,7 @@
   readonly author: string
   /** Scope of a change, `snapshot`, or empty for a corrupt record. */
   readonly what: string
-  readonly result: 'accepted' | 'stale' | 'malformed' | 'invalid' | 'snapshot-mismatch'
+  readonly result: 'accepted' | 'stale' | 'unsigned' | 'malformed' | 'invalid' | 'snapshot-mismatch'
 }
 
 /** Every kept record in order; those before the state that a snapshot gave are left out. */
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -4,6 +4,8 @@
 const name = z.string().regex(/^[a-z0-9][a-z0-9-]{0,62}$/, 'must be lower-case letters, digits and hyphens')
 const positiveInteger = z.number().int().positive()
 const digest = z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in hexadecimal')
+/** Public Ed25519 key: SPKI, DER in base64. */
+export const operatorKey = z.string().regex(/^MCowBQYDK2VwAyEA[A-Za-z0-9+/]{43}=$/, 'must be a public Ed25519 key, SPKI as DER in base64')
 const epochMilliseconds = z.number().int().nonnegative()
 
 /** Priority classes, the most urgent first. */
@@ -17,7 +19,9 @@
   /** Data centre in which the platform's log runs. */
   logDataCentre: name,
   /** What a node does once it can reach neither the log nor a node beside the log. */
-  whenIsolated: z.enum(['refuse', 'serve'])
+  whenIsolated: z.enum(['refuse', 'serve']),
+  /** Public Ed25519 keys (SPKI, DER in base64) of operators; once there is one, every change must be signed by one of them. */
+  operatorKeys: z.array(operatorKey).readonly().optional()
 }).readonly()
 
 /** A data centre; `out` takes no new work. */
@@ -102,7 +106,9 @@
   author: z.string().min(1).max(128),
   /** Epoch milliseconds at the operator's machine, for display only. */
   at: epochMilliseconds,
-  change: changeSchema
+  change: changeSchema,
+  /** Ed25519 signature in base64, where the configuration in force asks for one. */
+  signature: z.string().max(128).optional()
 }).readonly()
 
 /** State of the fold after offset `asOf`, so that older records may expire. */
@@ -175,5 +181,5 @@
 export interface RefusedRecord {
   readonly offset: number
   readonly id: string
-  readonly reason: 'stale' | 'malformed' | 'invalid' | 'snapshot-mismatch'
+  readonly reason: 'stale' | 'unsigned' | 'malformed' | 'invalid' | 'snapshot-mismatch'
 }
