--- a/test/configuration-follower.test.ts
+++ b/test/configuration-follower.test.ts
@@ -151,3 +151,22 @@
   for (const state of states) t.same(state, states[0])
   t.equal(bench.nodes[0]?.follower.state.refused.some(({ reason }) => reason === 'snapshot-mismatch'), false)
 })
+
+test('a peer with another configuration at the same offset changes nothing and confirms nothing', async t => {
+  const bench = new FollowerBench()
+  t.teardown(() => { bench.stop() })
+  const forked = new FollowerBench()
+  t.teardown(() => { forked.stop() })
+  forked.log.append(moveBody('rajkot', 'out', 0))
+  bench.log.append(moveBody('vadodara', 'out', 0))
+  const stranger = await forked.add('entry-a1', 'ahmedabad')
+  await forked.settle()
+  const node = await bench.add('entry-r1', 'rajkot')
+  await bench.settle()
+  bench.log.outage = true
+  bench.list([...bench.instances, stranger.listed])
+  const before = node.follower.state
+  await until(() => !node.follower.mayTakeWork())
+  t.ok(stranger.follower.mayTakeWork(), 'the stranger is confirmed by its own log')
+  t.equal(node.follower.state, before)
+})
