Let the test of a suspect's copies overlap, and note why its upstream is fixed

Cause: the test passed with the idlest upstream as well, as all three calls saw equal loads. With overlapping calls it fails there (three upstreams) and passes with rendezvous.

--- a/test/entry-quarantine.test.ts
+++ b/test/entry-quarantine.test.ts
@@ -110,7 +110,7 @@
   })
 }
 
-test('copies of a suspect that come to three entries at once all go to one upstream', async t => {
+test('copies of a suspect that run at once from three entries all go to one upstream', async t => {
   const world = await World.start({ entries: 3, citations: ['east', 'east', 'west'] })
   t.teardown(() => { world.stop() })
   const body = JSON.stringify({ prompt: 'odd', maximumTokens: 2 })
@@ -125,7 +125,15 @@
       await answerTokens()(run, response, agent)
     }
   }
-  await Promise.all([0, 1, 2].map(async entry => await world.call('citations/completions', body, {}, entry)))
+  const calls: Promise<unknown>[] = []
+  for (const entry of world.entries.keys()) {
+    calls.push(world.call('citations/completions', body, {}, entry))
+    await eventually(() => world.runs === entry + 1)
+    for (const index of world.entries.keys()) {
+      await eventually(async () => (await world.status(index)).upstreams.reduce((sum, { inFlight }) => sum + inFlight, 0) === entry + 1)
+    }
+  }
+  await Promise.all(calls)
   t.equal(world.agents.filter(agent => agent.runs.length > 0).length, 1)
   t.ok(world.agents.flatMap(agent => agent.runs).every(run => run.headers[headers.suspect] === '1'))
 })
