Give each version of the demo its own intent

Ruled out: the pace of the swap; the calls were refused before any replica was away. Change: the intent's id carries the version, so the older one serves until the newer can.

--- a/script/operator.ts
+++ b/script/operator.ts
@@ -52,7 +52,7 @@
     const { digest } = await setFaults(this.running.origin, weights, 'weights') as { digest: string }
     const organisations = this.answers.organisations.map(({ name }) => name)
     const dataCentres = this.answers.dataCentres.map(({ name }) => name)
-    const intent = { id: 'rollout', service, model: 'model', adapter: null, version, manifest: digest, organisations, dataCentres, finishBy: Date.now() + rolloutMilliseconds }
+    const intent = { id: `version-${version}`, service, model: 'model', adapter: null, version, manifest: digest, organisations, dataCentres, finishBy: Date.now() + rolloutMilliseconds }
     const acceptedAt = await this.apply('intent.json', JSON.stringify({ kind: 'intent', intent }))
     return { manifest: digest, acceptedAt }
   }
