Wait in the swap only for instances that want the same weights

Cause: with two manifests in a data centre the order of turns held instances that never serve the wanted one; those behind them waited until overdue, ten usual changes. Change: turns and the count of what remains look at those that want the manifest; the count of those away still looks at the whole pool.

--- a/model/swap.ts
+++ b/model/swap.ts
@@ -120,7 +120,7 @@
 }
 
 function peerOf (position: number, swap: SwapState, served: string): SwapPeer {
-  return { instance: nameOf(position), served, swap, inFlight: 0, limit: 1, changeMilliseconds: 0 }
+  return { instance: nameOf(position), wants: true, served, swap, inFlight: 0, limit: 1, changeMilliseconds: 0 }
 }
 
 function nameOf (index: number): string {
--- a/src/core/weights/swap.ts
+++ b/src/core/weights/swap.ts
@@ -7,6 +7,8 @@
 /** What an instance knows of another one of its pool. */
 export interface SwapPeer {
   readonly instance: string
+  /** Whether it is to serve the wanted weights as well. */
+  readonly wants: boolean
   /** Manifest digest that its engine serves, empty for none. */
   readonly served: string
   readonly swap: SwapState
@@ -107,7 +109,7 @@
 function isTurn (view: SwapView): boolean {
   if (view.allowed < 1) return false
   if (view.isOverdue) return true
-  const pool = view.peers.map(peer => peer.instance)
+  const pool = view.peers.filter(peer => peer.wants).map(peer => peer.instance)
   const predecessor = predecessorOf(view.wanted, view.instance, pool, view.allowed)
   const known = view.peers.find(peer => peer.instance === predecessor)
   return known === undefined || known.served === view.wanted
--- a/src/roles/agent/exchange-swap.ts
+++ b/src/roles/agent/exchange-swap.ts
@@ -16,7 +16,7 @@
 /** How long a peer that answers nothing counts as it was last heard. */
 const silentMilliseconds = 5000
 
-interface Heard extends SwapPeer {
+interface Heard extends Omit<SwapPeer, 'wants'> {
   /** Epoch milliseconds at which the peer was asked. */
   readonly askedAt: number
 }
@@ -77,6 +77,11 @@
     return taken.reduce((sum, milliseconds) => sum + milliseconds, 0) / taken.length
   }
 
+  /** Instances that are to serve the target as well. */
+  private get wanting (): ReadonlySet<string> {
+    return new Set(this.options.members(this.target.manifest).map(member => member.instance))
+  }
+
   private retarget (target: SwapTarget): void {
     this.target = target
     this.mayGo = false
@@ -108,7 +113,9 @@
     const unheard = peers.filter(({ instance }) => !this.heard.has(instance))
     if (this.current === 'intending' || unheard.length > 0) return peers
     const { instance } = this.options
-    const predecessor = predecessorOf(this.target.manifest, instance, peers.map(peer => peer.instance), this.allowed(this.known(peers)))
+    const wanting = this.wanting
+    const names = peers.map(peer => peer.instance).filter(name => wanting.has(name))
+    const predecessor = predecessorOf(this.target.manifest, instance, names, this.allowed(this.known(peers)))
     return peers.filter(peer => peer.instance === predecessor)
   }
 
@@ -133,12 +140,13 @@
     const isFresh = known.every(peer => peer.askedAt >= this.announcedAt)
     if (this.current === 'intending' && !isFresh) return 'wait'
     const now = Date.now()
+    const wanting = this.wanting
     return nextSwapStep({
       instance: this.options.instance,
       served: this.options.served(),
       swap: this.current,
       wanted: this.target.manifest,
-      peers: known,
+      peers: known.map(peer => ({ ...peer, wants: wanting.has(peer.instance) })),
       allowed: this.allowed(known),
       isOverdue: now > this.overdueAt
     })
@@ -156,6 +164,7 @@
   }
 
   private allowed (known: readonly Heard[]): number {
+    const wanting = this.wanting
     const { inFlight, limit } = this.options.load()
     const own = { served: this.options.served(), inFlight, limit }
     const pool = [own, ...known]
@@ -165,7 +174,7 @@
       finishBy: this.target.finishBy,
       weighting: this.options.weighting(),
       size: pool.length,
-      remaining: pool.filter(({ served }) => served !== this.target.manifest).length,
+      remaining: 1 + known.filter(({ instance, served }) => wanting.has(instance) && served !== this.target.manifest).length,
       away: known.filter(({ swap, served }) => swap === 'away' && served === '').length,
       inFlight: pool.reduce((sum, member) => sum + member.inFlight, 0),
       limit: serving.reduce((sum, member) => sum + member.limit, 0),
--- a/test/weights-swap.test.ts
+++ b/test/weights-swap.test.ts
@@ -30,13 +30,14 @@
 const names = ['a', 'b', 'c', 'd']
 const order = rankMembers('new', names)
 const [firstName = '', secondName = '', thirdName = '', lastName = ''] = order
-const peer = (instance: string, swap: SwapPeer['swap'] = 'idle', served = 'old'): SwapPeer => ({ instance, swap, served, inFlight: 0, limit: 1, changeMilliseconds: 0 })
+const peer = (instance: string, swap: SwapPeer['swap'] = 'idle', served = 'old'): SwapPeer => ({ instance, wants: true, swap, served, inFlight: 0, limit: 1, changeMilliseconds: 0 })
 const others = (instance: string, changes: Readonly<Record<string, SwapPeer>> = {}): readonly SwapPeer[] => order.filter(name => name !== instance).map(name => changes[name] ?? peer(name))
 const base = { served: 'old', wanted: 'new', allowed: 1, isOverdue: false }
 
 const swaps: readonly { readonly name: string, readonly view: SwapView, readonly step: SwapStep }[] = [
   { name: 'starts at once when it serves nothing', view: { ...base, instance: lastName, served: '', swap: 'idle', peers: others(lastName) }, step: 'start' },
   { name: 'announces when it is the first', view: { ...base, instance: firstName, swap: 'idle', peers: others(firstName) }, step: 'intend' },
+  { name: 'does not wait for one that wants other weights', view: { ...base, instance: secondName, swap: 'idle', peers: others(secondName, { [firstName]: { ...peer(firstName), wants: false } }) }, step: 'intend' },
   { name: 'waits for the one before it', view: { ...base, instance: secondName, swap: 'idle', peers: others(secondName) }, step: 'wait' },
   { name: 'announces once the one before it is done', view: { ...base, instance: secondName, swap: 'idle', peers: others(secondName, { [firstName]: peer(firstName, 'idle', 'new') }) }, step: 'intend' },
   { name: 'announces when the one before it answers no more', view: { ...base, instance: secondName, swap: 'idle', peers: others(secondName).filter(({ instance }) => instance !== firstName) }, step: 'intend' },
