--- a/script/judge.ts
+++ b/script/judge.ts
@@ -22,6 +22,7 @@
   readonly falseNotRun: number
   /** Sendings of a key said to have not run although an earlier sending of it had; true of the sending, and apt to mislead. */
   readonly staleNotRun: number
+  readonly staleFailures: readonly string[]
   /** Times an engine fell over from more work than it bears. */
   readonly overloads: number
   /** Sendings with an id that stated an answer before any run of their call, or without one. */
@@ -47,6 +48,7 @@
   const findings = [
     ...doubled.map(sending => `ran twice: ${describe(sending)}`),
     ...falseNotRun.map(sending => `said not run and ran: ${describe(sending)}`),
+    ...staleNotRun.map(sending => `said not run of a key that had run: ${describe(sending)}`),
     ...unrecorded.map(sending => `answered and never ran: ${describe(sending)}`),
     ...wrong.map(sending => `wrong answer: ${describe(sending)}`),
     ...overloads.map(line => `overload: ${line.upstream} at ${line.at}`)
@@ -63,6 +65,7 @@
     doubled: doubled.length,
     falseNotRun: falseNotRun.length,
     staleNotRun: staleNotRun.length,
+    staleFailures: staleNotRun.map(sending => sending.failure),
     overloads: overloads.length,
     unrecorded: unrecorded.length,
     findings
--- a/src/transports/control.ts
+++ b/src/transports/control.ts
@@ -34,8 +34,8 @@
   cancel (): void
 }
 export interface WatchRequest { readonly instance: string }
-/** `key` is empty when the outcome is asked by request id. */
-export interface OutcomeRequest { readonly requestId: string, readonly key: string }
+/** `key` is empty when the outcome is asked by request id; only the same `incarnation` can say `not-run` of a request it never saw. */
+export interface OutcomeRequest { readonly requestId: string, readonly key: string, readonly incarnation: string }
 export interface OutcomeReply {
   readonly outcome: 'not-run' | 'running' | 'run' | 'unknown'
   /** Status of the answer, 0 unless it is kept. */
@@ -55,7 +55,7 @@
     return undefined
   }
 
-  outcome (_request: OutcomeRequest): OutcomeReply {
+  outcome (_request: OutcomeRequest): OutcomeReply | Promise<OutcomeReply> {
     return { outcome: 'unknown', status: 0, answer: Buffer.alloc(0), incarnation: '' }
   }
 }
@@ -92,7 +92,9 @@
       answer(null, service.describe())
     },
     Outcome: (call: grpc.ServerUnaryCall<OutcomeRequest, OutcomeReply>, answer: grpc.sendUnaryData<OutcomeReply>) => {
-      answer(null, service.outcome(call.request))
+      Promise.resolve(service.outcome(call.request)).then(reply => { answer(null, reply) }, (error: unknown) => {
+        answer({ code: grpc.status.INTERNAL, details: String(error) })
+      })
     },
     Follow: (call: grpc.ServerDuplexStream<FollowRequest, FollowEvent>) => {
       serveFollow(call, service)
