--- a/script/measure-capacity.ts
+++ b/script/measure-capacity.ts
@@ -2,6 +2,7 @@
 import { writeFileSync } from 'node:fs'
 import type { Measured } from './capacity/bench.js'
 import { fitLine, type Fit, type Point } from './capacity/fit.js'
+import { designSize, designSizeText, type Slopes } from './capacity/design-size.js'
 import { measureRelay, type RelayCost } from './capacity/relay-slopes.js'
 import { controlSubjects, type Subject } from './capacity/slopes.js'
 import { workSubjects } from './capacity/work-slopes.js'
@@ -55,12 +56,41 @@
   for (const cost of costs) {
     process.stdout.write(`  ${String(cost.tokensPerRequest).padStart(6)} tokens a request: ${cost.requests} requests, ${(cost.entrySeconds / cost.requests * 1e6).toFixed(0)} us a request at the entry, ${(cost.agentSeconds / cost.requests * 1e6).toFixed(0)} at the agent, first token ${cost.firstToken.toFixed(1)} ms (direct ${cost.directFirstToken.toFixed(1)} ms)\n`)
   }
-  for (const [role, read] of [['entry', (cost: RelayCost) => cost.entrySeconds], ['agent', (cost: RelayCost) => cost.agentSeconds]] as const) {
-    const fit = fitLine(costs.map(cost => ({ size: cost.tokensPerRequest, value: read(cost) / cost.requests * 1e6 })))
+  for (const role of ['entry', 'agent'] as const) {
+    const fit = fitRelay(costs, role)
     process.stdout.write(`  ${role}: ${fit.intercept.toFixed(1)} us a request + ${fit.slope.toFixed(2)} us a token (spread ${(fit.spread * 100).toFixed(1)}%)\n`)
   }
 }
 
+/** Microseconds for a request by its tokens, at one role. */
+function fitRelay (costs: readonly RelayCost[], role: 'entry' | 'agent'): Fit {
+  return fitLine(costs.map(cost => ({ size: cost.tokensPerRequest, value: (role === 'entry' ? cost.entrySeconds : cost.agentSeconds) / cost.requests * 1e6 })))
+}
+
+/** Slopes for the size to design for. */
+function slopesOf (all: readonly SubjectResult[], costs: readonly RelayCost[]): Slopes {
+  const fitOf = (subject: string, column: string): Fit => {
+    const fit = all.find(result => result.subject === subject)?.fits[column]
+    if (fit === undefined) throw new Error(`"${subject}" was not measured`)
+    return fit
+  }
+  const [bytes = '', share = '', resident = ''] = columns.map(({ name }) => name)
+  const [entry, agent] = [fitRelay(costs, 'entry'), fitRelay(costs, 'agent')]
+  return {
+    baseBytes: fitOf('entry by configuration changes', bytes).intercept,
+    bytesPerWatch: fitOf('agent by entries that watch it', bytes).slope,
+    bytesPerChange: fitOf('entry by configuration changes', bytes).slope,
+    bytesPerClaim: fitOf('agent by claims', bytes).slope,
+    entryMicrosecondsPerRequest: entry.intercept,
+    entryMicrosecondsPerToken: entry.slope,
+    agentMicrosecondsPerRequest: agent.intercept,
+    agentMicrosecondsPerToken: agent.slope,
+    baseShare: fitOf('entry by configuration changes', share).intercept / 100,
+    baseResident: fitOf('entry by upstreams watched', resident).intercept * 1000,
+    residentPerUpstream: fitOf('entry by upstreams watched', resident).slope * 1000
+  }
+}
+
 const relayShapes = [1, 50, 200] as const
 
 /** Value of a flag on the command line. */
@@ -78,7 +108,9 @@
   print(result)
   results.push(result)
 }
-if (only === undefined || only === 'relay') printRelay(await measureRelay(relayShapes))
+const relay = only === undefined || only === 'relay' ? await measureRelay(relayShapes) : []
+if (relay.length > 0) printRelay(relay)
+if (only === undefined) process.stdout.write(`\nat the size to design for\n${designSizeText(designSize(slopesOf(results, relay)))}\n`)
 const file = flagOf('--json')
 if (file !== undefined) writeFileSync(file, `${JSON.stringify(results, null, 2)}\n`)
 process.exit(0)
--- a/src/roles/agent/agent.ts
+++ b/src/roles/agent/agent.ts
@@ -55,7 +55,7 @@
   private readonly orders: Orders
   private readonly lease: InstanceLease
   private readonly back: Upstream
-  private readonly feed = new StatusFeed(() => this.status)
+  private readonly feed: StatusFeed
   private leaving = false
   private isClaiming = false
   private closeAll: () => void = () => {}
@@ -63,6 +63,7 @@
   constructor (private readonly settings: AgentSettings) {
     super()
     const { instance, dataCentre, service, control } = settings
+    this.feed = new StatusFeed(() => this.status, settings.loadMilliseconds)
     const client = new HttpLogClient(settings.log)
     this.directory = new InstanceDirectory(settings.instances)
     this.follower = new ConfigurationFollower({ client, directory: this.directory, instance, dataCentre })
--- a/src/roles/agent/status-feed.ts
+++ b/src/roles/agent/status-feed.ts
@@ -2,7 +2,6 @@
 import type { AgentStatus } from '../../types/messages.js'
 
 const heartbeatMilliseconds = 1000
-const countsMilliseconds = 200
 
 /** The watchers of one agent. */
 export class StatusFeed {
@@ -11,7 +10,8 @@
   private heartbeat: NodeJS.Timeout | undefined
   private pending: NodeJS.Timeout | undefined
 
-  constructor (private readonly status: () => AgentStatus) {}
+  /** `loadMilliseconds` is the least time between two reports of counts alone. */
+  constructor (private readonly status: () => AgentStatus, private readonly loadMilliseconds: number) {}
 
   start (): void {
     this.heartbeat = setInterval(() => { this.push() }, heartbeatMilliseconds)
@@ -42,7 +42,7 @@
       this.push()
       return
     }
-    this.pending ??= setTimeout(() => { this.push() }, countsMilliseconds)
+    this.pending ??= setTimeout(() => { this.push() }, this.loadMilliseconds)
   }
 
   private push (): void {
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -57,6 +57,8 @@
   store: url.optional(),
   /** Silence within an engine's answer after which its connection is given up, milliseconds. */
   progressMilliseconds: z.coerce.number().int().positive().default(1500),
+  /** Least time between two reports of load alone to a watcher, milliseconds. */
+  loadMilliseconds: positiveNumber.default(200),
   /** Bytes a second that the instance's link carries for weights, each way; 0 for no limit. */
   linkBytes: z.coerce.number('must be a whole number').int('must be a whole number').nonnegative('must not be below 0').default(0)
 }).readonly()
--- a/src/utils/daemon-flags.ts
+++ b/src/utils/daemon-flags.ts
@@ -29,7 +29,8 @@
   { name: 'upstream', value: 'url', text: 'Agent: base URL of the upstream, http://IP:PORT.' },
   { name: 'origin', value: 'url', text: 'Agent of a model engine: base URL of the origin of weights.' },
   { name: 'store', value: 'url', text: 'Agent of a model engine: base URL of the weight store.' },
-  { name: 'linkBytes', value: 'bytes', text: 'Agent: bytes a second for weights on the instance\'s link, each way; 0 for no limit (default 0).' }
+  { name: 'linkBytes', value: 'bytes', text: 'Agent: bytes a second for weights on the instance\'s link, each way; 0 for no limit (default 0).' },
+  { name: 'loadMilliseconds', value: 'milliseconds', text: 'Agent: least time between two reports of its load to an entry (default 200).' }
 ]
 
 /** Command lines that `--help` shows. */
