Keep the connection of a refused large body until its rest has come

Change: the whole refusal leaves at once; the response ends when the rest of the body came, 2 s later at the latest.

--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -3,6 +3,8 @@
 import type { Failure } from '../errors.js'
 import { headers } from '../types/messages.js'
 
+const discardMilliseconds = 2000
+
 /** A listening server. */
 export interface HttpServer { readonly server: Server, readonly port: number }
 
@@ -65,7 +67,18 @@
     [headers.outcome]: failure.outcome,
     ...wait
   })
-  response.end(text)
+  if (response.req.complete) response.end(text)
+  else endAfterBody(response, text)
+}
+
+/** The whole text leaves at once; the connection stays until the rest of the body came, since closing it earlier can lose the text. */
+function endAfterBody (response: ServerResponse, text: string): void {
+  const { req: request } = response
+  const timer = setTimeout(() => { response.end() }, discardMilliseconds)
+  response.write(text)
+  request.once('close', () => { clearTimeout(timer) })
+  request.once('end', () => { response.end() })
+  request.resume()
 }
 
 /** One header as text, empty when absent. */
