Set aside more time before a rollout's deadline

Cause: with service weighted, the pace waited for room until a quick change (some 300 ms) only just fitted: lakeshore's second version was on all replicas 59278 ms into its 60 s. Ruled out: the factor alone (4 in place of 2: 59417 ms), since the change itself is short. Change: factor 4, and at least 1.5 s for each change.

--- a/src/core/weights/swap.ts
+++ b/src/core/weights/swap.ts
@@ -46,8 +46,10 @@
 const forcedShare = { replicas: 1, service: 0.5 } as const
 /** Instances that may be away whatever the load: time to replicas goes before capacity, service does not. */
 const leastAway = { replicas: 1, service: 0 } as const
+/** Shortest change that is reckoned with before a deadline, milliseconds. */
+const leastChangeMilliseconds = 1500
 /** Times the usual change that are set aside for each change before the deadline. */
-const deadlineMargin = 2
+const deadlineMargin = 4
 /** Spare room in standard deviations of the number of requests in flight, which is near Poisson. */
 const spareDeviations = { replicas: 1, service: 2 } as const
 
@@ -62,7 +64,7 @@
 
 /** Instances that must be away at once for the rollout to end in time; 0 while one at a time can still wait. */
 function forcedAway (view: PaceView, byWeighting: number): number {
-  const rounds = Math.floor((view.finishBy - view.now) / (view.changeMilliseconds * deadlineMargin))
+  const rounds = Math.floor((view.finishBy - view.now) / (Math.max(leastChangeMilliseconds, view.changeMilliseconds) * deadlineMargin))
   if (rounds > view.remaining) return 0
   const most = Math.max(byWeighting, Math.floor((view.size - 1) * forcedShare[view.weighting]))
   if (rounds < 1) return Math.min(view.remaining, byWeighting)
