--- a/script/demo.ts
+++ b/script/demo.ts
@@ -3,7 +3,7 @@
 import { answersSchema, type Answers } from '../src/types/answers.js'
 import { waitUntil } from '../src/utils/clock.js'
 import { startDeployment, type RunningDeployment } from './deployment.js'
-import { countFailures, judge, lastWorkAfter } from './judge.js'
+import { answerPercentile, countFailures, judge, lastWorkAfter } from './judge.js'
 import { endAll, type ManagedProcess } from './process.js'
 import { Load } from './load.js'
 import { Operator, waitForReplicas } from './operator.js'
@@ -70,6 +70,7 @@
     resendShare: 0.3
   })
   load.start()
+  const loadAt = Date.now()
   await waitUntil(Date.now() + calmMilliseconds)
   const second = await operator.rollOut(layout.service, '2', weightBytes, chunkBytes)
   const secondMilliseconds = await waitForReplicas(running, layout.service, second.manifest, second.acceptedAt)
@@ -100,6 +101,8 @@
     ['said not run, and ran (must be 0)', verdict.falseNotRun],
     ['overloads (must be 0)', verdict.overloads],
     [`zone ${layout.zone} out: last new work`, lastWork < 0 ? 'none' : `${lastWork} ms after the order`],
+    ['99 in 100 whole answers, before the zone moved', `${answerPercentile(sendings, loadAt, second.acceptedAt)} ms`],
+    ['99 in 100 whole answers, while it moved', `${answerPercentile(sendings, outAt, Infinity)} ms`],
     [`zone ${layout.zone} back: work again`, back < 0 ? 'no' : 'yes']
   ])
   for (const [failure, count] of countFailures(sendings).slice(0, 6)) process.stdout.write(`  ${count} x ${failure}\n`)
--- a/script/judge.ts
+++ b/script/judge.ts
@@ -2,6 +2,7 @@
 import type { RegisterLine } from '../stand-in/register.js'
 import { digestBytes } from '../src/utils/digest.js'
 import type { Sending } from './caller.js'
+import { percentile } from './percentile.js'
 
 /** How the calls ended, and how often a promise broke. */
 export interface Verdict {
@@ -78,6 +79,12 @@
   return Math.max(-1, ...times)
 }
 
+/** Milliseconds that whole answers took, 99th percentile, of the sendings in a span of time. */
+export function answerPercentile (sendings: readonly Sending[], from: number, until: number): number {
+  const whole = sendings.filter(({ end, sentAt }) => end === 'whole' && sentAt >= from && sentAt < until)
+  return percentile(whole.map(({ sentAt, endedAt }) => endedAt - sentAt), 0.99)
+}
+
 /** Failures that were stated, the most frequent first. */
 export function countFailures (sendings: readonly Sending[]): ReadonlyArray<readonly [string, number]> {
   const counts = countBy(sendings.filter(sending => sending.end !== 'whole').map(sending => `${sending.end}: ${sending.failure}`))
--- a/script/measure/routing.ts
+++ b/script/measure/routing.ts
@@ -3,6 +3,7 @@
 import { chooseUpstream, hasRoom, LeastLoad, PrefixAffinity, RoutingPolicy, TwoChoices, type Demand, type UpstreamView } from '../../src/core/routing.js'
 import { rankMembers } from '../../src/utils/rendezvous.js'
 import { seededRandom } from '../../src/utils/random.js'
+import { percentile } from '../percentile.js'
 import type { MeasureTable, PlotRequest } from './table.js'
 
 const upstreamCount = 12
@@ -200,11 +201,6 @@
   return position >= 0
 }
 
-function percentile (values: readonly number[], part: number): number {
-  const sorted = [...values].sort((left, right) => left - right)
-  return Math.round(sorted[Math.floor(part * sorted.length)] ?? 0)
-}
-
 function round (value: number): number {
   return Math.round(value * 100) / 100
 }
