Show that a large configuration is late behind a narrow link

The test starts nine entries in each of three data centres, two of them behind a link of 16 Mbit/s to the log, and counts what the links carry until a version of 2,000 routes is in force on all of them.

A stopped gateway closes its servers, timers and connections, so that the test can end; the daemon ends its process right after that, as before.

--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -83,6 +83,7 @@
   private lastRequestAt = 0
   /** Until when a removed instance record may only have lapsed, milliseconds of the monotonic clock. */
   private lapseGraceUntil = 0
+  private staleTimer: NodeJS.Timeout | undefined
 
   constructor (private readonly settings: GatewaySettings, private readonly ports: GatewayPorts) {
     this.members = new Membership({
@@ -163,7 +164,7 @@
     runInBackground(this.announceEntry(), log, 'announce this entry')
     await listenOn(this.callers, settings.callers)
     this.gossip.round()
-    setInterval(() => { this.removeStale() }, lapsedRecordGraceMilliseconds / 5).unref()
+    this.staleTimer = setInterval(() => { this.removeStale() }, lapsedRecordGraceMilliseconds / 5)
   }
 
   /** Removes this entry from the directory and serves requests until callers no longer cache its address, none is in progress and none has arrived for a second, or the time is up. */
@@ -176,10 +177,23 @@
     while (monotonicNow() < stopBy && (this.active > 0 || monotonicNow() < cachedUntil || monotonicNow() - this.lastRequestAt < 1000)) {
       await sleepUntil(monotonicNow() + 50)
     }
-    this.callers.closeIdleConnections()
+    this.close()
     log.info('stopped', { active: this.active })
   }
 
+  /** Ends all reads, timers and connections. */
+  private close (): void {
+    clearInterval(this.staleTimer)
+    this.operators.stop()
+    this.instances.stop()
+    this.gossip.stop()
+    this.datagrams.close()
+    for (const server of [this.callers, ...this.others]) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
   private get isReady (): boolean {
     return !this.isStopping && this.state.table !== undefined
   }
--- /dev/null
+++ b/test/fakes/entry-group.ts
@@ -0,0 +1,71 @@
+/** Entries of several data centres in one process, which share a log. */
+import { PlatformRecords } from '../../platform/records.js'
+import { PlatformRequests } from '../../platform/requests.js'
+import { freshAddress } from '../../script/launch.js'
+import type { RunningNode } from '../../src/nodes/running-node.js'
+import { startGateway } from '../../src/roles/gateway/gateway.js'
+import type { GatewaySettings } from '../../src/types/node-settings.js'
+import type { SharedLog } from './shared-log.js'
+
+/** An entry under test. */
+export interface GroupedEntry {
+  readonly instance: string
+  readonly dataCentre: string
+  /** Address of its metrics and of other nodes' calls, `ip:port`. */
+  readonly internal: string
+  readonly node: RunningNode
+}
+
+const internalPort = 7700
+
+/** Starts `count` entries in each data centre; each data centre is a region of its own. */
+export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number): Promise<readonly GroupedEntry[]> {
+  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${index}`, ip: freshIp() })))
+  const seeds = planned.slice(0, 3).map(({ ip }) => ip)
+  const regionByDataCentre = new Map(dataCentres.map(dataCentre => [dataCentre, dataCentre]))
+  return await Promise.all(planned.map(async ({ dataCentre, instance, ip }) => {
+    const settings: GatewaySettings = {
+      role: 'gateway',
+      instance,
+      ip,
+      dataCentre,
+      region: dataCentre,
+      regionByDataCentre,
+      internalPort,
+      seeds,
+      store: `${ip}:1`,
+      callers: `${ip}:8005`,
+      readiness: `${ip}:8002`,
+      directory: `${ip}:8009`,
+      directoryCacheSeconds: 1,
+      configurationApplyMilliseconds: 3000,
+      drainMilliseconds: 3000,
+      rolloutMilliseconds: 10_000,
+      stopGraceMilliseconds: 1000,
+      retryRatio: 0.2,
+      retryWindowMilliseconds: 10_000,
+      retrySlack: 100,
+      coldFactor: 1.5,
+      coldSlack: 5,
+      stableMilliseconds: 4000
+    }
+    const node = await startGateway(settings, {
+      records: log.readerIn(dataCentre, instance),
+      codec: new PlatformRecords(),
+      requests: new PlatformRequests(),
+      directory: (_incoming, response) => { response.end() },
+      readiness: (_incoming, response, isReady) => { response.writeHead(isReady ? 200 : 503).end() }
+    })
+    return { instance, dataCentre, internal: `${ip}:${internalPort}`, node }
+  }))
+}
+
+/** Version of the configuration that an entry has in force; 0 before the first. */
+export async function versionInForce ({ internal }: GroupedEntry): Promise<number> {
+  const metrics = await (await fetch(`http://${internal}/metrics`)).text()
+  return Number(/^pollendyke_configuration_version (\d+)/m.exec(metrics)?.[1] ?? 0)
+}
+
+function freshIp (): string {
+  return freshAddress().split(':')[0] ?? ''
+}
--- /dev/null
+++ b/test/fakes/shared-log.ts
@@ -0,0 +1,106 @@
+/** Log of keyed records in memory, which the nodes of other data centres read over a narrow link that they share. */
+import { RecordLog, type KeyedRecord, type RecordPage, type StreamName } from '../../src/types/ports.js'
+import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
+
+/** Capacity of the link of a data centre, bytes per second: 16 Mbit/s. */
+export const linkBytesPerSecond = 2_000_000
+
+/** Link between the log and one data centre; transfers follow one after another. */
+class NarrowLink {
+  bytes = 0
+  private freeAt = 0
+
+  async transfer (bytes: number): Promise<void> {
+    this.bytes += bytes
+    this.freeAt = Math.max(this.freeAt, monotonicNow()) + bytes / linkBytesPerSecond * 1000
+    await sleepUntil(this.freeAt)
+  }
+}
+
+/** The log; nodes read it through `readerIn`. */
+export class SharedLog {
+  /** Nodes whose reads and writes fail. */
+  readonly unreachableFrom = new Set<string>()
+  private readonly records = new Map<StreamName, KeyedRecord[]>()
+  private readonly links = new Map<string, NarrowLink>()
+  private readonly wakeReaders = new Set<() => void>()
+
+  /** `homeDataCentre` is the one in which the log runs; its nodes read without a narrow link. */
+  constructor (private readonly homeDataCentre: string) {}
+
+  append (stream: StreamName, key: string, value: Buffer | undefined): void {
+    const records = this.stream(stream)
+    records.push({ key, value, offset: records.length })
+    for (const wake of [...this.wakeReaders]) wake()
+  }
+
+  /** The log as a node reads it. */
+  readerIn (dataCentre: string, instance: string): RecordLog {
+    return new SharedLogReader(this, dataCentre, instance)
+  }
+
+  stream (name: StreamName): KeyedRecord[] {
+    const known = this.records.get(name) ?? []
+    this.records.set(name, known)
+    return known
+  }
+
+  /** Bytes that nodes of a data centre have read so far, outside the log's own data centre. */
+  bytesReadIn (dataCentre: string): number {
+    return this.links.get(dataCentre)?.bytes ?? 0
+  }
+
+  /** Delivers records to a data centre. */
+  async deliver (dataCentre: string, records: readonly KeyedRecord[]): Promise<void> {
+    if (dataCentre === this.homeDataCentre) return
+    const link = this.links.get(dataCentre) ?? new NarrowLink()
+    this.links.set(dataCentre, link)
+    await link.transfer(records.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0))
+  }
+
+  /** Resolves with the next append, or at `deadline`, milliseconds of the monotonic clock. */
+  nextAppend (deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        this.wakeReaders.delete(finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, Math.max(0, deadline - monotonicNow()))
+      this.wakeReaders.add(finish)
+    })
+  }
+}
+
+class SharedLogReader extends RecordLog {
+  constructor (private readonly log: SharedLog, private readonly dataCentre: string, private readonly instance: string) {
+    super()
+  }
+
+  async newest (stream: StreamName): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }> {
+    this.checkReachable()
+    const all = this.log.stream(stream)
+    const next = all.length
+    const records = [...new Map(all.map(record => [record.key, record])).values()].filter(({ value }) => value !== undefined)
+    await this.log.deliver(this.dataCentre, records)
+    return { records, next }
+  }
+
+  async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
+    this.checkReachable()
+    while (this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
+    this.checkReachable()
+    const records = this.log.stream(stream).slice(from)
+    await this.log.deliver(this.dataCentre, records)
+    return { kind: 'records', records, next: from + records.length }
+  }
+
+  async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
+    this.checkReachable()
+    this.log.append(stream, key, value)
+  }
+
+  private checkReachable (): void {
+    if (this.log.unreachableFrom.has(this.instance)) throw new Error('the log refuses this node')
+  }
+}
