Count what reads of records cost, by stream, source and result

Of the candidates (a store that acknowledges late, a link full of whole configurations read by every node, half-read ones thrown away, superseded ones read in vain) nothing in logs or metrics told which.

Change, none of it in the logic: an answer of the store reports its bytes, the time until its first and last byte, its records and how many of them a later one of the same answer supersedes (`ReadCost`). Followers count `records_bytes_total`, `records_reads_total`, `records_superseded_total` and observe `records_read_milliseconds`, on the metrics page of entries and agents. A failed call reports what had arrived (`HttpCallError`), so that thrown-away bytes are counted as well. `new configuration in force` says source, bytes and the time from the first byte to the last; the time before the first byte is left out there, since a read of the log waits for a record. Records fetched from another node come with both streams in one answer; its bytes are divided by the size of the records of each. Not counted: the single reads at the start of the entry records and of an agent's instance list, which no follower makes.

The tests of the counts and of the log line use the new parameters and did not compile before.

--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -1,9 +1,10 @@
 /** Operators' records as one entry knows them: configuration, evacuations and named weights. */
 import { cutoffLeadMilliseconds } from '../../core/weights/swap-schedule.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
+import { transferMilliseconds } from '../../nodes/read-metrics.js'
 import type { Service } from '../../types/fleet.js'
 import type { GossipedWeights } from '../../types/node-messages.js'
-import type { KeyedRecord, RecordCodec } from '../../types/ports.js'
+import type { KeyedRecord, RecordCodec, RecordRead } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 
@@ -42,10 +43,10 @@
   }
 
   /** Applies an operator's record. `isFirst` marks one read at the start: its age is unknown, so named weights are required at once. */
-  put (record: KeyedRecord, isFirst: boolean): void {
+  put (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const decoded = this.codec.operatorRecord(record.key, record.value)
     if (decoded.kind === 'evacuation') this.putEvacuation(decoded.dataCentre, record.value !== undefined, record.offset)
-    else if (decoded.kind === 'configuration') this.putConfiguration(decoded.configuration, record.offset)
+    else if (decoded.kind === 'configuration') this.putConfiguration(decoded.configuration, record.offset, read)
     else if (decoded.kind === 'weights') this.recordNamedVersion(decoded.weights.model, decoded.weights.version, isFirst ? this.weightsMilliseconds : 0)
     else log.warn('operator record ignored', { key: record.key, offset: record.offset, reason: decoded.reason })
   }
@@ -81,14 +82,23 @@
     this.changed()
   }
 
-  private putConfiguration (configuration: RouteTable['configuration'], offset: number): void {
+  private putConfiguration (configuration: RouteTable['configuration'], offset: number, { source, cost }: RecordRead): void {
     const inForce = this.routeTable?.configuration.version
     if (inForce !== undefined && configuration.version <= inForce) {
       log.warn('configuration ignored: its version is not newer than the one in force', { version: configuration.version, inForce, offset })
       return
     }
     this.routeTable = buildRouteTable(configuration)
-    log.info('new configuration in force', { version: configuration.version, previousVersion: inForce ?? 0, offset, routes: configuration.routes.length, organisations: configuration.organisations.length })
+    log.info('new configuration in force', {
+      version: configuration.version,
+      previousVersion: inForce ?? 0,
+      offset,
+      routes: configuration.routes.length,
+      organisations: configuration.organisations.length,
+      source,
+      readMilliseconds: Math.round(transferMilliseconds(cost)),
+      bytes: cost.bytes
+    })
     this.changed()
   }
 
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -106,16 +106,16 @@
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre)
     }, name => this.state.service(name))
     this.operators = new RecordFollower(ports.records, 'operators', operatorsPace, {
-      record: (record, isFirst) => { this.state.put(record, isFirst) },
+      record: (record, isFirst, read) => { this.state.put(record, isFirst, read) },
       onLogRecovered: () => {}
-    })
+    }, this.metrics)
     this.instances = new RecordFollower(ports.records, 'instances', { pause: settings.drainMilliseconds * instancesPauseShare, wait: instancesWaitMilliseconds }, {
       record: (record, isFirst) => { this.applyInstanceRecord(record.key, record.value, record.offset, isFirst) },
       onLogRecovered: () => {
         this.lapseGraceUntil = monotonicNow() + lapsedRecordGraceMilliseconds
         this.pool.limitRetention(this.lapseGraceUntil)
       }
-    })
+    }, this.metrics)
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.gossip.receive(message, ip) })
     this.gossip = new EntryGossip({
       members: this.members,
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -4,7 +4,7 @@
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
-import { fetchRecords } from '../../nodes/record-exchange.js'
+import { receiveRecordsFrom } from '../../nodes/record-exchange.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { Gossip, NodeMessage } from '../../types/node-messages.js'
 import { runInBackground } from '../../utils/background.js'
@@ -138,9 +138,7 @@
     const { operators, instances, internalPort } = this.context
     this.isFetchingRecords = true
     try {
-      const records = await fetchRecords(`${member.ip}:${internalPort}`, this.agent)
-      operators.receiveRecords(records.operators)
-      instances.receiveRecords(records.instances)
+      const records = await receiveRecordsFrom(`${member.ip}:${internalPort}`, this.agent, { operators, instances })
       log.info('records fetched from another entry', { instance: member.instance, operators: records.operators.length, instances: records.instances.length })
     } finally {
       this.isFetchingRecords = false
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -4,7 +4,7 @@
 import { isServiceResumable } from '../../core/fleet/match-route.js'
 import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
-import { fetchRecords } from '../../nodes/record-exchange.js'
+import { receiveRecordsFrom } from '../../nodes/record-exchange.js'
 import { isLagging, RecordFollower } from '../../nodes/record-follower.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
@@ -87,7 +87,7 @@
     this.operators = new RecordFollower(ports.records, 'operators', operatorsReadPace, {
       record: (record, isFirst) => { this.handleRecord(record.key, record.value, isFirst) },
       onLogRecovered: () => {}
-    })
+    }, this.metrics)
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
@@ -183,8 +183,7 @@
   private async fetchRecords (ip: string): Promise<void> {
     this.isFetchingRecords = true
     try {
-      const records = await fetchRecords(`${ip}:${this.settings.internalPort}`, this.httpAgent)
-      this.operators.receiveRecords(records.operators)
+      await receiveRecordsFrom(`${ip}:${this.settings.internalPort}`, this.httpAgent, { operators: this.operators })
     } finally {
       this.isFetchingRecords = false
     }
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -13,15 +13,45 @@
   readonly offset: number
 }
 
+/** Where a node reads records: in the platform's log, or from another node. */
+export type RecordSource = 'log' | 'peer'
+
+/** What one read of records cost. */
+export interface ReadCost {
+  /** Bytes of the bodies received. */
+  readonly bytes: number
+  /** Time from the call until the first byte, milliseconds; a read that waits for a record includes that wait. */
+  readonly firstByteMilliseconds: number
+  /** Time from the call until the last byte, milliseconds. */
+  readonly milliseconds: number
+  /** Number of records received. */
+  readonly records: number
+  /** Number of them that a later record of the same key in the same answer supersedes. */
+  readonly superseded: number
+}
+
+/** The read that a record came with. */
+export interface RecordRead {
+  readonly source: RecordSource
+  readonly cost: ReadCost
+}
+
 /** Records from some offset on; `expired` if the log no longer retains them. */
 export type RecordPage =
-  | { readonly kind: 'records', readonly records: readonly KeyedRecord[], readonly next: number }
+  | { readonly kind: 'records', readonly records: readonly KeyedRecord[], readonly next: number, readonly cost: ReadCost }
   | { readonly kind: 'expired' }
 
+/** The newest record of each key; `next` is the offset from which to continue with `read`. */
+export interface NewestRecords {
+  readonly records: readonly KeyedRecord[]
+  readonly next: number
+  readonly cost: ReadCost
+}
+
 /** The platform's log of keyed records. */
 export abstract class RecordLog {
-  /** Reads the newest record of each key, and the offset from which to continue with `read`. */
-  abstract newest (stream: StreamName): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }>
+  /** Reads the newest record of each key. */
+  abstract newest (stream: StreamName): Promise<NewestRecords>
   /** Reads records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
   abstract read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage>
   /** Writes the newest value of a key. */
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -1,5 +1,5 @@
 /** Log of keyed records in memory, which the nodes of other data centres read over a narrow link that they share. */
-import { RecordLog, type KeyedRecord, type RecordPage, type StreamName } from '../../src/types/ports.js'
+import { RecordLog, type KeyedRecord, type NewestRecords, type ReadCost, type RecordPage, type StreamName } from '../../src/types/ports.js'
 import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
 
 /** Capacity of the link of a data centre, bytes per second: 16 Mbit/s. */
@@ -50,12 +50,17 @@
     return this.links.get(dataCentre)?.bytes ?? 0
   }
 
-  /** Delivers records to a data centre. */
-  async deliver (dataCentre: string, records: readonly KeyedRecord[]): Promise<void> {
-    if (dataCentre === this.homeDataCentre) return
-    const link = this.links.get(dataCentre) ?? new NarrowLink()
-    this.links.set(dataCentre, link)
-    await link.transfer(records.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0))
+  /** Delivers records to a data centre; returns what it cost. */
+  async deliver (dataCentre: string, records: readonly KeyedRecord[]): Promise<ReadCost> {
+    const startedAt = monotonicNow()
+    const bytes = records.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0)
+    if (dataCentre !== this.homeDataCentre) {
+      const link = this.links.get(dataCentre) ?? new NarrowLink()
+      this.links.set(dataCentre, link)
+      await link.transfer(bytes)
+    }
+    const superseded = records.length - new Set(records.map(({ key }) => key)).size
+    return { bytes, firstByteMilliseconds: 0, milliseconds: monotonicNow() - startedAt, records: records.length, superseded }
   }
 
   /** Resolves with the next append, or at `deadline`, milliseconds of the monotonic clock. */
@@ -77,13 +82,12 @@
     super()
   }
 
-  async newest (stream: StreamName): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }> {
+  async newest (stream: StreamName): Promise<NewestRecords> {
     this.checkReachable()
     const all = this.log.stream(stream)
     const next = all.length
     const records = [...new Map(all.map(record => [record.key, record])).values()].filter(({ value }) => value !== undefined)
-    await this.log.deliver(this.dataCentre, records)
-    return { records, next }
+    return { records, next, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
   async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
@@ -91,8 +95,7 @@
     while (this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
     this.checkReachable()
     const records = this.log.stream(stream).slice(from)
-    await this.log.deliver(this.dataCentre, records)
-    return { kind: 'records', records, next: from + records.length }
+    return { kind: 'records', records, next: from + records.length, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
   async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
--- a/test/record-follower.test.ts
+++ b/test/record-follower.test.ts
@@ -1,11 +1,18 @@
 /** Record follower: unresponsive and failing log, expired records, records of peers, and order by offset. */
 import { test } from 'tap'
+import { PlatformRecords } from '../platform/records.js'
 import { isLagging, RecordFollower } from '../src/nodes/record-follower.js'
-import { RecordLog, type KeyedRecord, type RecordPage } from '../src/types/ports.js'
+import { Metrics } from '../src/plugins/metrics.js'
+import { FleetState } from '../src/roles/gateway/fleet-state.js'
+import { HttpCallError } from '../src/transports/http-call.js'
+import { RecordLog, type KeyedRecord, type NewestRecords, type ReadCost, type RecordPage } from '../src/types/ports.js'
 import { monotonicNow } from '../src/utils/clock.js'
+import { writeLogs } from '../src/utils/log.js'
 
 const record = (key: string, offset: number, text: string | undefined = 'value'): KeyedRecord => ({ key, value: text === undefined ? undefined : Buffer.from(text), offset })
 const lost = new Error('no answer')
+const costOf = (records: readonly KeyedRecord[]): ReadCost => ({ bytes: 100 * records.length, firstByteMilliseconds: 5, milliseconds: 7, records: records.length, superseded: 0 })
+const page = (records: readonly KeyedRecord[], next: number): RecordPage => ({ kind: 'records', records, next, cost: costOf(records) })
 
 /** A log that returns prepared answers and then never answers again. */
 class ScriptedLog extends RecordLog {
@@ -18,11 +25,11 @@
   private newestCalls = 0
   private readCalls = 0
 
-  async newest (): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }> {
+  async newest (): Promise<NewestRecords> {
     const records = this.newestPages[Math.min(this.newestCalls, this.newestPages.length - 1)] ?? []
     this.newestCalls += 1
     if (records instanceof Error) throw records
-    return { records, next: Math.max(0, ...records.map(({ offset }) => offset + 1)) }
+    return { records, next: Math.max(0, ...records.map(({ offset }) => offset + 1)), cost: costOf(records) }
   }
 
   async read (_stream: string, _from: number, waitUntil: number): Promise<RecordPage> {
@@ -46,10 +53,10 @@
 }
 
 const cases: readonly Case[] = [
-  { name: 'the newest records, then what follows', newest: [[record('a', 3)]], reads: [{ kind: 'records', records: [record('a', 4), record('b', 5)], next: 6 }], expected: [['a', 3, true], ['a', 4, true], ['b', 5, true]] },
-  { name: 'a removed key', newest: [[record('a', 3)]], reads: [{ kind: 'records', records: [{ key: 'a', value: undefined, offset: 4 }], next: 5 }], expected: [['a', 3, true], ['a', 4, false]] },
+  { name: 'the newest records, then what follows', newest: [[record('a', 3)]], reads: [page([record('a', 4), record('b', 5)], 6)], expected: [['a', 3, true], ['a', 4, true], ['b', 5, true]] },
+  { name: 'a removed key', newest: [[record('a', 3)]], reads: [page([{ key: 'a', value: undefined, offset: 4 }], 5)], expected: [['a', 3, true], ['a', 4, false]] },
   { name: 'records that expired: missing keys are reported as removed', newest: [[record('a', 3), record('b', 4)], [record('b', 9)]], reads: [{ kind: 'expired' }], expected: [['a', 3, true], ['b', 4, true], ['b', 9, true], ['a', 9, false]] },
-  { name: 'a read that fails', newest: [[record('a', 3)]], reads: [lost, { kind: 'records', records: [record('a', 4)], next: 5 }], expected: [['a', 3, true], ['a', 4, true]] },
+  { name: 'a read that fails', newest: [[record('a', 3)]], reads: [lost, page([record('a', 4)], 5)], expected: [['a', 3, true], ['a', 4, true]] },
   { name: 'an older record of a peer is ignored', newest: [[record('a', 3)]], reads: [], fromPeer: [record('a', 2)], expected: [['a', 3, true]] },
   { name: 'a newer record of a peer, once', newest: [[record('a', 3)]], reads: [], fromPeer: [record('a', 7), record('a', 7)], expected: [['a', 3, true], ['a', 7, true]] }
 ]
@@ -64,7 +71,7 @@
     })
     follower.run().catch(error => { t.error(error) })
     await new Promise(resolve => { setTimeout(resolve, 900) })
-    follower.receiveRecords(fromPeer)
+    follower.receiveRecords(fromPeer, costOf(fromPeer))
     follower.stop()
     t.same(received, expected)
     t.ok(log.waits.every(wait => wait <= 3000), 'a read of an unresponsive log ends within 3 s')
@@ -83,7 +90,43 @@
     return recoveries.length
   }
   t.equal(await countRecoveries([lost, [record('a', 3)]], []), 0)
-  t.equal(await countRecoveries([[record('a', 3)]], [lost, { kind: 'records', records: [], next: 4 }]), 1)
+  t.equal(await countRecoveries([[record('a', 3)]], [lost, page([], 4)]), 1)
+})
+
+test('record follower: reads are counted by stream, source and result, with what they cost', async t => {
+  const metrics = new Metrics()
+  const superseding: RecordPage = { kind: 'records', records: [record('a', 4), record('a', 5)], next: 6, cost: { bytes: 250, firstByteMilliseconds: 900, milliseconds: 940, records: 2, superseded: 1 } }
+  const cut = new HttpCallError(lost, 60)
+  const log = new ScriptedLog([[record('a', 3)]], [cut, superseding, page([], 6), { kind: 'expired' }])
+  const sources: string[] = []
+  const follower = new RecordFollower(log, 'operators', { pause: 1, wait: 2500 }, {
+    record: (_record, _isFirst, { source }) => { sources.push(source) },
+    onLogRecovered: () => {}
+  }, metrics)
+  follower.run().catch(error => { t.error(error) })
+  await new Promise(resolve => { setTimeout(resolve, 900) })
+  follower.receiveRecords([record('a', 9)], { bytes: 30, firstByteMilliseconds: 1, milliseconds: 2, records: 1, superseded: 0 })
+  follower.countPeerFailure(new HttpCallError(lost, 7))
+  follower.stop()
+  const reads = (source: string, result: string): number => metrics.valueOf('records_reads_total', { stream: 'operators', source, result })
+  t.same(['newest', 'records', 'empty', 'expired', 'failed'].map(result => reads('log', result)), [2, 1, 1, 1, 1])
+  t.same(['newest', 'failed'].map(result => reads('peer', result)), [1, 1])
+  t.equal(metrics.valueOf('records_bytes_total', { stream: 'operators', source: 'log' }), 60 + 100 + 250 + 100)
+  t.equal(metrics.valueOf('records_bytes_total', { stream: 'operators', source: 'peer' }), 37)
+  t.equal(metrics.valueOf('records_superseded_total', { stream: 'operators' }), 1)
+  t.match(metrics.render(), /pollendyke_records_read_milliseconds_count\{stream="operators",source="log"\} 4/)
+  t.same(sources, ['log', 'log', 'log', 'peer'])
+})
+
+test('a new configuration is logged with its source, its bytes and the time to read it', async t => {
+  const lines: string[] = []
+  writeLogs('info', line => { lines.push(line) })
+  t.teardown(() => { writeLogs('silent') })
+  const state = new FleetState(new PlatformRecords(), 1000, () => {})
+  const value = Buffer.from(JSON.stringify({ version: 7, routes: [], services: [], limits: {} }))
+  state.put({ key: 'config', value, offset: 3 }, false, { source: 'log', cost: { bytes: 480, firstByteMilliseconds: 900, milliseconds: 940, records: 1, superseded: 0 } })
+  const line = lines.map(text => JSON.parse(text)).find(({ message }) => message === 'configuration: new configuration in force')
+  t.match(line, { context: { version: 7, offset: 3, source: 'log', readMilliseconds: 40, bytes: 480 } })
 })
 
 const lagCases: readonly { readonly name: string, readonly state: { readonly next: number, readonly isConnected: boolean, readonly readAt: number }, readonly isExpected: boolean }[] = [
