Let one entry in each data centre read the log for the others

Cause: every entry read every record of both streams from the store by itself. 28 nodes of a region read one configuration of 1,973 routes, 11 MB over a link of 2 MB/s. While the link was full, nothing else passed: for 4 s no call of any entry outside the store's region completed, servers' heartbeats did not arrive and their records lapsed, and chunks of weights timed out. Work that grows with nodes times the size of the whole state, over a shared link.

Change: sources of records are ordered by rendezvous hashing over the ready entries of the data centre (core/fleet/record-sources.ts). The first one reads the log, or from an entry near the log where a measured round trip shows one; all others poll it. An answer holds the newest record of each key from an offset on, compressed, and the time since the log confirmed it; it is sent when the sender has read the log again, so that a reader that is cut off is noticed by its age, and one that is lost by the missing answer. The next source takes over. A lagging entry asks for one stream from its offset, in its own data centre first, no longer for all records of both streams.

Why it works: bytes over a region's link grow with what changed, not with nodes times versions; the entries' order is computed from the same members, without messages.

--- a/src/core/fleet/members.ts
+++ b/src/core/fleet/members.ts
@@ -15,6 +15,8 @@
   readonly beat: number
   /** Whether it takes callers; false before it has a configuration and while it shuts down. */
   readonly isReady: boolean
+  /** Shortest round trip to the log that it measured, milliseconds; -1 before the first. */
+  readonly logDelayMilliseconds: number
 }
 
 interface Peer {
@@ -45,6 +47,12 @@
     return this.local
   }
 
+  /** Records a round trip of this entry to the log, milliseconds. */
+  recordLogDelay (milliseconds: number): void {
+    const known = this.local.logDelayMilliseconds
+    this.local = { ...this.local, logDelayMilliseconds: known < 0 ? milliseconds : Math.min(known, milliseconds) }
+  }
+
   /** Merges a state that was received at `now`; true when its member was unknown or counted as dead before. */
   observe (member: Member, now: number): boolean {
     if (member.instance === this.local.instance) return false
--- /dev/null
+++ b/src/nodes/record-feed.ts
@@ -0,0 +1,90 @@
+/** Serves the records that a node has read to other nodes, over HTTP with long polls. */
+import type { ServerResponse } from 'node:http'
+import { promisify } from 'node:util'
+import { gzip } from 'node:zlib'
+import type { KeyedRecord } from '../types/ports.js'
+import { monotonicNow } from '../utils/clock.js'
+import type { RecordFollower } from './record-follower.js'
+
+const compress = promisify(gzip)
+
+/** Headers of the feed's answers, in lower case; `age` is the time since the log confirmed that the sender had read everything, milliseconds. */
+export const feedHeaders = { age: 'x-record-age' } as const
+/** Longest time for which a poll is held open, milliseconds. */
+const maximumWaitMilliseconds = 2000
+/** Age from which a node's records no longer count as current, milliseconds: it reads the log twice a second. */
+export const maximumAgeMilliseconds = 1200
+/** Size from which an answer is compressed, bytes. */
+const compressedFromBytes = 1024
+/** Encoded answers that are kept: the followers of a node usually ask for the same ones. */
+const maximumCachedAnswers = 4
+
+/** Streams that nodes serve to each other. */
+export type FedStream = 'operators' | 'instances'
+
+interface EncodedRecord { readonly key: string, readonly value: string | null, readonly offset: number }
+
+interface CachedAnswer { readonly key: string, readonly body: Promise<Buffer> }
+
+/** Path of a poll for the records of a stream from an offset on. */
+export function feedPath (stream: FedStream, from: number, waitMilliseconds: number): string {
+  return `/records?stream=${stream}&from=${from}&wait=${waitMilliseconds}`
+}
+
+/** Decodes an answer of the feed: the newest record of each key from the requested offset on, and the offset after the last record that the sender has read, -1 before its first read; throws for invalid JSON. */
+export function decodeFedRecords (body: Buffer): { readonly records: readonly KeyedRecord[], readonly next: number } {
+  const { records, next } = JSON.parse(body.toString()) as { readonly records: readonly EncodedRecord[], readonly next: number }
+  return { records: records.map(decodeRecord), next }
+}
+
+/** Answers polls for the records of a node's followers. */
+export class RecordFeed {
+  private readonly cached: CachedAnswer[] = []
+
+  constructor (private readonly followers: Readonly<Record<FedStream, RecordFollower>>) {}
+
+  /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 404 for an unknown stream. */
+  async serve (target: string, response: ServerResponse): Promise<void> {
+    const query = new URLSearchParams(target.split('?')[1] ?? '')
+    const stream = query.get('stream')
+    const from = Number(query.get('from') ?? -1)
+    const wait = Math.min(maximumWaitMilliseconds, Number(query.get('wait') ?? 0))
+    if ((stream !== 'operators' && stream !== 'instances') || !Number.isFinite(from) || !Number.isFinite(wait)) {
+      response.writeHead(404).end()
+      return
+    }
+    const follower = this.followers[stream]
+    if (!follower.hasRecordsFrom(from) && ageOf(follower) <= maximumAgeMilliseconds) await follower.nextRead(monotonicNow() + wait)
+    const body = await this.encode(stream, from, follower)
+    response.setHeader(feedHeaders.age, String(Math.round(ageOf(follower))))
+    if (body.isCompressed) response.setHeader('content-encoding', 'gzip')
+    response.end(body.bytes)
+  }
+
+  private async encode (stream: FedStream, from: number, follower: RecordFollower): Promise<{ readonly bytes: Buffer, readonly isCompressed: boolean }> {
+    const { next } = follower.state
+    const records = follower.newest.filter(({ offset }) => offset >= from)
+    if (records.length === 0) return { bytes: Buffer.from(JSON.stringify({ records, next })), isCompressed: false }
+    const key = `${stream}/${from}/${next}/${records.length}/${records.reduce((highest, { offset }) => Math.max(highest, offset), 0)}`
+    const known = this.cached.find(answer => answer.key === key)
+    if (known !== undefined) return { bytes: await known.body, isCompressed: true }
+    const text = JSON.stringify({ records: records.map(encodeRecord), next })
+    if (text.length < compressedFromBytes) return { bytes: Buffer.from(text), isCompressed: false }
+    const answer = { key, body: compress(text, { level: 1 }) }
+    this.cached.push(answer)
+    if (this.cached.length > maximumCachedAnswers) this.cached.shift()
+    return { bytes: await answer.body, isCompressed: true }
+  }
+}
+
+function ageOf (follower: RecordFollower): number {
+  return monotonicNow() - follower.state.confirmedAt
+}
+
+function encodeRecord (record: KeyedRecord): EncodedRecord {
+  return { key: record.key, value: record.value?.toString('utf8') ?? null, offset: record.offset }
+}
+
+function decodeRecord (record: EncodedRecord): KeyedRecord {
+  return { key: record.key, value: record.value === null ? undefined : Buffer.from(record.value), offset: record.offset }
+}
--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -1,6 +1,6 @@
 /** Follows a stream of keyed records in the log, and accepts records from peers while the log cannot be read. */
 import { Metrics } from '../plugins/metrics.js'
-import type { KeyedRecord, ReadCost, RecordLog, RecordRead, StreamName } from '../types/ports.js'
+import type { KeyedRecord, ReadRecords, RecordLog, RecordRead, StreamName } from '../types/ports.js'
 import { sleepUntil, monotonicNow } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
 import { ReadMetrics, transferMilliseconds } from './read-metrics.js'
@@ -28,7 +28,7 @@
 
 /** Whether a follower lacks records before `next` that another has read and does not get them from the log; `now` in milliseconds of the monotonic clock. */
 export function isLagging (state: FollowerState, next: number, now: number): boolean {
-  return next > state.next && (!state.isConnected || now - state.readAt > readLagMilliseconds)
+  return next > state.next && (!state.isConnected || now - state.confirmedAt > readLagMilliseconds)
 }
 
 /** State of a follower, for logs and peers. */
@@ -36,18 +36,20 @@
   /** Offset of the next record to read; -1 before the first read. */
   readonly next: number
   readonly isConnected: boolean
-  /** Time of the last answer, milliseconds of the monotonic clock. */
-  readonly readAt: number
+  /** Time at which the log last confirmed that all its records had been read, milliseconds of the monotonic clock; the follower's start before that. */
+  readonly confirmedAt: number
 }
 
 /** Reader of one stream that holds the newest record of each key. */
 export class RecordFollower {
   private readonly newestByKey = new Map<string, KeyedRecord>()
   private next = -1
+  private highestOffset = -1
   private unreachableSince: number | undefined
   private isStopped = false
   private failures = 0
-  private readAt = 0
+  private confirmedAt = monotonicNow()
+  private readonly waiting = new Set<() => void>()
   /** Whether the log had been read before it became unreachable; a process that has just started has no records that could lapse. */
   private hadRecordsWhenLost = false
   private readonly metrics: ReadMetrics
@@ -63,7 +65,7 @@
   }
 
   get state (): FollowerState {
-    return { next: this.next, isConnected: this.unreachableSince === undefined, readAt: this.readAt }
+    return { next: this.next, isConnected: this.unreachableSince === undefined, confirmedAt: this.confirmedAt }
   }
 
   /** Newest record of each key, including removed keys. */
@@ -76,9 +78,8 @@
     while (!this.isStopped) {
       const readAt = monotonicNow()
       try {
-        if (this.next < 0) await this.readAll()
-        else await this.readNext()
-        this.recordSuccess()
+        const ageMilliseconds = this.next < 0 ? await this.readAll() : await this.readNext()
+        this.recordSuccess(ageMilliseconds)
         await sleepUntil(readAt + this.pace.pause)
       } catch (error) {
         this.recordFailure(error)
@@ -91,10 +92,33 @@
     this.isStopped = true
   }
 
-  /** Applies records of a peer; older ones than those known are ignored. */
-  receiveRecords (records: readonly KeyedRecord[], cost: ReadCost): void {
-    this.metrics.countRead('peer', 'newest', cost)
-    for (const record of records) this.apply(record, false, { source: 'peer', cost })
+  /** Whether the follower has a record at or after an offset; any record will do for -1, before which nothing was read. */
+  hasRecordsFrom (offset: number): boolean {
+    return this.next >= 0 && (offset < 0 || this.highestOffset >= offset)
+  }
+
+  /** Resolves after the next read, whether or not it brought records, or at `deadline`, milliseconds of the monotonic clock. */
+  nextRead (deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        this.waiting.delete(finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, Math.max(0, deadline - monotonicNow()))
+      this.waiting.add(finish)
+    })
+  }
+
+  /**
+   * Applies what a peer has read from the offset `from` on: the newest record of each key. Older records than those known are
+   * ignored.
+   */
+  receiveRecords (read: ReadRecords, from: number): void {
+    this.metrics.countRead(read.source ?? 'peer', 'newest', read.cost)
+    this.applyAll(read, this.newestByKey.size === 0)
+    if (from <= this.next) this.next = Math.max(this.next, read.next)
+    this.wakeWaiting()
   }
 
   /** Counts a fetch from a peer that failed. */
@@ -102,16 +126,21 @@
     this.metrics.countFailure('peer', error)
   }
 
-  private async readAll (): Promise<void> {
-    const { records, next, cost } = await this.records.newest(this.stream)
-    const read = { source: 'log', cost } as const
-    this.metrics.countRead('log', 'newest', cost)
-    const isFirst = this.newestByKey.size === 0
+  /** Reads the newest record of each key; returns the age of what was read, milliseconds. */
+  private async readAll (): Promise<number> {
+    const read = await this.records.newest(this.stream)
+    const { records, next, cost, source = 'log' } = read
+    this.metrics.countRead(source, 'newest', cost)
     const present = new Set(records.map(record => record.key))
-    for (const record of records) this.apply(record, isFirst, read)
-    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, read)
-    this.next = next
-    log.info('read the newest record of each key', { stream: this.stream, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
+    this.applyAll(read, this.newestByKey.size === 0)
+    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
+    this.next = Math.max(this.next, next)
+    log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
+    return read.ageMilliseconds ?? 0
+  }
+
+  private applyAll ({ records, cost, source = 'log' }: ReadRecords, isFirst: boolean): void {
+    for (const record of records) this.apply(record, isFirst, { source, cost })
   }
 
   /** Reports a key that the log no longer holds as removed at the offset before `next`. */
@@ -120,30 +149,32 @@
     if (record !== undefined && record.value !== undefined && record.offset < next) this.apply({ key, value: undefined, offset: next - 1 }, false, read)
   }
 
-  private async readNext (): Promise<void> {
+  private async readNext (): Promise<number> {
     const page = await this.records.read(this.stream, this.next, monotonicNow() + this.pace.wait)
     if (page.kind === 'expired') {
       this.metrics.countExpired()
       log.warn('records expired before they were read; reading the newest record of each key', { stream: this.stream, next: this.next })
       this.next = -1
-      await this.readAll()
-      return
+      return await this.readAll()
     }
-    this.metrics.countRead('log', page.records.length === 0 ? 'empty' : 'records', page.cost)
-    for (const record of page.records) this.apply(record, false, { source: 'log', cost: page.cost })
-    this.next = page.next
+    this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
+    this.applyAll(page, false)
+    this.next = Math.max(this.next, page.next)
+    return page.ageMilliseconds ?? 0
   }
 
   private apply (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const known = this.newestByKey.get(record.key)
     if (known !== undefined && known.offset >= record.offset) return
     this.newestByKey.set(record.key, record)
+    this.highestOffset = Math.max(this.highestOffset, record.offset)
     this.listener.record(record, isFirst, read)
   }
 
-  private recordSuccess (): void {
+  private recordSuccess (ageMilliseconds: number): void {
     this.failures = 0
-    this.readAt = monotonicNow()
+    this.confirmedAt = Math.max(this.confirmedAt, monotonicNow() - ageMilliseconds)
+    this.wakeWaiting()
     if (this.unreachableSince === undefined) return
     log.info('the log answers again', { stream: this.stream, lostMilliseconds: Math.round(monotonicNow() - this.unreachableSince), next: this.next })
     const unreachableSince = this.unreachableSince
@@ -151,6 +182,10 @@
     if (this.hadRecordsWhenLost) this.listener.onLogRecovered(unreachableSince)
   }
 
+  private wakeWaiting (): void {
+    for (const wake of [...this.waiting]) wake()
+  }
+
   private recordFailure (error: unknown): void {
     this.failures += 1
     this.metrics.countFailure('log', error)
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -5,8 +5,6 @@
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { entriesFor } from '../../core/fleet/directory.js'
 import { Membership } from '../../core/fleet/members.js'
-import { encodeRecords } from '../../nodes/record-exchange.js'
-import { RecordFollower } from '../../nodes/record-follower.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { listenOn } from '../../transports/http-listen.js'
@@ -16,6 +14,7 @@
 import { runInBackground } from '../../utils/background.js'
 import { sleepUntil, monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
 import { EntryGossip } from './gossip.js'
 import { RequestServer } from './serve-request.js'
@@ -25,12 +24,6 @@
 
 const log = logFor('entry')
 
-/** Pace of reading the operators' records, milliseconds: changes in quick succession are read in batches, and a read waits for much less than the time within which a configuration must be in force. */
-const operatorsPace = { pause: 150, wait: 2500 } as const
-/** Longest time that a read of the instance list waits for a new record, milliseconds. */
-const instancesWaitMilliseconds = 2500
-/** Pause between two reads of the instance list, as a share of the time within which a draining upstream must get no more requests; the rest is for the read itself and for requests being sent. */
-const instancesPauseShare = 0.4
 /** Time that instances have to write lapsed records again once the log is reachable, milliseconds. */
 const lapsedRecordGraceMilliseconds = 2000
 /** Part of the time for a planned stop that is reserved for the exit of the process, milliseconds. */
@@ -67,8 +60,7 @@
   private readonly pool: UpstreamPool
   private readonly connections = new UpstreamConnections()
   private readonly suspects = new CrashSuspects()
-  private readonly operators: RecordFollower
-  private readonly instances: RecordFollower
+  private readonly records: FleetRecords
   private readonly datagrams: DatagramSocket
   private readonly gossip: EntryGossip
   private readonly server: RequestServer
@@ -94,7 +86,8 @@
       region: settings.region,
       incarnation: Date.now(),
       beat: 0,
-      isReady: false
+      isReady: false,
+      logDelayMilliseconds: -1
     })
     this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => { this.applyLimits() })
     this.pool = new UpstreamPool({
@@ -105,17 +98,24 @@
       entries: () => this.livingEntries(),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre)
     }, name => this.state.service(name))
-    this.operators = new RecordFollower(ports.records, 'operators', operatorsPace, {
-      record: (record, isFirst, read) => { this.state.put(record, isFirst, read) },
-      onLogRecovered: () => {}
-    }, this.metrics)
-    this.instances = new RecordFollower(ports.records, 'instances', { pause: settings.drainMilliseconds * instancesPauseShare, wait: instancesWaitMilliseconds }, {
-      record: (record, isFirst) => { this.applyInstanceRecord(record.key, record.value, record.offset, isFirst) },
-      onLogRecovered: () => {
-        this.lapseGraceUntil = monotonicNow() + lapsedRecordGraceMilliseconds
-        this.pool.limitRetention(this.lapseGraceUntil)
-      }
-    }, this.metrics)
+    this.records = new FleetRecords({
+      log: ports.records,
+      settings,
+      members: this.members,
+      metrics: this.metrics,
+      operators: {
+        record: (record, isFirst, read) => { this.state.put(record, isFirst, read) },
+        onLogRecovered: () => {}
+      },
+      instances: {
+        record: (record, isFirst) => { this.applyInstanceRecord(record.key, record.value, record.offset, isFirst) },
+        onLogRecovered: () => {
+          this.lapseGraceUntil = monotonicNow() + lapsedRecordGraceMilliseconds
+          this.pool.limitRetention(this.lapseGraceUntil)
+        }
+      },
+      onEntryFound: ip => { this.gossip.announceTo(ip) }
+    })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.gossip.receive(message, ip) })
     this.gossip = new EntryGossip({
       members: this.members,
@@ -123,8 +123,8 @@
       state: this.state,
       pool: this.pool,
       suspects: this.suspects,
-      operators: this.operators,
-      instances: this.instances,
+      operators: this.records.operators,
+      instances: this.records.instances,
       seeds: settings.seeds,
       internalPort: settings.internalPort,
       isReady: () => this.isReady
@@ -159,9 +159,7 @@
     await this.datagrams.open(settings.ip)
     const addresses = [settings.readiness, settings.directory, `${settings.ip}:${settings.internalPort}`]
     await Promise.all(this.others.map((server, index) => listenOn(server, addresses[index] ?? '')))
-    runInBackground(this.operators.run(), log, 'follow the operator records')
-    runInBackground(this.instances.run(), log, 'follow the instance list')
-    runInBackground(this.announceEntry(), log, 'announce this entry')
+    runInBackground(this.records.run(), log, 'follow the records')
     await listenOn(this.callers, settings.callers)
     this.gossip.round()
     this.staleTimer = setInterval(() => { this.removeStale() }, lapsedRecordGraceMilliseconds / 5)
@@ -184,8 +182,7 @@
   /** Ends all reads, timers and connections. */
   private close (): void {
     clearInterval(this.staleTimer)
-    this.operators.stop()
-    this.instances.stop()
+    this.records.stop()
     this.gossip.stop()
     this.datagrams.close()
     for (const server of [this.callers, ...this.others]) {
@@ -220,7 +217,7 @@
 
   private applyInstanceRecord (key: string, value: Buffer | undefined, offset: number, isFirst: boolean): void {
     if (value === undefined) {
-      this.pool.dropRecord(key, this.instances.state.isConnected ? this.lapseGraceUntil : Infinity)
+      this.pool.dropRecord(key, this.records.instances.state.isConnected ? this.lapseGraceUntil : Infinity)
       return
     }
     const upstream = this.ports.codec.upstream(key, value)
@@ -244,34 +241,8 @@
     this.callers.headersTimeout = Math.max(limits.headerTimeoutMilliseconds, limits.idleTimeoutMilliseconds)
   }
 
-  /** Writes this entry's record to the log once, so that entries which start later find it without a seed; contacts those already there. */
-  private async announceEntry (): Promise<void> {
-    const key = `entry/${this.settings.instance}`
-    for (;;) {
-      try {
-        const { records } = await this.ports.records.newest('entries')
-        for (const record of records) this.applyEntryRecord(record.value)
-        await this.ports.records.write('entries', key, Buffer.from(JSON.stringify(this.members.self)))
-        return
-      } catch (error) {
-        log.warn('announcing this entry in the log failed; retrying', { reason: String(error) })
-        await sleepUntil(monotonicNow() + 1000)
-      }
-    }
-  }
-
-  private applyEntryRecord (value: Buffer | undefined): void {
-    if (value === undefined) return
-    try {
-      const member = JSON.parse(value.toString()) as { readonly ip?: unknown, readonly instance?: unknown }
-      if (typeof member.ip === 'string' && member.instance !== this.settings.instance) this.gossip.announceTo(member.ip)
-    } catch (error) {
-      log.warn('entry record ignored', { reason: String(error) })
-    }
-  }
-
   private serveInternal (incoming: IncomingMessage, response: ServerResponse): void {
-    if (incoming.url === '/records') response.end(encodeRecords({ operators: this.operators.newest, instances: this.instances.newest }))
+    if (incoming.url?.startsWith('/records?') === true) this.records.serve(incoming.url, response)
     else if (incoming.url === '/metrics') response.end(this.renderMetrics())
     else response.writeHead(404).end()
   }
@@ -281,7 +252,7 @@
     this.metrics.set('active_requests', {}, this.active)
     this.metrics.set('living_entries', {}, this.livingEntries().length)
     this.metrics.set('configuration_version', {}, this.state.table?.configuration.version ?? 0)
-    this.metrics.set('log_connected', {}, this.operators.state.isConnected ? 1 : 0)
+    this.metrics.set('log_connected', {}, this.records.operators.state.isConnected ? 1 : 0)
     for (const view of this.pool.all()) {
       this.metrics.set('upstream_requests', { upstream: view.upstream.id }, view.inFlight)
       this.metrics.set('upstream_ejected', { upstream: view.upstream.id }, view.health.ejectedUntil > now ? 1 : 0)
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -4,7 +4,8 @@
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
-import { receiveRecordsFrom } from '../../nodes/record-exchange.js'
+import { fetchRecords } from '../../nodes/fed-record-log.js'
+import type { FedStream } from '../../nodes/record-feed.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { Gossip, NodeMessage } from '../../types/node-messages.js'
 import { runInBackground } from '../../utils/background.js'
@@ -22,6 +23,11 @@
 /** One in this many subscriptions lists the other agents of the service; the list changes seldom. */
 const subscriptionsPerAgentList = 4
 
+/** Shortest time between two fetches of a stream from other entries, milliseconds. */
+const fetchIntervalMilliseconds = 500
+/** Time without a confirmation by the own sources after which records are fetched from another data centre, milliseconds. */
+const remoteFetchMilliseconds = 1500
+
 /** What gossip reads and updates. */
 export interface GossipContext {
   readonly members: Membership
@@ -43,7 +49,10 @@
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 2 })
   private nextSubscriptionAt = 0
   private subscriptionCount = 0
-  private isFetchingRecords = false
+  /** Streams that are being fetched from another entry. */
+  private readonly fetching = new Set<FedStream>()
+  /** When a stream may be fetched again, by stream and distance of the sender, milliseconds of the monotonic clock. */
+  private readonly nextFetchAt = new Map<string, number>()
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly context: GossipContext) {
@@ -116,16 +125,25 @@
   }
 
   private handleGossip (gossip: Gossip): void {
-    const { members, state, suspects, operators, instances } = this.context
+    const { state, suspects } = this.context
     const now = monotonicNow()
     for (const member of [gossip.sender, ...gossip.others]) this.recordMember(member, now)
     state.mergeWeights(gossip.weights)
     for (const { fingerprint, upstreams } of gossip.crashes) suspects.record(fingerprint, upstreams, now)
-    const lacksOperators = isLagging(operators.state, gossip.operatorsNext, now)
-    const lacksInstances = isLagging(instances.state, gossip.instancesNext, now)
-    if ((lacksOperators || lacksInstances) && !this.isFetchingRecords && members.self.ip !== gossip.sender.ip) {
-      runInBackground(this.fetchRecords(gossip.sender), log, 'fetch records from another entry')
-    }
+    this.fetchIfLagging('operators', gossip.operatorsNext, gossip.sender, now)
+    this.fetchIfLagging('instances', gossip.instancesNext, gossip.sender, now)
+  }
+
+  /** Fetches a stream from a member that has read further while this entry's own sources do not deliver; from another data centre only if this one's entries have not helped for a while. */
+  private fetchIfLagging (stream: FedStream, next: number, sender: Member, now: number): void {
+    const { members } = this.context
+    const follower = this.context[stream]
+    if (!isLagging(follower.state, next, now) || members.self.instance === sender.instance || this.fetching.has(stream)) return
+    const isNear = sender.dataCentre === members.self.dataCentre
+    if (!isNear && now - follower.state.confirmedAt < remoteFetchMilliseconds && follower.state.next >= 0) return
+    if (now < (this.nextFetchAt.get(stream) ?? 0)) return
+    this.nextFetchAt.set(stream, now + fetchIntervalMilliseconds)
+    runInBackground(this.fetchRecords(stream, sender), log, 'fetch records from another entry')
   }
 
   private recordMember (member: Member, now: number): void {
@@ -133,15 +151,20 @@
     log.info('entry joined or is alive again', { instance: member.instance, dataCentre: member.dataCentre, incarnation: member.incarnation })
   }
 
-  /** Fetches from a member the records that this entry cannot read from the log now. */
-  private async fetchRecords (member: Member): Promise<void> {
-    const { operators, instances, internalPort } = this.context
-    this.isFetchingRecords = true
+  private async fetchRecords (stream: FedStream, member: Member): Promise<void> {
+    const follower = this.context[stream]
+    const from = follower.state.next
+    this.fetching.add(stream)
     try {
-      const records = await receiveRecordsFrom(`${member.ip}:${internalPort}`, this.agent, { operators, instances })
-      log.info('records fetched from another entry', { instance: member.instance, operators: records.operators.length, instances: records.instances.length })
+      const isNear = member.dataCentre === this.context.members.self.dataCentre
+      const read = await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer')
+      follower.receiveRecords(read, from)
+      log.info('records fetched from another entry', { instance: member.instance, stream, records: read.records.length, from, next: read.next, bytes: read.cost.bytes })
+    } catch (error) {
+      follower.countPeerFailure(error)
+      throw error
     } finally {
-      this.isFetchingRecords = false
+      this.fetching.delete(stream)
     }
   }
 }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -4,7 +4,7 @@
 import { isServiceResumable } from '../../core/fleet/match-route.js'
 import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
-import { receiveRecordsFrom } from '../../nodes/record-exchange.js'
+import { fetchRecords } from '../../nodes/fed-record-log.js'
 import { isLagging, RecordFollower } from '../../nodes/record-follower.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
@@ -183,7 +183,8 @@
   private async fetchRecords (ip: string): Promise<void> {
     this.isFetchingRecords = true
     try {
-      await receiveRecordsFrom(`${ip}:${this.settings.internalPort}`, this.httpAgent, { operators: this.operators })
+      const from = this.operators.state.next
+      this.operators.receiveRecords(await fetchRecords(`${ip}:${this.settings.internalPort}`, 'operators', from, this.httpAgent, 'peer'), from)
     } finally {
       this.isFetchingRecords = false
     }
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -67,18 +67,18 @@
 }
 
 function encodeMember (member: Member): Fields {
-  return [member.instance, member.ip, member.callers, member.dataCentre, member.region, member.incarnation, member.beat, member.isReady]
+  return [member.instance, member.ip, member.callers, member.dataCentre, member.region, member.incarnation, member.beat, member.isReady, member.logDelayMilliseconds]
 }
 
 /** Type of a field: the result of `typeof`, or `list` for arrays. */
 type FieldType = 'string' | 'number' | 'boolean' | 'list'
 
-const memberTypes: readonly FieldType[] = ['string', 'string', 'string', 'string', 'string', 'number', 'number', 'boolean']
+const memberTypes: readonly FieldType[] = ['string', 'string', 'string', 'string', 'string', 'number', 'number', 'boolean', 'number']
 
 function decodeMember (fields: unknown): Member {
   checkTypes(fields, memberTypes)
-  const [instance, ip, callers, dataCentre, region, incarnation, beat, isReady] = fields as [string, string, string, string, string, number, number, boolean]
-  return { instance, ip, callers, dataCentre, region, incarnation, beat, isReady }
+  const [instance, ip, callers, dataCentre, region, incarnation, beat, isReady, logDelayMilliseconds] = fields as [string, string, string, string, string, number, number, boolean, number]
+  return { instance, ip, callers, dataCentre, region, incarnation, beat, isReady, logDelayMilliseconds }
 }
 
 /** Throws unless `fields` is an array that starts with fields of the given types. */
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -13,8 +13,8 @@
   readonly offset: number
 }
 
-/** Where a node reads records: in the platform's log, or from another node. */
-export type RecordSource = 'log' | 'peer'
+/** Where a node reads records: in the platform's log, or from another node, in its own data centre or elsewhere. */
+export type RecordSource = 'log' | 'peer' | 'remote-peer'
 
 /** What one read of records cost. */
 export interface ReadCost {
@@ -36,21 +36,26 @@
   readonly cost: ReadCost
 }
 
-/** Records from some offset on; `expired` if the log no longer retains them. */
-export type RecordPage =
-  | { readonly kind: 'records', readonly records: readonly KeyedRecord[], readonly next: number, readonly cost: ReadCost }
-  | { readonly kind: 'expired' }
-
-/** The newest record of each key; `next` is the offset from which to continue with `read`. */
-export interface NewestRecords {
+/** Records that were read at once; `next` is the offset from which to continue with `read`. */
+export interface ReadRecords {
   readonly records: readonly KeyedRecord[]
   readonly next: number
   readonly cost: ReadCost
+  /** The log if not set. */
+  readonly source?: RecordSource
+  /** Time since the log confirmed these records as its last ones, milliseconds; 0 if not set. */
+  readonly ageMilliseconds?: number
 }
 
+/** Records from some offset on; `expired` if the log no longer retains them. */
+export type RecordPage = ReadRecords & { readonly kind: 'records' } | { readonly kind: 'expired' }
+
+/** The newest record of each key. */
+export type NewestRecords = ReadRecords
+
 /** The platform's log of keyed records. */
 export abstract class RecordLog {
-  /** Reads the newest record of each key. */
+  /** Reads the newest record of each key, and the offset from which to continue with `read`. */
   abstract newest (stream: StreamName): Promise<NewestRecords>
   /** Reads records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
   abstract read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage>
--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -61,9 +61,14 @@
 }
 
 /** Version of the configuration that an entry has in force; 0 before the first. */
-export async function versionInForce ({ internal }: GroupedEntry): Promise<number> {
-  const metrics = await (await fetch(`http://${internal}/metrics`)).text()
-  return Number(/^pollendyke_configuration_version (\d+)/m.exec(metrics)?.[1] ?? 0)
+export async function versionInForce (entry: GroupedEntry): Promise<number> {
+  return await metricOf(entry, 'pollendyke_configuration_version')
+}
+
+/** Value of a metric of an entry, all series of that name with the given label text added up; 0 if there is none. */
+export async function metricOf ({ internal }: GroupedEntry, name: string, label = ''): Promise<number> {
+  const lines = (await (await fetch(`http://${internal}/metrics`)).text()).split('\n')
+  return lines.filter(line => (line.startsWith(`${name} `) || line.startsWith(`${name}{`)) && line.includes(label)).reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0)
 }
 
 function freshIp (): string {
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -5,6 +5,9 @@
 /** Capacity of the link of a data centre, bytes per second: 16 Mbit/s. */
 export const linkBytesPerSecond = 2_000_000
 
+/** Additional round trip to the log from other data centres, milliseconds. */
+const remoteMilliseconds = 8
+
 /** Link between the log and one data centre; transfers follow one after another. */
 class NarrowLink {
   bytes = 0
@@ -45,7 +48,7 @@
     return known
   }
 
-  /** Bytes that nodes of a data centre have read so far, outside the log's own data centre. */
+  /** Bytes that nodes of a data centre have read from the log so far, outside the log's own data centre. */
   bytesReadIn (dataCentre: string): number {
     return this.links.get(dataCentre)?.bytes ?? 0
   }
@@ -57,6 +60,7 @@
     if (dataCentre !== this.homeDataCentre) {
       const link = this.links.get(dataCentre) ?? new NarrowLink()
       this.links.set(dataCentre, link)
+      await sleepUntil(monotonicNow() + remoteMilliseconds)
       await link.transfer(bytes)
     }
     const superseded = records.length - new Set(records.map(({ key }) => key)).size
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -56,7 +56,7 @@
   t.equal(chooseService({ ...route, targets: [] }, 'id-5'), undefined)
 })
 
-const member = (instance: string, rest: Partial<Member> = {}): Member => ({ instance, ip: '10.0.0.1', callers: `${instance}:80`, dataCentre: 'zone-a', region: 'north', incarnation: 1, beat: 1, isReady: true, ...rest })
+const member = (instance: string, rest: Partial<Member> = {}): Member => ({ instance, ip: '10.0.0.1', callers: `${instance}:80`, dataCentre: 'zone-a', region: 'north', incarnation: 1, beat: 1, isReady: true, logDelayMilliseconds: -1, ...rest })
 const otherRegion = { dataCentre: 'zone-b', region: 'south' }
 const directoryCases: readonly { readonly name: string, readonly members: readonly Member[], readonly homes?: readonly string[], readonly expected: readonly string[] }[] = [
   { name: "the caller's data centre", members: [member('a'), member('b', otherRegion)], expected: ['a:80'] },
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -1,7 +1,7 @@
 /** Entries behind a narrow link have a large configuration in force in time: the link carries it a few times, not once for each entry. */
 import { test } from 'tap'
 import { SharedLog, linkBytesPerSecond } from './fakes/shared-log.js'
-import { startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
+import { metricOf, startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
 import { eventually } from './fakes/test-cluster.js'
 
 const dataCentres = ['home', 'east', 'west']
@@ -33,7 +33,7 @@
     const entries = await startEntries(log, dataCentres, entriesPerDataCentre)
     await haveInForce(entries, 1)
     await knowEachOther(entries)
-    const before = remoteDataCentres.map(dataCentre => log.bytesReadIn(dataCentre))
+    const before = await Promise.all(remoteDataCentres.map(dataCentre => bytesOverLink(log, entries, dataCentre)))
     const configurations = Array.from({ length: versions }, (_, index) => encodeConfiguration(2 + index, routes))
     const size = configurations[0]?.length ?? 0
     for (const configuration of configurations) {
@@ -42,7 +42,7 @@
     }
     await haveInForce(entries, 1 + versions)
     for (const [index, dataCentre] of remoteDataCentres.entries()) {
-      const bytes = log.bytesReadIn(dataCentre) - (before[index] ?? 0)
+      const bytes = await bytesOverLink(log, entries, dataCentre) - (before[index] ?? 0)
       t.ok(bytes <= maximumCopies * size + otherBytes, `the link of ${dataCentre} carried ${(bytes / size).toFixed(1)} copies of ${size} bytes`)
       if (versions === 1) t.ok(bytes / linkBytesPerSecond <= goalSeconds, `the link of ${dataCentre} was busy for ${(bytes / linkBytesPerSecond).toFixed(2)} s`)
     }
@@ -54,12 +54,16 @@
   await eventually(async () => (await Promise.all(entries.map(versionInForce))).every(inForce => inForce === version))
 }
 
+/** Bytes of records that the link of a data centre has carried, from the log and from entries elsewhere. */
+async function bytesOverLink (log: SharedLog, entries: readonly GroupedEntry[], dataCentre: string): Promise<number> {
+  const local = entries.filter(entry => entry.dataCentre === dataCentre)
+  const fromEntries = await Promise.all(local.map(entry => metricOf(entry, 'pollendyke_records_bytes_total', 'source="remote-peer"')))
+  return log.bytesReadIn(dataCentre) + fromEntries.reduce((sum, bytes) => sum + bytes, 0)
+}
+
 /** Waits until each entry counts all others as alive. */
 async function knowEachOther (entries: readonly GroupedEntry[]): Promise<void> {
-  await eventually(async () => {
-    const counts = await Promise.all(entries.map(async ({ internal }) => Number(/^pollendyke_living_entries (\d+)/m.exec(await (await fetch(`http://${internal}/metrics`)).text())?.[1] ?? 0)))
-    return counts.every(count => count === entries.length)
-  })
+  await eventually(async () => (await Promise.all(entries.map(entry => metricOf(entry, 'pollendyke_living_entries')))).every(count => count === entries.length))
 }
 
 function encodeConfiguration (version: number, routes: number): Buffer {
--- a/test/record-follower.test.ts
+++ b/test/record-follower.test.ts
@@ -71,7 +71,7 @@
     })
     follower.run().catch(error => { t.error(error) })
     await new Promise(resolve => { setTimeout(resolve, 900) })
-    follower.receiveRecords(fromPeer, costOf(fromPeer))
+    follower.receiveRecords({ records: fromPeer, next: 8, cost: costOf(fromPeer), source: 'peer' }, 4)
     follower.stop()
     t.same(received, expected)
     t.ok(log.waits.every(wait => wait <= 3000), 'a read of an unresponsive log ends within 3 s')
@@ -105,7 +105,7 @@
   }, metrics)
   follower.run().catch(error => { t.error(error) })
   await new Promise(resolve => { setTimeout(resolve, 900) })
-  follower.receiveRecords([record('a', 9)], { bytes: 30, firstByteMilliseconds: 1, milliseconds: 2, records: 1, superseded: 0 })
+  follower.receiveRecords({ records: [record('a', 9)], next: 10, source: 'peer', cost: { bytes: 30, firstByteMilliseconds: 1, milliseconds: 2, records: 1, superseded: 0 } }, 6)
   follower.countPeerFailure(new HttpCallError(lost, 7))
   follower.stop()
   const reads = (source: string, result: string): number => metrics.valueOf('records_reads_total', { stream: 'operators', source, result })
@@ -129,11 +129,11 @@
   t.match(line, { context: { version: 7, offset: 3, source: 'log', readMilliseconds: 40, bytes: 480 } })
 })
 
-const lagCases: readonly { readonly name: string, readonly state: { readonly next: number, readonly isConnected: boolean, readonly readAt: number }, readonly isExpected: boolean }[] = [
-  { name: 'one that reads as much', state: { next: 5, isConnected: true, readAt: 0 }, isExpected: false },
-  { name: 'one that has just read', state: { next: 4, isConnected: true, readAt: 9900 }, isExpected: false },
-  { name: 'one whose read hangs', state: { next: 4, isConnected: true, readAt: 9000 }, isExpected: true },
-  { name: 'one that has lost the log', state: { next: 4, isConnected: false, readAt: 9900 }, isExpected: true }
+const lagCases: readonly { readonly name: string, readonly state: { readonly next: number, readonly isConnected: boolean, readonly confirmedAt: number }, readonly isExpected: boolean }[] = [
+  { name: 'one that reads as much', state: { next: 5, isConnected: true, confirmedAt: 0 }, isExpected: false },
+  { name: 'one that has just read', state: { next: 4, isConnected: true, confirmedAt: 9900 }, isExpected: false },
+  { name: 'one whose read hangs', state: { next: 4, isConnected: true, confirmedAt: 9000 }, isExpected: true },
+  { name: 'one that has lost the log', state: { next: 4, isConnected: false, confirmedAt: 9900 }, isExpected: true }
 ]
 
 for (const { name, state, isExpected } of lagCases) {
--- /dev/null
+++ b/test/record-sources.test.ts
@@ -0,0 +1,152 @@
+/** Sources of records: which entry reads for which, and what a reader takes over when another one fails. */
+import { createServer, type Server } from 'node:http'
+import { test, type Test } from 'tap'
+import { orderSources } from '../src/core/fleet/record-sources.js'
+import type { Member } from '../src/core/fleet/members.js'
+import { ReadMetrics } from '../src/nodes/read-metrics.js'
+import { SelectedRecordLog } from '../src/nodes/selected-record-log.js'
+import { Metrics } from '../src/plugins/metrics.js'
+import { listenOn } from '../src/transports/http-listen.js'
+import { monotonicNow } from '../src/utils/clock.js'
+import { rankMembers } from '../src/utils/rendezvous.js'
+import { freshAddress } from '../script/launch.js'
+import { startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
+import { SharedLog } from './fakes/shared-log.js'
+import { eventually } from './fakes/test-cluster.js'
+
+const names = (dataCentre: string, count = 3): readonly string[] => rankMembers(`records/${dataCentre}`, Array.from({ length: count }, (_, index) => `${dataCentre}-${index}`))
+const [a0 = '', a1 = '', a2 = ''] = names('a')
+const [b0 = '', b1 = ''] = names('b')
+const member = (instance: string, rest: Partial<Member> = {}): Member => ({ instance, ip: instance, callers: '', dataCentre: instance.split('-')[0] ?? '', region: '', incarnation: 1, beat: 1, isReady: true, logDelayMilliseconds: -1, ...rest })
+const near = { logDelayMilliseconds: 4 }
+const far = { logDelayMilliseconds: 9 }
+
+interface OrderCase {
+  readonly name: string
+  readonly self: Member
+  readonly others: readonly Member[]
+  readonly expected: readonly string[]
+}
+
+const orderCases: readonly OrderCase[] = [
+  { name: 'the first one of a data centre reads the log', self: member(a0), others: [member(a1), member(a2)], expected: ['log', a1, a2] },
+  { name: 'the others read from it, then from each other in order, then from the log', self: member(a2), others: [member(a0), member(a1)], expected: [a0, a1, 'log'] },
+  { name: 'entries of other data centres are no sources while no way to the log is measured', self: member(a0), others: [member(b0), member(b1)], expected: ['log'] },
+  { name: 'the first one far from the log reads from those near it, then from the log', self: member(b0, far), others: [member(a0, near), member(a1, near), member(a2), member(b1)], expected: [a0, a1, 'log', b1] },
+  { name: 'the first one near the log reads the log', self: member(a0, near), others: [member(b0, far)], expected: ['log'] },
+  { name: 'a difference within the accuracy of the measurement does not count', self: member(b0, { logDelayMilliseconds: 4.5 }), others: [member(a0, near)], expected: ['log'] },
+  { name: 'one that stops is no source', self: member(a1), others: [member(a0, { isReady: false })], expected: ['log'] },
+  { name: 'one that starts reads from ready ones of any rank', self: member(a0, { isReady: false }), others: [member(a1), member(a2)], expected: [a1, a2, 'log'] },
+  { name: 'while all start, the first one reads the log', self: member(a1, { isReady: false }), others: [member(a0, { isReady: false })], expected: [a0, 'log'] }
+]
+
+for (const { name, self, others, expected } of orderCases) {
+  test(`record sources: ${name}`, async t => {
+    t.same(orderSources(self, others).map(source => source.kind === 'log' ? 'log' : source.instance), expected)
+  })
+}
+
+interface FailureCase {
+  readonly name: string
+  /** How the preferred entry answers a poll; undefined for a process that has ended. */
+  readonly serve: ((server: Server) => void) | undefined
+  readonly maximumMilliseconds: number
+}
+
+const failureCases: readonly FailureCase[] = [
+  { name: 'one whose process has ended', serve: undefined, maximumMilliseconds: 900 },
+  { name: 'one that does not answer', serve: server => { server.on('request', () => {}) }, maximumMilliseconds: 1000 },
+  { name: 'one that has not reached the log for two seconds', serve: server => { server.on('request', (_request, response) => { response.setHeader('x-record-age', '2000').end('{"records":[],"next":5}') }) }, maximumMilliseconds: 900 },
+  { name: 'one that answers with something else', serve: server => { server.on('request', (_request, response) => { response.end('no records') }) }, maximumMilliseconds: 900 }
+]
+
+for (const { name, serve, maximumMilliseconds } of failureCases) {
+  test(`record sources: a reader lost at the worst moment costs less than a second: ${name}`, async t => {
+    const address = await listen(t, serve)
+    const log = new SharedLog('home')
+    log.append('operators', 'config', Buffer.from('first'))
+    const [ip = '', port = ''] = address.split(':')
+    const selected = new SelectedRecordLog({
+      stream: 'operators',
+      log: log.readerIn('home', 'self'),
+      internalPort: Number(port),
+      logWaitMilliseconds: 500,
+      metrics: new ReadMetrics(new Metrics(), 'operators'),
+      sources: () => [{ kind: 'entry', instance: 'reader', ip, isSameDataCentre: true }, { kind: 'log' }]
+    })
+    const startedAt = monotonicNow()
+    const page = await selected.read('operators', 0, monotonicNow() + 1000)
+    t.match(page, { kind: 'records', next: 1 })
+    t.ok(monotonicNow() - startedAt < maximumMilliseconds + schedulingMilliseconds, `the log was read after ${Math.round(monotonicNow() - startedAt)} ms`)
+    t.equal(selected.source, 'log')
+  })
+}
+
+/** Delay of timers on a busy machine that the cases allow for, milliseconds. */
+const schedulingMilliseconds = 2000
+
+interface CutCase {
+  readonly name: string
+  /** Entries that lose the log, by rank in their data centre. */
+  readonly cutRanks: readonly number[]
+}
+
+const cutCases: readonly CutCase[] = [
+  { name: 'the reader of a data centre is cut off from the log', cutRanks: [0] },
+  { name: 'the first two are cut off from the log', cutRanks: [0, 1] },
+  { name: 'all but the last are cut off from the log', cutRanks: [0, 1, 2, 3] }
+]
+
+for (const { name, cutRanks } of cutCases) {
+  test(`record sources: changes reach all entries though ${name}`, async t => {
+    const log = new SharedLog('home')
+    log.append('operators', 'config', encodeConfiguration(1))
+    const entries = await startEntries(log, ['home'], 5)
+    await haveInForce(entries, 1)
+    const ranked = rankMembers('records/home', entries.map(({ instance }) => instance))
+    for (const rank of cutRanks) log.unreachableFrom.add(ranked[rank] ?? '')
+    log.append('operators', 'config', encodeConfiguration(2))
+    await haveInForce(entries, 2)
+    log.unreachableFrom.clear()
+    log.append('operators', 'config', encodeConfiguration(3))
+    await haveInForce(entries, 3)
+    t.pass('each version was in force on all entries')
+    await Promise.all(entries.map(({ node }) => node.stop()))
+  })
+}
+
+test('record sources: changes reach all entries though the reader of their data centre ends', async t => {
+  const log = new SharedLog('home')
+  log.append('operators', 'config', encodeConfiguration(1))
+  const entries = await startEntries(log, ['home', 'east'], 3)
+  await haveInForce(entries, 1)
+  const first = entries.filter(({ dataCentre, instance }) => instance === names(dataCentre)[0])
+  await Promise.all(first.map(({ node }) => node.stop()))
+  log.append('operators', 'config', encodeConfiguration(2))
+  const rest = entries.filter(entry => !first.includes(entry))
+  await haveInForce(rest, 2)
+  t.equal(rest.length, 4)
+  await Promise.all(rest.map(({ node }) => node.stop()))
+})
+
+async function haveInForce (entries: readonly GroupedEntry[], version: number): Promise<void> {
+  await eventually(async () => (await Promise.all(entries.map(versionInForce))).every(inForce => inForce === version))
+}
+
+function encodeConfiguration (version: number): Buffer {
+  return Buffer.from(JSON.stringify({ version, routes: [], services: [], tenants: [], limits: {} }))
+}
+
+/** Address of a server with the given handler; nothing listens there without one. */
+async function listen (t: Test, serve: ((server: Server) => void) | undefined): Promise<string> {
+  const address = freshAddress()
+  if (serve === undefined) return address
+  const server = createServer()
+  serve(server)
+  await listenOn(server, address)
+  t.teardown(() => {
+    server.close()
+    server.closeAllConnections()
+  })
+  return address
+}
