Receive large answers as long as bytes keep arriving

A read of the store had 1,200 ms in total beyond its wait, and a fetch of another node's records 1,000 ms: a configuration of a quarter of a megabyte that shares a link with other reads takes longer, was given up when most of it had arrived, and was begun again, more load where there was too much.

Cause: one deadline for the whole answer, whatever its size, tells neither a silent connection from a slow one nor a slow answer from one that no longer arrives.

Change: a call may have deadlines by progress: until the head of the answer, then with each byte a new one 1,200 ms later, and 15 s for the rest as a whole, so that a trickle ends. All are stored on the monotonic clock. Ruled out for the others: a chunk of 24 to 32 KiB has a deadline by which the fetcher turns to another holder, a manifest of hashes is a few kilobytes and asked for at the next agent after 300 ms, and the engine is on the same machine. These are small, and late means another source.

--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -9,7 +9,7 @@
 
 /**
  * Pace of a follower's reads, milliseconds. `pause` is the minimum time between the starts of two reads, so that a busy stream
- * is read in batches. `wait` is the maximum duration of one read, after which an unresponsive connection is abandoned.
+ * is read in batches. `wait` is the maximum time that one read waits for a record, after which an unresponsive connection is abandoned.
  */
 export interface ReadPace { readonly pause: number, readonly wait: number }
 /** Base and maximum pause after failed reads, milliseconds; the base is doubled for each consecutive failure. */
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -2,7 +2,20 @@
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
 
-/** A call to `address`, `ip:port`; `deadline` in milliseconds of the monotonic clock. */
+/** Longest time without a byte of an answer that has begun, milliseconds; a link that is full delays a packet by half a second. */
+const inactivityMilliseconds = 1200
+/** Longest time from the deadline of an answer's head to that of its end, milliseconds, so that a trickle ends. */
+const maximumTransferMilliseconds = 15_000
+
+/** Deadlines of an answer by its progress. */
+export interface ProgressDeadlines {
+  /** When the head must have arrived, milliseconds of the monotonic clock. */
+  readonly headDeadline: number
+  /** Longest time without a byte after the head, milliseconds; becomes a deadline with each byte. */
+  readonly inactivityMilliseconds: number
+}
+
+/** A call to `address`, `ip:port`; `deadline`, of the complete answer, in milliseconds of the monotonic clock. */
 export interface HttpCall {
   readonly address: string
   readonly method: string
@@ -10,6 +23,7 @@
   readonly body?: Buffer | string | undefined
   readonly headers?: Readonly<Record<string, string>> | undefined
   readonly deadline: number
+  readonly progress?: ProgressDeadlines | undefined
   readonly agent?: Agent | undefined
 }
 
@@ -31,33 +45,82 @@
   }
 }
 
-/** Makes a call; rejects with `HttpCallError` if the answer is not complete by the deadline. */
+/** Deadlines of a call whose answer may be large: it is received as long as bytes keep arriving, up to a limit. */
+export function deadlinesByProgress (headDeadline: number): Pick<HttpCall, 'deadline' | 'progress'> {
+  return { deadline: headDeadline + maximumTransferMilliseconds, progress: { headDeadline, inactivityMilliseconds } }
+}
+
+/** Makes a call; rejects with `HttpCallError` if the answer does not meet its deadlines. */
 export function callHttp (call: HttpCall): Promise<HttpAnswer> {
   const [host = '', port = ''] = call.address.split(':')
   const startedAt = monotonicNow()
   return new Promise((resolve, reject) => {
     const length = call.body === undefined ? {} : { 'content-length': String(Buffer.byteLength(call.body)) }
     const outgoing = request({ host, port, method: call.method, path: call.path, agent: call.agent, headers: { ...call.headers, ...length } })
-    const timer = setTimeout(() => { outgoing.destroy(new Error(`no answer from ${call.address} in time`)) }, Math.max(0, call.deadline - monotonicNow()))
-    let receivedBytes = 0
+    const watch = new AnswerWatch(call, reason => { outgoing.destroy(new Error(reason)) })
     const fail = (error: Error): void => {
-      clearTimeout(timer)
-      reject(new HttpCallError(error, receivedBytes))
+      watch.stop()
+      reject(new HttpCallError(error, watch.receivedBytes))
     }
     outgoing.on('error', fail)
     outgoing.on('response', answer => {
+      watch.receive(0)
       const firstByteMilliseconds = monotonicNow() - startedAt
       const parts: Buffer[] = []
       answer.on('data', (part: Buffer) => {
-        receivedBytes += part.length
+        watch.receive(part.length)
         parts.push(part)
       })
       answer.on('error', fail)
       answer.on('end', () => {
-        clearTimeout(timer)
+        watch.stop()
         resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
       })
     })
     outgoing.end(call.body)
   })
 }
+
+/** Calls `expire` with the reason once an answer misses a deadline; what has been received decides which one is next. */
+class AnswerWatch {
+  receivedBytes = 0
+  private hasHead = false
+  /** Deadline of the next progress, milliseconds of the monotonic clock. */
+  private progressBy: number
+  private timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly call: HttpCall, private readonly expire: (reason: string) => void) {
+    this.progressBy = call.progress?.headDeadline ?? Infinity
+    this.wait()
+  }
+
+  /** Records the head, or bytes of the body. */
+  receive (bytes: number): void {
+    this.hasHead = true
+    this.receivedBytes += bytes
+    if (this.call.progress !== undefined) this.progressBy = monotonicNow() + this.call.progress.inactivityMilliseconds
+  }
+
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+
+  /** Waits for the deadline that is next now; by then, progress may have moved it. */
+  private wait (): void {
+    const deadline = Math.min(this.call.deadline, this.progressBy)
+    this.timer = setTimeout(() => { this.check() }, Math.max(0, Math.ceil(deadline - monotonicNow())))
+  }
+
+  private check (): void {
+    const now = monotonicNow()
+    if (now < Math.min(this.call.deadline, this.progressBy)) this.wait()
+    else this.expire(this.problem(now))
+  }
+
+  private problem (now: number): string {
+    const { address, deadline } = this.call
+    if (!this.hasHead) return `no answer from ${address} in time`
+    if (now < deadline) return `the answer from ${address} stopped after ${this.receivedBytes} bytes`
+    return `the answer from ${address} is not complete in time: ${this.receivedBytes} bytes`
+  }
+}
--- a/test/platform-store.test.ts
+++ b/test/platform-store.test.ts
@@ -3,7 +3,7 @@
 import { topics } from '../platform/names.js'
 import { PlatformStore } from '../platform/store.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
-import { PlatformStoreStandIn } from './fakes/platform-store.js'
+import { PlatformStoreStandIn, type StoreFault } from './fakes/platform-store.js'
 
 const headerBytes = 16
 /** Length and key length of a record. */
@@ -51,3 +51,29 @@
   t.match(await store.read('instances', 0, monotonicNow()), { kind: 'records', next: 1 })
   t.equal(server.connections, before + 1, 'the next try after a time-out opens a new connection')
 })
+
+test('platform store: a large record is read whole over a link on which it takes seconds', async t => {
+  const server = await PlatformStoreStandIn.start()
+  t.teardown(() => { server.close() })
+  server.append(topics.operators, 'config', Buffer.alloc(250_000))
+  server.faults.set(topics.operators, { kind: 'slow', bytesPerSecond: 120_000 })
+  const store = new PlatformStore(server.address)
+  t.match(await store.read('operators', 0, monotonicNow()), { kind: 'records', next: 1, records: [{ key: 'config' }] })
+  t.match(await store.newest('operators'), { next: 1, records: [{ key: 'config' }] })
+})
+
+const failures: readonly { readonly name: string, readonly fault: StoreFault, readonly expected: { readonly message: RegExp, readonly receivedBytes: number } }[] = [
+  { name: 'no answer', fault: { kind: 'silent' }, expected: { message: /no answer from .* in time/, receivedBytes: 0 } },
+  { name: 'an answer that stops', fault: { kind: 'stalled', afterBytes: 500 }, expected: { message: /stopped after 500 bytes/, receivedBytes: 500 } },
+  { name: 'an answer that is cut', fault: { kind: 'cut', afterBytes: 500 }, expected: { message: /aborted/, receivedBytes: 500 } }
+]
+
+for (const { name, fault, expected } of failures) {
+  test(`platform store: a read fails on ${name}, with the bytes that had arrived`, async t => {
+    const server = await PlatformStoreStandIn.start()
+    t.teardown(() => { server.close() })
+    server.append(topics.operators, 'config', Buffer.alloc(1000))
+    server.faults.set(topics.operators, fault)
+    await t.rejects(new PlatformStore(server.address).read('operators', 0, monotonicNow()), expected)
+  })
+}
