Leave a slow link to the first readers of a data centre

Cause: a take-over by time-out that every follower makes on its own multiplies the load that caused it.

Change: an answer of the feed says whether the sender's read failed or is in progress. Where reads are only slow, the second entry reads outside the data centre from an age of 1.2 s and each further one 0.8 s later (mayReadOutside, a table of cases); where they failed or nobody answers, the next one reads at once.

--- a/src/core/fleet/record-sources.ts
+++ b/src/core/fleet/record-sources.ts
@@ -18,6 +18,24 @@
 /** Entries of the own data centre that are tried after the log itself: they may still reach it. */
 const laterEntries = 2
 
+/** An entry of the own data centre that answered although its records are not current. */
+export interface StaleEntry {
+  /** Time since the log confirmed its records, milliseconds. */
+  readonly ageMilliseconds: number
+  /** Whether its read is in progress, rather than failed. */
+  readonly isConnected: boolean
+}
+
+/** Age of the records of an entry whose read is in progress from which the next one reads outside the data centre too, milliseconds; and the additional age for each further such entry. A full link delays all reads, and each further one fills it more. */
+const takeOverMilliseconds = { first: 1200, further: 800 } as const
+
+/** Whether an entry reads outside its data centre although the entries before it, which are to do so, answered: their reads failed, or take too long. */
+export function mayReadOutside (stale: readonly StaleEntry[]): boolean {
+  const reading = stale.filter(({ isConnected }) => isConnected)
+  const age = Math.min(...reading.map(({ ageMilliseconds }) => ageMilliseconds))
+  return age >= takeOverMilliseconds.first + takeOverMilliseconds.further * (reading.length - 1)
+}
+
 /** Sources in the order in which `self` tries them; `others` are the other living entries. */
 export function orderSources (self: Member, others: readonly Member[]): readonly PreferredSource[] {
   const ranked = rankReaders([self, ...others], self.dataCentre)
--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -5,7 +5,7 @@
 import { callHttp, deadlinesByProgress } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type RecordSource } from '../types/ports.js'
 import { monotonicNow } from '../utils/clock.js'
-import { decodeFedRecords, feedHeaders, feedPath, maximumAgeMilliseconds, type FedStream } from './record-feed.js'
+import { areCurrent, decodeFedRecords, feedPath, type FedRecords, type FedStream } from './record-feed.js'
 
 const decompress = promisify(gunzip)
 
@@ -14,9 +14,9 @@
 /** Time until an answer begins on top of the poll's wait, milliseconds: in the own data centre, and over a link that other traffic may fill. */
 const answerMilliseconds = { peer: 400, 'remote-peer': 1200 } as const
 
-/** Thrown when a node has not been able to read the log for some time. */
+/** Thrown when a node answers but cannot read the log, or has not for some time; see `FedRecords`. */
 export class StaleRecordsError extends Error {
-  constructor (address: string, readonly ageMilliseconds: number) {
+  constructor (address: string, readonly ageMilliseconds: number, readonly isConnected: boolean) {
     super(`the records of ${address} were confirmed ${ageMilliseconds} ms ago`)
   }
 }
@@ -30,7 +30,7 @@
   async newest (): Promise<NewestRecords> {
     for (;;) {
       const read = await this.poll(-1, pollMilliseconds)
-      this.checkAge(read.ageMilliseconds)
+      this.checkCurrent(read)
       if (read.next >= 0) return read
     }
   }
@@ -38,7 +38,7 @@
   async read (_stream: string, from: number, waitUntil: number): Promise<RecordPage> {
     const wait = Math.max(0, Math.min(pollMilliseconds, Math.round(waitUntil - monotonicNow())))
     const read = await this.poll(from, wait)
-    if (read.records.length === 0) this.checkAge(read.ageMilliseconds)
+    if (read.records.length === 0) this.checkCurrent(read)
     return { kind: 'records', ...read, next: Math.max(from, read.next) }
   }
 
@@ -46,11 +46,11 @@
     throw new Error('records are written to the log itself')
   }
 
-  private checkAge (ageMilliseconds: number): void {
-    if (ageMilliseconds > maximumAgeMilliseconds) throw new StaleRecordsError(this.address, ageMilliseconds)
+  private checkCurrent (read: FedRecords): void {
+    if (!areCurrent(read)) throw new StaleRecordsError(this.address, read.ageMilliseconds, read.isConnected)
   }
 
-  private poll (from: number, waitMilliseconds: number): Promise<FedRecords> {
+  private poll (from: number, waitMilliseconds: number): Promise<PolledRecords> {
     return pollFeed(this.address, this.stream, this.agent, this.source, { from, waitMilliseconds })
   }
 }
@@ -63,19 +63,17 @@
 /** Entry of the own data centre or of another one. */
 export type PeerSource = Exclude<RecordSource, 'log'>
 
-/** What a poll brought, with its age. */
-type FedRecords = ReadRecords & { readonly ageMilliseconds: number }
+type PolledRecords = ReadRecords & FedRecords
 
 interface Poll { readonly from: number, readonly waitMilliseconds: number }
 
-async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds }: Poll): Promise<FedRecords> {
+async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds }: Poll): Promise<PolledRecords> {
   const path = feedPath(stream, from, waitMilliseconds)
   const deadlines = deadlinesByProgress(monotonicNow() + waitMilliseconds + answerMilliseconds[source])
   const answer = await callHttp({ address, method: 'GET', path, ...deadlines, agent })
   if (answer.status !== 200) throw new Error(`${address} answered ${answer.status} to a request for records`)
   const body = answer.headers['content-encoding'] === 'gzip' ? await decompress(answer.body) : answer.body
-  const { records, next } = decodeFedRecords(body)
+  const fed = decodeFedRecords(body, answer.headers)
   const { firstByteMilliseconds, milliseconds } = answer
-  const cost = { bytes: answer.body.length, firstByteMilliseconds, milliseconds, records: records.length, superseded: 0 }
-  return { records, next, cost, source, ageMilliseconds: Number(answer.headers[feedHeaders.age] ?? Infinity) }
+  return { ...fed, source, cost: { bytes: answer.body.length, firstByteMilliseconds, milliseconds, records: fed.records.length, superseded: 0 } }
 }
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -1,5 +1,5 @@
 /** Serves the records that a node has read to other nodes, over HTTP with long polls. */
-import type { ServerResponse } from 'node:http'
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { promisify } from 'node:util'
 import { gzip } from 'node:zlib'
 import type { KeyedRecord } from '../types/ports.js'
@@ -8,12 +8,12 @@
 
 const compress = promisify(gzip)
 
-/** Headers of the feed's answers, in lower case; `age` is the time since the log confirmed that the sender had read everything, milliseconds. */
-export const feedHeaders = { age: 'x-record-age' } as const
+/** Headers of the feed's answers, in lower case; see `FedRecords`. `connected` is `yes` or `no`. */
+const feedHeaders = { age: 'x-record-age', connected: 'x-record-source-connected' } as const
 /** Longest time for which a poll is held open, milliseconds. */
 const maximumWaitMilliseconds = 2000
 /** Age from which a node's records no longer count as current, milliseconds: it reads the log twice a second. */
-export const maximumAgeMilliseconds = 1200
+const maximumAgeMilliseconds = 1200
 /** Size from which an answer is compressed, bytes. */
 const compressedFromBytes = 1024
 /** Encoded answers that are kept: the followers of a node usually ask for the same ones. */
@@ -31,10 +31,32 @@
   return `/records?stream=${stream}&from=${from}&wait=${waitMilliseconds}`
 }
 
-/** Decodes an answer of the feed: the newest record of each key from the requested offset on, and the offset after the last record that the sender has read, -1 before its first read; throws for invalid JSON. */
-export function decodeFedRecords (body: Buffer): { readonly records: readonly KeyedRecord[], readonly next: number } {
+/** What an answer of the feed holds. */
+export interface FedRecords {
+  /** Newest record of each key from the requested offset on. */
+  readonly records: readonly KeyedRecord[]
+  /** Offset after the last record that the sender has read; -1 before its first read. */
+  readonly next: number
+  /** Time since the log confirmed that the sender had read everything, milliseconds; since the sender's start before its first read. */
+  readonly ageMilliseconds: number
+  /** Whether the sender's last read of any source succeeded, or its first one is in progress. */
+  readonly isConnected: boolean
+}
+
+/** Whether records are current enough to be relied on while nothing newer is there. */
+export function areCurrent ({ ageMilliseconds, isConnected }: Pick<FedRecords, 'ageMilliseconds' | 'isConnected'>): boolean {
+  return isConnected && ageMilliseconds <= maximumAgeMilliseconds
+}
+
+/** Decodes an answer of the feed; throws for invalid JSON. */
+export function decodeFedRecords (body: Buffer, headers: IncomingHttpHeaders): FedRecords {
   const { records, next } = JSON.parse(body.toString()) as { readonly records: readonly EncodedRecord[], readonly next: number }
-  return { records: records.map(decodeRecord), next }
+  return {
+    records: records.map(decodeRecord),
+    next,
+    ageMilliseconds: Number(headers[feedHeaders.age] ?? Infinity),
+    isConnected: headers[feedHeaders.connected] === 'yes'
+  }
 }
 
 /** Answers polls for the records of a node's followers. */
@@ -54,9 +76,11 @@
       return
     }
     const follower = this.followers[stream]
-    if (!follower.hasRecordsFrom(from) && ageOf(follower) <= maximumAgeMilliseconds) await follower.nextRead(monotonicNow() + wait)
+    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower))) await follower.nextRead(monotonicNow() + wait)
     const body = await this.encode(stream, from, follower)
-    response.setHeader(feedHeaders.age, String(Math.round(ageOf(follower))))
+    const { ageMilliseconds, isConnected } = freshnessOf(follower)
+    response.setHeader(feedHeaders.age, String(Math.round(ageMilliseconds)))
+    response.setHeader(feedHeaders.connected, isConnected ? 'yes' : 'no')
     if (body.isCompressed) response.setHeader('content-encoding', 'gzip')
     response.end(body.bytes)
   }
@@ -77,8 +101,8 @@
   }
 }
 
-function ageOf (follower: RecordFollower): number {
-  return monotonicNow() - follower.state.confirmedAt
+function freshnessOf ({ state }: RecordFollower): Pick<FedRecords, 'ageMilliseconds' | 'isConnected'> {
+  return { ageMilliseconds: monotonicNow() - state.confirmedAt, isConnected: state.isConnected }
 }
 
 function encodeRecord (record: KeyedRecord): EncodedRecord {
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,6 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
-import type { PreferredSource } from '../core/fleet/record-sources.js'
+import { mayReadOutside, type PreferredSource } from '../core/fleet/record-sources.js'
 import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
@@ -10,12 +10,12 @@
 
 const log = logFor('records')
 
-/** Time for which a source is not tried unless all others failed too, milliseconds: one that did not answer, doubled for each consecutive failure up to the maximum, and one that answered with records that are not current. */
-const avoidedMilliseconds = { failed: 1000, maximum: 8000, stale: 500 } as const
+/** Time for which a source that did not answer is not tried unless all others failed too, milliseconds; doubled for each consecutive failure of an entry up to the maximum. */
+const avoidedMilliseconds = { log: 500, entry: 1000, maximum: 8000 } as const
 /** Time after which a call tries no further entry, milliseconds. */
 const triesMilliseconds = 2500
-/** Delay of a read of the log for each entry of a lower rank that has not read it either, milliseconds: when the log answers again, a few entries read it and the others read from them. */
-const staleRankMilliseconds = 50
+/** Delay of a read of the log for each preferred entry that has not read it either, milliseconds: when the log answers again, a few entries read it and the others read from them. */
+const staleEntryMilliseconds = 50
 
 /** Options of a selection. */
 export interface SelectionOptions {
@@ -66,11 +66,12 @@
 
   private async tryInOrder<Result> (call: (source: PreferredSource) => Promise<Result>): Promise<Result> {
     const triesUntil = monotonicNow() + triesMilliseconds
+    const stale: StaleRecordsError[] = []
     let failure: unknown
-    let staleEntries = 0
     for (const source of this.choose()) {
       if (source.kind === 'entry' && failure !== undefined && monotonicNow() > triesUntil) continue
-      if (source.kind === 'log' && staleEntries > 0) await sleepUntil(monotonicNow() + staleEntries * staleRankMilliseconds)
+      if (isOutside(source) && !mayReadOutside(stale)) break
+      if (source.kind === 'log') await sleepUntil(monotonicNow() + stale.length * staleEntryMilliseconds)
       try {
         const result = await call(source)
         this.recordSuccess(source)
@@ -78,7 +79,7 @@
       } catch (error) {
         failure = failure === undefined || source.kind === 'log' ? error : failure
         this.recordFailure(source, error)
-        if (error instanceof StaleRecordsError) staleEntries += 1
+        if (error instanceof StaleRecordsError && !isOutside(source)) stale.push(error)
       }
     }
     throw failure ?? new Error('no source of records is known')
@@ -103,11 +104,12 @@
 
   private recordFailure (source: PreferredSource, error: unknown): void {
     const name = nameOf(source)
-    const isStale = error instanceof StaleRecordsError
-    const failures = isStale || source.kind === 'log' ? 0 : (this.failures.get(name) ?? 0) + 1
-    this.failures.set(name, failures)
-    const milliseconds = failures === 0 ? avoidedMilliseconds.stale : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.failed * 2 ** (failures - 1))
-    this.avoidedUntil.set(name, monotonicNow() + milliseconds)
+    if (!(error instanceof StaleRecordsError)) {
+      const failures = (this.failures.get(name) ?? 0) + 1
+      this.failures.set(name, failures)
+      const milliseconds = source.kind === 'log' ? avoidedMilliseconds.log : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.entry * 2 ** (failures - 1))
+      this.avoidedUntil.set(name, monotonicNow() + milliseconds)
+    }
     if (source.kind === 'log') return
     this.options.metrics.countFailure(source.isSameDataCentre ? 'peer' : 'remote-peer', error)
     if (this.current === name) log.warn('an entry does not deliver records; trying the next source', { stream: this.options.stream, source: name, reason: String(error) })
@@ -122,6 +124,10 @@
   }
 }
 
+function isOutside (source: PreferredSource): boolean {
+  return source.kind === 'log' || !source.isSameDataCentre
+}
+
 function nameOf (source: PreferredSource): string {
   return source.kind === 'log' ? 'log' : source.instance
 }
