Let entries tell agents what to roll out; agents read the log only while no entry subscribes

Seen: every agent followed the operators' records and so read each whole configuration; of that it needs named versions and a few facts of its service. Cause: agents had no other source; the subscriptions that each entry sends each second carried only the offset that the entry had read. Change: a subscription carries the named weights with their ages and, in one renewal of four, after a change and to an engine that is new, the facts (configuration version, models, chunks, origin, whether streams are resumable). Entries announce changes at once, at most every 100 ms; a configuration that changes no facts is not announced. Agents take facts of the highest configuration version only. They read the log after 3 s without a subscription, then with growing, jittered pauses up to 10 s, and after the first read only what follows. The instance list is read from the log only then too; its single read at the start was never repeated when it failed. List of agents and facts are in different renewals, since a list of 50 agents nearly fills a packet. The rule for ages of named versions is now one function for entries and agents. An entry no longer reports a version as new each time that gossip brings one older than the four it remembers.

--- a/src/core/weights/version-plan.ts
+++ b/src/core/weights/version-plan.ts
@@ -3,7 +3,7 @@
 /** A version that operators have named as the one to serve. */
 export interface NamedVersion {
   readonly version: number
-  /** Monotonic time at which this instance learned of it, milliseconds. */
+  /** Earliest known time at which a node learned of it, milliseconds of the monotonic clock; operators named it before that. */
   readonly since: number
 }
 
--- /dev/null
+++ b/src/roles/gateway/agent-subscriptions.ts
@@ -0,0 +1,127 @@
+/** Subscriptions of one entry to the load reports of agents; they also tell the agents what to roll out. */
+import { areSameFacts } from '../../core/weights/rollout-facts.js'
+import type { RolloutFacts, Upstream } from '../../types/fleet.js'
+import type { GossipedWeights, Subscription } from '../../types/node-messages.js'
+import { monotonicNow } from '../../utils/clock.js'
+import type { FleetState } from './fleet-state.js'
+
+/** Interval at which subscriptions are renewed, milliseconds: agents drop a subscription after about three of them. */
+const renewalIntervalMilliseconds = 1000
+/** One in this many renewals lists the other agents of the service, and another one carries the facts; both change seldom. */
+const renewalsPerList = 4
+/** Position of the renewal that carries the facts: not the one with the list of agents, which fills a packet by itself. */
+const factsRenewal = 2
+/** Shortest time between two announcements of changes, milliseconds; changes within it are announced together. */
+const announcementIntervalMilliseconds = 100
+
+/** What subscriptions read, and how they are sent. */
+export interface SubscriptionContext {
+  readonly dataCentre: string
+  readonly state: Pick<FleetState, 'weights' | 'rolloutFacts'>
+  /** Listed upstreams that are engines. */
+  engines (): readonly Upstream[]
+  send (message: Subscription, ip: string): void
+}
+
+/** What a subscription contains besides the named weights. */
+interface Content {
+  readonly hasAgents: boolean
+  readonly hasFacts: boolean
+}
+
+/** What an agent was told last. */
+interface Told {
+  readonly facts: RolloutFacts | undefined
+  readonly weights: string
+}
+
+/** Sends the subscriptions of one entry. */
+export class AgentSubscriptions {
+  /** Milliseconds of the monotonic clock. */
+  private nextRenewalAt = 0
+  private nextAnnouncementAt = 0
+  private announcementTimer: NodeJS.Timeout | undefined
+  /** Starts at a random value, since entries that start together would list agents at the same times. */
+  private renewals = Math.floor(Math.random() * renewalsPerList)
+  /** What the agent of each listed engine was told; a restarted engine counts as another one. */
+  private told: ReadonlyMap<string, Told> = new Map()
+
+  constructor (private readonly context: SubscriptionContext) {}
+
+  /** Renews the subscriptions when they are due; agents that lack something are told in any case. Called in each round of gossip. */
+  renew (): void {
+    const now = monotonicNow()
+    if (now < this.nextRenewalAt) {
+      this.subscribe(undefined)
+      return
+    }
+    this.nextRenewalAt = now + renewalIntervalMilliseconds
+    this.renewals = (this.renewals + 1) % renewalsPerList
+    this.subscribe({ hasAgents: this.renewals === 0, hasFacts: this.renewals === factsRenewal })
+  }
+
+  /** Tells agents of changed weights and facts: at once, or together with later changes when the last announcement is recent. */
+  announceChanges (): void {
+    this.announcementTimer ??= setTimeout(() => {
+      this.announcementTimer = undefined
+      // A timer may fire a little early.
+      if (monotonicNow() < this.nextAnnouncementAt) {
+        this.announceChanges()
+        return
+      }
+      const count = this.subscribe(undefined)
+      if (count > 0) this.nextAnnouncementAt = monotonicNow() + announcementIntervalMilliseconds
+    }, Math.max(0, this.nextAnnouncementAt - monotonicNow()))
+  }
+
+  stop (): void {
+    clearTimeout(this.announcementTimer)
+  }
+
+  /** Subscribes with `due` at all agents, or, if nothing is due, at those that lack something; returns the number of messages. */
+  private subscribe (due: Content | undefined): number {
+    const { dataCentre, state, send } = this.context
+    const engines = this.context.engines()
+    const weights = state.weights
+    const weightsText = textOf(weights)
+    const told = new Map<string, Told>()
+    let count = 0
+    for (const engine of engines) {
+      const key = `${engine.id} ${engine.address} ${engine.startedAt}`
+      const known = this.told.get(key)
+      const facts = state.rolloutFacts(engine.service)
+      const content = contentFor(due, known, { facts, weights: weightsText })
+      if (known !== undefined) told.set(key, known)
+      if (content === undefined) continue
+      told.set(key, { facts: content.hasFacts ? facts : known?.facts, weights: weightsText })
+      const agents = content.hasAgents ? otherAgents(engine, engines) : []
+      send({ kind: 'subscription', dataCentre, service: engine.service, weights, agents, rollout: content.hasFacts ? facts : undefined }, ipOf(engine.address))
+      count += 1
+    }
+    this.told = told
+    return count
+  }
+}
+
+/** What to send to an agent that was told `told`; undefined for nothing. */
+function contentFor (due: Content | undefined, told: Told | undefined, current: Told): Content | undefined {
+  if (told === undefined) return { hasAgents: true, hasFacts: true }
+  const lacksFacts = !areSameFacts(told.facts, current.facts)
+  if (due === undefined && !lacksFacts && told.weights === current.weights) return undefined
+  return { hasAgents: due?.hasAgents === true, hasFacts: lacksFacts || due?.hasFacts === true }
+}
+
+function otherAgents (engine: Upstream, engines: readonly Upstream[]): Subscription['agents'] {
+  return engines
+    .filter(({ id, service }) => service === engine.service && id !== engine.id)
+    .map(({ dataCentre, address }) => [dataCentre, ipOf(address)])
+}
+
+/** Names of the weights without their ages, to detect changes. */
+function textOf (weights: readonly GossipedWeights[]): string {
+  return weights.map(({ model, version }) => `${model} ${version}`).join()
+}
+
+function ipOf (address: string): string {
+  return address.split(':')[0] ?? address
+}
--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -1,8 +1,11 @@
 /** Operators' records as one entry knows them: configuration, evacuations and named weights. */
+import { mergeNamedVersion } from '../../core/weights/named-versions.js'
+import { rolloutFactsOf } from '../../core/weights/rollout-facts.js'
 import { cutoffLeadMilliseconds } from '../../core/weights/swap-schedule.js'
+import type { NamedVersion } from '../../core/weights/version-plan.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
-import type { Service } from '../../types/fleet.js'
-import type { GossipedWeights } from '../../types/node-messages.js'
+import type { RolloutFacts, Service } from '../../types/fleet.js'
+import type { GossipedWeights, ReportedFacts } from '../../types/node-messages.js'
 import type { KeyedRecord, RecordCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -11,18 +14,14 @@
 
 /** Version of the weights that serves while none is named. */
 const firstVersion = 1
-/** Named versions that are remembered for each model. */
-const maximumNamedVersions = 4
-
-interface NamedVersion {
-  readonly version: number
-  /** Earliest known time at which an entry read its record, milliseconds of the monotonic clock; operators wrote the record before that. */
-  readonly knownAt: number
-}
 
 /** Configuration, evacuations and named weights in force. */
 export class FleetState {
   private routeTable: RouteTable | undefined
+  /** When it came into force, milliseconds of the monotonic clock. */
+  private inForceAt = 0
+  /** Facts of the configuration in force, by service. */
+  private readonly facts = new Map<string, RolloutFacts>()
   private readonly evacuated = new Set<string>()
   private readonly named = new Map<string, readonly NamedVersion[]>()
 
@@ -37,6 +36,14 @@
     return this.routeTable?.configuration.services.get(name)
   }
 
+  /** Facts for the agents of a service; undefined before the first configuration. */
+  rolloutFacts (service: string): ReportedFacts | undefined {
+    if (this.routeTable === undefined) return undefined
+    const facts = this.facts.get(service) ?? rolloutFactsOf(this.routeTable.configuration, service)
+    this.facts.set(service, facts)
+    return { ...facts, ageMilliseconds: Math.round(monotonicNow() - this.inForceAt) }
+  }
+
   isEvacuated (dataCentre: string): boolean {
     return this.evacuated.has(dataCentre)
   }
@@ -58,25 +65,21 @@
   /** Named weights, each with the time since it was first known, for gossip. */
   get weights (): readonly GossipedWeights[] {
     const now = monotonicNow()
-    return [...this.named].flatMap(([model, named]) => named.map(({ version, knownAt }) => ({ model, version, ageMilliseconds: Math.round(now - knownAt) })))
+    return [...this.named].flatMap(([model, named]) => named.map(({ version, since }) => ({ model, version, ageMilliseconds: Math.round(now - since) })))
   }
 
   /** Lowest version on which a request for a model may start now. Each named version is required from `weightsMilliseconds` after it became known, less a margin for requests in upstreams' queues. */
   minimumVersion (model: string): number {
     const now = monotonicNow()
-    const required = (this.named.get(model) ?? []).filter(({ knownAt }) => now >= knownAt + this.weightsMilliseconds - cutoffLeadMilliseconds)
+    const required = (this.named.get(model) ?? []).filter(({ since }) => now >= since + this.weightsMilliseconds - cutoffLeadMilliseconds)
     return Math.max(firstVersion, ...required.map(({ version }) => version))
   }
 
   private recordNamedVersion (model: string, version: number, ageMilliseconds: number): void {
     const known = this.named.get(model) ?? []
-    const knownAt = monotonicNow() - ageMilliseconds
-    const same = known.find(named => named.version === version)
-    // An age of `weightsMilliseconds` or more may come from an entry that read the record at its start; it does not replace a known time.
-    if (same !== undefined && (ageMilliseconds >= this.weightsMilliseconds || knownAt >= same.knownAt)) return
-    const others = known.filter(named => named.version !== version)
-    this.named.set(model, [...others, { version, knownAt }].sort((left, right) => left.version - right.version).slice(-maximumNamedVersions))
-    if (same !== undefined) return
+    const merged = mergeNamedVersion(known, { version, ageMilliseconds }, this.weightsMilliseconds, monotonicNow())
+    this.named.set(model, merged)
+    if (merged === known || known.some(named => named.version === version)) return
     log.info('new weights version named', { model, version, ageMilliseconds: Math.round(ageMilliseconds) })
     this.changed()
   }
@@ -88,6 +91,8 @@
       return
     }
     this.routeTable = buildRouteTable(configuration)
+    this.inForceAt = monotonicNow()
+    this.facts.clear()
     log.info('new configuration in force', { version: configuration.version, previousVersion: inForce ?? 0, offset, routes: configuration.routes.length, organisations: configuration.organisations.length })
     this.changed()
   }
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -95,7 +95,10 @@
       beat: 0,
       isReady: false
     })
-    this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => { this.applyLimits() })
+    this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => {
+      this.applyLimits()
+      this.gossip.announceStateToAgents()
+    })
     this.pool = new UpstreamPool({
       instance: settings.instance,
       dataCentre: settings.dataCentre,
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -1,4 +1,4 @@
-/** Gossip between entries, and subscriptions to the load reports of agents. */
+/** Gossip between entries, and the messages of agents. */
 import { Agent } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
@@ -10,6 +10,7 @@
 import { runInBackground } from '../../utils/background.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { AgentSubscriptions } from './agent-subscriptions.js'
 import type { FleetState } from './fleet-state.js'
 import type { UpstreamPool } from './upstream-pool.js'
 
@@ -17,10 +18,6 @@
 
 /** Crash counts sent in one message, the latest first. */
 const maximumCrashCounts = 5
-/** Interval at which subscriptions are renewed, milliseconds: agents drop a subscription after about three of them. */
-const subscriptionIntervalMilliseconds = 1000
-/** One in this many subscriptions lists the other agents of the service; the list changes seldom. */
-const subscriptionsPerAgentList = 4
 
 /** What gossip reads and updates. */
 export interface GossipContext {
@@ -41,12 +38,18 @@
 /** Gossip of one entry; its rounds run from construction until `stop`. */
 export class EntryGossip {
   private readonly agent = new Agent({ keepAlive: true, maxSockets: 2 })
-  private nextSubscriptionAt = 0
-  private subscriptionCount = 0
+  private readonly subscriptions: AgentSubscriptions
   private isFetchingRecords = false
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly context: GossipContext) {
+    const { members, datagrams, state, pool } = context
+    this.subscriptions = new AgentSubscriptions({
+      dataCentre: members.self.dataCentre,
+      state,
+      engines: () => pool.all().flatMap(({ upstream }) => upstream.isEngine ? [upstream] : []),
+      send: (message, ip) => { datagrams().send(message, ip) }
+    })
     this.timer = setInterval(() => { this.round() }, roundMilliseconds)
   }
 
@@ -56,8 +59,14 @@
     for (const member of this.context.members.reachable()) this.context.datagrams().send(message, member.ip)
   }
 
+  /** Tells agents of new named weights and of new facts at once. */
+  announceStateToAgents (): void {
+    this.subscriptions.announceChanges()
+  }
+
   stop (): void {
     clearInterval(this.timer)
+    this.subscriptions.stop()
   }
 
   /** Sends this entry's state to an entry that was found by other means than gossip. */
@@ -71,7 +80,7 @@
     else if (message.kind === 'load') this.context.pool.applyLoadReport(message, ip)
   }
 
-  /** Runs one round: sends gossip to some members, forgets those that died long ago, and renews subscriptions that are due. */
+  /** Runs one round: sends gossip to some members, forgets those that died long ago, and renews subscriptions. */
   round (): void {
     const { members, datagrams, seeds } = this.context
     const message = this.message()
@@ -81,23 +90,7 @@
     ips.delete(members.self.ip)
     for (const ip of ips) datagrams().send(message, ip)
     members.prune(monotonicNow())
-    if (monotonicNow() >= this.nextSubscriptionAt) this.subscribe()
-  }
-
-  private subscribe (): void {
-    const { members, pool, operators, datagrams } = this.context
-    this.nextSubscriptionAt = monotonicNow() + subscriptionIntervalMilliseconds
-    this.subscriptionCount += 1
-    const listsAgents = this.subscriptionCount % subscriptionsPerAgentList === 0
-    const engines = pool.all().filter(({ upstream }) => upstream.isEngine)
-    for (const { upstream } of engines) {
-      const agents = !listsAgents
-        ? []
-        : engines
-          .filter(other => other.upstream.service === upstream.service && other.upstream.id !== upstream.id)
-          .map(other => [other.upstream.dataCentre, ipOf(other.upstream.address)] as const)
-      datagrams().send({ kind: 'subscription', dataCentre: members.self.dataCentre, operatorsNext: operators.state.next, agents }, ipOf(upstream.address))
-    }
+    this.subscriptions.renew()
   }
 
   private message (): Gossip {
@@ -147,7 +140,3 @@
     }
   }
 }
-
-function ipOf (address: string): string {
-  return address.split(':')[0] ?? address
-}
--- a/src/roles/weights/named-versions.ts
+++ b/src/roles/weights/named-versions.ts
@@ -1,7 +1,7 @@
 /** Versions of weights that operators have named for rollout, as known to one agent. */
+import { mergeNamedVersion, type ReportedVersion } from '../../core/weights/named-versions.js'
 import { cutoffLeadMilliseconds } from '../../core/weights/swap-schedule.js'
 import { versionToFetch, type NamedVersion } from '../../core/weights/version-plan.js'
-import type { NamedWeights } from '../../types/fleet.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 
@@ -9,8 +9,6 @@
 
 /** Version that engines get before operators name one. */
 const initialVersion = 1
-/** Maximum number of named versions that are remembered per model. */
-const maximumNamedVersions = 4
 
 /** Named versions of each model, the oldest first. */
 export class NamedVersions {
@@ -20,13 +18,13 @@
   /** `rolloutMilliseconds`: time from the naming of a version until new requests run on that version only. */
   constructor (private readonly rolloutMilliseconds: number) {}
 
-  /** Adds a version unless a newer one is known; `isFirst` marks a record that was found at the start, for the log. */
-  add (weights: NamedWeights, isFirst: boolean): void {
-    const { model, version } = weights
-    const named = this.named.get(model) ?? []
-    if (version <= (named.at(-1)?.version ?? 0)) return
-    this.named.set(model, [...named, { version, since: monotonicNow() }].slice(-maximumNamedVersions))
-    log.info('weights are named', { model, version, isFirst })
+  /** Adds a version that `source` reports, an entry's IP or `log`, or corrects the time at which a known one was named. */
+  merge (model: string, reported: ReportedVersion, source: string): void {
+    const known = this.named.get(model) ?? []
+    const merged = mergeNamedVersion(known, reported, this.rolloutMilliseconds, monotonicNow())
+    this.named.set(model, merged)
+    const { version, ageMilliseconds } = reported
+    if (merged !== known && !known.some(named => named.version === version)) log.info('weights are named', { model, version, source, ageMilliseconds: Math.round(ageMilliseconds) })
   }
 
   /** A version with the time at which it was named; one that was never named counts from the start of this process. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -1,16 +1,13 @@
 /** The agent on an engine's machine: rolls out named weights to the engine and reports its load to entries. */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { expectedCompletionAt } from '../../core/weights/swap-schedule.js'
-import { isServiceResumable } from '../../core/fleet/match-route.js'
 import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
-import { fetchRecords } from '../../nodes/record-exchange.js'
-import { isLagging, RecordFollower } from '../../nodes/record-follower.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { listenOn } from '../../transports/http-listen.js'
 import { DatagramSocket } from '../../transports/datagrams.js'
-import type { EngineFacts, EngineReport, FleetConfiguration, OriginFacts, Upstream } from '../../types/fleet.js'
+import type { EngineReport } from '../../types/fleet.js'
 import type { NodeMessage, Subscription } from '../../types/node-messages.js'
 import type { WeightsSettings } from '../../types/node-settings.js'
 import type { EnginePort, OriginPort, RecordCodec, RecordLog } from '../../types/ports.js'
@@ -24,13 +21,12 @@
 import { LoadReporter } from './load-reporter.js'
 import { NamedVersions } from './named-versions.js'
 import { PeerTable } from './peer-table.js'
+import { RolloutSource } from './rollout-source.js'
 import { Staging } from './staging.js'
 import { VersionCache } from './version-cache.js'
 
 const log = logFor('agent')
 
-/** Pace of reading operator records, milliseconds; while a read hangs, entries report newer records within a second. */
-const operatorsReadPace = { pause: 200, wait: 15_000 } as const
 /** Interval at which the engine is polled, milliseconds; an engine at full load finishes a request in about that time. */
 const reportIntervalMilliseconds = 100
 /** Time from the naming of a version until every engine can swap to it, in times of one copy on the machine's link. */
@@ -57,7 +53,7 @@
 
 class WeightsAgent implements RunningNode {
   private readonly metrics = new Metrics()
-  private readonly operators: RecordFollower
+  private readonly rollout: RolloutSource
   private readonly datagrams: DatagramSocket
   private readonly peers: PeerTable
   private readonly server: Server
@@ -68,7 +64,6 @@
   private readonly loadReporter: LoadReporter
   private readonly announcer: Announcer
   private readonly httpAgent = new Agent({ keepAlive: true, maxSockets: 2 })
-  private configuration: FleetConfiguration | undefined
   private readonly named: NamedVersions
   private report: EngineReport | undefined
   /** Whether chunks are being staged or a swap is in progress; at most one such task runs at a time. */
@@ -76,7 +71,6 @@
   private isStopped = false
   /** False until the engine has answered once: what is staged there is unknown before. */
   private hasEngineAnswered = false
-  private isFetchingRecords = false
 
   constructor (private readonly settings: WeightsSettings, private readonly ports: WeightsPorts) {
     this.named = new NamedVersions(settings.rolloutMilliseconds)
@@ -84,10 +78,9 @@
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
     this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
-    this.operators = new RecordFollower(ports.records, 'operators', operatorsReadPace, {
-      record: (record, isFirst) => { this.handleRecord(record.key, record.value, isFirst) },
-      onLogRecovered: () => {}
-    })
+    const { service, rolloutMilliseconds } = settings
+    const { records, codec } = ports
+    this.rollout = new RolloutSource({ service, rolloutMilliseconds, records, codec, named: this.named, peers: this.peers, metrics: this.metrics })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
@@ -98,8 +91,8 @@
       origin: ports.origin,
       peers: this.peers,
       httpAgent: this.httpAgent,
-      originFacts: () => this.originFacts,
-      chunkBytes: () => this.engineFacts?.chunkBytes ?? 0,
+      originFacts: () => this.rollout.facts?.origin,
+      chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
       onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) }
     })
@@ -110,39 +103,25 @@
     const { ip, internalPort } = this.settings
     await this.datagrams.open(ip)
     await listenOn(this.server, `${ip}:${internalPort}`)
-    runInBackground(this.operators.run(), log, 'follow the operators')
-    runInBackground(this.loadPeers(), log, 'read the instance list')
+    runInBackground(this.rollout.run(), log, 'read the log while no entry subscribes')
     runInBackground(this.watch(), log, 'poll the engine')
   }
 
   async stop (): Promise<void> {
     this.isStopped = true
-    this.operators.stop()
+    this.rollout.stop()
     this.versions.stop()
     this.datagrams.close()
     this.server.close()
   }
 
-  private get engineFacts (): EngineFacts | undefined {
-    return this.configuration?.services.get(this.settings.service)?.engine
-  }
-
-  private get originFacts (): OriginFacts | undefined {
-    return [...this.configuration?.services.values() ?? []].find(({ origin }) => origin !== undefined)?.origin
-  }
-
   private get served (): number {
     return this.report?.weights?.version ?? 0
   }
 
-  /** Whether every stream of the service can resume at another engine. */
-  private get isResumable (): boolean {
-    return isServiceResumable(this.configuration?.routes ?? [], this.settings.service)
-  }
-
   /** Estimated time until a version is served everywhere, from the share of chunks missing here, milliseconds. */
   private estimateRolloutMilliseconds (model: string, version: number): number {
-    const bytes = (this.engineFacts?.chunkBytes ?? 0) * (this.engineFacts?.chunkCount ?? 0)
+    const bytes = (this.rollout.facts?.chunkBytes ?? 0) * (this.rollout.facts?.chunkCount ?? 0)
     const { linkBytesPerSecond } = this.settings
     const copyMilliseconds = linkBytesPerSecond === 0 ? 0 : bytes / linkBytesPerSecond * 1000
     const chunks = this.versions.get(model, version)
@@ -156,13 +135,6 @@
     return this.named.next(model, this.served, held, version => this.estimateRolloutMilliseconds(model, version))
   }
 
-  private handleRecord (key: string, value: Buffer | undefined, isFirst: boolean): void {
-    const decoded = this.ports.codec.operatorRecord(key, value)
-    if (decoded.kind === 'configuration') {
-      if (decoded.configuration.version > (this.configuration?.version ?? -1)) this.configuration = decoded.configuration
-    } else if (decoded.kind === 'weights') this.named.add(decoded.weights, isFirst)
-  }
-
   private receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'subscription') this.subscribe(message, ip)
     else if (message.kind === 'holdings') {
@@ -174,28 +146,7 @@
 
   private subscribe (subscription: Subscription, ip: string): void {
     this.loadReporter.subscribe(ip, subscription.dataCentre === this.settings.dataCentre)
-    this.peers.addPeers(subscription.agents)
-    const isBehind = isLagging(this.operators.state, subscription.operatorsNext, monotonicNow())
-    if (isBehind && !this.isFetchingRecords) runInBackground(this.fetchRecords(ip), log, 'ask for records')
-  }
-
-  /** Fetches the operators' records from an entry while the log does not answer. */
-  private async fetchRecords (ip: string): Promise<void> {
-    this.isFetchingRecords = true
-    try {
-      const records = await fetchRecords(`${ip}:${this.settings.internalPort}`, this.httpAgent)
-      this.operators.receiveRecords(records.operators)
-    } finally {
-      this.isFetchingRecords = false
-    }
-  }
-
-  /** Reads the instance list once; afterwards entries report the agents in their subscriptions. */
-  private async loadPeers (): Promise<void> {
-    const { records } = await this.ports.records.newest('instances')
-    const listed = records.flatMap(({ key, value }) => value === undefined ? [] : [this.ports.codec.upstream(key, value)])
-    const upstreams = listed.filter((upstream): upstream is Upstream => !('reason' in upstream) && upstream.service === this.settings.service)
-    this.peers.addPeers(upstreams.map(({ dataCentre, address }) => [dataCentre, address.split(':')[0] ?? '']))
+    this.rollout.receive(subscription, ip)
   }
 
   /** Polls the engine, then updates it, until stopped. */
@@ -245,7 +196,7 @@
 
   /** Takes the next steps of the rollout: fetch, announce, close early, and stage or swap. */
   private updateEngine (): void {
-    const model = this.engineFacts?.models[0]
+    const model = this.rollout.facts?.models[0]
     if (model === undefined || !this.hasEngineAnswered) return
     const wanted = this.versionToFetch(model)
     this.versions.fetchVersion(model, wanted.version, wanted.since)
@@ -283,7 +234,7 @@
   }
 
   private swapRequest (target: NamedVersion, report: EngineReport): SwapRequest {
-    return { report, target, rolloutDeadline: target.since + this.settings.rolloutMilliseconds, isResumable: this.isResumable }
+    return { report, target, rolloutDeadline: target.since + this.settings.rolloutMilliseconds, isResumable: this.rollout.facts?.isResumable ?? false }
   }
 
   private handleRequest (incoming: IncomingMessage, response: ServerResponse): void {
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -1,7 +1,7 @@
 /** UDP messages between nodes. They are JSON arrays without field names, to be short, since many of them cross regions. */
 import { createSocket, type Socket } from 'node:dgram'
 import type { Member } from '../core/fleet/members.js'
-import type { Gossip, Holdings, LoadReport, NodeMessage, Subscription } from '../types/node-messages.js'
+import type { Gossip, GossipedWeights, Holdings, LoadReport, NodeMessage, ReportedFacts, Subscription } from '../types/node-messages.js'
 import { logFor } from '../utils/log.js'
 
 const log = logFor('members')
@@ -59,8 +59,8 @@
 
 function encodeFields (message: NodeMessage): Fields {
   switch (message.kind) {
-    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, message.weights.map(({ model, version, ageMilliseconds }) => [model, version, ageMilliseconds]), message.crashes.map(({ fingerprint, upstreams }) => [fingerprint, upstreams])]
-    case 'subscription': return [message.dataCentre, message.operatorsNext, message.agents]
+    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, encodeWeights(message.weights), message.crashes.map(({ fingerprint, upstreams }) => [fingerprint, upstreams])]
+    case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout)]
     case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds]
     case 'holdings': return [message.dataCentre, message.model, message.version, message.held, message.heldInDataCentre, message.served, message.isSwapping]
   }
@@ -70,6 +70,17 @@
   return [member.instance, member.ip, member.callers, member.dataCentre, member.region, member.incarnation, member.beat, member.isReady]
 }
 
+function encodeWeights (weights: readonly GossipedWeights[]): Fields {
+  return weights.map(({ model, version, ageMilliseconds }) => [model, version, ageMilliseconds])
+}
+
+/** Facts that are not sent become an empty list; a configuration without an origin, an empty address. */
+function encodeFacts (facts: ReportedFacts | undefined): Fields {
+  if (facts === undefined) return []
+  const { configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin, isResumable } = facts
+  return [configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin?.address ?? '', origin?.bytesPerSecond ?? 0, isResumable]
+}
+
 /** Type of a field: the result of `typeof`, or `list` for arrays. */
 type FieldType = 'string' | 'number' | 'boolean' | 'list'
 
@@ -81,6 +92,30 @@
   return { instance, ip, callers, dataCentre, region, incarnation, beat, isReady }
 }
 
+function decodeWeights (list: Fields): readonly GossipedWeights[] {
+  return list.map(fields => {
+    checkTypes(fields, ['string', 'number', 'number'])
+    const [model, version, ageMilliseconds] = fields as [string, number, number]
+    return { model, version, ageMilliseconds }
+  })
+}
+
+function decodeAgents (list: Fields): Subscription['agents'] {
+  return list.map(fields => {
+    checkTypes(fields, ['string', 'string'])
+    const [dataCentre, ip] = fields as [string, string]
+    return [dataCentre, ip]
+  })
+}
+
+function decodeFacts (fields: Fields): ReportedFacts | undefined {
+  if (fields.length === 0) return undefined
+  checkTypes(fields, ['number', 'number', 'list', 'number', 'number', 'string', 'number', 'boolean'])
+  const [configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, address, bytesPerSecond, isResumable] = fields as [number, number, readonly string[], number, number, string, number, boolean]
+  checkTypes(models, models.map(() => 'string'))
+  return { configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin: address === '' ? undefined : { address, bytesPerSecond }, isResumable }
+}
+
 /** Throws unless `fields` is an array that starts with fields of the given types. */
 function checkTypes (fields: unknown, types: readonly FieldType[]): void {
   if (!Array.isArray(fields)) throw new TypeError('not a list')
@@ -91,21 +126,21 @@
 const decoders: Readonly<Record<NodeMessage['kind'], (fields: Fields) => NodeMessage>> = {
   gossip: fields => {
     checkTypes(fields, ['list', 'list', 'number', 'number', 'list', 'list'])
-    const [sender, others, operatorsNext, instancesNext, weights, crashes] = fields as [Fields, readonly Fields[], number, number, readonly [string, number, number][], readonly [string, readonly string[]][]]
+    const [sender, others, operatorsNext, instancesNext, weights, crashes] = fields as [Fields, readonly Fields[], number, number, Fields, readonly [string, readonly string[]][]]
     return {
       kind: 'gossip',
       sender: decodeMember(sender),
       others: others.map(decodeMember),
       operatorsNext,
       instancesNext,
-      weights: weights.map(([model, version, ageMilliseconds]) => ({ model, version, ageMilliseconds })),
+      weights: decodeWeights(weights),
       crashes: crashes.map(([fingerprint, upstreams]) => ({ fingerprint, upstreams }))
     } satisfies Gossip
   },
   subscription: fields => {
-    checkTypes(fields, ['string', 'number', 'list'])
-    const [dataCentre, operatorsNext, agents] = fields as [string, number, Subscription['agents']]
-    return { kind: 'subscription', dataCentre, operatorsNext, agents } satisfies Subscription
+    checkTypes(fields, ['string', 'string', 'list', 'list', 'list'])
+    const [dataCentre, service, weights, agents, rollout] = fields as [string, string, Fields, Fields, Fields]
+    return { kind: 'subscription', dataCentre, service, weights: decodeWeights(weights), agents: decodeAgents(agents), rollout: decodeFacts(rollout) } satisfies Subscription
   },
   load: fields => {
     checkTypes(fields, ['number', 'number', 'number', 'string', 'number', 'boolean', 'number'])
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -59,6 +59,19 @@
   readonly bytesPerSecond: number
 }
 
+/** What the agents of a service need of a configuration. */
+export interface RolloutFacts {
+  readonly configurationVersion: number
+  /** Models of the service's engines; empty when the configuration does not list the service as one of engines. */
+  readonly models: readonly string[]
+  readonly chunkCount: number
+  readonly chunkBytes: number
+  /** Undefined when the configuration has none. */
+  readonly origin: OriginFacts | undefined
+  /** Whether every stream of the service can be resumed at another engine. */
+  readonly isResumable: boolean
+}
+
 /** A service of upstreams. */
 export interface Service {
   readonly name: string
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -1,6 +1,7 @@
 /** Messages between the nodes of a deployment whose upstreams are called directly. */
 import type { CrashCount } from '../core/dispatch/crash-suspects.js'
 import type { Member } from '../core/fleet/members.js'
+import type { RolloutFacts } from './fleet.js'
 
 /** Named weights with the time since the sender learned of them, milliseconds. */
 export interface GossipedWeights {
@@ -22,13 +23,22 @@
   readonly crashes: readonly CrashCount[]
 }
 
-/** Sent by an entry to an agent, periodically, to receive its load reports. */
+/** Facts for the agents of one service with the time since the sender put their configuration in force, milliseconds. */
+export interface ReportedFacts extends RolloutFacts {
+  readonly ageMilliseconds: number
+}
+
+/** Sent by an entry to an agent, periodically and after changes, to receive its load reports and to tell it what to roll out. */
 export interface Subscription {
   readonly kind: 'subscription'
   readonly dataCentre: string
-  readonly operatorsNext: number
-  /** Data centre and IP of each agent of the same service; empty in most subscriptions, since the agents rarely change. */
+  /** Service of the engine beside the agent, as its record says. */
+  readonly service: string
+  readonly weights: readonly GossipedWeights[]
+  /** Data centre and IP of each agent of that service; empty in most subscriptions, since the agents rarely change. */
   readonly agents: readonly (readonly [string, string])[]
+  /** Facts of that service; undefined in most subscriptions, and before the sender's first configuration. */
+  readonly rollout: ReportedFacts | undefined
 }
 
 /** Sent by an agent to the entries that subscribed. */
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -193,7 +193,9 @@
 
 const datagramCases: readonly NodeMessage[] = [
   { kind: 'gossip', sender: member('a'), others: [member('b', otherRegion)], operatorsNext: 3, instancesNext: 9, weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], crashes: [{ fingerprint: 'f', upstreams: ['i-1/1'] }] },
-  { kind: 'subscription', dataCentre: 'zone-a', operatorsNext: 3, agents: [['zone-a', '10.0.0.1']] },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [['zone-a', '10.0.0.1']], rollout: undefined },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: ['weights-a'], chunkCount: 40, chunkBytes: 32_768, origin: { address: '10.0.0.9:80', bytesPerSecond: 2_000_000 }, isResumable: true } },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: [], chunkCount: 0, chunkBytes: 0, origin: undefined, isResumable: false } },
   { kind: 'load', startedAt: 5, running: 3, waiting: 1, model: 'weights-a', version: 2, isSwapping: false, readyInMilliseconds: -1 },
   { kind: 'holdings', dataCentre: 'zone-a', model: 'weights-a', version: 2, held: 'AAA=', heldInDataCentre: 'AAA=', served: 1, isSwapping: true }
 ]
@@ -202,6 +204,22 @@
   test(`datagram: ${message.kind} is decoded as it was encoded`, async t => { t.same(decodeMessage(encodeMessage(message)), message) })
 }
 
-for (const text of ['', '{', '7', '["colour",1]', '["toString"]', '["gossip"]', '["load"']) {
+const malformedSubscriptions = [
+  '["subscription","zone-a",3,[]]',
+  '["subscription","zone-a",7,[],[],[]]',
+  '["subscription","zone-a","ledger",3,[],[]]',
+  '["subscription","zone-a","ledger",[],[]]',
+  '["subscription","zone-a","ledger",[["weights-a","2",40]],[],[]]',
+  '["subscription","zone-a","ledger",[null],[],[]]',
+  '["subscription","zone-a","ledger",[],[["zone-a"]],[]]',
+  '["subscription","zone-a","ledger",[],[],null]',
+  '["subscription","zone-a","ledger",[],[],[7]]',
+  '["subscription","zone-a","ledger",[],[],["7",30,["weights-a"],40,32768,"",0,true]]',
+  '["subscription","zone-a","ledger",[],[],[7,30,["weights-a",5],40,32768,"",0,true]]',
+  '["subscription","zone-a","ledger",[],[],[7,30,["weights-a"],40,32768,null,0,true]]',
+  '["subscription","zone-a","ledger",[],[],[7,30,["weights-a"],40,32768,"",0,1]]'
+]
+
+for (const text of ['', '{', '7', '["colour",1]', '["toString"]', '["gossip"]', '["load"', ...malformedSubscriptions]) {
   test(`datagram: ${JSON.stringify(text)} is no message`, async t => { t.equal(decodeMessage(text), undefined) })
 }
