Agents introduce themselves to entries while none subscribes

Cause: an entry subscribes once it has read the engine's record, up to 0.8 s after the engine answers here, as it reads the instance list each 0.8 s. Change: an agent without a subscription for 1.5 s, and from its start on, sends an introduction (its service) each 0.5 s to the entries that its settings name; they answer with a subscription that has everything, unless they have no configuration yet. It comes before the log is read.

--- a/src/roles/gateway/agent-subscriptions.ts
+++ b/src/roles/gateway/agent-subscriptions.ts
@@ -74,6 +74,14 @@
     }, Math.max(0, this.nextAnnouncementAt - monotonicNow()))
   }
 
+  /** Subscribes at an agent of a service that no entry has subscribed to, as its engine may not be listed yet; not before the first configuration. */
+  answerIntroduction (service: string, ip: string): void {
+    const { dataCentre, state, engines, send } = this.context
+    const facts = state.rolloutFacts(service)
+    if (facts === undefined) return
+    send({ kind: 'subscription', dataCentre, service, weights: state.weights, agents: agentsOf(service, engines()), rollout: facts }, ip)
+  }
+
   stop (): void {
     clearTimeout(this.announcementTimer)
   }
@@ -94,7 +102,7 @@
       if (known !== undefined) told.set(key, known)
       if (content === undefined) continue
       told.set(key, { facts: content.hasFacts ? facts : known?.facts, weights: weightsText })
-      const agents = content.hasAgents ? otherAgents(engine, engines) : []
+      const agents = content.hasAgents ? agentsOf(engine.service, engines.filter(({ id }) => id !== engine.id)) : []
       send({ kind: 'subscription', dataCentre, service: engine.service, weights, agents, rollout: content.hasFacts ? facts : undefined }, ipOf(engine.address))
       count += 1
     }
@@ -111,9 +119,9 @@
   return { hasAgents: due?.hasAgents === true, hasFacts: lacksFacts || due?.hasFacts === true }
 }
 
-function otherAgents (engine: Upstream, engines: readonly Upstream[]): Subscription['agents'] {
+function agentsOf (name: string, engines: readonly Upstream[]): Subscription['agents'] {
   return engines
-    .filter(({ id, service }) => service === engine.service && id !== engine.id)
+    .filter(({ service }) => service === name)
     .map(({ dataCentre, address }) => [dataCentre, ipOf(address)])
 }
 
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -74,10 +74,11 @@
     this.context.datagrams().send(this.message(), ip)
   }
 
-  /** Handles a datagram of another node: gossip or a load report; others are ignored. */
+  /** Handles a datagram of another node: gossip, a load report or an introduction; others are ignored. */
   receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'gossip') this.handleGossip(message)
     else if (message.kind === 'load') this.context.pool.applyLoadReport(message, ip)
+    else if (message.kind === 'introduction') this.subscriptions.answerIntroduction(message.service, ip)
   }
 
   /** Runs one round: sends gossip to some members, forgets those that died long ago, and renews subscriptions. */
--- a/src/roles/weights/rollout-source.ts
+++ b/src/roles/weights/rollout-source.ts
@@ -14,6 +14,10 @@
 
 /** Source of what was read from the log, in log lines. */
 const logSource = 'log'
+/** Time without a subscription after which an agent introduces itself, milliseconds: each entry subscribes once a second. */
+const silenceMilliseconds = 1500
+/** Time between two introductions, milliseconds. */
+const introductionIntervalMilliseconds = 500
 
 /** Dependencies of a source. */
 export interface RolloutContext {
@@ -25,11 +29,15 @@
   readonly named: NamedVersions
   readonly peers: PeerTable
   readonly metrics: Metrics
+  /** Sends an introduction to the entries that the settings name. */
+  introduce (): void
 }
 
 /** Facts and named versions of one agent. The log is read in `run` only. */
 export class RolloutSource {
   private known: RolloutFacts | undefined
+  /** When this agent introduces itself unless an entry subscribes before, milliseconds of the monotonic clock. */
+  private introduceAt = 0
   /** When the log is read unless an entry subscribes before, milliseconds of the monotonic clock. */
   private logReadAt = nextLogReadAt(monotonicNow(), 0, Math.random())
   /** Reads of the log since the last subscription. */
@@ -57,13 +65,17 @@
     if (subscription.rollout !== undefined) this.putFacts(subscription.rollout, subscription.rollout.ageMilliseconds, ip)
     peers.addPeers(subscription.agents)
     // An entry without a configuration cannot replace the log for an agent that has none either.
-    if (this.known !== undefined) this.postponeLogRead()
+    if (this.known !== undefined) this.recordSubscription()
   }
 
-  /** Reads the log whenever no entry has subscribed for some time, until `stop`. */
+  /** Whenever no entry has subscribed for some time, introduces this agent to entries, then reads the log as well, until `stop`. */
   async run (): Promise<void> {
     while (!this.isStopped) {
-      await sleepUntil(this.logReadAt)
+      if (monotonicNow() >= this.introduceAt) {
+        this.introduceAt = monotonicNow() + introductionIntervalMilliseconds
+        this.context.introduce()
+      }
+      await sleepUntil(Math.min(this.introduceAt, this.logReadAt))
       if (this.isStopped || monotonicNow() < this.logReadAt) continue
       await this.readLog()
       this.reads += 1
@@ -75,11 +87,12 @@
     this.isStopped = true
   }
 
-  private postponeLogRead (): void {
+  private recordSubscription (): void {
     if (this.reads > 0) log.info('entries subscribe again: the log is not read', { reads: this.reads })
     this.reads = 0
     this.operatorsNext = undefined
     this.hasLearned = true
+    this.introduceAt = monotonicNow() + silenceMilliseconds
     this.logReadAt = nextLogReadAt(monotonicNow(), 0, Math.random())
   }
 
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -80,7 +80,7 @@
     this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
     const { service, rolloutMilliseconds } = settings
     const { records, codec } = ports
-    this.rollout = new RolloutSource({ service, rolloutMilliseconds, records, codec, named: this.named, peers: this.peers, metrics: this.metrics })
+    this.rollout = new RolloutSource({ service, rolloutMilliseconds, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
@@ -144,6 +144,10 @@
     }
   }
 
+  private introduce (): void {
+    for (const seed of this.settings.seeds) this.datagrams.send({ kind: 'introduction', service: this.settings.service }, seed)
+  }
+
   private subscribe (subscription: Subscription, ip: string): void {
     this.loadReporter.subscribe(ip, subscription.dataCentre === this.settings.dataCentre)
     this.rollout.receive(subscription, ip)
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -1,7 +1,7 @@
 /** UDP messages between nodes. They are JSON arrays without field names, to be short, since many of them cross regions. */
 import { createSocket, type Socket } from 'node:dgram'
 import type { Member } from '../core/fleet/members.js'
-import type { Gossip, GossipedWeights, Holdings, LoadReport, NodeMessage, ReportedFacts, Subscription } from '../types/node-messages.js'
+import type { Gossip, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, ReportedFacts, Subscription } from '../types/node-messages.js'
 import { logFor } from '../utils/log.js'
 
 const log = logFor('members')
@@ -61,6 +61,7 @@
   switch (message.kind) {
     case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, encodeWeights(message.weights), message.crashes.map(({ fingerprint, upstreams }) => [fingerprint, upstreams])]
     case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout)]
+    case 'introduction': return [message.service]
     case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds]
     case 'holdings': return [message.dataCentre, message.model, message.version, message.held, message.heldInDataCentre, message.served, message.isSwapping]
   }
@@ -142,6 +143,11 @@
     const [dataCentre, service, weights, agents, rollout] = fields as [string, string, Fields, Fields, Fields]
     return { kind: 'subscription', dataCentre, service, weights: decodeWeights(weights), agents: decodeAgents(agents), rollout: decodeFacts(rollout) } satisfies Subscription
   },
+  introduction: fields => {
+    checkTypes(fields, ['string'])
+    const [service] = fields as [string]
+    return { kind: 'introduction', service } satisfies Introduction
+  },
   load: fields => {
     checkTypes(fields, ['number', 'number', 'number', 'string', 'number', 'boolean', 'number'])
     const [startedAt, running, waiting, model, version, isSwapping, readyInMilliseconds] = fields as [number, number, number, string, number, boolean, number]
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -41,6 +41,12 @@
   readonly rollout: ReportedFacts | undefined
 }
 
+/** Sent by an agent without a subscription, to entries that its settings name; they subscribe at once. */
+export interface Introduction {
+  readonly kind: 'introduction'
+  readonly service: string
+}
+
 /** Sent by an agent to the entries that subscribed. */
 export interface LoadReport {
   readonly kind: 'load'
@@ -74,4 +80,4 @@
 }
 
 /** A message between nodes, distinguished by `kind`. */
-export type NodeMessage = Gossip | Subscription | LoadReport | Holdings
+export type NodeMessage = Gossip | Subscription | Introduction | LoadReport | Holdings
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -66,6 +66,16 @@
   t.same(sent.map(({ agents, rollout }) => [agents, rollout?.configurationVersion]), [[[['zone-a', '10.100.0.1'], ['zone-a', '10.100.0.2']], 3]], 'the others are not due yet')
 })
 
+test('subscriptions: an agent whose engine is not listed is answered, once there is a configuration', async t => {
+  const entry = new Entry(2)
+  entry.subscriptions.answerIntroduction(service, '10.100.0.9')
+  t.equal((await entry.taken()).length, 0)
+  entry.configuration = configurationOf(3)
+  entry.subscriptions.answerIntroduction(service, '10.100.0.9')
+  t.equal(entry.sent[0]?.ip, '10.100.0.9')
+  t.same((await entry.taken()).map(({ agents, rollout }) => [agents.length, rollout?.configurationVersion]), [[2, 3]])
+})
+
 interface ChangeCase {
   readonly name: string
   readonly change: (entry: Entry) => void
--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -19,7 +19,7 @@
   region: 'north',
   regionByDataCentre: new Map(),
   internalPort: 0,
-  seeds: [],
+  seeds: ['127.0.0.2'],
   store: '',
   configurationApplyMilliseconds: 2000,
   drainMilliseconds: 2000,
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -196,6 +196,7 @@
   { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [['zone-a', '10.0.0.1']], rollout: undefined },
   { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: ['weights-a'], chunkCount: 40, chunkBytes: 32_768, origin: { address: '10.0.0.9:80', bytesPerSecond: 2_000_000 }, isResumable: true } },
   { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: [], chunkCount: 0, chunkBytes: 0, origin: undefined, isResumable: false } },
+  { kind: 'introduction', service: 'ledger' },
   { kind: 'load', startedAt: 5, running: 3, waiting: 1, model: 'weights-a', version: 2, isSwapping: false, readyInMilliseconds: -1 },
   { kind: 'holdings', dataCentre: 'zone-a', model: 'weights-a', version: 2, held: 'AAA=', heldInDataCentre: 'AAA=', served: 1, isSwapping: true }
 ]
@@ -220,6 +221,6 @@
   '["subscription","zone-a","ledger",[],[],[7,30,["weights-a"],40,32768,"",0,1]]'
 ]
 
-for (const text of ['', '{', '7', '["colour",1]', '["toString"]', '["gossip"]', '["load"', ...malformedSubscriptions]) {
+for (const text of ['', '{', '7', '["colour",1]', '["toString"]', '["gossip"]', '["load"', '["introduction"]', '["introduction",7]', ...malformedSubscriptions]) {
   test(`datagram: ${JSON.stringify(text)} is no message`, async t => { t.equal(decodeMessage(text), undefined) })
 }
--- a/test/weights-rollout-source.test.ts
+++ b/test/weights-rollout-source.test.ts
@@ -21,11 +21,27 @@
   node.log.append('configuration', 3)
   await node.start()
   await node.sendFor(4500, subscriptionOf(3))
-  t.ok(node.received.length > 0, 'the agent reports to the entry')
+  t.ok(node.received.some(({ kind }) => kind === 'load'), 'the agent reports to the entry')
   t.ok(node.origin.requested.has(`${origin} ${model} 1`), 'the agent fetches what the entry tells')
   t.same(node.log.reads, { operators: 0, instances: 0, entries: 0 })
 })
 
+test('an agent that starts learns what to roll out before an entry lists its engine', async t => {
+  const node = new WeightsNode()
+  t.teardown(async () => { await node.stop() })
+  await node.start()
+  await eventually(() => node.received.length > 0)
+  t.same(node.received[0], { kind: 'introduction', service })
+  node.send(subscriptionOf(3))
+  await eventually(() => node.origin.requested.has(`${origin} ${model} 1`))
+  const introductions = (): number => node.received.filter(({ kind }) => kind === 'introduction').length
+  const before = introductions()
+  await node.sendFor(2000, subscriptionOf(3))
+  t.equal(introductions(), before, 'it introduces itself no more while an entry subscribes')
+  await eventually(() => introductions() > before)
+  t.same(node.log.reads, { operators: 0, instances: 0, entries: 0 }, 'it does so before it reads the log')
+})
+
 test('an agent that no entry subscribes to reads the log, until an entry does', async t => {
   const node = new WeightsNode()
   t.teardown(async () => { await node.stop() })
@@ -36,7 +52,7 @@
   t.match(await node.metrics(), /log_reads_total\{stream="operators"\} 1\n/)
   t.match(await node.metrics(), /log_read_bytes_total\{stream="operators"\} \d\d/)
   node.send(subscriptionOf(3))
-  await eventually(() => node.received.length > 0)
+  await eventually(() => node.received.some(({ kind }) => kind === 'load'))
   const { operators } = node.log.reads
   await node.sendFor(5500, subscriptionOf(3, { rollout: undefined, weights: [{ model, version: 6, ageMilliseconds: 20 }] }))
   t.equal(node.log.reads.operators, operators, 'it does not read the log again')
@@ -57,7 +73,7 @@
 function sourceWith (log: FakeLog): { readonly source: RolloutSource, readonly named: NamedVersions, readonly peers: PeerTable } {
   const named = new NamedVersions(settings.rolloutMilliseconds)
   const peers = new PeerTable(settings.ip, settings.dataCentre)
-  const source = new RolloutSource({ service, rolloutMilliseconds: settings.rolloutMilliseconds, records: log, codec: new FakeCodec(), named, peers, metrics: new Metrics() })
+  const source = new RolloutSource({ service, rolloutMilliseconds: settings.rolloutMilliseconds, records: log, codec: new FakeCodec(), named, peers, metrics: new Metrics(), introduce: () => {} })
   return { source, named, peers }
 }
 
