--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -89,7 +89,10 @@
       isReady: false,
       logDelayMilliseconds: -1
     })
-    this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => { this.applyLimits() })
+    this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => {
+      this.applyLimits()
+      this.gossip.announceStateToAgents()
+    })
     this.pool = new UpstreamPool({
       instance: settings.instance,
       dataCentre: settings.dataCentre,
