Announce chunks at the short interval only to agents that lack one of them

Cause: an agent that fetches a version announced its chunks to up to 24 agents each 100 ms, also to those that hold them all, such as the agents that serve the version when others are added. Each datagram wakes the receiver, is decoded and starts a choice of fetches. Change: an agent that holds all that is offered gets an announcement each second, and within 100 ms of a change of the served version or of the swap state, which the swap schedule uses; one that lacks a chunk, or has not announced the version, gets one each 100 ms as before. A message to several nodes is encoded once, load reports too. Test: table of cases for when an announcement is due.

--- a/src/roles/weights/announcer.ts
+++ b/src/roles/weights/announcer.ts
@@ -1,4 +1,5 @@
 /** Announces to other agents of the service which chunks this agent holds. */
+import { isAnnouncementDue, type LastAnnouncement } from '../../core/weights/announcement-plan.js'
 import { formatBitmap } from '../../core/weights/bitmap.js'
 import { primaryFetcher } from '../../core/weights/distribution-plan.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
@@ -6,9 +7,6 @@
 import type { VersionChunks } from './chunk-store.js'
 import type { PeerTable } from './peer-table.js'
 
-/** Time between two announcements, milliseconds: until the engine serves the fetched version, and afterwards. */
-const announcementIntervalMilliseconds = { updating: 100, idle: 1000 } as const
-
 /** State that an announcement carries. */
 export interface AnnouncedState {
   readonly chunks: VersionChunks | undefined
@@ -20,19 +18,23 @@
 
 /** Sends one agent's announcements. */
 export class Announcer {
-  /** Milliseconds of the monotonic clock. */
-  private announcedAt = 0
+  private last = new Map<string, LastAnnouncement>()
 
   constructor (private readonly dataCentre: string, private readonly datagrams: DatagramSocket, private readonly peers: PeerTable, private readonly readState: () => AnnouncedState) {}
 
-  /** Announces to the selected peers, unless the last announcement is too recent. */
+  /** Announces to the selected peers that are due for an announcement. */
   announce (): void {
-    const { chunks, served } = this.readState()
+    const { chunks, served, isSwapping } = this.readState()
+    if (chunks === undefined) return
+    const { model, version, digests } = chunks
     const now = monotonicNow()
-    const interval = served >= (chunks?.version ?? 0) ? announcementIntervalMilliseconds.idle : announcementIntervalMilliseconds.updating
-    if (now - this.announcedAt < interval) return
-    this.announcedAt = now
-    this.sendTo(this.peers.announcementTargets().map(({ ip }) => ip))
+    const targets = this.peers.announcementTargets().map(({ ip }) => ip)
+    const offered = this.peers.heldInDataCentre(model, version, digests.length, chunks.held)
+    this.last = new Map(targets.flatMap(ip => {
+      const last = this.last.get(ip)
+      return last === undefined ? [] : [[ip, last]]
+    }))
+    this.sendTo(targets.filter(ip => isAnnouncementDue({ offered, version, served, isSwapping }, this.peers.heldBy(ip, model, version, digests.length), this.last.get(ip), now)))
   }
 
   /** Announces at once to the agent of each other data centre that is the primary fetcher of a chunk there. */
@@ -43,9 +45,11 @@
   /** Announces at once to some agents; sends nothing before the first fetch. */
   sendTo (ips: readonly string[]): void {
     const { chunks, served, isSwapping } = this.readState()
-    if (chunks === undefined) return
-    const heldInDataCentre = this.peers.heldInDataCentreText(chunks.model, chunks.version, chunks.digests.length, chunks.held)
-    const message = { kind: 'holdings', dataCentre: this.dataCentre, model: chunks.model, version: chunks.version, held: formatBitmap(chunks.held), heldInDataCentre, served, isSwapping } as const
-    for (const ip of ips) this.datagrams.send(message, ip)
+    if (chunks === undefined || ips.length === 0) return
+    const { model, version, digests, held } = chunks
+    const heldInDataCentre = formatBitmap(this.peers.heldInDataCentre(model, version, digests.length, held))
+    this.datagrams.sendToAll({ kind: 'holdings', dataCentre: this.dataCentre, model, version, held: formatBitmap(held), heldInDataCentre, served, isSwapping }, ips)
+    const last = { at: monotonicNow(), version, served, isSwapping }
+    for (const ip of ips) this.last.set(ip, last)
   }
 }
--- a/src/roles/weights/load-reporter.ts
+++ b/src/roles/weights/load-reporter.ts
@@ -41,10 +41,11 @@
     } as const
     const text = JSON.stringify(load)
     for (const [ip, { until }] of this.subscribers) if (until < now) this.subscribers.delete(ip)
-    for (const { ip } of dueSubscribers([...this.subscribers.values()], text, maximumReports, now)) {
+    const due = dueSubscribers([...this.subscribers.values()], text, maximumReports, now).map(({ ip }) => ip)
+    for (const ip of due) {
       const subscriber = this.subscribers.get(ip)
       if (subscriber !== undefined) this.subscribers.set(ip, { ...subscriber, reportedAt: now, lastReport: text })
-      this.datagrams.send(load, ip)
     }
+    this.datagrams.sendToAll(load, due)
   }
 }
--- a/src/roles/weights/peer-table.ts
+++ b/src/roles/weights/peer-table.ts
@@ -1,6 +1,6 @@
 /** Other agents of the same service, as reported by entries and by the agents themselves. */
 import { rankMembers } from '../../utils/rendezvous.js'
-import { decodeBitmap, emptyBitmap, fitsPositions, formatBitmap, unionBitmap, type Bitmap } from '../../core/weights/bitmap.js'
+import { decodeBitmap, emptyBitmap, fitsPositions, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import type { EnginePeer } from '../../core/weights/swap-schedule.js'
 import type { Holdings } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -114,10 +114,16 @@
     return holders
   }
 
-  /** Base64 bitmap of the chunks that agents of this data centre hold, including `local`, the chunks of this one. */
-  heldInDataCentreText (model: string, version: number, total: number, local: Bitmap): string {
+  /** Chunks that agents of this data centre hold, including `local`, the chunks of this one. */
+  heldInDataCentre (model: string, version: number, total: number, local: Bitmap): Bitmap {
     const holders = this.holders(model, version, total).filter(({ isSameDataCentre }) => isSameDataCentre)
-    return formatBitmap(holders.reduce((all, { held }) => unionBitmap(all, held), local))
+    return unionOf(total, [local, ...holders.map(({ held }) => held)])
+  }
+
+  /** Chunks of a version that an agent announced last; undefined if it never announced that version. */
+  heldBy (ip: string, model: string, version: number, total: number): Bitmap | undefined {
+    const announced = this.holdingsOf(ip, model, version)
+    return announced === undefined ? undefined : sized(announced.held, total)
   }
 
   /** IPs of the agents of each other data centre. */
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -33,7 +33,13 @@
 
   /** Sends a message without a guarantee of delivery; a lost one is superseded by the next, which carries newer state. */
   send (message: NodeMessage, ip: string): void {
-    this.socket.send(encodeMessage(message), this.port, ip)
+    this.sendToAll(message, [ip])
+  }
+
+  /** Sends a message to several nodes, see `send`; it is encoded once. */
+  sendToAll (message: NodeMessage, ips: readonly string[]): void {
+    const bytes = Buffer.from(encodeMessage(message))
+    for (const ip of ips) this.socket.send(bytes, this.port, ip)
   }
 
   close (): void {
--- a/test/weights-spread.test.ts
+++ b/test/weights-spread.test.ts
@@ -3,6 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import fc from 'fast-check'
 import { test } from 'tap'
+import { isAnnouncementDue, type Announceable, type LastAnnouncement } from '../src/core/weights/announcement-plan.js'
 import { emptyBitmap, withBit, type Bitmap } from '../src/core/weights/bitmap.js'
 import { drainModeOf, swapStartAt, type SwapScheduleView, type DrainMode } from '../src/core/weights/swap-schedule.js'
 import { primaryFetcher, maximumFetches, nextDistributionFetch, fetchRanks, type DistributionFetch, type DistributionPeer, type DistributionView } from '../src/core/weights/distribution-plan.js'
@@ -102,6 +103,27 @@
   t.same([holder?.held, holder?.heldInDataCentre], [bits(), bits(0, 1)])
 })
 
+const announced: LastAnnouncement = { at: 10_000, version: 2, served: 1, isSwapping: false }
+const offer: Announceable = { offered: bits(0, 1), version: 2, served: 1, isSwapping: false }
+const announcements: readonly { readonly name: string, readonly offer?: Partial<Announceable>, readonly held: Bitmap | undefined, readonly last: LastAnnouncement | undefined, readonly dueAfter: number }[] = [
+  { name: 'an agent that was told nothing yet', held: bits(0, 1, 2), last: undefined, dueAfter: 0 },
+  { name: 'an agent that lacks an offered chunk', held: bits(0, 2), last: announced, dueAfter: 100 },
+  { name: 'an agent that has not announced the version', held: undefined, last: announced, dueAfter: 100 },
+  { name: 'an agent that holds all that is offered', held: bits(0, 1, 2), last: announced, dueAfter: 1000 },
+  { name: 'an agent that holds all, after a swap has begun here', offer: { isSwapping: true }, held: bits(0, 1, 2), last: announced, dueAfter: 100 },
+  { name: 'an agent that holds all, once the version is served here', offer: { served: 2 }, held: bits(0, 1, 2), last: announced, dueAfter: 100 },
+  { name: 'an agent that holds all, when another version is fetched here', offer: { version: 3 }, held: bits(0, 1, 2), last: announced, dueAfter: 100 },
+  { name: 'an agent that lacks chunks, while nothing changes here', offer: { served: 2 }, held: bits(), last: { ...announced, served: 2 }, dueAfter: 1000 }
+]
+
+for (const { name, offer: change, held, last, dueAfter } of announcements) {
+  test(`announcement: ${name} is due after ${dueAfter} ms`, async t => {
+    const state = { ...offer, ...change }
+    t.ok(isAnnouncementDue(state, held, last, announced.at + dueAfter))
+    if (dueAfter > 0) t.notOk(isAnnouncementDue(state, held, last, announced.at + dueAfter - 1))
+  })
+}
+
 test('distribution: every chunk has one primary fetcher, and all agents have equally many chunks', async t => {
   const agents = ['a', 'b', 'c', 'd']
   const primaryCounts = agents.map(agent => fetchRanks(total, agent, agents, agents).amongAll.filter(rank => rank === 0).length)
@@ -124,7 +146,7 @@
   const table = tables[0]?.table
   for (const [dataCentre, ip] of agents.slice(1)) table?.receiveHoldings({ kind: 'holdings', dataCentre, model: 'weights-a', version: 2, held: 'AQ==', heldInDataCentre: 'Aw==', served: 1, isSwapping: false }, ip)
   t.equal(table?.holders('weights-a', 2, total).length, agents.length - 1)
-  t.equal(table?.heldInDataCentreText('weights-a', 2, total, bits(2)), 'BQ==')
+  t.same(table?.heldInDataCentre('weights-a', 2, total, bits(2)), bits(0, 2))
   const fetchers = table?.otherDataCentres().map(members => primaryFetcher(7, members)) ?? []
   const primaries = tables.filter((_, index) => ranks[index]?.amongDataCentre[7] === 0).map(({ ip }): string => ip)
   t.same(fetchers.filter(fetcher => primaries.includes(fetcher ?? '')).length, 2)
