Agent: never refuse a request that has begun as not run

It needs neither a burst nor a crash: the deadline before the first token, or before the answer of a plain service, is enough.

The wait now ends where the work begins: the deadline's timer and the listener are removed, and nothing else can abort the signal, as `refuseWaiting` and eviction reach only waiting requests. After that only the relay ends a request, which knows what was sent.

--- a/src/roles/agent/admission.ts
+++ b/src/roles/agent/admission.ts
@@ -82,7 +82,10 @@
     return [...this.admitted].filter(admitted => admitted.incarnation === incarnation).map(({ request }) => request.fingerprint)
   }
 
-  /** Runs `work` once the request is admitted. Resolves with a failure when it is refused, or when `signal` or its deadline ends the call. */
+  /**
+   * Runs `work` once the request is admitted, and resolves when it has ended. Resolves with a failure, without having
+   * called `work`, when the request is refused, or when `signal` or its deadline ends the wait in the queue.
+   */
   async run (request: AdmissionRequest, signal: AbortSignal, work: (admitted: AdmittedRequest) => Promise<void>): Promise<Failure | undefined> {
     const refusal = this.refusal(request)
     if (refusal !== undefined) return refusal
@@ -90,20 +93,28 @@
     const timer = setTimeout(() => { controller.abort(this.lateDeadline()) }, Math.max(0, request.deadline - Date.now()))
     const abortWait = (): void => { controller.abort(this.busy()) }
     signal.addEventListener('abort', abortWait, { once: true })
+    // p-queue also rejects a running task when its signal aborts, so nothing may abort it once `work` has begun.
+    const endWait = (): void => {
+      clearTimeout(timer)
+      signal.removeEventListener('abort', abortWait)
+      this.waiting.delete(request.id)
+    }
     this.waiting.set(request.id, { request, controller })
     if (request.isExclusive) this.isExclusivelyUsed = true
     const { id, rank, organisation, share } = request
     try {
       this.updateConcurrency()
-      await this.queue.add(async () => { await this.runAdmitted(request, work) }, { id, rank, organisation, share, signal: controller.signal })
+      const task = async (): Promise<void> => {
+        endWait()
+        await this.runAdmitted(request, work)
+      }
+      await this.queue.add(task, { id, rank, organisation, share, signal: controller.signal })
       return undefined
     } catch (error) {
       if (!controller.signal.aborted) throw error
       return controller.signal.reason as Failure
     } finally {
-      clearTimeout(timer)
-      signal.removeEventListener('abort', abortWait)
-      this.waiting.delete(request.id)
+      endWait()
       if (request.isExclusive) this.isExclusivelyUsed = false
       this.updateConcurrency()
     }
@@ -200,7 +211,6 @@
   }
 
   private async runAdmitted (request: AdmissionRequest, work: (admitted: AdmittedRequest) => Promise<void>): Promise<void> {
-    this.waiting.delete(request.id)
     const admitted = new AdmittedRequest(request)
     this.admitted.add(admitted)
     this.onChange()
