Agent: a refused resumption does not undo the run before it

Callers could be told `not-run` (upstream-refused, malformed) of a completion that ran. Cause: when the engine's connection broke before the first token, the relay resumes on the same incarnation, and decided from the relayed tokens alone whether an earlier part had run; with none relayed, a 503 or 400 to the resumption was taken as the answer to the whole request.

The relay now keeps whether a connection was lost that may have carried the request, and from then on a refusal leaves the outcome unknown. Tokens that were relayed imply it, as only a lost connection leads to a resumption.

Before (npm test -- untrue-not-run, 5 passed, 2 failed): not ok 6 - a completion whose connection was lost is not reported as not run, although its resumption was refused with 503: upstream-refused not ok 7 - ... with 400: malformed After: untrue-not-run and agent-engine, 18 passed, 0 failed.

--- a/src/roles/agent/relay-model.ts
+++ b/src/roles/agent/relay-model.ts
@@ -75,6 +75,8 @@
   /** Index of the next token to relay. */
   private next: number
   private firstByteAt = 0
+  /** Whether a connection was lost that may have carried the request to the engine. */
+  private mayHaveRun = false
   private readonly startedAt = Date.now()
   private readonly abortController = new AbortController()
 
@@ -155,15 +157,16 @@
       if (isComplete) return { kind: 'complete' }
       if (error instanceof UnexpectedLineError) return { kind: 'wrong' }
       const wasSent = !(error instanceof TransportError) || error.sent
+      this.mayHaveRun ||= wasSent
       if (wasSent && !this.abortController.signal.aborted) this.host.connectionLost(connection, this.request.admissionRequest.fingerprint)
       return { kind: 'broken' }
     }
   }
 
-  /** Result for a status other than 200. Once tokens were relayed the outcome is unknown; otherwise 400 and 503 mean that the request did not run, and any other status leaves that unknown. */
+  /** Result for a status other than 200. After an earlier part that may have run the outcome is unknown; otherwise 400 and 503 mean that the request did not run, and any other status leaves that unknown. */
   private refused (connection: VerifiedConnection, status: number): PartResult {
     this.host.connections.discard(connection)
-    if (this.next > this.body.resumeFrom) return { kind: 'refused', failure: createFailure('upstream-lost', Date.now() + retryDelayMilliseconds) }
+    if (this.mayHaveRun) return { kind: 'refused', failure: createFailure('upstream-lost', Date.now() + retryDelayMilliseconds) }
     if (status === 400) return { kind: 'refused', failure: createFailure('malformed') }
     return { kind: 'refused', failure: createFailure('upstream-refused', Date.now() + retryDelayMilliseconds, status === 503 ? 'not-run' : 'unknown') }
   }
--- a/test/untrue-not-run.test.ts
+++ b/test/untrue-not-run.test.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import { test } from 'tap'
 import { Admission, type AdmissionRequest } from '../src/roles/agent/admission.js'
 import { EngineStandIn } from '../stand-in/engine.js'
@@ -93,3 +94,40 @@
     t.equal(result, undefined)
   })
 }
+
+/** Engine that answers each completion after the first with a status of its own; the first runs. */
+class RefusingEngine extends EngineStandIn {
+  constructor (private readonly status: number) {
+    super()
+  }
+
+  override async listen (address: string): ReturnType<EngineStandIn['listen']> {
+    const listening = await super.listen(address)
+    const { server } = listening
+    const handlers = server.listeners('request')
+    server.removeAllListeners('request')
+    server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+      const isRefused = request.method === 'POST' && request.url === '/completions' && this.register.started.length > 0
+      if (isRefused) response.writeHead(this.status).end()
+      else for (const handle of handlers) handle.call(server, request, response)
+    })
+    return listening
+  }
+}
+
+for (const status of [503, 400]) {
+  test(`a completion whose connection was lost is not reported as not run, although its resumption was refused with ${status}`, async t => {
+    const world = await SlotWorld.start()
+    t.teardown(async () => { await world.stop() })
+    const engine = new RefusingEngine(status)
+    Object.assign(engine.behaviour, { tokenMilliseconds: slowMilliseconds })
+    const slot = await world.addEngine(engine)
+    const running = world.prompt(slot, 'resumed', 'a hike', 5)
+    await eventually(() => engine.register.started.length === 1)
+    engine.connections.resetAll()
+    const { outcome, failure } = await running
+    t.equal(outcome, 'unknown', failure)
+    t.equal(engine.register.started.length, 1)
+    t.not(await world.outcomeOf(slot, 'resumed'), 'not-run')
+  })
+}
