Skip superseded configurations when a follower is behind

Each node read each version of the whole configuration from the store, those already superseded too: a read returned all records after its offset, so a node that was behind transferred every version before it had the newest in force, and fell further behind.

Change: while a record over 16 KiB is held, a follower reads one record at a time (`fetch-limit`). The answer's header says where the log ends. Where two or more records follow a large one, the newest record of each key is read instead, once, and reading continues from the end that its first page gave; a key that is missing there was removed, as after an expiry. Where a single record follows, it is read: it costs no more than the newest. Small records are read on in batches that double, without the pause, so evacuations behind a large configuration cost neither a copy of it nor one pause each. Streams of small records are read as before. The choice is a pure function, src/core/record-reads.ts. `parseRead` validates the header; a log that no longer retains the offset counts as expired. An end before the records that came is not an error: a store may write its header before the records that a read waits for.

Ruled out: reading the newest of each key at every change (a whole configuration, in base64, for each evacuation), and a limit for the stream `operators` by name (the size decides; a small configuration is read in batches).

Not changed: a follower that keeps up still receives each version, and one behind pays for one superseded record and the newest in each round.

--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -39,7 +39,8 @@
     const wait = Math.max(0, Math.min(pollMilliseconds, Math.round(waitUntil - monotonicNow())))
     const read = await this.poll(from, wait)
     if (read.records.length === 0) this.checkCurrent(read)
-    return { kind: 'records', ...read, next: Math.max(from, read.next) }
+    const next = Math.max(from, read.next)
+    return { kind: 'records', ...read, next, end: next }
   }
 
   async write (): Promise<void> {
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -76,7 +76,7 @@
       return
     }
     const follower = this.followers[stream]
-    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower))) await follower.nextRead(monotonicNow() + wait)
+    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower))) await follower.waitForRead(monotonicNow() + wait)
     const body = await this.encode(stream, from, follower)
     const { ageMilliseconds, isConnected } = freshnessOf(follower)
     response.setHeader(feedHeaders.age, String(Math.round(ageMilliseconds)))
--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -1,4 +1,5 @@
 /** Follows a stream of keyed records in the log, and accepts records from peers while the log cannot be read. */
+import { nextRead, readAfterNewest, type NextRead } from '../core/record-reads.js'
 import { Metrics } from '../plugins/metrics.js'
 import type { KeyedRecord, ReadRecords, RecordLog, RecordRead, StreamName } from '../types/ports.js'
 import { sleepUntil, monotonicNow } from '../utils/clock.js'
@@ -9,7 +10,8 @@
 
 /**
  * Pace of a follower's reads, milliseconds. `pause` is the minimum time between the starts of two reads, so that a busy stream
- * is read in batches. `wait` is the maximum time that one read waits for a record, after which an unresponsive connection is abandoned.
+ * is read in batches; it is left out while records are known to follow. `wait` is the maximum time that one read waits for
+ * a record, after which an unresponsive connection is abandoned.
  */
 export interface ReadPace { readonly pause: number, readonly wait: number }
 /** Base and maximum pause after failed reads, milliseconds; the base is doubled for each consecutive failure. */
@@ -45,6 +47,7 @@
   private readonly newestByKey = new Map<string, KeyedRecord>()
   private next = -1
   private highestOffset = -1
+  private planned: NextRead = { kind: 'newest', isDue: true }
   private unreachableSince: number | undefined
   private isStopped = false
   private failures = 0
@@ -78,9 +81,9 @@
     while (!this.isStopped) {
       const readAt = monotonicNow()
       try {
-        const ageMilliseconds = this.next < 0 ? await this.readAll() : await this.readNext()
+        const ageMilliseconds = this.planned.kind === 'newest' ? await this.readAll() : await this.readNext(this.planned.limit)
         this.recordSuccess(ageMilliseconds)
-        await sleepUntil(readAt + this.pace.pause)
+        if (!this.planned.isDue) await sleepUntil(readAt + this.pace.pause)
       } catch (error) {
         this.recordFailure(error)
         await sleepUntil(monotonicNow() + Math.min(retryMilliseconds.maximum, retryMilliseconds.first * 2 ** Math.min(this.failures, 8)))
@@ -98,7 +101,7 @@
   }
 
   /** Resolves after the next read, whether or not it brought records, or at `deadline`, milliseconds of the monotonic clock. */
-  nextRead (deadline: number): Promise<void> {
+  waitForRead (deadline: number): Promise<void> {
     return new Promise(resolve => {
       const finish = (): void => {
         clearTimeout(timer)
@@ -135,6 +138,7 @@
     this.applyAll(read, this.newestByKey.size === 0)
     for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
     this.next = Math.max(this.next, next)
+    this.planned = readAfterNewest(this.largestHeld)
     log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
     return read.ageMilliseconds ?? 0
   }
@@ -149,20 +153,29 @@
     if (record !== undefined && record.value !== undefined && record.offset < next) this.apply({ key, value: undefined, offset: next - 1 }, false, read)
   }
 
-  private async readNext (): Promise<number> {
-    const page = await this.records.read(this.stream, this.next, monotonicNow() + this.pace.wait)
+  private async readNext (limit: number): Promise<number> {
+    const page = await this.records.read(this.stream, this.next, monotonicNow() + this.pace.wait, limit)
     if (page.kind === 'expired') {
       this.metrics.countExpired()
       log.warn('records expired before they were read; reading the newest record of each key', { stream: this.stream, next: this.next })
       this.next = -1
+      this.planned = { kind: 'newest', isDue: true }
       return await this.readAll()
     }
     this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
     this.applyAll(page, false)
     this.next = Math.max(this.next, page.next)
+    // Records that follow a page without any cannot be read now.
+    const unread = page.records.length === 0 ? 0 : Math.max(0, page.end - this.next)
+    this.planned = nextRead({ unread, limit, largestRead: largestValue(page.records), largestHeld: this.largestHeld })
+    if (this.planned.kind === 'newest') log.info('behind large records; reading the newest record of each key instead', { stream: this.stream, next: this.next, unread })
     return page.ageMilliseconds ?? 0
   }
 
+  private get largestHeld (): number {
+    return largestValue(this.newestByKey.values())
+  }
+
   private apply (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const known = this.newestByKey.get(record.key)
     if (known !== undefined && known.offset >= record.offset) return
@@ -195,3 +208,10 @@
     log.warn('the log does not answer; continuing with the records read so far', { stream: this.stream, next: this.next, reason: String(error) })
   }
 }
+
+/** Size of the largest value, bytes; 0 for none. */
+function largestValue (records: Iterable<KeyedRecord>): number {
+  let largest = 0
+  for (const { value } of records) largest = Math.max(largest, value?.length ?? 0)
+  return largest
+}
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -53,10 +53,10 @@
     return await this.tryInOrder(source => this.reach(source).newest(stream))
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
+  async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
     return await this.tryInOrder(source => {
       const until = source.kind === 'log' ? Math.min(waitUntil, monotonicNow() + this.options.logWaitMilliseconds) : waitUntil
-      return this.reach(source).read(stream, from, until)
+      return this.reach(source).read(stream, from, until, limit)
     })
   }
 
--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -115,7 +115,7 @@
       try {
         for (let count = 0; count < measuredRoundTrips; count += 1) {
           const startedAt = monotonicNow()
-          await records.read('entries', next, startedAt)
+          await records.read('entries', next, startedAt, 1)
           members.recordLogDelay(monotonicNow() - startedAt)
         }
         await records.write('entries', `entry/${settings.instance}`, Buffer.from(JSON.stringify(members.self)))
--- a/src/roles/weights/rollout-source.ts
+++ b/src/roles/weights/rollout-source.ts
@@ -19,6 +19,9 @@
 /** Time between two introductions, milliseconds. */
 const introductionIntervalMilliseconds = 500
 
+/** Operators' records that one read of the log returns at most. */
+const maximumRecords = 1024
+
 /** Dependencies of a source. */
 export interface RolloutContext {
   readonly service: string
@@ -122,7 +125,7 @@
   /** Reads the newest record of each key the first time, then only what follows. */
   private async readOperators (): Promise<ReadRecords> {
     const { records } = this.context
-    const page = this.operatorsNext === undefined ? undefined : await records.read('operators', this.operatorsNext, monotonicNow())
+    const page = this.operatorsNext === undefined ? undefined : await records.read('operators', this.operatorsNext, monotonicNow(), maximumRecords)
     return page?.kind === 'records' ? page : await records.newest('operators')
   }
 
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -47,18 +47,18 @@
   readonly ageMilliseconds?: number
 }
 
-/** Records from some offset on; `expired` if the log no longer retains them. */
-export type RecordPage = ReadRecords & { readonly kind: 'records' } | { readonly kind: 'expired' }
+/** Records from some offset on, and the offset `end` after the last record of the log; `expired` if the log no longer retains them. */
+export type RecordPage = ReadRecords & { readonly kind: 'records', readonly end: number } | { readonly kind: 'expired' }
 
 /** The newest record of each key. */
 export type NewestRecords = ReadRecords
 
 /** The platform's log of keyed records. */
 export abstract class RecordLog {
-  /** Reads the newest record of each key, and the offset from which to continue with `read`. */
+  /** Reads the newest record of each key, and the offset from which to continue with `read`; not a snapshot: some may be newer than those before it. */
   abstract newest (stream: StreamName): Promise<NewestRecords>
-  /** Reads records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
-  abstract read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage>
+  /** Reads at most `limit` records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
+  abstract read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage>
   /** Writes the newest value of a key. */
   abstract write (stream: StreamName, key: string, value: Buffer): Promise<void>
 }
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -94,12 +94,12 @@
     return { records, next, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
+  async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
     this.checkReachable()
     while (this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
     this.checkReachable()
-    const records = this.log.stream(stream).slice(from)
-    return { kind: 'records', records, next: from + records.length, cost: await this.log.deliver(this.dataCentre, records) }
+    const records = this.log.stream(stream).slice(from, from + limit)
+    return { kind: 'records', records, next: from + records.length, end: this.log.stream(stream).length, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
   async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -84,7 +84,7 @@
     if (from >= records.length) await sleepUntil(waitUntil)
     const following = records.slice(from)
     if (stream === 'operators') this.sentRecords += following.length
-    return { kind: 'records', records: following, next: records.length, cost: noCost }
+    return { kind: 'records', records: following, next: records.length, end: records.length, cost: noCost }
   }
 
   async write (): Promise<void> {}
--- a/test/platform-records.test.ts
+++ b/test/platform-records.test.ts
@@ -83,6 +83,24 @@
   t.equal(next, 42)
 })
 
+const readHeaders: readonly { readonly name: string, readonly end: bigint, readonly first: bigint, readonly expected: { readonly first: number, readonly end: number } | undefined }[] = [
+  { name: 'records that follow', end: 60n, first: 12n, expected: { first: 12, end: 60 } },
+  { name: 'an end before the records that came', end: 40n, first: 0n, expected: { first: 0, end: 41 } },
+  { name: 'a first offset after the end', end: 60n, first: 61n, expected: undefined },
+  { name: 'an end that is no number', end: 1n << 60n, first: 0n, expected: undefined }
+]
+
+for (const { name, end, first, expected } of readHeaders) {
+  test(`frames: header of a read, ${name}`, async t => {
+    const head = Buffer.alloc(16)
+    head.writeBigUInt64BE(end, 0)
+    head.writeBigUInt64BE(first, 8)
+    const body = Buffer.concat([head, frameRecord('one', Buffer.from('value'))])
+    if (expected === undefined) t.throws(() => parseRead(body, 40), /invalid offsets/)
+    else t.match(parseRead(body, 40), { ...expected, next: 41 })
+  })
+}
+
 test('frames: a response shorter than its header is rejected', async t => { t.throws(() => parseRead(Buffer.alloc(3), 0)) })
 
 const callerHeaders = { host: 'One.Example:80', 'x-attempt-id': 'id-1', 'x-deadline-ms': '6033', 'x-token-counts': '1460,80', authorization: 'Token key-a', 'x-tenant': 'forged', 'last-event-id': '12', connection: 'keep-alive, x-hop', 'x-hop': 'gone', 'x-model': 'weights-a' }
--- a/test/record-follower.test.ts
+++ b/test/record-follower.test.ts
@@ -10,13 +10,17 @@
 import { writeLogs } from '../src/utils/log.js'
 
 const record = (key: string, offset: number, text: string | undefined = 'value'): KeyedRecord => ({ key, value: text === undefined ? undefined : Buffer.from(text), offset })
+/** A record of 20 kB. */
+const large = (key: string, offset: number): KeyedRecord => record(key, offset, 'x'.repeat(20_000))
 const lost = new Error('no answer')
 const costOf = (records: readonly KeyedRecord[]): ReadCost => ({ bytes: 100 * records.length, firstByteMilliseconds: 5, milliseconds: 7, records: records.length, superseded: 0 })
-const page = (records: readonly KeyedRecord[], next: number): RecordPage => ({ kind: 'records', records, next, cost: costOf(records) })
+const page = (records: readonly KeyedRecord[], next: number, end = next): RecordPage => ({ kind: 'records', records, next, end, cost: costOf(records) })
 
 /** A log that returns prepared answers and then never answers again. */
 class ScriptedLog extends RecordLog {
   readonly waits: number[] = []
+  /** Limit of each read, in order. */
+  readonly limits: number[] = []
 
   constructor (private readonly newestPages: readonly (readonly KeyedRecord[] | Error)[], private readonly reads: readonly (RecordPage | Error)[]) {
     super()
@@ -32,7 +36,8 @@
     return { records, next: Math.max(0, ...records.map(({ offset }) => offset + 1)), cost: costOf(records) }
   }
 
-  async read (_stream: string, _from: number, waitUntil: number): Promise<RecordPage> {
+  async read (_stream: string, _from: number, waitUntil: number, limit: number): Promise<RecordPage> {
+    this.limits.push(limit)
     this.waits.push(waitUntil - monotonicNow())
     const answer = this.reads[this.readCalls]
     this.readCalls += 1
@@ -56,6 +61,8 @@
   { name: 'the newest records, then what follows', newest: [[record('a', 3)]], reads: [page([record('a', 4), record('b', 5)], 6)], expected: [['a', 3, true], ['a', 4, true], ['b', 5, true]] },
   { name: 'a removed key', newest: [[record('a', 3)]], reads: [page([{ key: 'a', value: undefined, offset: 4 }], 5)], expected: [['a', 3, true], ['a', 4, false]] },
   { name: 'records that expired: missing keys are reported as removed', newest: [[record('a', 3), record('b', 4)], [record('b', 9)]], reads: [{ kind: 'expired' }], expected: [['a', 3, true], ['b', 4, true], ['b', 9, true], ['a', 9, false]] },
+  { name: 'behind a large record, the newest of each key; a key that is missing there is removed', newest: [[large('a', 3), record('b', 2)], [large('a', 9)]], reads: [page([large('a', 4)], 5, 10), page([large('a', 10)], 11)], expected: [['a', 3, true], ['b', 2, true], ['a', 4, true], ['a', 9, true], ['b', 9, false], ['a', 10, true]] },
+  { name: 'behind a small record, all that follow', newest: [[large('a', 3)]], reads: [page([record('b', 4)], 5, 7), page([record('c', 5), { key: 'b', value: undefined, offset: 6 }], 7)], expected: [['a', 3, true], ['b', 4, true], ['c', 5, true], ['b', 6, false]] },
   { name: 'a read that fails', newest: [[record('a', 3)]], reads: [lost, page([record('a', 4)], 5)], expected: [['a', 3, true], ['a', 4, true]] },
   { name: 'an older record of a peer is ignored', newest: [[record('a', 3)]], reads: [], fromPeer: [record('a', 2)], expected: [['a', 3, true]] },
   { name: 'a newer record of a peer, once', newest: [[record('a', 3)]], reads: [], fromPeer: [record('a', 7), record('a', 7)], expected: [['a', 3, true], ['a', 7, true]] }
@@ -95,7 +102,7 @@
 
 test('record follower: reads are counted by stream, source and result, with what they cost', async t => {
   const metrics = new Metrics()
-  const superseding: RecordPage = { kind: 'records', records: [record('a', 4), record('a', 5)], next: 6, cost: { bytes: 250, firstByteMilliseconds: 900, milliseconds: 940, records: 2, superseded: 1 } }
+  const superseding: RecordPage = { kind: 'records', records: [record('a', 4), record('a', 5)], next: 6, end: 6, cost: { bytes: 250, firstByteMilliseconds: 900, milliseconds: 940, records: 2, superseded: 1 } }
   const cut = new HttpCallError(lost, 60)
   const log = new ScriptedLog([[record('a', 3)]], [cut, superseding, page([], 6), { kind: 'expired' }])
   const sources: string[] = []
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -93,7 +93,7 @@
       sources: () => [{ kind: 'entry', instance: 'reader', ip, isSameDataCentre: true }, { kind: 'log' }]
     })
     const startedAt = monotonicNow()
-    const page = await selected.read('operators', 0, monotonicNow() + 1000)
+    const page = await selected.read('operators', 0, monotonicNow() + 1000, 10)
     t.match(page, { kind: 'records', next: 1 })
     t.ok(monotonicNow() - startedAt < maximumMilliseconds + schedulingMilliseconds, `the log was read after ${Math.round(monotonicNow() - startedAt)} ms`)
     t.equal(selected.source, 'log')
