Keep the log unread when an entry subscribes during a read

Cause, found by reading: the count of reads was raised after the read, so a subscription that arrived meanwhile was followed by a pause of the second read, an offset of the period before, and a line that entries subscribe again. Change: the count is raised before the read; the pause after it holds only when no entry has subscribed meanwhile, and the offset is forgotten at the first read.

--- a/src/roles/weights/rollout-source.ts
+++ b/src/roles/weights/rollout-source.ts
@@ -42,7 +42,7 @@
   private logReadAt = nextLogReadAt(monotonicNow(), 0, Math.random())
   /** Reads of the log since the last subscription. */
   private reads = 0
-  /** Offset from which to read operators' records; undefined before the first read since the last subscription. */
+  /** Offset of the first operators' record that was not read; undefined when the last read of all of them failed. */
   private operatorsNext: number | undefined
   /** Whether this process knew of the rollout before: versions that it learns of later were named since then. */
   private hasLearned = false
@@ -77,9 +77,11 @@
       }
       await sleepUntil(Math.min(this.introduceAt, this.logReadAt))
       if (this.isStopped || monotonicNow() < this.logReadAt) continue
+      const reads = this.reads + 1
+      this.reads = reads
       await this.readLog()
-      this.reads += 1
-      this.logReadAt = Math.max(this.logReadAt, nextLogReadAt(monotonicNow(), this.reads, Math.random()))
+      const hasSubscription = this.reads !== reads
+      if (!hasSubscription) this.logReadAt = nextLogReadAt(monotonicNow(), reads, Math.random())
     }
   }
 
@@ -90,7 +92,6 @@
   private recordSubscription (): void {
     if (this.reads > 0) log.info('entries subscribe again: the log is not read', { reads: this.reads })
     this.reads = 0
-    this.operatorsNext = undefined
     this.hasLearned = true
     this.introduceAt = monotonicNow() + silenceMilliseconds
     this.logReadAt = nextLogReadAt(monotonicNow(), 0, Math.random())
@@ -119,9 +120,10 @@
     }
   }
 
-  /** Reads the newest record of each key the first time, then only what follows. */
+  /** Reads the newest record of each key the first time since the last subscription, then only what follows. */
   private async readOperators (): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }> {
     const { records } = this.context
+    if (this.reads <= 1) this.operatorsNext = undefined
     const page = this.operatorsNext === undefined ? undefined : await records.read('operators', this.operatorsNext, monotonicNow())
     return page?.kind === 'records' ? page : await records.newest('operators')
   }
