Find the engine of a load report by its address, and read the living entries once a choice

Cause: an entry compared the address of every upstream with each load report, of which all agents together send some 5,000 a second; each choice of an upstream listed the living entries again for each engine, and the time after which an entry counts as dead was computed for each member of each list. Change: engines are indexed by the IP of their machine, rebuilt after a change of the list; a choice reads the living entries once. Test: reports find their engine after it was removed, listed again and moved; a choice among 40 cold engines reads the entries once (before, once or more for each engine).

--- a/src/core/fleet/members.ts
+++ b/src/core/fleet/members.ts
@@ -61,7 +61,8 @@
 
   /** Members that are alive at `now`, this one first. */
   living (now: number): readonly Member[] {
-    const others = [...this.seen.values()].filter(({ heartbeatAt }) => now - heartbeatAt <= this.deadMilliseconds)
+    const { deadMilliseconds } = this
+    const others = [...this.seen.values()].filter(({ heartbeatAt }) => now - heartbeatAt <= deadMilliseconds)
     return [this.local, ...others.map(({ member }) => member)]
   }
 
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -9,7 +9,7 @@
 import type { LoadReport } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
-import { isLoadRecent, estimateLoad, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
+import { engineIdsByIp, isLoadRecent, estimateLoad, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
 
@@ -49,6 +49,8 @@
 /** All upstreams of one entry; times are milliseconds of the monotonic clock. */
 export class UpstreamPool {
   private readonly views = new Map<string, UpstreamView>()
+  /** Ids of the engines by the IP of their machine; undefined after a change of the list. */
+  private engineIds: ReadonlyMap<string, readonly string[]> | undefined
   private readonly coldRate = new ColdRateLimiter()
   private readonly activity = new UpstreamActivity()
   /** Ids of upstreams that were unresponsive at the last check, so that only changes are logged. */
@@ -67,9 +69,11 @@
     }
     if (isSame) {
       const weights = newerWeights(known.weights, upstream.weights)
+      if (known.upstream.isEngine !== upstream.isEngine) this.engineIds = undefined
       this.views.set(upstream.id, { ...known, upstream, coldUntil, weights, retainedUntil: undefined })
       return
     }
+    this.engineIds = undefined
     this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
   }
 
@@ -102,16 +106,10 @@
 
   /** Applies the report of an agent about the engine on its machine, which has the IP of the agent. */
   applyLoadReport (report: LoadReport, ip: string): void {
-    for (const [id, view] of this.views) {
-      if (!view.upstream.isEngine || !view.upstream.address.startsWith(`${ip}:`)) continue
-      const service = this.serviceOf(view.upstream.service)
-      const isRestart = report.startedAt !== view.upstream.startedAt && report.startedAt > view.upstream.startedAt
-      const weights = report.version > 0 ? { model: report.model, version: report.version } : undefined
-      const now = monotonicNow()
-      const coldUntil = isRestart ? now + (service?.coldMilliseconds ?? 0) : view.coldUntil
-      const upstream = isRestart ? { ...view.upstream, startedAt: report.startedAt } : view.upstream
-      const health = view.health.losses > 0 && isRestart ? initialHealth : view.health
-      this.views.set(id, { ...view, upstream, health, coldUntil, weights, isSwapping: report.isSwapping, readyAt: report.readyInMilliseconds < 0 ? undefined : now + report.readyInMilliseconds, observedLoad: this.observeLoad(view, report.running + report.waiting) })
+    this.engineIds ??= engineIdsByIp(this.all())
+    for (const id of this.engineIds.get(ip) ?? []) {
+      const view = this.views.get(id)
+      if (view !== undefined) this.views.set(id, this.withReport(view, report))
     }
   }
 
@@ -136,13 +134,14 @@
   /** Chooses an upstream for a request, or tells why there is none. */
   choose (requirements: UpstreamRequirements): UpstreamView | SelectionFailure {
     const now = monotonicNow()
+    const entries = this.context.entries()
     const listed = [...this.views.values()].filter(view => this.mayServe(view, requirements))
     if (listed.length === 0) return 'no-upstream'
     const withWeights = listed.filter(view => this.hasWeights(view, requirements))
     if (withWeights.length === 0) return 'no-weights'
     const onStreamVersion = withWeights.filter(view => view.weights?.version === requirements.streamVersion)
-    const open = this.preferResponsive(excludeEjected(onStreamVersion.length > 0 ? onStreamVersion : withWeights, now), now).filter(view => view.atCapacityUntil <= now && this.isWithinColdRate(view, requirements.service, now))
-    const chosen = placeRequest(open.map(view => this.candidateOf(view, requirements.admission, now)), this.random)
+    const open = this.preferResponsive(excludeEjected(onStreamVersion.length > 0 ? onStreamVersion : withWeights, now), now).filter(view => view.atCapacityUntil <= now && this.isWithinColdRate(view, requirements.service, entries, now))
+    const chosen = placeRequest(open.map(view => this.candidateOf(view, requirements.admission, entries.length, now)), this.random)
     return chosen === undefined ? 'full' : this.views.get(chosen.id) ?? 'full'
   }
 
@@ -196,13 +195,28 @@
   }
 
   /** Slots that this entry may use now. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. */
-  private freeSlotsAt (view: UpstreamView, limit: number, now: number): number {
+  private freeSlotsAt (view: UpstreamView, limit: number, entries: number, now: number): number {
     if (!view.upstream.isEngine) return limit - estimateLoad(view, now)
-    const entries = this.context.entries().length
     return isLoadRecent(view, now) ? freeSlotsByReport(limit, view.observedLoad, entries) : freeSlotsWithoutReport(limit, view.inFlight, entries)
   }
 
+  private withReport (view: UpstreamView, report: LoadReport): UpstreamView {
+    const isRestart = report.startedAt !== view.upstream.startedAt && report.startedAt > view.upstream.startedAt
+    const now = monotonicNow()
+    return {
+      ...view,
+      upstream: isRestart ? { ...view.upstream, startedAt: report.startedAt } : view.upstream,
+      health: view.health.losses > 0 && isRestart ? initialHealth : view.health,
+      coldUntil: isRestart ? now + (this.serviceOf(view.upstream.service)?.coldMilliseconds ?? 0) : view.coldUntil,
+      weights: report.version > 0 ? { model: report.model, version: report.version } : undefined,
+      isSwapping: report.isSwapping,
+      readyAt: report.readyInMilliseconds < 0 ? undefined : now + report.readyInMilliseconds,
+      observedLoad: this.observeLoad(view, report.running + report.waiting)
+    }
+  }
+
   private delete (id: string): void {
+    this.engineIds = undefined
     this.views.delete(id)
     this.coldRate.forget(id)
     this.activity.forget(id)
@@ -248,9 +262,9 @@
     return !view.isSwapping && view.weights !== undefined && view.weights.version >= requirements.minimumVersion
   }
 
-  private isWithinColdRate (view: UpstreamView, service: Service, now: number): boolean {
+  private isWithinColdRate (view: UpstreamView, service: Service, entries: readonly string[], now: number): boolean {
     if (view.coldUntil <= now) return true
-    return this.coldRate.mayTake(view.upstream.id, this.context.instance, this.context.entries(), this.coldBounds(service), now)
+    return this.coldRate.mayTake(view.upstream.id, this.context.instance, entries, this.coldBounds(service), now)
   }
 
   private coldBounds (service: Service): ColdBounds {
@@ -262,11 +276,11 @@
     return { total, local: view.inFlight, roundingOffset: this.random(), sent: 0, ended: 0, at: monotonicNow() }
   }
 
-  private candidateOf (view: UpstreamView, admission: AdmissionLimits, now: number): Candidate {
+  private candidateOf (view: UpstreamView, admission: AdmissionLimits, entries: number, now: number): Candidate {
     return {
       id: view.upstream.id,
       load: estimateLoad(view, now),
-      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), now),
+      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), entries, now),
       unstarted: view.unstarted,
       isSameDataCentre: view.upstream.dataCentre === this.context.dataCentre,
       penalty: penaltyOf(view.health)
--- a/src/roles/gateway/upstream-view.ts
+++ b/src/roles/gateway/upstream-view.ts
@@ -55,3 +55,16 @@
   if (recorded === undefined) return known
   return recorded.version >= known.version ? recorded : known
 }
+
+/** Ids of the engines by the IP of their machine. */
+export function engineIdsByIp (views: readonly UpstreamView[]): ReadonlyMap<string, readonly string[]> {
+  const ids = new Map<string, string[]>()
+  for (const { upstream } of views) {
+    if (!upstream.isEngine) continue
+    const ip = upstream.address.split(':')[0] ?? ''
+    const known = ids.get(ip)
+    if (known === undefined) ids.set(ip, [upstream.id])
+    else known.push(upstream.id)
+  }
+  return ids
+}
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -70,6 +70,43 @@
   })
 }
 
+test('upstream pool: load reports find their engine after it was removed, listed again and moved to another machine', async t => {
+  const pool = makePool()
+  const isSwappingAfter = (ip: string): boolean => {
+    pool.applyLoadReport({ ...report, isSwapping: true }, ip)
+    return pool.all()[0]?.isSwapping === true
+  }
+  t.ok(isSwappingAfter('10.0.0.9'))
+  pool.dropRecord('i-1', 0)
+  t.notOk(isSwappingAfter('10.0.0.9'))
+  pool.putRecord(upstream, false)
+  t.ok(isSwappingAfter('10.0.0.9'))
+  pool.putRecord({ ...upstream, address: '10.0.0.7:8080' }, false)
+  t.notOk(isSwappingAfter('10.0.0.9'))
+  t.ok(isSwappingAfter('10.0.0.7'))
+  pool.putRecord({ ...upstream, address: '10.0.0.7:8080', isEngine: false }, false)
+  pool.applyLoadReport(report, '10.0.0.7')
+  t.ok(pool.all()[0]?.isSwapping, 'a plain upstream has no agent')
+})
+
+test('upstream pool: a choice reads the living entries once, however many upstreams there are', async t => {
+  let reads = 0
+  const pool = new UpstreamPool({
+    instance: 'entry-1',
+    dataCentre: 'zone-a',
+    regionOf: new Map([['zone-a', 'north']]),
+    cold: { factor: 1.5, slack: 5 },
+    entries: () => {
+      reads += 1
+      return ['entry-1', 'entry-2']
+    },
+    isEvacuated: () => false
+  }, () => service, () => 0)
+  for (let index = 0; index < 40; index += 1) pool.putRecord({ ...upstream, id: `i-${index}`, address: `10.0.0.${index}:8080`, coldMilliseconds: 3000 }, false)
+  t.equal(typeof pool.choose(requirements), 'object')
+  t.equal(reads, 1)
+})
+
 test('upstream pool: not an upstream of an evacuated data centre', async t => { t.equal(makePool(['zone-a']).choose(requirements), 'no-upstream') })
 
 test('upstream pool: a stream resumes on the version on which it started, if some upstream serves it', async t => {
