Compare the level of a log line before it is formatted

Cause: each line was formatted, then parsed again to compare its level. Change: the level is compared first, and the formatted line is written as it is. Test: which lines are written at each level, with level, component and context.

--- a/src/utils/log.ts
+++ b/src/utils/log.ts
@@ -2,7 +2,11 @@
 import './enable-log.js'
 import { ROARR, Roarr, type Logger } from 'roarr'
 
-/** Discards all lines until `writeLogs` sets the output and the level. */
+/** Levels as roarr numbers them; nothing is logged at 100. */
+const levelNumbers = { info: 30, warn: 40, error: 50, silent: 100 } as const
+
+/** Lowest level that is written; nothing until `writeLogs` sets the output and the level. */
+let minimumLevel: number = levelNumbers.silent
 ROARR.write = () => {}
 
 /** Components of the system that write logs. */
@@ -19,20 +23,14 @@
 export function logFor (component: LogComponent): ComponentLogger {
   const logger: Logger = Roarr.child({ part: component })
   return {
-    info: (message, context = {}) => { logger.info(context, `${component}: ${message}`) },
-    warn: (message, context = {}) => { logger.warn(context, `${component}: ${message}`) },
-    error: (message, context = {}) => { logger.error(context, `${component}: ${message}`) }
+    info: (message, context = {}) => { if (minimumLevel <= levelNumbers.info) logger.info(context, `${component}: ${message}`) },
+    warn: (message, context = {}) => { if (minimumLevel <= levelNumbers.warn) logger.warn(context, `${component}: ${message}`) },
+    error: (message, context = {}) => { if (minimumLevel <= levelNumbers.error) logger.error(context, `${component}: ${message}`) }
   }
 }
 
-/** Levels as roarr numbers them; nothing is logged at 100. */
-const levelNumbers = { info: 30, warn: 40, error: 50, silent: 100 } as const
-
 /** Writes the lines at or above a level, by default to standard error. */
 export function writeLogs (level: keyof typeof levelNumbers, write: (line: string) => void = line => { process.stderr.write(`${line}\n`) }): void {
-  const minimum: number = levelNumbers[level]
-  ROARR.write = line => {
-    const parsed = JSON.parse(line) as { context: { logLevel: number } }
-    if (parsed.context.logLevel >= minimum) write(line)
-  }
+  minimumLevel = levelNumbers[level]
+  ROARR.write = write
 }
