Move the inactivity deadline of a stream without a new timer for each event

Cause: each part of a stream cleared its timer and set another one, some 5,000 a second over all entries. Change: the timer stays and is armed again only if the deadline was moved when it fires. Test: events faster than the inactivity timeout, for longer than it, keep the call alive; it counts as silent only once the timeout has passed since the last event.

--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -74,6 +74,10 @@
   private isConnected = false
   private hasStarted = false
   private timer: NodeJS.Timeout | undefined
+  /** When the timer fires; it is armed again if the deadline has been moved meanwhile, which is rarer than the events of a stream. */
+  private timerAt = 0
+  private deadline = 0
+  private actAtDeadline: () => void = () => {}
   private readonly outgoing: ClientRequest
 
   constructor (private readonly call: UpstreamCall, private readonly codec: RequestCodec, private readonly sink: EventSink | undefined) {
@@ -177,10 +181,22 @@
     this.call.started(isAnswer)
   }
 
-  /** Replaces the timer of the call: `act` runs at `deadline`. */
+  /** Replaces the deadline of the call, at which `act` runs. */
   private watch (deadline: number, act: () => void): void {
+    this.deadline = deadline
+    this.actAtDeadline = act
+    if (this.timer === undefined || this.timerAt > deadline) this.armTimer()
+  }
+
+  private armTimer (): void {
     clearTimeout(this.timer)
-    this.timer = setTimeout(act, Math.max(0, deadline - monotonicNow()))
+    this.timerAt = this.deadline
+    this.timer = setTimeout(() => { this.handleTimer() }, Math.max(0, this.deadline - monotonicNow()))
+  }
+
+  private handleTimer (): void {
+    if (monotonicNow() < this.deadline - timerToleranceMilliseconds) this.armTimer()
+    else this.actAtDeadline()
   }
 
   private abandonUnresponsive (): void {
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -66,6 +66,26 @@
   })
 }
 
+test('upstream call: each event of a stream moves the time at which it counts as silent', async t => {
+  const pauseMilliseconds = 80
+  let lastSentAt = 0
+  const { address, close } = await listen(socket => {
+    socket.write(streamHead)
+    let sent = 0
+    const timer = setInterval(() => {
+      sent += 1
+      lastSentAt = monotonicNow()
+      socket.write(chunk(event(sent)))
+      if (sent === 6) clearInterval(timer)
+    }, pauseMilliseconds)
+  })
+  const seen = new SeenStream()
+  t.match(await callOnce(address, true, false, seen), { kind: 'lost', reason: 'silent' })
+  t.equal(seen.events, 6, 'longer than the inactivity timeout in total')
+  t.ok(monotonicNow() - lastSentAt >= 290, 'silent only once the timeout has passed since the last event')
+  close()
+})
+
 test('upstream call: no server at the address', async t => {
   const { address, close } = await listen(() => {})
   close()
