Unite no bitmaps for announcements once the version is served

Cause: since announcements are planned for each agent, every call united the bitmaps of the data centre, each 100 ms also while nothing is fetched. Change: the bitmaps are united only while a version is fetched, the one case in which they decide.

--- a/src/core/weights/announcement-plan.ts
+++ b/src/core/weights/announcement-plan.ts
@@ -6,7 +6,7 @@
 
 /** What an agent would announce now. */
 export interface Announceable {
-  /** Chunks held here or known to be held in this data centre. */
+  /** Chunks held here or known to be held in this data centre; not used once the version is served. */
   readonly offered: Bitmap
   /** Version of these chunks. */
   readonly version: number
--- a/src/roles/weights/announcer.ts
+++ b/src/roles/weights/announcer.ts
@@ -1,6 +1,6 @@
 /** Announces to other agents of the service which chunks this agent holds. */
 import { isAnnouncementDue, type LastAnnouncement } from '../../core/weights/announcement-plan.js'
-import { formatBitmap } from '../../core/weights/bitmap.js'
+import { emptyBitmap, formatBitmap } from '../../core/weights/bitmap.js'
 import { primaryFetcher } from '../../core/weights/distribution-plan.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -18,7 +18,7 @@
 
 /** Sends one agent's announcements. */
 export class Announcer {
-  private last = new Map<string, LastAnnouncement>()
+  private readonly last = new Map<string, LastAnnouncement>()
 
   constructor (private readonly dataCentre: string, private readonly datagrams: DatagramSocket, private readonly peers: PeerTable, private readonly readState: () => AnnouncedState) {}
 
@@ -29,14 +29,15 @@
     const { model, version, digests } = chunks
     const now = monotonicNow()
     const targets = this.peers.announcementTargets().map(({ ip }) => ip)
-    const offered = this.peers.heldInDataCentre(model, version, digests.length, chunks.held)
-    this.last = new Map(targets.flatMap(ip => {
-      const last = this.last.get(ip)
-      return last === undefined ? [] : [[ip, last]]
-    }))
+    const offered = served < version ? this.peers.heldInDataCentre(model, version, digests.length, chunks.held) : emptyBitmap(digests.length)
+    if (this.last.size > targets.length) this.forgetAllBut(new Set(targets))
     this.sendTo(targets.filter(ip => isAnnouncementDue({ offered, version, served, isSwapping }, this.peers.heldBy(ip, model, version, digests.length), this.last.get(ip), now)))
   }
 
+  private forgetAllBut (targets: ReadonlySet<string>): void {
+    for (const ip of this.last.keys()) if (!targets.has(ip)) this.last.delete(ip)
+  }
+
   /** Announces at once to the agent of each other data centre that is the primary fetcher of a chunk there. */
   announceToPrimaryFetchers (position: number): void {
     this.sendTo(this.peers.otherDataCentres().flatMap(members => primaryFetcher(position, members) ?? []))
