--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -1,7 +1,9 @@
 /** Follows a stream of keyed records in the log, and accepts records from peers while the log cannot be read. */
-import type { KeyedRecord, RecordLog, StreamName } from '../types/ports.js'
+import { Metrics } from '../plugins/metrics.js'
+import type { KeyedRecord, ReadRecords, RecordLog, RecordRead, StreamName } from '../types/ports.js'
 import { sleepUntil, monotonicNow } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
+import { ReadMetrics, transferMilliseconds } from './read-metrics.js'
 
 const log = logFor('records')
 
@@ -15,8 +17,8 @@
 
 /** Receives each record that is newer than the last one of its key. */
 export interface RecordListener {
-  /** `isFirst` marks records that were found by the first read, whose age is unknown. */
-  record (record: KeyedRecord, isFirst: boolean): void
+  /** `isFirst` marks records that were found by the first read, whose age is unknown; `read` is the read that it came with. */
+  record (record: KeyedRecord, isFirst: boolean, read: RecordRead): void
   /** The log, unreachable since `unreachableSince` (milliseconds of the monotonic clock), answers again; called only if it had been read before. */
   onLogRecovered (unreachableSince: number): void
 }
@@ -26,7 +28,7 @@
 
 /** Whether a follower lacks records before `next` that another has read and does not get them from the log; `now` in milliseconds of the monotonic clock. */
 export function isLagging (state: FollowerState, next: number, now: number): boolean {
-  return next > state.next && (!state.isConnected || now - state.readAt > readLagMilliseconds)
+  return next > state.next && (!state.isConnected || now - state.confirmedAt > readLagMilliseconds)
 }
 
 /** State of a follower, for logs and peers. */
@@ -34,30 +36,36 @@
   /** Offset of the next record to read; -1 before the first read. */
   readonly next: number
   readonly isConnected: boolean
-  /** Time of the last answer, milliseconds of the monotonic clock. */
-  readonly readAt: number
+  /** Time at which the log last confirmed that all its records had been read, milliseconds of the monotonic clock; the follower's start before that. */
+  readonly confirmedAt: number
 }
 
 /** Reader of one stream that holds the newest record of each key. */
 export class RecordFollower {
   private readonly newestByKey = new Map<string, KeyedRecord>()
   private next = -1
+  private highestOffset = -1
   private unreachableSince: number | undefined
   private isStopped = false
   private failures = 0
-  private readAt = 0
+  private confirmedAt = monotonicNow()
+  private readonly waiting = new Set<() => void>()
   /** Whether the log had been read before it became unreachable; a process that has just started has no records that could lapse. */
   private hadRecordsWhenLost = false
+  private readonly metrics: ReadMetrics
 
   constructor (
     private readonly records: RecordLog,
     private readonly stream: StreamName,
     private readonly pace: ReadPace,
-    private readonly listener: RecordListener
-  ) {}
+    private readonly listener: RecordListener,
+    metrics = new Metrics()
+  ) {
+    this.metrics = new ReadMetrics(metrics, stream)
+  }
 
   get state (): FollowerState {
-    return { next: this.next, isConnected: this.unreachableSince === undefined, readAt: this.readAt }
+    return { next: this.next, isConnected: this.unreachableSince === undefined, confirmedAt: this.confirmedAt }
   }
 
   /** Newest record of each key, including removed keys. */
@@ -70,9 +78,8 @@
     while (!this.isStopped) {
       const readAt = monotonicNow()
       try {
-        if (this.next < 0) await this.readAll()
-        else await this.readNext()
-        this.recordSuccess()
+        const ageMilliseconds = this.next < 0 ? await this.readAll() : await this.readNext()
+        this.recordSuccess(ageMilliseconds)
         await sleepUntil(readAt + this.pace.pause)
       } catch (error) {
         this.recordFailure(error)
@@ -85,49 +92,89 @@
     this.isStopped = true
   }
 
-  /** Applies records of a peer; older ones than those known are ignored. */
-  receiveRecords (records: readonly KeyedRecord[]): void {
-    for (const record of records) this.apply(record, false)
+  /** Whether the follower has a record at or after an offset; any record will do for -1, before which nothing was read. */
+  hasRecordsFrom (offset: number): boolean {
+    return this.next >= 0 && (offset < 0 || this.highestOffset >= offset)
+  }
+
+  /** Resolves after the next read, whether or not it brought records, or at `deadline`, milliseconds of the monotonic clock. */
+  nextRead (deadline: number): Promise<void> {
+    return new Promise(resolve => {
+      const finish = (): void => {
+        clearTimeout(timer)
+        this.waiting.delete(finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, Math.max(0, deadline - monotonicNow()))
+      this.waiting.add(finish)
+    })
+  }
+
+  /**
+   * Applies what a peer has read from the offset `from` on: the newest record of each key. Older records than those known are
+   * ignored.
+   */
+  receiveRecords (read: ReadRecords, from: number): void {
+    this.metrics.countRead(read.source ?? 'peer', 'newest', read.cost)
+    this.applyAll(read, this.newestByKey.size === 0)
+    if (from <= this.next) this.next = Math.max(this.next, read.next)
+    this.wakeWaiting()
   }
 
-  private async readAll (): Promise<void> {
-    const { records, next } = await this.records.newest(this.stream)
-    const isFirst = this.newestByKey.size === 0
+  /** Counts a fetch from a peer that failed. */
+  countPeerFailure (error: unknown): void {
+    this.metrics.countFailure('peer', error)
+  }
+
+  /** Reads the newest record of each key; returns the age of what was read, milliseconds. */
+  private async readAll (): Promise<number> {
+    const read = await this.records.newest(this.stream)
+    const { records, next, cost, source = 'log' } = read
+    this.metrics.countRead(source, 'newest', cost)
     const present = new Set(records.map(record => record.key))
-    for (const record of records) this.apply(record, isFirst)
-    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next)
-    this.next = next
-    log.info('read the newest record of each key', { stream: this.stream, records: records.length, next })
+    this.applyAll(read, this.newestByKey.size === 0)
+    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
+    this.next = Math.max(this.next, next)
+    log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
+    return read.ageMilliseconds ?? 0
+  }
+
+  private applyAll ({ records, cost, source = 'log' }: ReadRecords, isFirst: boolean): void {
+    for (const record of records) this.apply(record, isFirst, { source, cost })
   }
 
   /** Reports a key that the log no longer holds as removed at the offset before `next`. */
-  private applyRemoval (key: string, next: number): void {
+  private applyRemoval (key: string, next: number, read: RecordRead): void {
     const record = this.newestByKey.get(key)
-    if (record !== undefined && record.value !== undefined && record.offset < next) this.apply({ key, value: undefined, offset: next - 1 }, false)
+    if (record !== undefined && record.value !== undefined && record.offset < next) this.apply({ key, value: undefined, offset: next - 1 }, false, read)
   }
 
-  private async readNext (): Promise<void> {
+  private async readNext (): Promise<number> {
     const page = await this.records.read(this.stream, this.next, monotonicNow() + this.pace.wait)
     if (page.kind === 'expired') {
+      this.metrics.countExpired()
       log.warn('records expired before they were read; reading the newest record of each key', { stream: this.stream, next: this.next })
       this.next = -1
-      await this.readAll()
-      return
+      return await this.readAll()
     }
-    for (const record of page.records) this.apply(record, false)
-    this.next = page.next
+    this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
+    this.applyAll(page, false)
+    this.next = Math.max(this.next, page.next)
+    return page.ageMilliseconds ?? 0
   }
 
-  private apply (record: KeyedRecord, isFirst: boolean): void {
+  private apply (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const known = this.newestByKey.get(record.key)
     if (known !== undefined && known.offset >= record.offset) return
     this.newestByKey.set(record.key, record)
-    this.listener.record(record, isFirst)
+    this.highestOffset = Math.max(this.highestOffset, record.offset)
+    this.listener.record(record, isFirst, read)
   }
 
-  private recordSuccess (): void {
+  private recordSuccess (ageMilliseconds: number): void {
     this.failures = 0
-    this.readAt = monotonicNow()
+    this.confirmedAt = Math.max(this.confirmedAt, monotonicNow() - ageMilliseconds)
+    this.wakeWaiting()
     if (this.unreachableSince === undefined) return
     log.info('the log answers again', { stream: this.stream, lostMilliseconds: Math.round(monotonicNow() - this.unreachableSince), next: this.next })
     const unreachableSince = this.unreachableSince
@@ -135,8 +182,13 @@
     if (this.hadRecordsWhenLost) this.listener.onLogRecovered(unreachableSince)
   }
 
+  private wakeWaiting (): void {
+    for (const wake of [...this.waiting]) wake()
+  }
+
   private recordFailure (error: unknown): void {
     this.failures += 1
+    this.metrics.countFailure('log', error)
     if (this.unreachableSince !== undefined) return
     this.unreachableSince = monotonicNow()
     this.hadRecordsWhenLost = this.next >= 0
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -13,15 +13,50 @@
   readonly offset: number
 }
 
+/** Where a node reads records: in the platform's log, or from another node, in its own data centre or elsewhere. */
+export type RecordSource = 'log' | 'peer' | 'remote-peer'
+
+/** What one read of records cost. */
+export interface ReadCost {
+  /** Bytes of the bodies received. */
+  readonly bytes: number
+  /** Time from the call until the first byte, milliseconds; a read that waits for a record includes that wait. */
+  readonly firstByteMilliseconds: number
+  /** Time from the call until the last byte, milliseconds. */
+  readonly milliseconds: number
+  /** Number of records received. */
+  readonly records: number
+  /** Number of them that a later record of the same key in the same answer supersedes. */
+  readonly superseded: number
+}
+
+/** The read that a record came with. */
+export interface RecordRead {
+  readonly source: RecordSource
+  readonly cost: ReadCost
+}
+
+/** Records that were read at once; `next` is the offset from which to continue with `read`. */
+export interface ReadRecords {
+  readonly records: readonly KeyedRecord[]
+  readonly next: number
+  readonly cost: ReadCost
+  /** The log if not set. */
+  readonly source?: RecordSource
+  /** Time since the log confirmed these records as its last ones, milliseconds; 0 if not set. */
+  readonly ageMilliseconds?: number
+}
+
 /** Records from some offset on; `expired` if the log no longer retains them. */
-export type RecordPage =
-  | { readonly kind: 'records', readonly records: readonly KeyedRecord[], readonly next: number }
-  | { readonly kind: 'expired' }
+export type RecordPage = ReadRecords & { readonly kind: 'records' } | { readonly kind: 'expired' }
+
+/** The newest record of each key. */
+export type NewestRecords = ReadRecords
 
 /** The platform's log of keyed records. */
 export abstract class RecordLog {
   /** Reads the newest record of each key, and the offset from which to continue with `read`. */
-  abstract newest (stream: StreamName): Promise<{ readonly records: readonly KeyedRecord[], readonly next: number }>
+  abstract newest (stream: StreamName): Promise<NewestRecords>
   /** Reads records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
   abstract read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage>
   /** Writes the newest value of a key. */
