--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -11,6 +11,8 @@
 export interface GroupedEntry {
   readonly instance: string
   readonly dataCentre: string
+  /** Address for callers' requests, `ip:port`. */
+  readonly callers: string
   /** Address of its metrics and of other nodes' calls, `ip:port`. */
   readonly internal: string
   readonly node: RunningNode
@@ -18,10 +20,10 @@
 
 const internalPort = 7700
 
-/** Starts `count` entries in each data centre; each data centre is a region of its own. */
-export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number): Promise<readonly GroupedEntry[]> {
-  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${index}`, ip: freshIp() })))
-  const seeds = planned.slice(0, 3).map(({ ip }) => ip)
+/** Starts `count` entries in each data centre, each of which is a region of its own; they know `earlier` entries, and their names follow on theirs. */
+export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = []): Promise<readonly GroupedEntry[]> {
+  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${earlier.length + index}`, ip: freshIp() })))
+  const seeds = [...earlier.map(({ internal }) => internal.split(':')[0] ?? ''), ...planned.map(({ ip }) => ip)].slice(0, 3)
   const regionByDataCentre = new Map(dataCentres.map(dataCentre => [dataCentre, dataCentre]))
   return await Promise.all(planned.map(async ({ dataCentre, instance, ip }) => {
     const settings: GatewaySettings = {
@@ -56,7 +58,7 @@
       directory: (_incoming, response) => { response.end() },
       readiness: (_incoming, response, isReady) => { response.writeHead(isReady ? 200 : 503).end() }
     })
-    return { instance, dataCentre, internal: `${ip}:${internalPort}`, node }
+    return { instance, dataCentre, callers: settings.callers, internal: `${ip}:${internalPort}`, node }
   }))
 }
 
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -24,7 +24,12 @@
 export class SharedLog {
   /** Nodes whose reads and writes fail. */
   readonly unreachableFrom = new Set<string>()
+  /** Whether the log fails for every node. */
+  isUnavailable = false
+  /** Number of reads of the newest records of each key to fail. */
+  newestReadsToFail = 0
   private readonly records = new Map<StreamName, KeyedRecord[]>()
+  private readonly firstOffsets = new Map<StreamName, number>()
   private readonly links = new Map<string, NarrowLink>()
   private readonly wakeReaders = new Set<() => void>()
 
@@ -37,6 +42,17 @@
     for (const wake of [...this.wakeReaders]) wake()
   }
 
+  /** Lets all records written so far expire; the newest of each key remain. */
+  expire (stream: StreamName): void {
+    this.firstOffsets.set(stream, this.stream(stream).length)
+    for (const wake of [...this.wakeReaders]) wake()
+  }
+
+  /** Whether the records from an offset on are no longer all retained. */
+  isExpired (stream: StreamName, from: number): boolean {
+    return from < (this.firstOffsets.get(stream) ?? 0)
+  }
+
   /** The log as a node reads it. */
   readerIn (dataCentre: string, instance: string): RecordLog {
     return new SharedLogReader(this, dataCentre, instance)
@@ -88,6 +104,10 @@
 
   async newest (stream: StreamName): Promise<NewestRecords> {
     this.checkReachable()
+    if (this.log.newestReadsToFail > 0) {
+      this.log.newestReadsToFail -= 1
+      throw new Error('the log does not answer')
+    }
     const all = this.log.stream(stream)
     const next = all.length
     const records = [...new Map(all.map(record => [record.key, record])).values()].filter(({ value }) => value !== undefined)
@@ -96,8 +116,9 @@
 
   async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
     this.checkReachable()
-    while (this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
+    while (!this.log.isExpired(stream, from) && this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
     this.checkReachable()
+    if (this.log.isExpired(stream, from)) return { kind: 'expired' }
     const records = this.log.stream(stream).slice(from)
     return { kind: 'records', records, next: from + records.length, cost: await this.log.deliver(this.dataCentre, records) }
   }
@@ -108,6 +129,6 @@
   }
 
   private checkReachable (): void {
-    if (this.log.unreachableFrom.has(this.instance)) throw new Error('the log refuses this node')
+    if (this.log.isUnavailable || this.log.unreachableFrom.has(this.instance)) throw new Error('the log refuses this node')
   }
 }
