Stop using a removed upstream unless the log was unavailable long enough for its record to lapse

What callers saw: requests sent to servers that had left.

Ruled out: offsets that `applyRemoval` makes up. The listing was taken after its end offset, so a key that is missing was removed before that, and a record written later has a higher offset.

Only a gap of two heartbeat intervals lets a record lapse: it takes three without a heartbeat, the last of which may be one before the gap. The grace period of 2 s runs from the log's first answer, not from this entry's own, and a process without an earlier confirmation retains nothing. The heartbeat interval comes from the settings.

The pool's test of the grace period also checks that a second removal does not extend it.

--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -19,8 +19,8 @@
 export interface RecordListener {
   /** `isFirst` marks records that were found by the first read, whose age is unknown; `read` is the read that it came with. */
   record (record: KeyedRecord, isFirst: boolean, read: RecordRead): void
-  /** The log, unreachable since `unreachableSince` (milliseconds of the monotonic clock), answers again; called only if it had been read before. */
-  onLogRecovered (unreachableSince: number): void
+  /** A read was answered, by the log or by a node to which the log confirmed `at` (milliseconds of the monotonic clock) that it had read everything; called before the records of that read. */
+  confirmed (at: number): void
 }
 
 /** Time within which a connected follower must have read the records that another one has read; longer counts as lagging. */
@@ -50,8 +50,6 @@
   private failures = 0
   private confirmedAt = monotonicNow()
   private readonly waiting = new Set<() => void>()
-  /** Whether the log had been read before it became unreachable; a process that has just started has no records that could lapse. */
-  private hadRecordsWhenLost = false
   private readonly metrics: ReadMetrics
 
   constructor (
@@ -116,6 +114,7 @@
    */
   receiveRecords (read: ReadRecords, from: number): void {
     this.metrics.countRead(read.source ?? 'peer', 'newest', read.cost)
+    if (read.ageMilliseconds !== undefined) this.reportConfirmed(read)
     this.applyAll(read, this.newestByKey.size === 0)
     if (from <= this.next) this.next = Math.max(this.next, read.next)
     this.wakeWaiting()
@@ -132,6 +131,7 @@
     const { records, next, cost, source = 'log' } = read
     this.metrics.countRead(source, 'newest', cost)
     const present = new Set(records.map(record => record.key))
+    this.reportConfirmed(read)
     this.applyAll(read, this.newestByKey.size === 0)
     for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
     this.next = Math.max(this.next, next)
@@ -139,6 +139,10 @@
     return read.ageMilliseconds ?? 0
   }
 
+  private reportConfirmed ({ ageMilliseconds = 0 }: ReadRecords): void {
+    if (Number.isFinite(ageMilliseconds)) this.listener.confirmed(monotonicNow() - ageMilliseconds)
+  }
+
   private applyAll ({ records, cost, source = 'log' }: ReadRecords, isFirst: boolean): void {
     for (const record of records) this.apply(record, isFirst, { source, cost })
   }
@@ -158,6 +162,7 @@
       return await this.readAll()
     }
     this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
+    this.reportConfirmed(page)
     this.applyAll(page, false)
     this.next = Math.max(this.next, page.next)
     return page.ageMilliseconds ?? 0
@@ -177,9 +182,7 @@
     this.wakeWaiting()
     if (this.unreachableSince === undefined) return
     log.info('the log answers again', { stream: this.stream, lostMilliseconds: Math.round(monotonicNow() - this.unreachableSince), next: this.next })
-    const unreachableSince = this.unreachableSince
     this.unreachableSince = undefined
-    if (this.hadRecordsWhenLost) this.listener.onLogRecovered(unreachableSince)
   }
 
   private wakeWaiting (): void {
@@ -191,7 +194,6 @@
     this.metrics.countFailure('log', error)
     if (this.unreachableSince !== undefined) return
     this.unreachableSince = monotonicNow()
-    this.hadRecordsWhenLost = this.next >= 0
     log.warn('the log does not answer; continuing with the records read so far', { stream: this.stream, next: this.next, reason: String(error) })
   }
 }
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -16,6 +16,7 @@
 import { logFor } from '../../utils/log.js'
 import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
+import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
 import { EntryGossip } from './gossip.js'
 import { RequestServer } from './serve-request.js'
 import { UpstreamConnections } from './upstream-connections.js'
@@ -24,8 +25,6 @@
 
 const log = logFor('entry')
 
-/** Time that instances have to write lapsed records again once the log is reachable, milliseconds. */
-const lapsedRecordGraceMilliseconds = 2000
 /** Part of the time for a planned stop that is reserved for the exit of the process, milliseconds. */
 const shutdownReserveMilliseconds = 700
 /** Callers may cache an answer of the directory for this many times its stated lifetime. */
@@ -73,11 +72,9 @@
   private active = 0
   /** When the last request arrived, milliseconds of the monotonic clock. */
   private lastRequestAt = 0
-  /** Until when a removed instance record may only have lapsed, milliseconds of the monotonic clock. */
-  private lapseGraceUntil = 0
   private staleTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly settings: GatewaySettings, private readonly ports: GatewayPorts) {
+  constructor (private readonly settings: GatewaySettings, ports: GatewayPorts) {
     this.members = new Membership({
       instance: settings.instance,
       ip: settings.ip,
@@ -105,15 +102,9 @@
       metrics: this.metrics,
       operators: {
         record: (record, isFirst, read) => { this.state.put(record, isFirst, read) },
-        onLogRecovered: () => {}
-      },
-      instances: {
-        record: (record, isFirst) => { this.applyInstanceRecord(record.key, record.value, record.offset, isFirst) },
-        onLogRecovered: () => {
-          this.lapseGraceUntil = monotonicNow() + lapsedRecordGraceMilliseconds
-          this.pool.limitRetention(this.lapseGraceUntil)
-        }
+        confirmed: () => {}
       },
+      instances: new InstanceRecords(ports.codec, this.pool, settings.heartbeatMilliseconds),
       onEntryFound: ip => { this.gossip.announceTo(ip) }
     })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.gossip.receive(message, ip) })
@@ -162,7 +153,7 @@
     runInBackground(this.records.run(), log, 'follow the records')
     await listenOn(this.callers, settings.callers)
     this.gossip.round()
-    this.staleTimer = setInterval(() => { this.removeStale() }, lapsedRecordGraceMilliseconds / 5)
+    this.staleTimer = setInterval(() => { this.removeStale() }, staleCheckMilliseconds)
   }
 
   /** Removes this entry from the directory and serves requests until callers no longer cache its address, none is in progress and none has arrived for a second, or the time is up. */
@@ -215,18 +206,6 @@
     return entriesFor(this.members.living(monotonicNow()), caller, routes.flatMap(({ regions }) => regions))
   }
 
-  private applyInstanceRecord (key: string, value: Buffer | undefined, offset: number, isFirst: boolean): void {
-    if (value === undefined) {
-      this.pool.dropRecord(key, this.records.instances.state.isConnected ? this.lapseGraceUntil : Infinity)
-      return
-    }
-    const upstream = this.ports.codec.upstream(key, value)
-    if ('reason' in upstream) {
-      log.warn('instance record ignored; its upstream is removed', { key, offset, reason: upstream.reason })
-      this.pool.dropRecord(key, 0)
-    } else this.pool.putRecord(upstream, isFirst)
-  }
-
   private removeStale (): void {
     this.pool.deleteExpired()
     this.connections.retainOnly(new Set(this.pool.all().map(({ upstream }) => upstream.id)))
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -73,7 +73,7 @@
     this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
   }
 
-  /** Handles the removal of a record. It may only have lapsed while the log was unreachable, so the upstream is used until `retainUntil`. */
+  /** Handles the removal of a record. The upstream is used until `retainUntil`, milliseconds of the monotonic clock, or that of an earlier removal: the record may only have lapsed. */
   dropRecord (id: string, retainUntil: number): void {
     const view = this.views.get(id)
     if (view === undefined) return
@@ -83,13 +83,6 @@
     else this.delete(id)
   }
 
-  /** Once the log is reachable again, limits the use of upstreams whose record was removed to `until`. */
-  limitRetention (until: number): void {
-    for (const [id, view] of this.views) {
-      if (view.retainedUntil !== undefined) this.views.set(id, { ...view, retainedUntil: Math.min(view.retainedUntil, until) })
-    }
-  }
-
   /** Deletes upstreams whose record was removed and not written again in time. */
   deleteExpired (): void {
     const now = monotonicNow()
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -86,7 +86,7 @@
     this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
     this.operators = new RecordFollower(ports.records, 'operators', operatorsReadPace, {
       record: (record, isFirst) => { this.handleRecord(record.key, record.value, isFirst) },
-      onLogRecovered: () => {}
+      confirmed: () => {}
     }, this.metrics)
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
--- a/src/types/node-settings.ts
+++ b/src/types/node-settings.ts
@@ -29,6 +29,8 @@
   /** In one second, a cold upstream may receive its rate times `coldFactor` plus `coldSlack` requests. */
   readonly coldFactor: number
   readonly coldSlack: number
+  /** Interval at which instances renew their records, milliseconds. */
+  readonly heartbeatMilliseconds: number
   /** Time without disruption after which a node is considered stable, milliseconds. */
   readonly stableMilliseconds: number
 }
--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -49,6 +49,7 @@
       retrySlack: 100,
       coldFactor: 1.5,
       coldSlack: 5,
+      heartbeatMilliseconds: 1200,
       stableMilliseconds: 4000
     }
     const node = await startGateway(settings, {
--- a/test/record-follower.test.ts
+++ b/test/record-follower.test.ts
@@ -12,7 +12,7 @@
 const record = (key: string, offset: number, text: string | undefined = 'value'): KeyedRecord => ({ key, value: text === undefined ? undefined : Buffer.from(text), offset })
 const lost = new Error('no answer')
 const costOf = (records: readonly KeyedRecord[]): ReadCost => ({ bytes: 100 * records.length, firstByteMilliseconds: 5, milliseconds: 7, records: records.length, superseded: 0 })
-const page = (records: readonly KeyedRecord[], next: number): RecordPage => ({ kind: 'records', records, next, cost: costOf(records) })
+const page = (records: readonly KeyedRecord[], next: number, ageMilliseconds = 0): RecordPage => ({ kind: 'records', records, next, cost: costOf(records), ageMilliseconds })
 
 /** A log that returns prepared answers and then never answers again. */
 class ScriptedLog extends RecordLog {
@@ -67,7 +67,7 @@
     const log = new ScriptedLog(newest, reads)
     const follower = new RecordFollower(log, 'operators', { pause: 1, wait: 2500 }, {
       record: ({ key, offset, value }) => { received.push([key, offset, value !== undefined]) },
-      onLogRecovered: () => {}
+      confirmed: () => {}
     })
     follower.run().catch(error => { t.error(error) })
     await new Promise(resolve => { setTimeout(resolve, 900) })
@@ -78,20 +78,27 @@
   })
 }
 
-test('record follower: a log that is unavailable at the start is not reported as recovered', async t => {
-  const recoveries: number[] = []
-  const countRecoveries = async (newest: readonly (readonly KeyedRecord[] | Error)[], reads: readonly (RecordPage | Error)[]): Promise<number> => {
-    recoveries.length = 0
-    const listener = { record: () => {}, onLogRecovered: (unreachableSince: number) => { recoveries.push(unreachableSince) } }
-    const follower = new RecordFollower(new ScriptedLog(newest, reads), 'instances', { pause: 1, wait: 2500 }, listener)
+const confirmationCases: readonly { readonly name: string, readonly newest: readonly (readonly KeyedRecord[] | Error)[], readonly reads: readonly (RecordPage | Error)[], readonly expected: readonly string[] }[] = [
+  { name: 'a log that is unavailable at the start', newest: [lost, [record('a', 3)]], reads: [], expected: ['0', 'a'] },
+  { name: 'a read that fails', newest: [[record('a', 3)]], reads: [lost, page([], 4)], expected: ['0', 'a', '0'] },
+  { name: 'records of another node, confirmed a while ago', newest: [[record('a', 3)]], reads: [page([record('b', 4)], 5, 800)], expected: ['0', 'a', '800', 'b'] },
+  { name: 'records of another node that does not tell their age', newest: [[record('a', 3)]], reads: [page([record('b', 4)], 5, Infinity)], expected: ['0', 'a', 'b'] },
+  { name: 'records that expired', newest: [[record('a', 3)], [record('b', 9)]], reads: [{ kind: 'expired' }], expected: ['0', 'a', '0', 'b', 'a'] }
+]
+
+for (const { name, newest, reads, expected } of confirmationCases) {
+  test(`record follower: confirmations come before the records, with their age, ${name}`, async t => {
+    const events: string[] = []
+    const follower = new RecordFollower(new ScriptedLog(newest, reads), 'instances', { pause: 1, wait: 2500 }, {
+      record: ({ key }) => { events.push(key) },
+      confirmed: at => { events.push(String(Math.round((monotonicNow() - at) / 100) * 100)) }
+    })
     follower.run().catch(error => { t.error(error) })
     await new Promise(resolve => { setTimeout(resolve, 900) })
     follower.stop()
-    return recoveries.length
-  }
-  t.equal(await countRecoveries([lost, [record('a', 3)]], []), 0)
-  t.equal(await countRecoveries([[record('a', 3)]], [lost, page([], 4)]), 1)
-})
+    t.same(events, expected)
+  })
+}
 
 test('record follower: reads are counted by stream, source and result, with what they cost', async t => {
   const metrics = new Metrics()
@@ -101,7 +108,7 @@
   const sources: string[] = []
   const follower = new RecordFollower(log, 'operators', { pause: 1, wait: 2500 }, {
     record: (_record, _isFirst, { source }) => { sources.push(source) },
-    onLogRecovered: () => {}
+    confirmed: () => {}
   }, metrics)
   follower.run().catch(error => { t.error(error) })
   await new Promise(resolve => { setTimeout(resolve, 900) })
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -111,14 +111,14 @@
   t.equal(idOf(pool.choose(requirements)), 'i-1')
 })
 
-test('upstream pool: an upstream whose record may have lapsed is used until the grace period after the log is reachable ends', async t => {
+test('upstream pool: an upstream whose record may have lapsed is used until the grace period ends, and again once it is listed', async t => {
   const pool = makePool()
-  pool.dropRecord('i-1', Infinity)
+  pool.dropRecord('i-1', monotonicNow() + 60)
   t.equal(idOf(pool.choose(requirements)), 'i-1')
-  pool.limitRetention(monotonicNow() + 60)
+  pool.dropRecord('i-1', monotonicNow() + 500)
   t.equal(idOf(pool.choose(requirements)), 'i-1')
   await sleepUntil(monotonicNow() + 80)
-  t.equal(pool.choose(requirements), 'no-upstream')
+  t.equal(pool.choose(requirements), 'no-upstream', 'a later removal of the same record does not extend it')
   pool.putRecord(upstream, false)
   t.equal(idOf(pool.choose(requirements)), 'i-1')
 })
