--- a/test/platform-store.test.ts
+++ b/test/platform-store.test.ts
@@ -85,7 +85,7 @@
 function follow (server: PlatformStoreStandIn): { readonly follower: RecordFollower, readonly received: KeyedRecord[], readonly metrics: Metrics } {
   const received: KeyedRecord[] = []
   const metrics = new Metrics()
-  const listener = { record: (record: KeyedRecord) => { received.push(record) }, onLogRecovered: () => {} }
+  const listener = { record: (record: KeyedRecord) => { received.push(record) }, confirmed: () => {} }
   return { follower: new RecordFollower(new PlatformStore(server.address), 'operators', { pause: 150, wait: 2500 }, listener, metrics), received, metrics }
 }
 
