--- a/test/gateway-removed-upstream.test.ts
+++ b/test/gateway-removed-upstream.test.ts
@@ -1,74 +1,10 @@
 /** Whether an entry still sends requests to an upstream whose record was removed, after failures of the log of different kinds. */
-import { createServer, request, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { test } from 'tap'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
-import { startEntries, type GroupedEntry } from './fakes/entry-group.js'
-import { SharedLog } from './fakes/shared-log.js'
-
-const dataCentre = 'zone-a'
-const upstreamKey = 'i-1'
+import type { GroupedEntry } from './fakes/entry-group.js'
+import { dataCentre, Fleet, isServed } from './fakes/plain-fleet.js'
 
 const pause = (milliseconds: number): Promise<void> => sleepUntil(monotonicNow() + milliseconds)
-const bytesOf = (value: object): Buffer => Buffer.from(JSON.stringify(value))
-
-/** The parts of one case: a log, an upstream and the entries that were started. */
-class Fleet {
-  readonly log = new SharedLog(dataCentre)
-  private entries: readonly GroupedEntry[] = []
-  private readonly upstream: Server
-
-  constructor () {
-    this.upstream = createServer((incoming, response) => {
-      response.writeHead(200, { 'x-server-stamp': 'stamp', 'x-attempt-id': String(incoming.headers['x-attempt-id']) }).end('done')
-    })
-  }
-
-  async start (): Promise<void> {
-    await new Promise<void>(resolve => { this.upstream.listen(0, '127.0.0.1', resolve) })
-    this.log.append('operators', 'config', bytesOf({
-      version: 1,
-      routes: [{ name: 'r', host: 'a.example', 'path-prefix': '/r/', 'route-type': 'safe', 'timeout-ms': 1000, 'latency-goal-ms': 300, priority: 1, 'max-attempts': 1, public: true, service: 'plain' }],
-      services: [{ name: 'plain' }]
-    }))
-    this.writeUpstream()
-  }
-
-  async stop (): Promise<void> {
-    await Promise.all(this.entries.map(({ node }) => node.stop()))
-    this.upstream.close()
-    this.upstream.closeAllConnections()
-  }
-
-  writeUpstream (): void {
-    const { port } = this.upstream.address() as AddressInfo
-    this.log.append('instances', upstreamKey, bytesOf({ service: 'plain', address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots: 8, born: 1000 }))
-  }
-
-  removeUpstream (): void {
-    this.log.append('instances', upstreamKey, undefined)
-  }
-
-  /** Starts one more entry, which knows those started before. */
-  async startEntry (): Promise<GroupedEntry> {
-    const started = await startEntries(this.log, [dataCentre], 1, this.entries)
-    this.entries = [...this.entries, ...started]
-    return started[0] as GroupedEntry
-  }
-}
-
-/** Sends a request to an entry; whether the upstream answered it. */
-function isServed (entry: GroupedEntry): Promise<boolean> {
-  const [host = '', port = ''] = entry.callers.split(':')
-  return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, path: '/r/1', agent: false, headers: { host: 'a.example', 'x-attempt-id': 'a1', 'x-deadline-ms': '300' } }, answer => {
-      answer.resume()
-      resolve(answer.statusCode === 200)
-    })
-    outgoing.on('error', reject)
-    outgoing.end()
-  })
-}
 
 interface Case {
   readonly name: string
