Send nothing to an upstream that is withdrawn while the request waits for a connection

Cause: the upstream is checked when it is chosen. A request then waits up to 0.4 s for a connection, on a full link for a new one to open, else for a free one of the agent, and is sent whatever the entry has read meanwhile.

Ruled out: the entry's own queue. Requests there choose their upstream again at each check for free slots.

Change: once there is a connection and before anything is sent, the call asks the pool whether the upstream still gets requests. One that drains, was removed or is evacuated ends the call as not run (`withdrawn`), and another upstream is tried without use of the retry budget, as after a connection that could not be opened.

--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -173,6 +173,7 @@
       isResumed: this.answer.lastEventId !== undefined || request.caller.lastEventId !== undefined,
       requestId: request.caller.id,
       connectBy: Math.min(request.deadline, now + connectTimeoutMilliseconds),
+      isWithdrawn: () => context.pool.isWithdrawn(upstream.id),
       firstResponseBy: answerStartDeadline(request.route, this.ran, now, request.deadline),
       inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
       finishBy: request.deadline,
@@ -230,8 +231,8 @@
     const now = monotonicNow()
     const progress = { route: request.route, ran: this.ran, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
     const step = nextStep(progress)
-    const isUnreachable = result.kind === 'not-run' && result.reason === 'unreachable'
-    const mayResend = step.kind === 'resend' && (isUnreachable || context.budget.take(request.service.name, context.entries().length, now))
+    const isUnsent = result.kind === 'not-run' && (result.reason === 'unreachable' || result.reason === 'withdrawn')
+    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entries().length, now))
     const final = step.kind === 'fail' ? step : nextStep({ ...progress, hasBudget: false })
     this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', view, result)
     if (mayResend || final.kind === 'resend') return true
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -16,8 +16,8 @@
   /** The upstream may have run the request. */
   | { readonly kind: 'lost', readonly reason: LostReason }
 
-/** No connection (`unreachable`), refused by the upstream (`shed`), or another upstream or other weights at the address (`misdirected`). */
-export type NotRunReason = 'unreachable' | 'shed' | 'misdirected'
+/** No connection (`unreachable`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests (`withdrawn`). */
+export type NotRunReason = 'unreachable' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), no head or event in time (`silent`), `finishBy` passed (`timeout`), an answer to another request,
  * or one that is unsigned, encoded or too large (`wrong-answer`), an answer that ended early (`incomplete`), or a call that the
@@ -40,6 +40,8 @@
   /** Id that the answer must carry if it carries one. */
   readonly requestId: string
   readonly connectBy: number
+  /** Whether the upstream gets no more requests; checked when there is a connection, before anything is sent. */
+  readonly isWithdrawn: () => boolean
   /** Deadline of the answer's head or, for a stream, of its first event. */
   readonly firstResponseBy: number
   /** Longest time between two events of a stream, milliseconds. */
@@ -97,6 +99,10 @@
 
   private handleConnected (): void {
     if (this.isFinished) return
+    if (this.call.isWithdrawn()) {
+      this.abandon({ kind: 'not-run', reason: 'withdrawn' })
+      return
+    }
     this.isConnected = true
     this.watch(this.call.firstResponseBy, () => { this.abandonUnresponsive() })
   }
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -227,11 +227,15 @@
     return isUnresponsive
   }
 
-  private mayServe (view: UpstreamView, requirements: UpstreamRequirements): boolean {
-    const { upstream } = view
-    if (view.retainedUntil !== undefined && view.retainedUntil <= monotonicNow()) return false
-    if (upstream.service !== requirements.service.name || upstream.isDraining || requirements.tried.has(upstream.id)) return false
-    if (this.context.isEvacuated(upstream.dataCentre)) return false
+  /** Whether an upstream gets no more requests: it drains, its record was removed, or its data centre is evacuated. */
+  isWithdrawn (id: string): boolean {
+    const view = this.views.get(id)
+    if (view === undefined || view.upstream.isDraining) return true
+    return (view.retainedUntil !== undefined && view.retainedUntil <= monotonicNow()) || this.context.isEvacuated(view.upstream.dataCentre)
+  }
+
+  private mayServe ({ upstream }: UpstreamView, requirements: UpstreamRequirements): boolean {
+    if (upstream.service !== requirements.service.name || requirements.tried.has(upstream.id) || this.isWithdrawn(upstream.id)) return false
     const region = this.context.regionOf.get(upstream.dataCentre)
     return requirements.regions === undefined || (region !== undefined && requirements.regions.includes(region))
   }
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -72,6 +72,22 @@
   t.match(await callOnce(address, false, false, new SeenStream()), { kind: 'not-run', reason: 'unreachable' })
 })
 
+test('upstream call: nothing is sent to an upstream that gets no more requests once there is a connection', async t => {
+  for (const isKept of [false, true]) {
+    let requests = 0
+    const { address, close } = await listen(socket => {
+      socket.on('data', () => { requests += 1 })
+      socket.write(`HTTP/1.1 200 OK\r\n${signed}Content-Length: 2\r\n\r\nok`)
+    }, () => { requests += 1 })
+    const agents = new UpstreamConnections()
+    if (isKept) t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
+    t.match(await callOnce(address, false, false, new SeenStream(), agents, true), { kind: 'not-run', reason: 'withdrawn' })
+    await new Promise(resolve => { setTimeout(resolve, 60) })
+    t.equal(requests, isKept ? 1 : 0, isKept ? 'on a kept connection' : 'on a new connection')
+    close()
+  }
+})
+
 test('upstream call: unsolicited bytes after an answer close the persistent connection', async t => {
   let connections = 0
   const { address, close } = await listen(socket => {
@@ -88,12 +104,15 @@
   close()
 })
 
-async function listen (answer: (socket: Socket) => void): Promise<{ readonly address: string, readonly close: () => void }> {
+async function listen (answer: (socket: Socket) => void, received: () => void = () => {}): Promise<{ readonly address: string, readonly close: () => void }> {
   const sockets = new Set<Socket>()
   const server = createServer(socket => {
     sockets.add(socket)
     socket.on('error', () => { sockets.delete(socket) })
-    socket.once('data', () => { answer(socket) })
+    socket.once('data', () => {
+      received()
+      answer(socket)
+    })
   })
   await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
   const close = (): void => {
@@ -112,7 +131,7 @@
   event (): void { this.events += 1 }
 }
 
-function callOnce (address: string, isStream: boolean, isResumed: boolean, seen: SeenStream, connections = new UpstreamConnections()): Promise<CallResult> {
+function callOnce (address: string, isStream: boolean, isResumed: boolean, seen: SeenStream, connections = new UpstreamConnections(), isWithdrawn = false): Promise<CallResult> {
   const now = monotonicNow()
   return new CallInProgress({
     address,
@@ -124,6 +143,7 @@
     isResumed,
     requestId,
     connectBy: now + 300,
+    isWithdrawn: () => isWithdrawn,
     firstResponseBy: now + 300,
     inactivityTimeoutMilliseconds: 300,
     finishBy: now + 2000,
