Show that a removal is lost when the records come from an entry that started after it

An entry that cannot read the log takes records from one that has started since. That one knows only the newest record of each key, so it has no removal to pass on, and the first one uses the removed upstream for ever.

--- a/test/gateway-removed-upstream.test.ts
+++ b/test/gateway-removed-upstream.test.ts
@@ -81,6 +81,19 @@
     },
     expected: [{ after: 2500, isUsed: false }]
   },
+  {
+    name: 'a removal while no entry read the log, then records from an entry that started after it',
+    play: async fleet => {
+      const entry = await fleet.startEntry()
+      await pause(1500)
+      fleet.log.unreachableFrom.add(entry.instance)
+      await pause(300)
+      fleet.removeUpstream()
+      await fleet.startEntry()
+      return entry
+    },
+    expected: [{ after: 7000, isUsed: false }]
+  },
   {
     name: 'records that expire and a read of the newest that fails once',
     play: async fleet => {
