Read everything from an entry that may not know all removals since the asked offset

Requests would reach a removed upstream, or a data centre stay evacuated, without an end.

Cause: a node that started, or read the newest record of each key after an expiry or because it was behind, knows no removal of a key that it never held. Its feed answered a poll from any offset as if it held them all, and the reader advanced past the removal.

Ruled out: the offsets that `applyRemoval` makes up. The listing is read after its end offset, so that offset lies before any later write of the key.

Change: each follower notes the ranges that it read as newest records only, from the log or from another node. A poll from inside such a range is answered with 410, as the log does for expired records, and the reader reads the newest record of each key and drops those that are missing. The path by way of gossip does the same. Polls from before or after a range are answered as before, so an entry that follows one source never sees it.

--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -21,6 +21,13 @@
   }
 }
 
+/** Thrown when a node may not know all removals since the requested offset; everything has to be read. */
+export class UnknownRemovalsError extends Error {
+  constructor (address: string) {
+    super(`${address} may not know all removals since the offset`)
+  }
+}
+
 /** Reads one stream from the feed of another node; `address` is `ip:port`. Calls throw `StaleRecordsError` or the error of the connection. */
 export class FedRecordLog extends RecordLog {
   constructor (private readonly address: string, private readonly stream: FedStream, private readonly agent: Agent, private readonly source: PeerSource) {
@@ -37,7 +44,8 @@
 
   async read (_stream: string, from: number, waitUntil: number): Promise<RecordPage> {
     const wait = Math.max(0, Math.min(pollMilliseconds, Math.round(waitUntil - monotonicNow())))
-    const read = await this.poll(from, wait)
+    const read = await this.poll(from, wait).catch(ignoreUnknownRemovals)
+    if (read === undefined) return { kind: 'expired' }
     if (read.records.length === 0) this.checkCurrent(read)
     const next = Math.max(from, read.next)
     return { kind: 'records', ...read, next, end: next }
@@ -56,7 +64,11 @@
   }
 }
 
-/** Fetches what a node has read from an offset on, without waiting; rejects when it does not answer in time. */
+function ignoreUnknownRemovals (error: unknown): undefined {
+  if (!(error instanceof UnknownRemovalsError)) throw error
+}
+
+/** Fetches what a node has read from an offset on, without waiting; rejects when it does not answer in time, and with `UnknownRemovalsError`. */
 export async function fetchRecords (address: string, stream: FedStream, from: number, agent: Agent, source: PeerSource): Promise<ReadRecords> {
   return await pollFeed(address, stream, agent, source, { from, waitMilliseconds: 0 })
 }
@@ -72,6 +84,7 @@
   const path = feedPath(stream, from, waitMilliseconds)
   const deadlines = deadlinesByProgress(monotonicNow() + waitMilliseconds + answerMilliseconds[source])
   const answer = await callHttp({ address, method: 'GET', path, ...deadlines, agent })
+  if (answer.status === 410) throw new UnknownRemovalsError(address)
   if (answer.status !== 200) throw new Error(`${address} answered ${answer.status} to a request for records`)
   const body = answer.headers['content-encoding'] === 'gzip' ? await decompress(answer.body) : answer.body
   const fed = decodeFedRecords(body, answer.headers)
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -65,7 +65,7 @@
 
   constructor (private readonly followers: Readonly<Record<FedStream, RecordFollower>>) {}
 
-  /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 404 for an unknown stream. */
+  /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 410 if removals since the offset may be unknown here, 404 for an unknown stream. */
   async serve (target: string, response: ServerResponse): Promise<void> {
     const query = new URLSearchParams(target.split('?')[1] ?? '')
     const stream = query.get('stream')
@@ -77,6 +77,10 @@
     }
     const follower = this.followers[stream]
     if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower))) await follower.waitForRead(monotonicNow() + wait)
+    if (!follower.knowsRemovalsFrom(from)) {
+      response.writeHead(410).end()
+      return
+    }
     const body = await this.encode(stream, from, follower)
     const { ageMilliseconds, isConnected } = freshnessOf(follower)
     response.setHeader(feedHeaders.age, String(Math.round(ageMilliseconds)))
--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -5,6 +5,7 @@
 import { sleepUntil, monotonicNow } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
 import { ReadMetrics, transferMilliseconds } from './read-metrics.js'
+import { RemovalCoverage } from './removal-coverage.js'
 
 const log = logFor('records')
 
@@ -47,6 +48,7 @@
   private readonly newestByKey = new Map<string, KeyedRecord>()
   private next = -1
   private highestOffset = -1
+  private readonly removals = new RemovalCoverage()
   private planned: NextRead = { kind: 'newest', isDue: true }
   private unreachableSince: number | undefined
   private isStopped = false
@@ -98,6 +100,11 @@
     return this.next >= 0 && (offset < 0 || this.highestOffset >= offset)
   }
 
+  /** Whether a node that has read up to an offset (-1 for nothing) learns of all removals since from this one. */
+  knowsRemovalsFrom (offset: number): boolean {
+    return offset < 0 || this.removals.isComplete(offset)
+  }
+
   /** Resolves after the next read, whether or not it brought records, or at `deadline`, milliseconds of the monotonic clock. */
   waitForRead (deadline: number): Promise<void> {
     return new Promise(resolve => {
@@ -112,14 +119,15 @@
   }
 
   /**
-   * Applies what a peer has read from the offset `from` on: the newest record of each key. Older records than those known are
-   * ignored.
+   * Applies what a peer has read from the offset `from` on, -1 for everything: the newest record of each key. Older records than
+   * those known are ignored.
    */
   receiveRecords (read: ReadRecords, from: number): void {
     this.metrics.countRead(read.source ?? 'peer', 'newest', read.cost)
     if (read.ageMilliseconds !== undefined) this.reportConfirmed(read)
     this.applyAll(read, this.newestByKey.size === 0)
-    if (from <= this.next) this.next = Math.max(this.next, read.next)
+    if (from < 0) this.removeMissing(read)
+    if (from <= this.next) this.advanceAsNewest(read.next)
     this.wakeWaiting()
   }
 
@@ -133,11 +141,10 @@
     const read = await this.records.newest(this.stream)
     const { records, next, cost, source = 'log' } = read
     this.metrics.countRead(source, 'newest', cost)
-    const present = new Set(records.map(record => record.key))
     this.reportConfirmed(read)
     this.applyAll(read, this.newestByKey.size === 0)
-    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
-    this.next = Math.max(this.next, next)
+    this.removeMissing(read)
+    this.advanceAsNewest(next)
     this.planned = readAfterNewest(this.largestHeld)
     log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
     return read.ageMilliseconds ?? 0
@@ -151,6 +158,19 @@
     for (const record of records) this.apply(record, isFirst, { source, cost })
   }
 
+  /** Removes the keys that are not among the newest records of all keys. */
+  private removeMissing ({ records, next, cost, source = 'log' }: ReadRecords): void {
+    const present = new Set(records.map(record => record.key))
+    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
+  }
+
+  /** Advances to `next` after a read that left out superseded records. */
+  private advanceAsNewest (next: number): void {
+    if (next <= this.next) return
+    this.removals.recordNewest(this.next, next)
+    this.next = next
+  }
+
   /** Reports a key that the log no longer holds as removed at the offset before `next`. */
   private applyRemoval (key: string, next: number, read: RecordRead): void {
     const record = this.newestByKey.get(key)
@@ -169,7 +189,8 @@
     this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
     this.reportConfirmed(page)
     this.applyAll(page, false)
-    this.next = Math.max(this.next, page.next)
+    if ((page.source ?? 'log') === 'log') this.next = Math.max(this.next, page.next)
+    else this.advanceAsNewest(page.next)
     // Records that follow a page without any cannot be read now.
     const unread = page.records.length === 0 ? 0 : Math.max(0, page.end - this.next)
     this.planned = nextRead({ unread, limit, largestRead: largestValue(page.records), largestHeld: this.largestHeld })
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -4,10 +4,11 @@
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
-import { fetchRecords } from '../../nodes/fed-record-log.js'
+import { fetchRecords, UnknownRemovalsError } from '../../nodes/fed-record-log.js'
 import type { FedStream } from '../../nodes/record-feed.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { Gossip, NodeMessage } from '../../types/node-messages.js'
+import type { ReadRecords } from '../../types/ports.js'
 import { runInBackground } from '../../utils/background.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -145,13 +146,18 @@
     log.info('entry joined or is alive again', { instance: member.instance, dataCentre: member.dataCentre, incarnation: member.incarnation })
   }
 
+  /** Fetches what a member has read beyond this entry, or everything if the member may not know all removals since. */
   private async fetchRecords (stream: FedStream, member: Member): Promise<void> {
     const follower = this.context[stream]
-    const from = follower.state.next
     this.fetching.add(stream)
     try {
       const isNear = member.dataCentre === this.context.members.self.dataCentre
-      const read = await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer')
+      const fetchFrom = async (from: number): Promise<{ readonly read: ReadRecords, readonly from: number }> =>
+        ({ read: await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer'), from })
+      const { read, from } = await fetchFrom(follower.state.next).catch((error: unknown) => {
+        if (error instanceof UnknownRemovalsError) return fetchFrom(-1)
+        throw error
+      })
       follower.receiveRecords(read, from)
       log.info('records fetched from another entry', { instance: member.instance, stream, records: read.records.length, from, next: read.next, bytes: read.cost.bytes })
     } catch (error) {
