--- a/src/types/node-settings.ts
+++ b/src/types/node-settings.ts
@@ -29,8 +29,6 @@
   /** In one second, a cold upstream may receive its rate times `coldFactor` plus `coldSlack` requests. */
   readonly coldFactor: number
   readonly coldSlack: number
-  /** Interval at which instances renew their records, milliseconds. */
-  readonly heartbeatMilliseconds: number
   /** Time without disruption after which a node is considered stable, milliseconds. */
   readonly stableMilliseconds: number
 }
@@ -46,6 +44,8 @@
   readonly directory: string
   /** Time for which callers may cache an answer of the directory, seconds. */
   readonly directoryCacheSeconds: number
+  /** Interval at which instances renew their records, milliseconds. */
+  readonly heartbeatMilliseconds: number
 }
 
 /** Settings of an agent that delivers weights to its engine. */
