--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import { test } from 'tap'
 import { PlatformRequests } from '../platform/requests.js'
-import { CallInProgress, type CallResult, type EventSink } from '../src/roles/gateway/upstream-call.js'
+import { CallInProgress, type CallResult, type EventSink, type UpstreamCall } from '../src/roles/gateway/upstream-call.js'
 import { UpstreamConnections } from '../src/roles/gateway/upstream-connections.js'
 import { monotonicNow } from '../src/utils/clock.js'
 
@@ -67,7 +67,7 @@
 }
 
 test('upstream call: each event of a stream moves the time at which it counts as silent', async t => {
-  const pauseMilliseconds = 80
+  const [pauseMilliseconds, inactivityTimeoutMilliseconds] = [350, 1600]
   let lastSentAt = 0
   const { address, close } = await listen(socket => {
     socket.write(streamHead)
@@ -80,9 +80,10 @@
     }, pauseMilliseconds)
   })
   const seen = new SeenStream()
-  t.match(await callOnce(address, true, false, seen), { kind: 'lost', reason: 'silent' })
+  const firstResponseBy = monotonicNow() + 10_000
+  t.match(await callOnce(address, true, false, seen, undefined, { connectBy: firstResponseBy, firstResponseBy, inactivityTimeoutMilliseconds, finishBy: monotonicNow() + 30_000 }), { kind: 'lost', reason: 'silent' })
   t.equal(seen.events, 6, 'longer than the inactivity timeout in total')
-  t.ok(monotonicNow() - lastSentAt >= 290, 'silent only once the timeout has passed since the last event')
+  t.ok(monotonicNow() - lastSentAt >= inactivityTimeoutMilliseconds - 10, 'silent only once the timeout has passed since the last event')
   close()
 })
 
@@ -101,7 +102,7 @@
     }, () => { requests += 1 })
     const agents = new UpstreamConnections()
     if (isKept) t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
-    t.match(await callOnce(address, false, false, new SeenStream(), agents, true), { kind: 'not-run', reason: 'withdrawn' })
+    t.match(await callOnce(address, false, false, new SeenStream(), agents, { isWithdrawn: () => true }), { kind: 'not-run', reason: 'withdrawn' })
     await new Promise(resolve => { setTimeout(resolve, 60) })
     t.equal(requests, isKept ? 1 : 0, isKept ? 'on a kept connection' : 'on a new connection')
     close()
@@ -151,7 +152,7 @@
   event (): void { this.events += 1 }
 }
 
-function callOnce (address: string, isStream: boolean, isResumed: boolean, seen: SeenStream, connections = new UpstreamConnections(), isWithdrawn = false): Promise<CallResult> {
+function callOnce (address: string, isStream: boolean, isResumed: boolean, seen: SeenStream, connections = new UpstreamConnections(), deadlines: Partial<UpstreamCall> = {}): Promise<CallResult> {
   const now = monotonicNow()
   return new CallInProgress({
     address,
@@ -163,12 +164,13 @@
     isResumed,
     requestId,
     connectBy: now + 300,
-    isWithdrawn: () => isWithdrawn,
+    isWithdrawn: () => false,
     firstResponseBy: now + 300,
     inactivityTimeoutMilliseconds: 300,
     finishBy: now + 2000,
     headReceived: () => {},
     bytesReceived: () => {},
-    started: () => {}
+    started: () => {},
+    ...deadlines
   }, new PlatformRequests(), isStream ? seen : undefined).result
 }
