Entry: do not take its own delay for an agent that does not answer

So the entry itself was delayed; a timer that is due goes before the replies that wait in the sockets. One such query abandons an idempotent request, which is lost when the other data centre is out. In the same way a refusal became unknown (`busy`, `isolated`) when the queries that confirm it went unanswered, and an instance counted as lost, which can make its requests suspects.

A query whose timeout ran 50 ms late or more says nothing about the agent and is repeated, twice at most, with the same time to answer. This is done where all queries are made (`queryOutcome`). A paused or unreachable agent is found as before, by an entry that is on time.

--- a/src/roles/entry/attempt.ts
+++ b/src/roles/entry/attempt.ts
@@ -7,10 +7,12 @@
 import { headers, type Outcome } from '../../types/messages.js'
 import type { EngineRequest } from '../../types/platform.js'
 import { waitUntil } from '../../utils/clock.js'
+import { logFor } from '../../utils/log.js'
 import type { AttemptInput, AttemptResult } from './attempt-input.js'
 import type { AnswerHost } from './host.js'
 import { forwardTokens } from './stream.js'
 
+const log = logFor('entry')
 /** Limit of a failure's body; a larger one is not read, and no retry time is taken from it. */
 const maximumRefusalBytes = 4096
 const refusalTimeoutMilliseconds = 1000
@@ -152,11 +154,13 @@
   while (!started.aborted) {
     await waitUntil(Date.now() + host.settings.questionMilliseconds, started)
     if (started.aborted) return
-    const reply = await host.queryOutcome(upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, Date.now() + outcomeTimeoutMilliseconds)
+    const askedAt = Date.now()
+    const reply = await host.queryOutcome(upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, askedAt + outcomeTimeoutMilliseconds)
     if (started.aborted) return
     denials = reply?.outcome === 'running' ? 0 : denials + 1
     const isOverdue = !caller.nonIdempotent && caller.model !== undefined && Date.now() > firstByteDeadline
     if (denials >= maximumDenials || isOverdue || (denials > 0 && !caller.nonIdempotent)) {
+      log.warn('attempt abandoned before its first byte', { request: caller.id, instance: upstream.status.instance, outcome: reply?.outcome ?? 'no reply', queryMilliseconds: Date.now() - askedAt, denials, isOverdue })
       abandonAttempt()
       return
     }
--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -31,6 +31,11 @@
 /** Interval at which a stopping entry checks whether requests still run. */
 const drainPollMilliseconds = 20
 
+/** Lateness of a query's timeout from which the entry itself was delayed, so that the reply may have arrived unread, milliseconds. */
+const ownDelayMilliseconds = 50
+/** Times that a query is repeated because the entry itself was delayed. */
+const maximumRepeatedQueries = 2
+
 /** Poll intervals within which every peer has observed that this entry is stopping. */
 const pollsToObserveStop = 2
 
@@ -114,6 +119,18 @@
   }
 
   async queryOutcome (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined> {
+    const timeout = deadline - Date.now()
+    let replyBy = deadline
+    for (let repeated = 0; ; repeated += 1) {
+      const reply = await this.queryOutcomeOnce(controlAddress, question, replyBy)
+      const lateMilliseconds = Date.now() - replyBy
+      if (reply !== undefined || lateMilliseconds < ownDelayMilliseconds || repeated >= maximumRepeatedQueries) return reply
+      log.warn('the entry was delayed during a query; asking the agent again', { request: question.requestId, agent: controlAddress, lateMilliseconds })
+      replyBy = Date.now() + timeout
+    }
+  }
+
+  private async queryOutcomeOnce (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined> {
     const client = new ControlClient(controlAddress, 'own')
     try {
       return await client.outcome(question, deadline)
--- a/src/roles/entry/host.ts
+++ b/src/roles/entry/host.ts
@@ -24,6 +24,9 @@
   readonly firstByteTracker: FirstByteTracker
   readonly journal: RequestJournal
   readonly metrics: Metrics
-  /** Asks an agent for the outcome of a request over a separate connection; undefined when it does not answer. `deadline` in epoch milliseconds. */
+  /**
+   * Asks an agent for the outcome of a request over a separate connection; undefined when it does not answer. `deadline` in epoch
+   * milliseconds; a query whose timeout ran late is repeated, as the entry itself was delayed and says nothing about the agent.
+   */
   queryOutcome (controlAddress: string, question: OutcomeRequest, deadline: number): Promise<OutcomeReply | undefined>
 }
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -7,11 +7,13 @@
 import { candidatesOf, chooseUpstream, hasFreeSlot, type UpstreamRequirements, type UpstreamView } from '../../core/routing.js'
 import { createFailure, type Failure, type FailureTag } from '../../errors.js'
 import type { Configuration, Organisation } from '../../types/configuration.js'
+import { logFor } from '../../utils/log.js'
 import { AnswerTracker, type AttemptResult } from './attempt-input.js'
 import { attempt, sendPlainAnswer } from './attempt.js'
 import type { AnswerHost } from './host.js'
 import { resolveLostRequest, resolveByOutcome, type Resolution } from './resolve-outcome.js'
 
+const log = logFor('entry')
 /** Delay until the caller may retry, where no upstream reported one. */
 const retryDelayMilliseconds = 500
 
@@ -128,6 +130,7 @@
     }
     const resolution = await resolveLostRequest(this.host, caller, upstream, result, this.tracker.progress.next > 0)
     this.isLost = !caller.nonIdempotent
+    log.warn('the answer of an upstream was lost', { request: caller.id, instance: upstream.status.instance, reason: result.reason, tokens: this.tracker.progress.next, resolution: resolution.kind, milliseconds: Date.now() - this.request.receivedAt })
     return this.applyResolution(resolution, upstream.status.instance)
   }
 
