--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -30,7 +30,6 @@
   retrySlack: 10,
   coldFactor: 1.5,
   coldSlack: 5,
-  heartbeatMilliseconds: 1200,
   stableMilliseconds: 3000,
   engine: '',
   service,
