--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -18,9 +18,10 @@
 
 const internalPort = 7700
 
-/** Starts `count` entries in each data centre; each data centre is a region of its own. */
-export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number): Promise<readonly GroupedEntry[]> {
-  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${index}`, ip: freshIp() })))
+/** Starts `count` entries in each data centre; each data centre is a region of its own. `ips` are kept for a later start of the same entries. */
+export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number, ips = new Map<string, string>()): Promise<readonly GroupedEntry[]> {
+  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${index}`, ip: ips.get(`${dataCentre}-${index}`) ?? freshIp() })))
+  for (const { instance, ip } of planned) ips.set(instance, ip)
   const seeds = planned.slice(0, 3).map(({ ip }) => ip)
   const regionByDataCentre = new Map(dataCentres.map(dataCentre => [dataCentre, dataCentre]))
   return await Promise.all(planned.map(async ({ dataCentre, instance, ip }) => {
