--- a/src/core/weights/distribution-plan.ts
+++ b/src/core/weights/distribution-plan.ts
@@ -58,6 +58,8 @@
   readonly peers: readonly DistributionPeer[]
   /** Positions that agents are known to hold, without those that fail to deliver. */
   readonly offered: Bitmap
+  /** Since when each of these positions has been known to be offered, milliseconds of the monotonic clock. */
+  readonly offeredAt: ReadonlyMap<number, number>
   /** Positions with a fetch in progress. */
   readonly inFlight: ReadonlySet<number>
   /** Fetches from the origin in progress. */
