Do not count a node's records as current for the node that it reads from

Cause: the entry that was cut off read from the second one, whose records made it look current, so the second one went back to reading from the first. Each polled the other and none the log, until the records were 1.5 s old; then the second one read the log again for half a second, and it began anew. Five of ten changes took over 1 s to reach both.

Change: a poll names the instance that reads, and a node that reads from that one answers as not connected, so the reader tries its next source. Entries rank their sources in one order except for the two that come after the log, so a longer ring needs several entries cut off at once; that was not tested.

--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -28,9 +28,9 @@
   }
 }
 
-/** Reads one stream from the feed of another node; `address` is `ip:port`. Calls throw `StaleRecordsError` or the error of the connection. */
+/** Reads one stream from the feed of another node; `address` is `ip:port`, `reader` the instance that reads. Calls throw `StaleRecordsError` or the error of the connection. */
 export class FedRecordLog extends RecordLog {
-  constructor (private readonly address: string, private readonly stream: FedStream, private readonly agent: Agent, private readonly source: PeerSource) {
+  constructor (private readonly address: string, private readonly stream: FedStream, private readonly agent: Agent, private readonly source: PeerSource, private readonly reader: string) {
     super()
   }
 
@@ -60,7 +60,7 @@
   }
 
   private poll (from: number, waitMilliseconds: number): Promise<PolledRecords> {
-    return pollFeed(this.address, this.stream, this.agent, this.source, { from, waitMilliseconds })
+    return pollFeed(this.address, this.stream, this.agent, this.source, { from, waitMilliseconds, reader: this.reader })
   }
 }
 
@@ -69,8 +69,8 @@
 }
 
 /** Fetches what a node has read from an offset on, without waiting; rejects when it does not answer in time, and with `UnknownRemovalsError`. */
-export async function fetchRecords (address: string, stream: FedStream, from: number, agent: Agent, source: PeerSource): Promise<ReadRecords> {
-  return await pollFeed(address, stream, agent, source, { from, waitMilliseconds: 0 })
+export async function fetchRecords (address: string, stream: FedStream, from: number, agent: Agent, source: PeerSource, reader: string): Promise<ReadRecords> {
+  return await pollFeed(address, stream, agent, source, { from, waitMilliseconds: 0, reader })
 }
 
 /** Entry of the own data centre or of another one. */
@@ -78,10 +78,10 @@
 
 type PolledRecords = ReadRecords & FedRecords
 
-interface Poll { readonly from: number, readonly waitMilliseconds: number }
+interface Poll { readonly from: number, readonly waitMilliseconds: number, readonly reader: string }
 
-async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds }: Poll): Promise<PolledRecords> {
-  const path = feedPath(stream, from, waitMilliseconds)
+async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds, reader }: Poll): Promise<PolledRecords> {
+  const path = feedPath(stream, from, waitMilliseconds, reader)
   const deadlines = deadlinesByProgress(monotonicNow() + waitMilliseconds + answerMilliseconds[source])
   const answer = await callHttp({ address, method: 'GET', path, ...deadlines, agent })
   if (answer.status === 410) throw new UnknownRemovalsError(address)
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -26,9 +26,9 @@
 
 interface CachedAnswer { readonly key: string, readonly body: Promise<Buffer> }
 
-/** Path of a poll for the records of a stream from an offset on. */
-export function feedPath (stream: FedStream, from: number, waitMilliseconds: number): string {
-  return `/records?stream=${stream}&from=${from}&wait=${waitMilliseconds}`
+/** Path of a poll by the instance `reader` for the records of a stream from an offset on. */
+export function feedPath (stream: FedStream, from: number, waitMilliseconds: number, reader: string): string {
+  return `/records?stream=${stream}&from=${from}&wait=${waitMilliseconds}&reader=${encodeURIComponent(reader)}`
 }
 
 /** What an answer of the feed holds. */
@@ -39,7 +39,7 @@
   readonly next: number
   /** Time since the log confirmed that the sender had read everything, milliseconds; since the sender's start before its first read. */
   readonly ageMilliseconds: number
-  /** Whether the sender's last read of any source succeeded, or its first one is in progress. */
+  /** Whether the sender's last read of any source succeeded, or its first one is in progress; false if that source is the reader itself. */
   readonly isConnected: boolean
 }
 
@@ -63,7 +63,8 @@
 export class RecordFeed {
   private readonly cached: CachedAnswer[] = []
 
-  constructor (private readonly followers: Readonly<Record<FedStream, RecordFollower>>) {}
+  /** `sourceOf` gives the name of the source from which this node reads a stream; see `SelectedRecordLog`. */
+  constructor (private readonly followers: Readonly<Record<FedStream, RecordFollower>>, private readonly sourceOf: (stream: FedStream) => string) {}
 
   /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 410 if removals since the offset may be unknown here, 404 for an unknown stream. */
   async serve (target: string, response: ServerResponse): Promise<void> {
@@ -76,7 +77,9 @@
       return
     }
     const follower = this.followers[stream]
-    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower))) await follower.waitForRead(monotonicNow() + wait)
+    // Two nodes that read from each other would both take their records for current while neither reads the log.
+    const isReadFromReader = (): boolean => this.sourceOf(stream) === query.get('reader')
+    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower)) && !isReadFromReader()) await follower.waitForRead(monotonicNow() + wait)
     if (!follower.knowsRemovalsFrom(from)) {
       response.writeHead(410).end()
       return
@@ -84,7 +87,7 @@
     const body = await this.encode(stream, from, follower)
     const { ageMilliseconds, isConnected } = freshnessOf(follower)
     response.setHeader(feedHeaders.age, String(Math.round(ageMilliseconds)))
-    response.setHeader(feedHeaders.connected, isConnected ? 'yes' : 'no')
+    response.setHeader(feedHeaders.connected, isConnected && !isReadFromReader() ? 'yes' : 'no')
     if (body.isCompressed) response.setHeader('content-encoding', 'gzip')
     response.end(body.bytes)
   }
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -19,6 +19,8 @@
 
 /** Options of a selection. */
 export interface SelectionOptions {
+  /** This node's instance, as other nodes name it. */
+  readonly instance: string
   readonly stream: FedStream
   readonly log: RecordLog
   /** Port between nodes, the same on all of them. */
@@ -97,7 +99,7 @@
   private reach (source: PreferredSource): RecordLog {
     if (source.kind === 'log') return this.options.log
     const address = `${source.ip}:${this.options.internalPort}`
-    const feed = this.feeds.get(address) ?? new FedRecordLog(address, this.options.stream, this.agent, source.isSameDataCentre ? 'peer' : 'remote-peer')
+    const feed = this.feeds.get(address) ?? new FedRecordLog(address, this.options.stream, this.agent, source.isSameDataCentre ? 'peer' : 'remote-peer', this.options.instance)
     this.feeds.set(address, feed)
     return feed
   }
--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -46,6 +46,7 @@
   readonly operators: RecordFollower
   readonly instances: RecordFollower
   private readonly feed: RecordFeed
+  private readonly selected = new Map<FedStream, SelectedRecordLog>()
   private announced: readonly Member[] = []
   /** Until when `announced` counts, milliseconds of the monotonic clock. */
   private announcedUntil = 0
@@ -54,7 +55,7 @@
   constructor (private readonly context: FleetRecordsContext) {
     this.operators = this.follow('operators', context.operators)
     this.instances = this.follow('instances', context.instances)
-    this.feed = new RecordFeed({ operators: this.operators, instances: this.instances })
+    this.feed = new RecordFeed({ operators: this.operators, instances: this.instances }, stream => this.selected.get(stream)?.source ?? '')
   }
 
   /** Looks for other entries, then follows both streams until `stop`. */
@@ -77,7 +78,8 @@
 
   private follow (stream: FedStream, listener: RecordListener): RecordFollower {
     const { log: records, settings, metrics } = this.context
-    const selected = new SelectedRecordLog({ stream, log: records, internalPort: settings.internalPort, logWaitMilliseconds, metrics: new ReadMetrics(metrics, stream), sources: () => this.sources() })
+    const selected = new SelectedRecordLog({ instance: settings.instance, stream, log: records, internalPort: settings.internalPort, logWaitMilliseconds, metrics: new ReadMetrics(metrics, stream), sources: () => this.sources() })
+    this.selected.set(stream, selected)
     return new RecordFollower(selected, stream, { pause: pauseMilliseconds[stream], wait: readWaitMilliseconds }, listener, metrics)
   }
 
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -153,7 +153,7 @@
     try {
       const isNear = member.dataCentre === this.context.members.self.dataCentre
       const fetchFrom = async (from: number): Promise<{ readonly read: ReadRecords, readonly from: number }> =>
-        ({ read: await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer'), from })
+        ({ read: await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer', this.context.members.self.instance), from })
       const { read, from } = await fetchFrom(follower.state.next).catch((error: unknown) => {
         if (error instanceof UnknownRemovalsError) return fetchFrom(-1)
         throw error
--- a/test/http-call.test.ts
+++ b/test/http-call.test.ts
@@ -84,7 +84,7 @@
   const server = await startServer()
   t.teardown(() => { server.close() })
   const agent = new Agent()
-  const fetched = await fetchRecords(server.address, 'operators', 0, agent, 'peer')
+  const fetched = await fetchRecords(server.address, 'operators', 0, agent, 'peer', 'node-1')
   t.same(fetched.records, [{ ...record, value: Buffer.from(record.value) }])
   t.match(fetched, { next: 4, source: 'peer', cost: { records: 1, bytes: fed.length } })
 })
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -85,6 +85,7 @@
     log.append('operators', 'config', Buffer.from('first'))
     const [ip = '', port = ''] = address.split(':')
     const selected = new SelectedRecordLog({
+      instance: 'node-1',
       stream: 'operators',
       log: log.readerIn('home', 'self'),
       internalPort: Number(port),
