Entry: believe an agent that knows that a lost look-up did not run

Callers were told `unknown: upstream-lost` of an idempotent request although its agent, the incarnation that would have received it, had answered that it did not run. Cause: every loss of such a request counted as a possible run, whatever the agent replied; non-idempotent requests were resolved by the reply already. With no other upstream left (a data centre out, an agent leaving) the caller got a failure without a time to retry at which it is safe.

The resolution of a lost request now says whether it may have run. It may not only when no token was forwarded and the incarnation that the request was sent to replies `not-run`; that incarnation refuses the request's id from then on, and since "never refuse a request that has begun as not run" its reply is true of requests that it has seen.

An agent that was restarted, or that does not know the request, leaves it unknown as before.

--- a/src/roles/entry/resolve-outcome.ts
+++ b/src/roles/entry/resolve-outcome.ts
@@ -17,22 +17,23 @@
 /** How long a crash that this entry observed counts. */
 const suspicionMilliseconds = 60_000
 
-/** How a lost request continues: its stored answer, another upstream, or a failure. */
+/** How a lost request continues: its stored answer, another upstream (`mayHaveRun` unless its agent knows that it did not run), or a failure. */
 export type Resolution =
   | { readonly kind: 'answer', readonly reply: OutcomeReply }
-  | { readonly kind: 'elsewhere' }
+  | { readonly kind: 'elsewhere', readonly mayHaveRun: boolean }
   | { readonly kind: 'failed', readonly failure: Failure }
 
 /** Resolves the outcome of a request that may have reached an agent; `received` tells whether a token was forwarded. Records a crash or the loss of the instance. */
 export async function resolveLostRequest (host: AnswerHost, caller: CallerRequest, upstream: UpstreamView, lost: Extract<AttemptResult, { kind: 'lost' }>, received: boolean): Promise<Resolution> {
   if (lost.reason === 'crashed') recordCrash(host, caller, upstream)
   if (caller.nonIdempotent) return await resolveByOutcome(host, caller, upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, upstream.status.incarnation)
-  if (lost.reason === 'crashed' || lost.reason === 'wrong') return { kind: 'elsewhere' }
+  if (lost.reason === 'crashed' || lost.reason === 'wrong') return { kind: 'elsewhere', mayHaveRun: true }
   const reply = await host.queryOutcome(upstream.controlAddress, { requestId: caller.id, key: '', incarnation: upstream.status.incarnation }, Date.now() + outcomeTimeoutMilliseconds)
   if (reply?.incarnation !== upstream.status.incarnation) host.quarantine.recordLoss(caller.fingerprint, Date.now() + suspicionMilliseconds)
   else if (lost.reason === 'cut' && received && reply.outcome === 'unknown') recordCrash(host, caller, upstream)
   if (reply?.outcome === 'run' && reply.status > 0 && caller.model === undefined) return { kind: 'answer', reply }
-  return { kind: 'elsewhere' }
+  const isKnownNotRun = !received && reply?.outcome === 'not-run' && reply.incarnation === upstream.status.incarnation
+  return { kind: 'elsewhere', mayHaveRun: !isKnownNotRun }
 }
 
 /**
@@ -44,7 +45,7 @@
   while (Date.now() < caller.deadline) {
     const reply = await host.queryOutcome(controlAddress, question, Math.min(caller.deadline, Date.now() + outcomeTimeoutMilliseconds))
     if (reply?.outcome === 'run') return reply.status > 0 ? { kind: 'answer', reply } : { kind: 'failed', failure: createFailure('outcome-pruned') }
-    if (reply?.outcome === 'not-run' && (incarnation ?? reply.incarnation) === reply.incarnation) return { kind: 'elsewhere' }
+    if (reply?.outcome === 'not-run' && (incarnation ?? reply.incarnation) === reply.incarnation) return { kind: 'elsewhere', mayHaveRun: false }
     if (reply?.outcome === 'not-run' || reply?.outcome === 'unknown') return unresolved()
     unanswered = reply === undefined ? unanswered + 1 : 0
     if (unanswered >= maximumUnansweredQueries) return unresolved()
--- a/src/roles/entry/serve.ts
+++ b/src/roles/entry/serve.ts
@@ -129,7 +129,7 @@
       return over(this.finalFailure())
     }
     const resolution = await resolveLostRequest(this.host, caller, upstream, result, this.tracker.progress.next > 0)
-    this.isLost = !caller.nonIdempotent
+    this.isLost ||= resolution.kind === 'elsewhere' && resolution.mayHaveRun
     log.warn('the answer of an upstream was lost', { request: caller.id, instance: upstream.status.instance, reason: result.reason, tokens: this.tracker.progress.next, resolution: resolution.kind, milliseconds: Date.now() - this.request.receivedAt })
     return this.applyResolution(resolution, upstream.status.instance)
   }
--- a/test/entry-answers.test.ts
+++ b/test/entry-answers.test.ts
@@ -243,3 +243,35 @@
   t.ok((JSON.parse(answer.text) as { retryAt: number }).retryAt > 0)
   t.equal(agent?.runs.length, 1)
 })
+
+const lostLookUps: readonly { readonly name: string, readonly reply: { readonly outcome: 'not-run' | 'unknown', readonly incarnation?: string }, readonly outcome: string }[] = [
+  { name: 'has not run it', reply: { outcome: 'not-run' }, outcome: 'not-run' },
+  { name: 'does not know it', reply: { outcome: 'unknown' }, outcome: 'unknown' },
+  { name: 'was restarted', reply: { outcome: 'not-run', incarnation: 'another' }, outcome: 'unknown' }
+]
+
+for (const { name, reply, outcome } of lostLookUps) {
+  test(`a look-up that is cut is reported as ${outcome} when its agent ${name} and no other upstream is left`, async t => {
+    const world = await TestCluster.start({ ledger: ['east'] })
+    t.teardown(() => { world.stop() })
+    const [agent] = world.agents
+    if (agent === undefined) throw new Error('there is no agent')
+    agent.behave = (run, response) => {
+      agent.replies.set(run.id, reply)
+      response.destroy()
+    }
+    const answer = await world.call('ledger/look-up', 'badge')
+    t.equal(answer.outcome, outcome, answer.failure)
+  })
+}
+
+test('a completion whose tokens were forwarded is reported as unknown, whatever its agent says', async t => {
+  const world = await TestCluster.start({ citations: ['east'] })
+  t.teardown(() => { world.stop() })
+  const [agent] = world.agents
+  if (agent === undefined) throw new Error('there is no agent')
+  agent.defaultOutcome = 'not-run'
+  agent.behave = answerTokens({ after: 3, kind: 'cut' })
+  const answer = await world.call('citations/completions', question)
+  t.match(answer.lines.at(-1), { type: 'failure', outcome: 'unknown' })
+})
