Failure tests: count the runs of each crashing request by its kind

A request is quarantined by service, operation and body, so these are different requests.

Each kind now counts its own runs: a completion those of engines, a look-up and a sign-off those of their operation. The bounds are the same (2, 2, 1), and two faults of one kind still share them.

Before (the three new tests with the old filter): not ok 19, 20, 21 - the runs of a crashing completion, lookUp, signOff do not include those of others.

--- a/script/failure/crashing-request.ts
+++ b/script/failure/crashing-request.ts
@@ -7,7 +7,8 @@
 import { Fault } from './fault.js'
 import { modelService, plainService, type TestDeployment } from './test-deployment.js'
 
-const crashingText = 'a text that crashes its upstream'
+/** Text of every crashing request. */
+export const crashingText = 'a text that crashes its upstream'
 const sendCount = 8
 const pauseMilliseconds = 300
 const requestTimeoutMilliseconds = 3000
@@ -19,13 +20,27 @@
   signOff: { name: 'crashing-sign-off', service: plainService, kind: 'plain', operation: 'sign-off', key: 'crashing-sign-off', runs: 1 }
 } as const
 
+/** Kind of a crashing request. */
+export type CrashingKind = keyof typeof requestKinds
+
+/** Runs of one kind of crashing request; the kinds share their text, and a scenario may send several of them. */
+export function runsOfCrashingRequest (register: readonly RegisterLine[], kind: CrashingKind): ReadonlyArray<Extract<RegisterLine, { event: 'started' | 'ran' }>> {
+  const { kind: serviceKind, operation } = requestKinds[kind]
+  return register.flatMap(line => {
+    const isRun = serviceKind === 'model'
+      ? line.event === 'started' && line.prompt === crashingText
+      : line.event === 'ran' && line.operation === operation && line.body === digestBytes(crashingText)
+    return isRun ? [line as Extract<RegisterLine, { event: 'started' | 'ran' }>] : []
+  })
+}
+
 /** Sends the crashing request to the entries in rotation. */
 export class CrashingRequest extends Fault {
   readonly impact = 'unknown'
   readonly name: string
   private readonly sent: Sending[] = []
 
-  constructor (private readonly kind: keyof typeof requestKinds) {
+  constructor (private readonly kind: CrashingKind) {
     super()
     this.name = requestKinds[kind].name
   }
@@ -45,8 +60,8 @@
   async clear (): Promise<void> {}
 
   override check (_deployment: TestDeployment, register: readonly RegisterLine[]): readonly string[] {
-    const runs = register.filter(line => (line.event === 'started' && line.prompt === crashingText) || (line.event === 'ran' && line.body === digestBytes(crashingText)))
-    const ids = new Set(runs.flatMap(line => 'id' in line ? [line.id] : []))
+    const runs = runsOfCrashingRequest(register, this.kind)
+    const ids = new Set(runs.map(({ id }) => id))
     const falseNotRun = this.sent.filter(({ end, id }) => end === 'not-run' && ids.has(id))
     const findings = falseNotRun.map(({ id, failure }) => `the crashing request ${id} was said not to have run: ${failure}`)
     const maximumRuns = requestKinds[this.kind].runs
--- a/test/judge.test.ts
+++ b/test/judge.test.ts
@@ -1,5 +1,6 @@
 import { test } from 'tap'
 import { Caller, type Call, type Sending } from '../script/caller.js'
+import { crashingText, runsOfCrashingRequest, type CrashingKind } from '../script/failure/crashing-request.js'
 import { judge, lastWorkAfter, type Verdict } from '../script/judge.js'
 import { digestBytes } from '../src/utils/digest.js'
 import { tokenAt } from '../stand-in/engine.js'
@@ -77,3 +78,24 @@
     server.close()
   })
 }
+
+const crashingRuns: readonly RegisterLine[] = [
+  { event: 'ran', upstream: 'u', at: 1, id: 'look-up 1', key: '', operation: 'look-up', body: digestBytes(crashingText) },
+  { event: 'ran', upstream: 'v', at: 2, id: 'look-up 1', key: '', operation: 'look-up', body: digestBytes(crashingText) },
+  { event: 'ran', upstream: 'u', at: 3, id: 'sign-off 1', key: 'k', operation: 'sign-off', body: digestBytes(crashingText) },
+  { event: 'ran', upstream: 'u', at: 4, id: 'other', key: 'k', operation: 'sign-off', body: digestBytes('badge 7') },
+  { event: 'started', upstream: 'w', at: 5, id: 'completion 1', prompt: crashingText, weights: 'w', resumeFrom: 0, running: 1, bound: 2 },
+  { event: 'started', upstream: 'w', at: 6, id: 'other', prompt: 'a hike', weights: 'w', resumeFrom: 0, running: 1, bound: 2 }
+]
+
+const countedRuns: ReadonlyArray<{ readonly kind: CrashingKind, readonly ids: readonly string[] }> = [
+  { kind: 'completion', ids: ['completion 1'] },
+  { kind: 'lookUp', ids: ['look-up 1', 'look-up 1'] },
+  { kind: 'signOff', ids: ['sign-off 1'] }
+]
+
+for (const { kind, ids } of countedRuns) {
+  test(`the runs of a crashing ${kind} do not include those of other crashing requests with the same text`, async t => {
+    t.same(runsOfCrashingRequest(crashingRuns, kind).map(({ id }) => id), ids)
+  })
+}
