Turn to the log after two silent sources; no confirmation by a node that has read less

After two entries without an answer the log is next. - an entry that had read nothing yet, or less than the one that polls it, confirmed the poller's records as current by its own age.

Two cases of record-herd still fail now and then and are listed.

--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -47,8 +47,11 @@
     const read = await this.poll(from, wait).catch(ignoreUnknownRemovals)
     if (read === undefined) return { kind: 'expired' }
     if (read.records.length === 0) this.checkCurrent(read)
+    if (read.next < 0) throw new StaleRecordsError(this.address, read.ageMilliseconds, read.isConnected)
     const next = Math.max(from, read.next)
-    return { kind: 'records', ...read, next, end: next }
+    // A node that has read less than the caller cannot confirm the caller's records.
+    const ageMilliseconds = read.next < from ? Infinity : read.ageMilliseconds
+    return { kind: 'records', ...read, next, end: next, ageMilliseconds }
   }
 
   async write (): Promise<void> {
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -12,8 +12,8 @@
 
 /** Time for which a source that did not answer is not tried unless all others failed too, milliseconds; doubled for each consecutive failure of an entry up to the maximum. */
 const avoidedMilliseconds = { log: 500, entry: 1000, maximum: 8000 } as const
-/** Time after which a call tries no further entry, milliseconds. */
-const triesMilliseconds = 2500
+/** Entries without an answer after which a call turns to the log: each one takes up to a second. */
+const maximumUnanswered = 2
 /** Delay of a read of the log for each preferred entry that has not read it either, milliseconds: when the log answers again, a few entries read it and the others read from them. */
 const staleEntryMilliseconds = 50
 
@@ -67,11 +67,11 @@
   }
 
   private async tryInOrder<Result> (call: (source: PreferredSource) => Promise<Result>): Promise<Result> {
-    const triesUntil = monotonicNow() + triesMilliseconds
     const stale: StaleRecordsError[] = []
+    let unanswered = 0
     let failure: unknown
     for (const source of this.choose()) {
-      if (source.kind === 'entry' && failure !== undefined && monotonicNow() > triesUntil) continue
+      if (source.kind === 'entry' && unanswered >= maximumUnanswered) continue
       if (isOutside(source) && !mayReadOutside(stale)) break
       if (source.kind === 'log') await sleepUntil(monotonicNow() + stale.length * staleEntryMilliseconds)
       try {
@@ -81,7 +81,8 @@
       } catch (error) {
         failure = failure === undefined || source.kind === 'log' ? error : failure
         this.recordFailure(source, error)
-        if (error instanceof StaleRecordsError && !isOutside(source)) stale.push(error)
+        if (!(error instanceof StaleRecordsError)) unanswered += 1
+        else if (!isOutside(source)) stale.push(error)
       }
     }
     throw failure ?? new Error('no source of records is known')
