--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -20,9 +20,16 @@
 
 const internalPort = 7700
 
-/** Starts `count` entries in each data centre, each of which is a region of its own; they know `earlier` entries, and their names follow on theirs. */
-export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = []): Promise<readonly GroupedEntry[]> {
-  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => ({ dataCentre, instance: `${dataCentre}-${earlier.length + index}`, ip: freshIp() })))
+/**
+ * Starts `count` entries in each data centre, each of which is a region of its own; they know `earlier` entries, and their names
+ * follow on theirs. `ips` are kept for a later start of the same entries.
+ */
+export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = [], ips = new Map<string, string>()): Promise<readonly GroupedEntry[]> {
+  const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => {
+    const instance = `${dataCentre}-${earlier.length + index}`
+    return { dataCentre, instance, ip: ips.get(instance) ?? freshIp() }
+  }))
+  for (const { instance, ip } of planned) ips.set(instance, ip)
   const seeds = [...earlier.map(({ internal }) => internal.split(':')[0] ?? ''), ...planned.map(({ ip }) => ip)].slice(0, 3)
   const regionByDataCentre = new Map(dataCentres.map(dataCentre => [dataCentre, dataCentre]))
   return await Promise.all(planned.map(async ({ dataCentre, instance, ip }) => {
