--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -48,8 +48,8 @@
   private readonly subscriptions: AgentSubscriptions
   /** Streams that are being fetched from another entry. */
   private readonly fetching = new Set<FedStream>()
-  /** When a stream may be fetched again, by stream and distance of the sender, milliseconds of the monotonic clock. */
-  private readonly nextFetchAt = new Map<string, number>()
+  /** When a stream may be fetched again, milliseconds of the monotonic clock. */
+  private readonly nextFetchAt = new Map<FedStream, number>()
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly context: GossipContext) {
--- a/test/late-configuration.test.ts
+++ b/test/late-configuration.test.ts
@@ -1,5 +1,6 @@
 /** Entries behind a narrow link have a large configuration in force in time: the link carries it a few times, not once for each entry. */
 import { test } from 'tap'
+import { encodeConfiguration } from './fakes/fleet-configuration.js'
 import { SharedLog, linkBytesPerSecond } from './fakes/shared-log.js'
 import { metricOf, startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
 import { eventually } from './fakes/test-cluster.js'
@@ -65,23 +66,3 @@
 async function knowEachOther (entries: readonly GroupedEntry[]): Promise<void> {
   await eventually(async () => (await Promise.all(entries.map(entry => metricOf(entry, 'pollendyke_living_entries')))).every(count => count === entries.length))
 }
-
-function encodeConfiguration (version: number, routes: number): Buffer {
-  return Buffer.from(JSON.stringify({
-    version,
-    routes: Array.from({ length: routes }, (_, index) => ({
-      name: `route-${index}`,
-      host: `host-${index % 40}.example`,
-      'path-prefix': `/${index.toString(36)}/${(index * 7919 % 46_656).toString(36)}/`,
-      service: 'ledger',
-      'route-type': 'safe',
-      'timeout-ms': 1500,
-      'latency-goal-ms': 144,
-      'max-attempts': 2,
-      priority: 1
-    })),
-    services: [{ name: 'ledger', 'max-conns': 520 }],
-    tenants: [],
-    limits: {}
-  }))
-}
--- a/test/record-herd.test.ts
+++ b/test/record-herd.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'tap'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { metricOf, startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
+import { encodeConfiguration } from './fakes/fleet-configuration.js'
 import { SharedLog } from './fakes/shared-log.js'
 import { eventually } from './fakes/test-cluster.js'
 
@@ -59,23 +60,3 @@
 async function haveInForce (entries: readonly GroupedEntry[], version: number): Promise<void> {
   await eventually(async () => (await Promise.all(entries.map(async entry => await versionInForce(entry).catch(() => 0)))).every(inForce => inForce === version))
 }
-
-function encodeConfiguration (version: number, routes: number): Buffer {
-  return Buffer.from(JSON.stringify({
-    version,
-    routes: Array.from({ length: routes }, (_, index) => ({
-      name: `route-${index}`,
-      host: `host-${index % 40}.example`,
-      'path-prefix': `/${index.toString(36)}/${(index * 7919 % 46_656).toString(36)}/`,
-      service: 'ledger',
-      'route-type': 'safe',
-      'timeout-ms': 1500,
-      'latency-goal-ms': 144,
-      'max-attempts': 2,
-      priority: 1
-    })),
-    services: [{ name: 'ledger', 'max-conns': 520 }],
-    tenants: [],
-    limits: {}
-  }))
-}
