Read, log and count the limit that an upstream names

The adapter decodes the header Server-Limit, entries keep what each upstream named (a lower limit at once, a higher one or none only from an answer whose request was sent later) and log changes; metrics upstream_limit and upstream_requests_total, by upstream, show what an entry knows and sends. No decision depends on it yet.

--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -148,6 +148,7 @@
     const { upstream } = view
     const now = monotonicNow()
     const isStream = request.route.kind === 'stream'
+    context.metrics.count('upstream_requests_total', { upstream: upstream.id })
     const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entries().length)
     const minimumVersion = this.minimumVersion()
     const headers = context.requests.upstreamHeaders(request.incoming.headers, {
@@ -177,7 +178,7 @@
       firstResponseBy: answerStartDeadline(request.route, this.ran, now, request.deadline),
       inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
       finishBy: request.deadline,
-      headReceived: head => { context.pool.applyAnswerLoad(upstream.id, head.load) },
+      headReceived: head => { context.pool.applyAnswerHead(upstream.id, head, now) },
       bytesReceived: () => { context.pool.recordActivity(upstream.id) },
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
@@ -242,8 +243,7 @@
   }
 
   private failWithoutSlot (): void {
-    const isOutage = this.noSlotReason === 'no-weights'
-    this.fail(this.ran > 0 ? 'upstream-lost' : isOutage ? 'no-weights' : 'busy', this.noSlotReason)
+    this.fail(this.ran > 0 ? 'upstream-lost' : this.noSlotReason === 'no-weights' ? 'no-weights' : 'busy', this.noSlotReason)
   }
 
   /** Sends a failure to the caller; `noSlotReason` is set when no upstream could be called. */
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -21,6 +21,7 @@
 import { RequestServer } from './serve-request.js'
 import { UpstreamConnections } from './upstream-connections.js'
 import { RequestQueue } from './request-queue.js'
+import { UpstreamLimits } from './upstream-limits.js'
 import { UpstreamPool } from './upstream-pool.js'
 
 const log = logFor('entry')
@@ -57,6 +58,7 @@
   private readonly members: Membership
   private readonly state: FleetState
   private readonly pool: UpstreamPool
+  private readonly limits = new UpstreamLimits()
   private readonly connections = new UpstreamConnections()
   private readonly suspects = new CrashSuspects()
   private readonly records: FleetRecords
@@ -95,6 +97,7 @@
       dataCentre: settings.dataCentre,
       regionOf: settings.regionByDataCentre,
       cold: { factor: settings.coldFactor, slack: settings.coldSlack },
+      limits: this.limits,
       entries: () => this.livingEntries(),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre)
     }, name => this.state.service(name))
@@ -238,6 +241,7 @@
     for (const view of this.pool.all()) {
       this.metrics.set('upstream_requests', { upstream: view.upstream.id }, view.inFlight)
       this.metrics.set('upstream_ejected', { upstream: view.upstream.id }, view.health.ejectedUntil > now ? 1 : 0)
+      this.metrics.set('upstream_limit', { upstream: view.upstream.id }, this.limits.perSecond(view.upstream) ?? -1)
     }
     return this.metrics.render()
   }
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -9,6 +9,7 @@
 import type { LoadReport } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
+import type { UpstreamLimits } from './upstream-limits.js'
 import { engineIdsByIp, isLoadRecent, estimateLoad, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
@@ -38,6 +39,7 @@
   readonly regionOf: ReadonlyMap<string, string>
   /** A cold upstream may get its rate times `factor`, plus `slack` requests, in one second from all entries. */
   readonly cold: { readonly factor: number, readonly slack: number }
+  readonly limits: UpstreamLimits
   /** Instances of the living entries, including this one. */
   entries (): readonly string[]
   isEvacuated (dataCentre: string): boolean
@@ -106,11 +108,13 @@
     }
   }
 
-  /** Applies the load that the head of an answer reports; undefined where it reports none. */
-  applyAnswerLoad (id: string, load: AnswerHead['load']): void {
+  /** Applies the load and the limit that the head of an answer states; its request was sent at `sentAt`. */
+  applyAnswerHead (id: string, head: AnswerHead, sentAt: number): void {
     const view = this.views.get(id)
-    if (view === undefined || load === undefined) return
-    this.views.set(id, { ...view, observedLoad: this.observeLoad(view, load.running + load.waiting) })
+    if (view === undefined) return
+    if (!head.isMisdirected && (head.isSigned || head.isNotRun)) this.context.limits.observe(view.upstream, head, sentAt)
+    const { load } = head
+    if (load !== undefined) this.views.set(id, { ...view, observedLoad: this.observeLoad(view, load.running + load.waiting) })
   }
 
   /** Records that another upstream or other weights were at the address: an upstream with weights gets no requests until its agent reports again. */
@@ -212,6 +216,7 @@
     this.engineIds = undefined
     this.views.delete(id)
     this.coldRate.forget(id)
+    this.context.limits.forget(id)
     this.activity.forget(id)
     this.unresponsive.delete(id)
   }
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -101,6 +101,15 @@
   readonly lastEventId: string | undefined
 }
 
+/**
+ * Limit of requests a second from all entries together that an upstream names in an answer, 0 for none at all; `invalid`
+ * holds the text of one that cannot be read.
+ */
+export type NamedLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'limit', readonly perSecond: number }
+  | { readonly kind: 'invalid', readonly text: string }
+
 /** The decoded head of an upstream's answer. */
 export interface AnswerHead {
   readonly status: number
@@ -114,6 +123,7 @@
   /** Whether the body has a content encoding such as gzip. */
   readonly isEncoded: boolean
   readonly load: { readonly running: number, readonly waiting: number, readonly slots: number } | undefined
+  readonly limit: NamedLimit
 }
 
 /** Codec of the headers of requests and answers, towards callers and upstreams. */
--- a/src/utils/log.ts
+++ b/src/utils/log.ts
@@ -10,7 +10,7 @@
 ROARR.write = () => {}
 
 /** Components of the system that write logs. */
-export type LogComponent = 'admission' | 'claims' | 'command' | 'configuration' | 'entry' | 'agent' | 'engine' | 'exchange' | 'gate' | 'instances' | 'members' | 'orders' | 'records' | 'requests' | 'routing' | 'settings' | 'start' | 'stop' | 'trace'
+export type LogComponent = 'admission' | 'claims' | 'command' | 'configuration' | 'entry' | 'agent' | 'engine' | 'exchange' | 'gate' | 'instances' | 'limits' | 'members' | 'orders' | 'records' | 'requests' | 'routing' | 'settings' | 'start' | 'stop' | 'trace'
 
 /** Logger of one component. Messages are short, and neither they nor the context contain bodies, tokens or keys. */
 export interface ComponentLogger {
--- a/test/platform-records.test.ts
+++ b/test/platform-records.test.ts
@@ -120,7 +120,14 @@
   { name: 'a request that was not run', status: 503, headers: { 'x-not-executed': '1' }, expected: { isNotRun: true, isMisdirected: false } },
   { name: 'a misdirected request', status: 421, headers: {}, expected: { isNotRun: true, isMisdirected: true } },
   { name: 'an encoded body', status: 200, headers: { 'content-encoding': 'gzip' }, expected: { isEncoded: true } },
-  { name: 'a malformed load', status: 200, headers: { 'x-server-load': 'much' }, expected: { load: undefined } }
+  { name: 'a malformed load', status: 200, headers: { 'x-server-load': 'much' }, expected: { load: undefined } },
+  { name: 'no limit', status: 200, headers: {}, expected: { limit: { kind: 'none' } } },
+  { name: 'a limit', status: 200, headers: { 'server-limit': '1.8' }, expected: { limit: { kind: 'limit', perSecond: 1.8 } } },
+  { name: 'a limit in a refusal', status: 503, headers: { 'x-not-executed': '1', 'server-limit': '2' }, expected: { limit: { kind: 'limit', perSecond: 2 } } },
+  { name: 'a limit of no requests', status: 200, headers: { 'server-limit': '0' }, expected: { limit: { kind: 'limit', perSecond: 0 } } },
+  { name: 'two limits, of which the lower one counts', status: 200, headers: { 'server-limit': '3, 1.5' }, expected: { limit: { kind: 'limit', perSecond: 1.5 } } },
+  { name: 'a limit and one that cannot be read', status: 200, headers: { 'server-limit': '3, many' }, expected: { limit: { kind: 'invalid', text: '3, many' } } },
+  ...['', '-1', '+1', '1e3', 'Infinity', 'NaN', '0x10', '1.2.3', '9'.repeat(400)].map(text => ({ name: `the invalid limit "${text.slice(0, 12)}"`, status: 200, headers: { 'server-limit': text }, expected: { limit: { kind: 'invalid', text: text.slice(0, 40) } } }))
 ]
 
 for (const { name, status, headers, expected } of answerHeads) {
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -1,5 +1,6 @@
 /** Which upstream an entry chooses after records, load reports, restarts, evacuations and its own calls. */
 import { test } from 'tap'
+import { UpstreamLimits } from '../src/roles/gateway/upstream-limits.js'
 import { UpstreamPool, type UpstreamRequirements, type SelectionFailure } from '../src/roles/gateway/upstream-pool.js'
 import type { UpstreamView } from '../src/roles/gateway/upstream-view.js'
 import type { Service, Upstream } from '../src/types/fleet.js'
@@ -16,6 +17,7 @@
     dataCentre: 'zone-a',
     regionOf: new Map([['zone-a', 'north'], ['zone-b', 'south']]),
     cold: { factor: 1.5, slack: 5 },
+    limits: new UpstreamLimits(),
     entries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre)
   }, () => service, () => 0)
@@ -96,6 +98,7 @@
     dataCentre: 'zone-a',
     regionOf: new Map([['zone-a', 'north']]),
     cold: { factor: 1.5, slack: 5 },
+    limits: new UpstreamLimits(),
     entries: () => {
       reads += 1
       return ['entry-1', 'entry-2']
