--- a/test/fakes/plain-fleet.ts
+++ b/test/fakes/plain-fleet.ts
@@ -61,6 +61,12 @@
     this.entries = [...this.entries, ...started]
     return started[0] as GroupedEntry
   }
+
+  /** Stops an entry as planned. */
+  async stopEntry (entry: GroupedEntry): Promise<void> {
+    this.entries = this.entries.filter(({ instance }) => instance !== entry.instance)
+    await entry.node.stop()
+  }
 }
 
 /** Answers a request as an upstream does that ran it. */
