Limit the bytes of every reader

Cause: readers collected bodies until a deadline, without a limit of bytes; refused bodies were read on without either; an event without end was copied with each part; a decompressed body had no bound.

Heads, chunk extensions and trailers were bounded already, by Node.js.

A caller's body has the deadline of its request, and the rest of an answered request ends after two seconds. Heads of answers to other requests no longer state a load or a limit.

--- a/src/core/event-splitter.ts
+++ b/src/core/event-splitter.ts
@@ -1,6 +1,9 @@
 /** Splits the bytes of an event stream (SSE) into complete events. */
 
 const lineFeed = 0x0a
+const carriageReturn = 0x0d
+/** First size of the buffer, bytes: some events. */
+const initialBytes = 1024
 const idField = Buffer.from('id:')
 
 /** Complete event. */
@@ -13,38 +16,67 @@
 
 /** Buffers bytes until an event is complete: an upstream may fail within an event, and a forwarded fragment would corrupt the event after it. */
 export class EventSplitter {
-  private buffered: Buffer = Buffer.alloc(0)
+  /** Bytes without a complete event, in the first `length` of a buffer that doubles when it is full, so that an event of many parts is not copied with each of them. */
+  private buffer: Buffer = Buffer.alloc(initialBytes)
+  private length = 0
+  /** Start of the last line in the buffer. */
+  private lineStart = 0
+  /** Position up to which line feeds have been searched. */
+  private searched = 0
 
-  /** Whether bytes of an incomplete event are buffered. */
-  get hasPartialEvent (): boolean {
-    return this.buffered.length > 0
+  /** Bytes of an incomplete event that are buffered. */
+  get bufferedBytes (): number {
+    return this.length
   }
 
   /** Adds bytes and returns the events that they complete. */
   push (bytes: Buffer): readonly StreamEvent[] {
-    this.buffered = this.buffered.length === 0 ? bytes : Buffer.concat([this.buffered, bytes])
+    this.append(bytes)
     const events: StreamEvent[] = []
-    let end = endOfEvent(this.buffered)
-    while (end !== -1) {
-      const event = this.buffered.subarray(0, end)
+    let start = 0
+    for (let end = this.endOfEvent(start); end !== -1; end = this.endOfEvent(start)) {
+      const event = Buffer.from(this.buffer.subarray(start, end))
       events.push({ bytes: event, id: idOf(event) })
-      this.buffered = this.buffered.subarray(end)
-      end = endOfEvent(this.buffered)
+      start = end
     }
+    this.drop(start)
     return events
   }
-}
 
-/** Position after the first blank line, -1 for none; lines end in LF or CRLF. */
-function endOfEvent (bytes: Buffer): number {
-  let lineStart = 0
-  for (let position = bytes.indexOf(lineFeed); position !== -1; position = bytes.indexOf(lineFeed, position + 1)) {
-    const length = position - lineStart
-    const isBlank = length === 0 || (length === 1 && bytes[lineStart] === 0x0d)
-    if (isBlank && lineStart > 0) return position + 1
-    lineStart = position + 1
+  private append (bytes: Buffer): void {
+    const length = this.length + bytes.length
+    if (length > this.buffer.length) {
+      const larger = Buffer.alloc(Math.max(length, this.buffer.length * 2))
+      this.buffer.copy(larger, 0, 0, this.length)
+      this.buffer = larger
+    }
+    bytes.copy(this.buffer, this.length)
+    this.length = length
+  }
+
+  /** Position after the first blank line of the event that starts at `start`, -1 for none; lines end in LF or CRLF. */
+  private endOfEvent (start: number): number {
+    const bytes = this.buffer.subarray(0, this.length)
+    for (let position = bytes.indexOf(lineFeed, this.searched); position !== -1; position = bytes.indexOf(lineFeed, position + 1)) {
+      const lineLength = position - this.lineStart
+      const isBlank = lineLength === 0 || (lineLength === 1 && bytes[this.lineStart] === carriageReturn)
+      const isEnd = isBlank && this.lineStart > start
+      this.lineStart = position + 1
+      this.searched = position + 1
+      if (isEnd) return position + 1
+    }
+    this.searched = this.length
+    return -1
+  }
+
+  /** Drops the first `count` bytes. */
+  private drop (count: number): void {
+    if (count === 0) return
+    this.buffer.copyWithin(0, count, this.length)
+    this.length -= count
+    this.lineStart -= count
+    this.searched -= count
   }
-  return -1
 }
 
 function idOf (event: Buffer): string | undefined {
--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -2,7 +2,7 @@
 import type { Agent } from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
-import { callHttp, deadlinesByProgress } from '../transports/http-call.js'
+import { callHttp, deadlinesByProgress, maximumAnswerBytes } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type RecordSource } from '../types/ports.js'
 import { monotonicNow } from '../utils/clock.js'
 import { areCurrent, decodeFedRecords, feedPath, type FedRecords, type FedStream } from './record-feed.js'
@@ -86,10 +86,10 @@
 async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds, reader }: Poll): Promise<PolledRecords> {
   const path = feedPath(stream, from, waitMilliseconds, reader)
   const deadlines = deadlinesByProgress(monotonicNow() + waitMilliseconds + answerMilliseconds[source])
-  const answer = await callHttp({ address, method: 'GET', path, ...deadlines, agent })
+  const answer = await callHttp({ address, method: 'GET', path, ...deadlines, maximumBytes: maximumAnswerBytes.records, agent })
   if (answer.status === 410) throw new UnknownRemovalsError(address)
   if (answer.status !== 200) throw new Error(`${address} answered ${answer.status} to a request for records`)
-  const body = answer.headers['content-encoding'] === 'gzip' ? await decompress(answer.body) : answer.body
+  const body = answer.headers['content-encoding'] === 'gzip' ? await decompress(answer.body, { maxOutputLength: maximumAnswerBytes.records }) : answer.body
   const fed = decodeFedRecords(body, answer.headers)
   const { firstByteMilliseconds, milliseconds } = answer
   return { ...fed, source, cost: { bytes: answer.body.length, firstByteMilliseconds, milliseconds, records: fed.records.length, superseded: 0 } }
--- a/src/roles/agent/relay-model.ts
+++ b/src/roles/agent/relay-model.ts
@@ -19,6 +19,8 @@
 const retryDelayMilliseconds = 500
 /** Time for the engine to confirm a cancellation. */
 const cancelTimeoutMilliseconds = 2000
+/** Largest confirmation of a cancellation, bytes. */
+const maximumConfirmationBytes = 65_536
 const maximumResumes = 3
 
 const bodySchema = z.object({
@@ -226,7 +228,7 @@
     const deadline = Date.now() + cancelTimeoutMilliseconds
     const connection = await this.host.connections.acquire(deadline)
     const answer = await sendRequest({ url: `${this.host.upstream}/completions/${this.request.id}`, method: 'DELETE', agent: connection.agent, deadline })
-    await readAll(answer, deadline)
+    await readAll(answer, deadline, maximumConfirmationBytes)
     this.host.connections.release(connection)
   }
 }
--- a/src/roles/entry/attempt.ts
+++ b/src/roles/entry/attempt.ts
@@ -15,6 +15,8 @@
 const log = logFor('entry')
 /** Limit of a failure's body; a larger one is not read, and no retry time is taken from it. */
 const maximumRefusalBytes = 4096
+/** Largest answer of a plain service, bytes; agents refuse larger ones. */
+const maximumPlainAnswerBytes = 8 << 20
 const refusalTimeoutMilliseconds = 1000
 const outcomeTimeoutMilliseconds = 400
 /** Consecutive replies other than `running`, or missing replies, after which even a non-idempotent request is abandoned. */
@@ -112,7 +114,7 @@
     return 0
   }
   try {
-    const body = JSON.parse((await readAll(answer, Date.now() + refusalTimeoutMilliseconds)).toString('utf8')) as { retryAt?: unknown }
+    const body = JSON.parse((await readAll(answer, Date.now() + refusalTimeoutMilliseconds, maximumRefusalBytes)).toString('utf8')) as { retryAt?: unknown }
     return typeof body.retryAt === 'number' ? body.retryAt : 0
   } catch {
     return 0
@@ -121,7 +123,7 @@
 
 async function forwardPlainAnswer (input: AttemptInput, answer: IncomingMessage, onStarted: () => void): Promise<AttemptResult> {
   const { caller, response, upstream } = input
-  const body = await readAll(answer, caller.deadline)
+  const body = await readAll(answer, caller.deadline, maximumPlainAnswerBytes)
   onStarted()
   sendPlainAnswer(response, caller.id, { status: answer.statusCode ?? 502, contentType: answer.headers['content-type'], body }, upstream.status.instance)
   return { kind: 'answered' }
--- a/src/roles/entry/stream.ts
+++ b/src/roles/entry/stream.ts
@@ -3,13 +3,17 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { classifyLine, type AnswerProgress } from '../../core/answer-lines.js'
 import type { CallerRequest } from '../../core/caller-request.js'
+import { discardBody } from '../../transports/discard-body.js'
 import { headers, type AnswerLine } from '../../types/messages.js'
+import { monotonicNow } from '../../utils/clock.js'
 import type { AttemptInput, AttemptResult } from './attempt-input.js'
 import type { AnswerHost } from './host.js'
 
 const maximumLineCharacters = 1 << 16
 /** Time in which an ended answer must close before its connection is destroyed. */
 const closeTimeoutMilliseconds = 1000
+/** Bytes after the end of an answer that are dropped before its connection is closed instead. */
+const maximumRestBytes = 65_536
 /** Interval at which the progress timeout is restarted while the caller is slow to read. */
 const drainRefreshMilliseconds = 100
 
@@ -112,10 +116,7 @@
 
 /** Lets the connection be reused after the answer's end; destroys it when the answer does not close in time. */
 function releaseConnection (answer: IncomingMessage): void {
-  const timer = setTimeout(() => { answer.destroy() }, closeTimeoutMilliseconds)
-  answer.once('close', () => { clearTimeout(timer) })
-  answer.on('error', () => {})
-  answer.resume()
+  discardBody(answer, { maximumBytes: maximumRestBytes, deadline: monotonicNow() + closeTimeoutMilliseconds })
 }
 
 /** Waits until a slow caller has read the buffered data; the progress timeout is suspended meanwhile. */
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { listenOn } from '../../transports/http-listen.js'
+import { discardBody } from '../../transports/discard-body.js'
 import { DatagramSocket } from '../../transports/datagrams.js'
 import type { GatewaySettings } from '../../types/node-settings.js'
 import type { RecordCodec, RecordLog, RequestCodec } from '../../types/ports.js'
@@ -32,6 +33,8 @@
 const directoryCacheFactor = 3
 /** Largest head of a caller's request, bytes. */
 const maximumHeaderBytes = 65_536
+/** Bytes and time, in milliseconds, for which the rest of an answered request is received before its connection is closed: closing it earlier can lose the answer. */
+const [maximumDiscardedBytes, discardMilliseconds] = [16 << 20, 2000] as const
 
 /** What the platform adapter provides to an entry. */
 export interface GatewayPorts {
@@ -209,6 +212,9 @@
     this.active += 1
     this.lastRequestAt = monotonicNow()
     response.on('close', () => { this.active -= 1 })
+    response.on('finish', () => {
+      if (!incoming.complete) discardBody(incoming, { maximumBytes: maximumDiscardedBytes, deadline: monotonicNow() + discardMilliseconds })
+    })
     this.server.serve(incoming, response).catch((error: unknown) => {
       log.error('request handler failed; caller disconnected', { reason: String(error) })
       response.destroy()
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -41,10 +41,10 @@
       this.refuse(answer, caller, match.kind, arrivedAt, undefined)
       return
     }
-    const body = await readBody(incoming, table.configuration.limits.bodyBytes)
+    const body = await readBody(incoming, table.configuration.limits.bodyBytes, arrivedAt + Math.min(caller.timeoutMilliseconds ?? Infinity, match.route.timeoutMilliseconds))
     if (body.kind === 'aborted') return
-    if (body.kind === 'too-large') {
-      this.refuse(answer, caller, 'too-large', arrivedAt, undefined)
+    if (body.kind !== 'complete') {
+      this.refuse(answer, caller, body.kind === 'late' ? 'out-of-time' : 'too-large', arrivedAt, undefined)
       return
     }
     const service = state.service(chooseService(match.route, caller.id) ?? '')
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,6 +1,7 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import { EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
+import { discardBody, refusalDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { socketStateOf } from './upstream-connections.js'
@@ -20,10 +21,11 @@
 export type NotRunReason = 'unreachable' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), no head or event in time (`silent`), `finishBy` passed (`timeout`), an answer to another request,
- * or one that is unsigned, encoded or too large (`wrong-answer`), an answer that ended early (`incomplete`), or a call that the
- * entry cancelled (`cancelled`).
+ * or one that is unsigned or encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or
+ * `maximumEventBytes` (`too-large`), an answer that ended early (`incomplete`), or a call that the entry cancelled
+ * (`cancelled`).
  */
-export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'incomplete' | 'cancelled'
+export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'too-large' | 'incomplete' | 'cancelled'
 
 /** Parameters of a call; deadlines are milliseconds of the monotonic clock. */
 export interface UpstreamCall {
@@ -65,8 +67,10 @@
 
 /** Timers may fire up to this much early, milliseconds. */
 const timerToleranceMilliseconds = 5
-/** Largest answer that is buffered, bytes. */
+/** Largest answer or stream, bytes; a caller that reads slowly has this much waiting at most. */
 const maximumAnswerBytes = 8 << 20
+/** Largest event of a stream, bytes. */
+const maximumEventBytes = 1 << 20
 
 /** Makes a call; events of a stream with status 200 go to `sink`, any other answer is buffered and returned in the result. */
 export class CallInProgress {
@@ -114,9 +118,9 @@
   private handleAnswer (answer: IncomingMessage): void {
     const head = this.codec.answerHead(answer.statusCode ?? 0, answer.headers)
     answer.on('error', () => { this.finish({ kind: 'lost', reason: 'reset' }) })
-    this.call.headReceived(head)
-    this.call.bytesReceived()
     const isForAnotherRequest = head.requestId !== undefined && head.requestId !== this.call.requestId
+    if (!isForAnotherRequest) this.call.headReceived(head)
+    this.call.bytesReceived()
     const isUnsigned = head.status < 300 && (!head.isSigned || head.isEncoded)
     if (isForAnotherRequest || (isUnsigned && !head.isNotRun)) this.abandon({ kind: 'lost', reason: 'wrong-answer' })
     else if (head.isNotRun) this.handleRefusal(answer, head)
@@ -125,7 +129,7 @@
   }
 
   private handleRefusal (answer: IncomingMessage, head: AnswerHead): void {
-    answer.resume()
+    discardBody(answer, refusalDiscardLimits())
     this.finish({ kind: 'not-run', reason: head.isMisdirected ? 'misdirected' : 'shed' })
   }
 
@@ -136,7 +140,7 @@
     answer.on('data', (part: Buffer) => {
       parts.push(part)
       bytes += part.length
-      if (bytes > maximumAnswerBytes) this.abandon({ kind: 'lost', reason: 'wrong-answer' })
+      if (bytes > maximumAnswerBytes) this.abandon({ kind: 'lost', reason: 'too-large' })
     })
     this.whenComplete(answer, () => { this.finish({ kind: 'answer', head, headers: answer.headers, body: Buffer.concat(parts), isFramed: isFramed(answer) }) })
   }
@@ -144,9 +148,15 @@
   private readStream (answer: IncomingMessage, sink: EventSink): void {
     const splitter = new EventSplitter()
     let hasBegun = false
+    let bytes = 0
     answer.on('data', (part: Buffer) => {
       if (this.isFinished) return
       this.call.bytesReceived()
+      bytes += part.length
+      if (bytes > maximumAnswerBytes || splitter.bufferedBytes + part.length > maximumEventBytes) {
+        this.abandon({ kind: 'lost', reason: 'too-large' })
+        return
+      }
       const events = splitter.push(part)
       if (events.length === 0) return
       if (!hasBegun) {
@@ -159,7 +169,7 @@
       this.watch(nextEventBy, () => { this.abandonUnresponsive() })
     })
     this.whenComplete(answer, () => {
-      if (splitter.hasPartialEvent || (!hasBegun && !this.call.isResumed)) {
+      if (splitter.bufferedBytes > 0 || (!hasBegun && !this.call.isResumed)) {
         this.finish({ kind: 'lost', reason: 'incomplete' })
         return
       }
--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import { maximumFetches, nextDistributionFetch, fetchRanks, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
-import { callHttp } from '../../transports/http-call.js'
+import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -231,7 +231,7 @@
   private async fetchFromPeer (ip: string, position: number): Promise<Buffer> {
     const { model, version } = this.chunks
     const path = `/chunks/${model}/${version}/${position}`
-    const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + peerTimeoutMilliseconds, agent: this.agent })
+    const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + peerTimeoutMilliseconds, maximumBytes: maximumAnswerBytes.chunk, agent: this.agent })
     if (answer.status === 503) throw new PeerBusyError(monotonicNow() + Number(answer.headers['retry-after'] ?? 0) * 1000)
     if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
     return answer.body
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -1,7 +1,7 @@
 /** Versions of a model's weights in an agent's memory, and the fetch of the current one. */
 import type { Agent } from 'node:http'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
-import { callHttp } from '../../transports/http-call.js'
+import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { EnginePort, OriginPort } from '../../types/ports.js'
 import { runInBackground } from '../../utils/background.js'
@@ -141,7 +141,7 @@
     for (const { ip } of peers.all()) {
       if (!peers.hasManifest(ip, model, version)) continue
       try {
-        const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + manifestTimeoutMilliseconds, agent: httpAgent })
+        const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + manifestTimeoutMilliseconds, maximumBytes: maximumAnswerBytes.manifest, agent: httpAgent })
         if (answer.status === 200) return JSON.parse(answer.body.toString()) as readonly string[]
       } catch (error) {
         log.warn('could not fetch a manifest from an agent', { ip, model, version, reason: String(error) })
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -7,6 +7,17 @@
 /** Longest time from the deadline of an answer's head to that of its end, milliseconds, so that a trickle ends. */
 const maximumTransferMilliseconds = 15_000
 
+/** Largest bodies of answers by what they hold, bytes; an answer without end must not take the memory of the process. */
+export const maximumAnswerBytes = {
+  /** States, orders and acknowledgements. */
+  control: 1 << 20,
+  /** Digests of all chunks of a version. */
+  manifest: 4 << 20,
+  chunk: 8 << 20,
+  /** A read of records: at most 1,024 small ones, or one page of the newest. */
+  records: 32 << 20
+} as const
+
 /** Deadlines of an answer by its progress. */
 export interface ProgressDeadlines {
   /** When the head must have arrived, milliseconds of the monotonic clock. */
@@ -23,6 +34,8 @@
   readonly body?: Buffer | string | undefined
   readonly headers?: Readonly<Record<string, string>> | undefined
   readonly deadline: number
+  /** Largest body that is received; the call fails with a larger one. */
+  readonly maximumBytes: number
   readonly progress?: ProgressDeadlines | undefined
   readonly agent?: Agent | undefined
 }
@@ -45,6 +58,9 @@
   }
 }
 
+/** Rejection of a call whose answer is larger than the call allows. */
+export class AnswerTooLargeError extends HttpCallError {}
+
 /** Deadlines of a call whose answer may be large: it is received as long as bytes keep arriving, up to a limit. */
 export function deadlinesByProgress (headDeadline: number): Pick<HttpCall, 'deadline' | 'progress'> {
   return { deadline: headDeadline + maximumTransferMilliseconds, progress: { headDeadline, inactivityMilliseconds } }
@@ -57,10 +73,14 @@
   return new Promise((resolve, reject) => {
     const length = call.body === undefined ? {} : { 'content-length': String(Buffer.byteLength(call.body)) }
     const outgoing = request({ host, port, method: call.method, path: call.path, agent: call.agent, headers: { ...call.headers, ...length } })
-    const watch = new AnswerWatch(call, reason => { outgoing.destroy(new Error(reason)) })
+    const watch = new AnswerWatch(call, reason => {
+      fail(new Error(reason))
+      outgoing.destroy()
+    })
     const fail = (error: Error): void => {
       watch.stop()
-      reject(new HttpCallError(error, watch.receivedBytes))
+      const Failure = watch.hasTooMuch ? AnswerTooLargeError : HttpCallError
+      reject(new Failure(error, watch.receivedBytes))
     }
     outgoing.on('error', fail)
     outgoing.on('response', answer => {
@@ -68,8 +88,9 @@
       const firstByteMilliseconds = monotonicNow() - startedAt
       const parts: Buffer[] = []
       answer.on('data', (part: Buffer) => {
-        watch.receive(part.length)
         parts.push(part)
+        watch.receive(part.length)
+        if (watch.hasTooMuch) parts.length = 0
       })
       answer.on('error', fail)
       answer.on('end', () => {
@@ -94,10 +115,19 @@
     this.wait()
   }
 
+  /** Whether the body is larger than the call allows. */
+  get hasTooMuch (): boolean {
+    return this.receivedBytes > this.call.maximumBytes
+  }
+
   /** Records the head, or bytes of the body. */
   receive (bytes: number): void {
     this.hasHead = true
     this.receivedBytes += bytes
+    if (this.hasTooMuch) {
+      this.expire(`the answer from ${this.call.address} exceeds ${this.call.maximumBytes} bytes`)
+      return
+    }
     if (this.call.progress !== undefined) this.progressBy = monotonicNow() + this.call.progress.inactivityMilliseconds
   }
 
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -80,12 +80,22 @@
   })
 }
 
-/** Reads the complete body of an answer; rejects with `TransportError` if it does not end by `deadline`, epoch milliseconds. */
-export function readAll (response: IncomingMessage, deadline: number): Promise<Buffer> {
+/** Largest JSON answer that is received, bytes: a page of the log, or the digests of a large version. */
+const maximumJsonBytes = 32 << 20
+
+/** Reads the complete body of an answer; rejects with `TransportError` if it does not end by `deadline`, epoch milliseconds, or has more than `maximumBytes`. */
+export function readAll (response: IncomingMessage, deadline: number, maximumBytes: number): Promise<Buffer> {
   return new Promise((resolve, reject) => {
-    const parts: Buffer[] = []
+    let parts: Buffer[] = []
+    let bytes = 0
     const timer = setTimeout(() => { response.destroy(new Error('the answer did not end before the deadline')) }, Math.max(0, deadline - Date.now()))
-    response.on('data', (part: Buffer) => { parts.push(part) })
+    response.on('data', (part: Buffer) => {
+      parts.push(part)
+      bytes += part.length
+      if (bytes <= maximumBytes) return
+      parts = []
+      response.destroy(new Error(`the answer exceeds ${maximumBytes} bytes`))
+    })
     response.on('close', () => {
       clearTimeout(timer)
       if (response.complete) resolve(Buffer.concat(parts))
@@ -101,7 +111,7 @@
   const contentHeaders = body === undefined ? {} : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }
   const headers = { ...outgoing.headers, ...contentHeaders }
   const response = await sendRequest({ ...outgoing, body, headers })
-  const answer = await readAll(response, outgoing.deadline)
+  const answer = await readAll(response, outgoing.deadline, maximumJsonBytes)
   if (response.statusCode !== 200) throw new StatusError(response.statusCode ?? 0, answer.toString('utf8').slice(0, 200))
   return JSON.parse(answer.toString('utf8'))
 }
@@ -112,7 +122,7 @@
 /** Reads JSON unless its entity tag is still `known`; undefined if it is unchanged. An empty `known` always reads. Rejects as `requestJson` does. */
 export async function requestChangedJson (url: string, known: string, deadline: number): Promise<TaggedJson | undefined> {
   const response = await sendRequest({ url, method: 'GET', headers: known === '' ? {} : { 'if-none-match': known }, deadline })
-  const answer = await readAll(response, deadline)
+  const answer = await readAll(response, deadline, maximumJsonBytes)
   if (response.statusCode === notModified) return undefined
   if (response.statusCode !== 200) throw new StatusError(response.statusCode ?? 0, answer.toString('utf8').slice(0, 200))
   return { entityTag: response.headers.etag ?? '', value: JSON.parse(answer.toString('utf8')) }
--- a/src/transports/http-server.ts
+++ b/src/transports/http-server.ts
@@ -1,10 +1,14 @@
 /** HTTP server of entries and agents: bodies with a size limit, failures with their headers. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Failure } from '../errors.js'
+import { monotonicNow } from '../utils/clock.js'
+import { discardBody } from './discard-body.js'
 import { headers } from '../types/messages.js'
 
 /** Time to receive and discard the rest of a request's body after a failure was sent, milliseconds. */
 const discardTimeoutMilliseconds = 2000
+/** Bytes of that rest that are received before the connection is closed instead. */
+const maximumDiscardedBytes = 16 << 20
 
 /** A listening server with the port that it is bound to. */
 export interface HttpServer { readonly server: Server, readonly port: number }
@@ -41,7 +45,7 @@
   for await (const part of request.iterator({ destroyOnReturn: false })) {
     size += (part as Buffer).length
     if (size > limit) {
-      request.resume()
+      discardBody(request, { maximumBytes: limit + maximumDiscardedBytes, deadline: monotonicNow() + discardTimeoutMilliseconds })
       return undefined
     }
     parts.push(part as Buffer)
@@ -79,7 +83,7 @@
   response.write(text)
   request.once('close', () => { clearTimeout(timer) })
   request.once('end', () => { response.end() })
-  request.resume()
+  discardBody(request, { maximumBytes: maximumDiscardedBytes, deadline: monotonicNow() + discardTimeoutMilliseconds })
 }
 
 /** Value of a header; empty if it is absent or has several values. */
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -186,7 +186,7 @@
     const splitter = new EventSplitter()
     const events = parts.flatMap(part => splitter.push(Buffer.from(part)))
     t.same(events.map(({ id }) => id), ids)
-    t.equal(splitter.hasPartialEvent, hasRest)
+    t.equal(splitter.bufferedBytes > 0, hasRest)
     t.equal(Buffer.concat(events.map(({ bytes }) => bytes)).toString() + (hasRest ? 'id: 2\n' : ''), parts.join(''))
   })
 }
--- a/test/http-call.test.ts
+++ b/test/http-call.test.ts
@@ -70,7 +70,7 @@
   test(`call by progress: ${name}`, async t => {
     const server = await startServer()
     t.teardown(() => { server.close() })
-    const call = callHttp({ address: server.address, method: 'GET', path, ...deadlines() })
+    const call = callHttp({ address: server.address, method: 'GET', path, maximumBytes: 40_000, ...deadlines() })
     if (typeof expected === 'number') t.equal((await call).body.length, expected)
     else {
       const error: unknown = await call.catch((reason: unknown) => reason)
--- a/test/http-client.test.ts
+++ b/test/http-client.test.ts
@@ -23,7 +23,7 @@
     const { port } = server.address() as AddressInfo
     const send = async (): Promise<void> => {
       const deadline = Date.now() + 30_000
-      await readAll(await sendRequest({ url: `http://127.0.0.1:${port}/`, method: 'GET', deadline }), deadline)
+      await readAll(await sendRequest({ url: `http://127.0.0.1:${port}/`, method: 'GET', deadline }), deadline, 1000)
       await wait(10)
     }
     await send()
@@ -40,7 +40,7 @@
   const { port } = server.address() as AddressInfo
   const send = async (): Promise<string> => {
     const deadline = Date.now() + 30_000
-    return (await readAll(await sendRequest({ url: `http://127.0.0.1:${port}/`, method: 'GET', deadline }), deadline)).toString('utf8')
+    return (await readAll(await sendRequest({ url: `http://127.0.0.1:${port}/`, method: 'GET', deadline }), deadline, 1000)).toString('utf8')
   }
   t.equal(await send(), 'ok')
   await wait(10)
