Turn sooner to another source of records when the readers are cut off

Cause: a poll of a reader was held for its whole wait, up to half a second after the reader's records had stopped being current; with two such readers the third waited until both had been silent for 2 s.

Change: a poll ends when the records stop being current; a further silent reader adds 400 ms instead of 800.

--- a/src/core/fleet/record-sources.ts
+++ b/src/core/fleet/record-sources.ts
@@ -27,7 +27,7 @@
 }
 
 /** Age of the records of an entry whose read is in progress from which the next one reads outside the data centre too, milliseconds; and the additional age for each further such entry. A full link delays all reads, and each further one fills it more. */
-const takeOverMilliseconds = { first: 1200, further: 800 } as const
+const takeOverMilliseconds = { first: 1200, further: 400 } as const
 
 /** Whether an entry reads outside its data centre although the entries before it, which are to do so, answered: their reads failed, or take too long. */
 export function mayReadOutside (stale: readonly StaleEntry[]): boolean {
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -79,7 +79,11 @@
     const follower = this.followers[stream]
     // Two nodes that read from each other would both take their records for current while neither reads the log.
     const isReadFromReader = (): boolean => this.sourceOf(stream) === query.get('reader')
-    if (!follower.hasRecordsFrom(from) && areCurrent(freshnessOf(follower)) && !isReadFromReader()) await follower.waitForRead(monotonicNow() + wait)
+    const freshness = freshnessOf(follower)
+    if (!follower.hasRecordsFrom(from) && areCurrent(freshness) && !isReadFromReader()) {
+      // The reader learns as soon as the records stop being current, and turns to another source.
+      await follower.waitForRead(monotonicNow() + Math.min(wait, maximumAgeMilliseconds - freshness.ageMilliseconds + 1))
+    }
     if (!follower.knowsRemovalsFrom(from)) {
       response.writeHead(410).end()
       return
