Let requests wait for the permit that they asked for

Cause: the queue's deadline reserves time for the answer of a stream, and a request that may have run does not queue at all; the answer of the granting entry takes a round trip.

Why this works: such a request waits up to 100 ms, and no longer than its deadline; once the answer says when the next permit comes, the rule of the queue holds as before.

--- a/src/core/dispatch/queueing.ts
+++ b/src/core/dispatch/queueing.ts
@@ -31,6 +31,8 @@
 const answerReserveMilliseconds = 1500
 /** Time after an upstream is expected to serve in which slots become free, milliseconds. */
 const recoveryMilliseconds = 500
+/** Time within which a permit can be there, milliseconds: some round trips between regions. */
+const permitAnswerMilliseconds = 100
 /** Late or on-time requests queued at one entry: as many as it can place within the longest wait. */
 const maximumQueued = 8
 
@@ -44,13 +46,24 @@
   const latest = context.deadline - answerReserveMilliseconds
   const queuedUntil = context.isLate ? context.now + lateQueueMilliseconds[isOutage(context) ? 'upstream' : 'place'] : context.arrivedAt + context.goalMilliseconds * queueGoalShare
   const until = Math.min(latest, queuedUntil)
+  if (context.reason === 'limited') return limitedDeadline(context, until)
   if (until <= context.now) return undefined
-  if (context.reason === 'limited' && context.expectedAt !== undefined && context.expectedAt > until) return undefined
   if (!isOutage(context)) return context.reason === 'waits' && !context.isLate ? undefined : until
   if (context.expectedAt === undefined || context.expectedAt > until) return undefined
   return Math.min(latest, Math.max(context.now, context.expectedAt) + recoveryMilliseconds)
 }
 
+/** The same where only limits prevent the request: until the permit that was asked for can be there; refused at once when the next one is known to come later than the request may wait. */
+function limitedDeadline ({ now, deadline, expectedAt }: QueueingContext, until: number): number | undefined {
+  if (expectedAt === undefined) return Math.max(until, permitDeadline(now, deadline))
+  return expectedAt > until ? undefined : until
+}
+
+/** Time until which a request waits for the answer of the entry that grants permits. */
+export function permitDeadline (now: number, deadline: number): number {
+  return Math.min(deadline, now + permitAnswerMilliseconds)
+}
+
 /** Whether no upstream serves the weights at all. */
 function isOutage (context: QueueingContext): boolean {
   return context.reason === 'no-weights'
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -1,7 +1,7 @@
 /** Dispatches one request: selects upstreams, calls them one after another, and answers or fails. */
 import type { ServerResponse } from 'node:http'
 import { admissionFor } from '../../core/dispatch/admission.js'
-import { queueDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
+import { permitDeadline, queueDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
 import { refusedShare } from '../../core/dispatch/first-event-waits.js'
 import { isRepeatable, nextStep } from '../../core/dispatch/next-step.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
@@ -100,7 +100,7 @@
     const { request, context } = this
     const queue = context.queueOf(request.service.name)
     const until = this.ran > 0
-      ? undefined
+      ? this.noSlotReason === 'limited' ? permitDeadline(monotonicNow(), request.deadline) : undefined
       : queueDeadline({
         now: monotonicNow(),
         arrivedAt: request.arrivedAt,
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -142,8 +142,8 @@
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : withWeights
     const open = this.responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && this.isWithinColdRate(view, requirements.service, entries, now))
     const chosen = placeRequest(this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now)), this.random)
-    const failure = eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full'
-    return chosen === undefined ? failure : this.views.get(chosen.id) ?? failure
+    const view = chosen === undefined ? undefined : this.views.get(chosen.id)
+    return view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
   }
 
   /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
--- a/test/fakes/plain-fleet.ts
+++ b/test/fakes/plain-fleet.ts
@@ -17,7 +17,7 @@
   private readonly upstream: Server
 
   /** `serve` handles requests that reach the upstream. */
-  constructor (serve: (incoming: IncomingMessage, response: ServerResponse) => void = answerCompletely) {
+  constructor (serve: (incoming: IncomingMessage, response: ServerResponse) => void = answerCompletely, private readonly maximumUpstreams = 1) {
     this.upstream = createServer(serve)
   }
 
@@ -26,7 +26,7 @@
     await new Promise<void>(resolve => { this.upstream.listen(0, '127.0.0.1', resolve) })
     this.log.append('operators', 'config', bytesOf({
       version: 1,
-      routes: [{ name: 'r', host: 'a.example', 'path-prefix': '/r/', 'route-type': 'safe', 'timeout-ms': 1000, 'latency-goal-ms': 300, priority: 1, 'max-attempts': 1, public: true, service: 'plain' }],
+      routes: [{ name: 'r', host: 'a.example', 'path-prefix': '/r/', 'route-type': 'safe', 'timeout-ms': 1000, 'latency-goal-ms': 300, priority: 1, 'max-attempts': this.maximumUpstreams, public: true, service: 'plain' }],
       services: [{ name: 'plain', 'max-conns': 4 }]
     }))
     this.writeUpstream()
@@ -39,10 +39,10 @@
     this.upstream.closeAllConnections()
   }
 
-  /** Writes the upstream's record. */
-  writeUpstream (state: 'ready' | 'draining' = 'ready'): void {
+  /** Writes the upstream's record; under other keys it is listed more than once. */
+  writeUpstream (state: 'ready' | 'draining' = 'ready', key = upstreamKey): void {
     const { port } = this.upstream.address() as AddressInfo
-    this.log.append('instances', upstreamKey, bytesOf({ service: 'plain', address: `127.0.0.1:${port}`, zone: dataCentre, state, slots: 40, born: 1000 }))
+    this.log.append('instances', key, bytesOf({ service: 'plain', address: `127.0.0.1:${port}`, zone: dataCentre, state, slots: 40, born: 1000 }))
   }
 
   /** Removes the upstream's record. */
--- a/test/upstream-limit-refusal.test.ts
+++ b/test/upstream-limit-refusal.test.ts
@@ -5,8 +5,10 @@
 const onTime: QueueingContext = { now: 1000, arrivedAt: 1000, deadline: 7000, goalMilliseconds: 400, isLate: false, reason: 'limited', expectedAt: undefined, waiting: 0 }
 
 const cases: readonly { readonly name: string, readonly context: Partial<QueueingContext>, readonly until: number | undefined }[] = [
-  { name: 'a permit that was asked for and not answered yet', context: {}, until: 1080 },
+  { name: 'a permit that was asked for and not answered yet', context: {}, until: 1100 },
   { name: 'a permit soon', context: { expectedAt: 1050 }, until: 1080 },
+  { name: 'a request with too little time for other queues, no answer yet', context: { deadline: 2000 }, until: 1100 },
+  { name: 'a deadline before the answer', context: { deadline: 1050 }, until: 1050 },
   { name: 'a permit after the time in the queue', context: { expectedAt: 1500 }, until: undefined },
   { name: 'a late request, a permit soon enough', context: { isLate: true, expectedAt: 1500 }, until: 2200 },
   { name: 'a late request, no permit for seconds', context: { isLate: true, expectedAt: 4000 }, until: undefined },
