Divide sums among silent entries too, and count connections once

In a cut fleet each part used the whole rate of a cold upstream and the whole retry budget, and each entry opened twice its share of an upstream's connections, which resets those beyond its maximum.

Cause: the sums were divided by the number of entries that an entry hears; the share of connections applied to each of two pools, with at least four each, and was set when an upstream was first used, when a starting entry may know nobody.

Why this works: entries that have fallen silent without announcing a stop keep their share until they are forgotten, so that all parts divide by the same number; connections are halved between the two pools, and the share follows the fleet. A call that finds all of them in use says so (no-connection) and is no sign that the upstream is unreachable.

--- a/src/core/fleet/members.ts
+++ b/src/core/fleet/members.ts
@@ -83,14 +83,23 @@
     return [this.local, ...others.map(({ member }) => member)]
   }
 
-  /** The entries as this one sees them at `now`. Members that count as dead are silent until they are pruned, unless they had announced a stop: they may live on behind a cut. */
+  /** The entries as this one sees them at `now`. */
   fleet (now: number): FleetView {
-    const { deadMilliseconds } = this
     const living = this.living(now)
     const ready = living.filter(({ isReady }) => isReady)
-    const silent = [...this.seen.values()].filter(({ member, heartbeatAt }) => now - heartbeatAt > deadMilliseconds && member.isReady)
     const isSettled = now - this.startedAt > settlingMilliseconds.alone || (this.firstSeenAt !== undefined && now - this.firstSeenAt > settlingMilliseconds.known)
-    return { self: this.local.instance, ready: (ready.length > 0 ? ready : living).map(({ instance }) => instance), silent: silent.map(({ member }) => member.instance), isSettled }
+    return { self: this.local.instance, ready: (ready.length > 0 ? ready : living).map(({ instance }) => instance), silent: this.silent(now), isSettled }
+  }
+
+  /** Instances among which sums over all entries are divided: the living ones, this one included, and silent ones, which may use their share behind a cut. */
+  knownEntries (now: number): readonly string[] {
+    return [...this.living(now).map(({ instance }) => instance), ...this.silent(now)]
+  }
+
+  /** Members that count as dead and had not announced a stop, until they are pruned. */
+  private silent (now: number): readonly string[] {
+    const { deadMilliseconds } = this
+    return [...this.seen.values()].flatMap(({ member, heartbeatAt }) => now - heartbeatAt > deadMilliseconds && member.isReady ? [member.instance] : [])
   }
 
   /** IP of a member; undefined for an unknown one. */
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -13,7 +13,7 @@
 import { logCall } from './call-log.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult } from './upstream-call.js'
+import { CallInProgress, type CallResult, type NotRunReason } from './upstream-call.js'
 import type { SelectionFailure } from './upstream-pool.js'
 import type { UpstreamView } from './upstream-view.js'
 
@@ -23,6 +23,8 @@
 const connectTimeoutMilliseconds = 400
 /** Timers may fire up to this much early, milliseconds. */
 const timerToleranceMilliseconds = 5
+/** Results of calls of which the upstream received nothing; another one needs no retry budget. */
+const unsentReasons: ReadonlySet<NotRunReason> = new Set(['unreachable', 'no-connection', 'withdrawn'])
 /** Share of requests to refuse, as `refusedShare` gives it, above which late requests are queued instead of sent. */
 const lateRefusalThreshold = 0.2
 /** Ranks at an upstream, 0 the most urgent: a late request ranks behind those that can still meet their goal. */
@@ -150,7 +152,7 @@
     const now = monotonicNow()
     const isStream = request.route.kind === 'stream'
     context.metrics.count('upstream_requests_total', { upstream: upstream.id })
-    const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entries().length)
+    const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entryCount())
     const minimumVersion = this.minimumVersion()
     const headers = context.requests.upstreamHeaders(request.incoming.headers, {
       remainingMilliseconds: request.deadline - now,
@@ -207,7 +209,7 @@
       pool.recordEnded(id, result.reason === 'cancelled' ? 'none' : result.reason === 'timeout' ? 'error' : 'lost')
       if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
     } else {
-      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' ? 'shed' : 'none')
+      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
     }
   }
@@ -233,8 +235,8 @@
     const now = monotonicNow()
     const progress = { route: request.route, ran: this.ran, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
     const step = nextStep(progress)
-    const isUnsent = result.kind === 'not-run' && (result.reason === 'unreachable' || result.reason === 'withdrawn')
-    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entries().length, now))
+    const isUnsent = result.kind === 'not-run' && unsentReasons.has(result.reason)
+    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), now))
     const final = step.kind === 'fail' ? step : nextStep({ ...progress, hasBudget: false })
     this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', view, result)
     if (mayResend || final.kind === 'resend') return true
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -110,6 +110,7 @@
       cold: { factor: settings.coldFactor, slack: settings.coldSlack },
       limits: this.limits,
       entries: () => this.livingEntries(),
+      knownEntries: () => this.members.knownEntries(monotonicNow()),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre)
     }, name => this.state.service(name))
     this.records = new FleetRecords({
@@ -150,7 +151,7 @@
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
       random: Math.random,
-      entries: () => this.livingEntries(),
+      entryCount: () => this.members.knownEntries(monotonicNow()).length,
       isStopping: () => this.isStopping
     })
     this.callers = createServer({ maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000 }, (incoming, response) => {
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -26,8 +26,8 @@
   queueOf (service: string): RequestQueue
   /** Random number in [0, 1). */
   random (): number
-  /** Instances of the living entries, including this one. */
-  entries (): readonly string[]
+  /** Number of entries among which sums over all of them are divided, see `Membership.knownEntries`. */
+  entryCount (): number
   isStopping (): boolean
 }
 
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -17,8 +17,8 @@
   /** The upstream may have run the request. */
   | { readonly kind: 'lost', readonly reason: LostReason }
 
-/** No connection (`unreachable`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests (`withdrawn`). */
-export type NotRunReason = 'unreachable' | 'shed' | 'misdirected' | 'withdrawn'
+/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests (`withdrawn`). */
+export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), no head or event in time (`silent`), `finishBy` passed (`timeout`), an answer to another request,
  * or one that is unsigned or encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or
@@ -77,6 +77,7 @@
   readonly result: Promise<CallResult>
   private resolveResult: (result: CallResult) => void = () => {}
   private isFinished = false
+  private hasSocket = false
   private isConnected = false
   private hasStarted = false
   private timer: NodeJS.Timeout | undefined
@@ -91,12 +92,13 @@
     const [host = '', port = ''] = call.address.split(':')
     this.outgoing = httpRequest({ host, port, method: call.method, path: call.target, agent: call.agent, headers: { ...call.headers, 'content-length': String(call.body.length) }, setHost: false })
     this.outgoing.on('socket', socket => {
+      this.hasSocket = true
       if (socket.connecting) socket.once('connect', () => { this.handleConnected() })
       else this.handleConnected()
     })
     this.outgoing.on('error', () => { this.finish(this.isConnected ? { kind: 'lost', reason: 'reset' } : { kind: 'not-run', reason: 'unreachable' }) })
     this.outgoing.on('response', answer => { this.handleAnswer(answer) })
-    this.watch(call.connectBy, () => { this.abandon({ kind: 'not-run', reason: 'unreachable' }) })
+    this.watch(call.connectBy, () => { this.abandon({ kind: 'not-run', reason: this.hasSocket ? 'unreachable' : 'no-connection' }) })
     this.outgoing.end(call.body)
   }
 
--- a/src/roles/gateway/upstream-connections.ts
+++ b/src/roles/gateway/upstream-connections.ts
@@ -4,9 +4,6 @@
 
 /** Idle time after which a persistent connection is closed, milliseconds: less than the shortest `Keep-Alive` timeout that upstreams send. */
 const idleTimeoutMilliseconds = 4000
-/** Connections to an upstream that one entry may open, however many entries share the upstream's limit. */
-const minimumConnections = 4
-
 /** HTTP agents for one upstream. */
 export interface UpstreamAgents {
   /** Reuses connections for later requests. */
@@ -65,17 +62,17 @@
 export class UpstreamConnections {
   private readonly agents = new Map<string, UpstreamAgents>()
 
-  /** Agents for an upstream that accepts `maximumConnections` from all `entries` together, 0 for no limit; the limit is set when the agents are created. */
+  /** Agents for an upstream that accepts `maximumConnections` from all `entries` together, 0 for no limit. Each of the two opens half of this entry's share, and at least one. */
   agentsFor (id: string, maximumConnections: number, entries: number): UpstreamAgents {
-    const known = this.agents.get(id)
-    if (known !== undefined) return known
-    const maxSockets = maximumConnections === 0 ? Infinity : Math.max(minimumConnections, Math.floor(maximumConnections / Math.max(1, entries)))
-    const made = {
-      persistent: new CheckedAgent({ keepAlive: true, maxSockets, timeout: idleTimeoutMilliseconds, scheduling: 'lifo' }),
-      singleUse: new CheckedAgent({ keepAlive: false, maxSockets })
+    const agents = this.agents.get(id) ?? {
+      persistent: new CheckedAgent({ keepAlive: true, timeout: idleTimeoutMilliseconds, scheduling: 'lifo' }),
+      singleUse: new CheckedAgent({ keepAlive: false })
     }
-    this.agents.set(id, made)
-    return made
+    this.agents.set(id, agents)
+    const share = maximumConnections === 0 ? Infinity : Math.max(1, Math.floor(maximumConnections / Math.max(1, entries) / 2))
+    agents.persistent.maxSockets = share
+    agents.singleUse.maxSockets = share
+    return agents
   }
 
   /** Closes the idle connections of upstreams that are not in `ids`; their requests in progress continue. */
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -46,6 +46,8 @@
   readonly limits: UpstreamLimits
   /** Instances of the living entries, including this one. */
   entries (): readonly string[]
+  /** Instances among which the rate of a cold upstream is divided, see `Membership.knownEntries`. */
+  knownEntries (): readonly string[]
   isEvacuated (dataCentre: string): boolean
 }
 
@@ -133,14 +135,14 @@
   /** Chooses an upstream for a request, or tells why there is none. */
   choose (requirements: UpstreamRequirements): UpstreamView | SelectionFailure {
     const now = monotonicNow()
-    const entries = this.context.entries()
+    const [entries, knownEntries] = [this.context.entries(), this.context.knownEntries()]
     const listed = [...this.views.values()].filter(view => this.mayServe(view, requirements))
     if (listed.length === 0) return 'no-upstream'
     const withWeights = listed.filter(view => this.hasWeights(view, requirements))
     if (withWeights.length === 0) return 'no-weights'
     const onStreamVersion = withWeights.filter(view => view.weights?.version === requirements.streamVersion)
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : withWeights
-    const open = this.responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && this.isWithinColdRate(view, requirements.service, entries, now))
+    const open = this.responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && this.isWithinColdRate(view, requirements.service, knownEntries, now))
     const chosen = placeRequest(this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now)), this.random)
     const view = chosen === undefined ? undefined : this.views.get(chosen.id)
     return view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
@@ -172,7 +174,7 @@
     if (view === undefined) return
     const now = monotonicNow()
     const service = this.serviceOf(view.upstream.service)
-    if (service !== undefined && view.coldUntil > now) this.coldRate.take(id, this.context.entries(), this.coldBounds(service), now)
+    if (service !== undefined && view.coldUntil > now) this.coldRate.take(id, this.context.knownEntries(), this.coldBounds(service), now)
     this.context.limits.take(view.upstream)
     const observedLoad = { ...view.observedLoad, sent: view.observedLoad.sent + 1 }
     this.responsiveness.recordSent(view, now)
@@ -273,8 +275,7 @@
   }
 
   private isWithinColdRate (view: UpstreamView, service: Service, entries: readonly string[], now: number): boolean {
-    if (view.coldUntil <= now) return true
-    return this.coldRate.mayTake(view.upstream.id, this.context.instance, entries, this.coldBounds(service), now)
+    return view.coldUntil <= now || this.coldRate.mayTake(view.upstream.id, this.context.instance, entries, this.coldBounds(service), now)
   }
 
   private coldBounds (service: Service): ColdBounds {
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -21,6 +21,7 @@
     cold: { factor: 1.5, slack: 5 },
     limits: unlimited,
     entries: () => ['entry-1'],
+    knownEntries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre)
   }, () => service, () => 0)
   for (const one of upstreams) pool.putRecord(one, false)
@@ -105,6 +106,7 @@
       reads += 1
       return ['entry-1', 'entry-2']
     },
+    knownEntries: () => ['entry-1', 'entry-2'],
     isEvacuated: () => false
   }, () => service, () => 0)
   for (let index = 0; index < 40; index += 1) pool.putRecord({ ...upstream, id: `i-${index}`, address: `10.0.0.${index}:8080`, coldMilliseconds: 3000 }, false)
