--- a/src/core/fleet/members.ts
+++ b/src/core/fleet/members.ts
@@ -83,7 +83,7 @@
     return [this.local, ...others.map(({ member }) => member)]
   }
 
-  /** The entries as this one sees them at `now`. */
+  /** The entries as this one sees them at `now`, for rates that all of them keep. */
   fleet (now: number): FleetView {
     const living = this.living(now)
     const ready = living.filter(({ isReady }) => isReady)
--- a/src/roles/agent/engine-stream.ts
+++ b/src/roles/agent/engine-stream.ts
@@ -1,6 +1,6 @@
 /** Reads an engine's answer stream: each line is checked before it is relayed, and a stream without data times out. */
 import type { IncomingMessage } from 'node:http'
-import { discardBody, refusalDiscardLimits } from '../../transports/discard-body.js'
+import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import { classifyLine, type AnswerProgress } from '../../core/answer-lines.js'
 
 const maximumLineCharacters = 1 << 20
@@ -38,6 +38,6 @@
     }
   } finally {
     clearTimeout(timer)
-    discardBody(answer, refusalDiscardLimits())
+    discardBody(answer, briefDiscardLimits())
   }
 }
--- a/src/roles/agent/exchange/chunk-download.ts
+++ b/src/roles/agent/exchange/chunk-download.ts
@@ -1,7 +1,7 @@
 /** Download of one chunk: rate limited, hashed while it arrives, aborted when it stalls. */
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, IncomingHttpHeaders } from 'node:http'
-import { discardBody, refusalDiscardLimits } from '../../../transports/discard-body.js'
+import { discardBody, briefDiscardLimits } from '../../../transports/discard-body.js'
 import { sendRequest } from '../../../transports/http-client.js'
 import type { LinkLimiter } from '../../../utils/link-limiter.js'
 import { heldHeaderNames } from './holdings.js'
@@ -39,7 +39,7 @@
     const deadline = Math.min(request.deadline, Date.now() + request.stallTimeoutMilliseconds)
     const response = await sendRequest({ url: request.url, method: 'GET', headers: request.headers, deadline, signal: request.signal })
     if (response.statusCode === 200) return await readChunk(response, request)
-    discardBody(response, refusalDiscardLimits())
+    discardBody(response, briefDiscardLimits())
     const { headers } = response
     if (response.statusCode === 503 || response.statusCode === 429) return { type: 'busy', retryAt: retryAtOf(headers), headers }
     return { type: 'missing', headers }
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,7 +1,7 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
 import { EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
-import { discardBody, refusalDiscardLimits } from '../../transports/discard-body.js'
+import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { socketStateOf } from './upstream-connections.js'
@@ -131,7 +131,7 @@
   }
 
   private handleRefusal (answer: IncomingMessage, head: AnswerHead): void {
-    discardBody(answer, refusalDiscardLimits())
+    discardBody(answer, briefDiscardLimits())
     this.finish({ kind: 'not-run', reason: head.isMisdirected ? 'misdirected' : 'shed' })
   }
 
--- a/src/transports/discard-body.ts
+++ b/src/transports/discard-body.ts
@@ -9,9 +9,12 @@
   readonly deadline: number
 }
 
-/** Limits for the body of an answer that only its status and headers matter of: a few packets, half a second. */
-export function refusalDiscardLimits (): DiscardLimits {
-  return { maximumBytes: 65_536, deadline: monotonicNow() + 500 }
+/** Limits for what is expected to be short, such as the body of a refusal; time in milliseconds. */
+const brief = { bytes: 65_536, milliseconds: 500 } as const
+
+/** Limits, from now on, for a rest that is expected to be short; a longer one costs more than a new connection. */
+export function briefDiscardLimits (): DiscardLimits {
+  return { maximumBytes: brief.bytes, deadline: monotonicNow() + brief.milliseconds }
 }
 
 /** Drops the rest of a message's body; closes its connection if it has not ended within the limits. */
