Name each failure at the end of a test run, and count files that fail beside a known one

A file that crashed or ran no test counted only when no other test failed: beside one test of KNOWN-RED.txt it was passed over. Shown in a trial with a file that exits with code 3 and a failing test of the list: '1 passed, 0 failed' and exit code 0 before, '1 passed, 1 failed' and 'FAILED dist/test/zz-crash.test.js: the file itself' now.

--- a/script/run-tests.ts
+++ b/script/run-tests.ts
@@ -6,6 +6,7 @@
 const root = fileURLToPath(new URL('../../', import.meta.url))
 const testFolder = `${root}dist/test/`
 const knownRedFile = `${root}KNOWN-RED.txt`
+const maximumAssertionLines = 60
 
 interface TestResult { readonly file: string, readonly name: string, readonly passed: boolean }
 
@@ -48,6 +49,22 @@
   return results
 }
 
+/** Files that failed although none of their tests did: a crash, or no test at all. */
+function readFailedFiles (output: string, results: readonly TestResult[]): readonly string[] {
+  const files = [...output.matchAll(/^not ok \d+ - (.*?)(?: # time=.*)?(?: \{)?$/gm)].map(match => (match[1] ?? '').trim())
+  return files.filter(file => !results.some(result => result.file === file && !result.passed))
+}
+
+/** Assertions that failed in a test and what tap says of each; empty if the output holds none. */
+function readFailedAssertions (output: string, result: TestResult): readonly string[] {
+  const lines = output.split('\n')
+  const fileStart = lines.indexOf(`# Subtest: ${result.file}`)
+  const start = lines.indexOf(`    # Subtest: ${result.name}`, fileStart)
+  if (fileStart === -1 || start === -1) return []
+  const end = lines.findIndex((line, index) => index > start && /^ {4}(not ok|ok) /.test(line))
+  return lines.slice(start, end).filter(line => !/^ {8,}ok /.test(line)).slice(0, maximumAssertionLines)
+}
+
 const knownRed = readKnownRed()
 const { output, code } = await runTap(chooseFiles())
 const results = readResults(output)
@@ -55,11 +72,17 @@
 const failed = results.filter(result => !result.passed)
 const unknownFailures = failed.filter(result => !isKnown(result))
 const passed = results.length - failed.length
-const fileFailed = code !== 0 && failed.length === 0
+const failedFiles = readFailedFiles(output, results)
+const runFailed = code !== 0 && failed.length === 0 && failedFiles.length === 0
 
 for (const result of results) process.stdout.write(`${result.passed ? 'ok    ' : 'FAILED'} ${result.file}: ${result.name}\n`)
-if (failed.length > 0 || fileFailed) process.stdout.write(`${output}\n`)
+if (code !== 0) process.stdout.write(`${output}\n`)
 for (const result of failed.filter(isKnown)) process.stdout.write(`known red, passed over: ${result.name}\n`)
-const failures = unknownFailures.length + (fileFailed ? 1 : 0)
+for (const result of unknownFailures) {
+  process.stdout.write(`FAILED ${result.file}: ${result.name}\n${readFailedAssertions(output, result).join('\n')}\n`)
+}
+for (const file of failedFiles) process.stdout.write(`FAILED ${file}: the file itself\n`)
+if (runFailed) process.stdout.write(`FAILED tap itself, exit code ${code}\n`)
+const failures = unknownFailures.length + failedFiles.length + (runFailed ? 1 : 0)
 process.stdout.write(`${passed} passed, ${failures} failed\n`)
 process.exitCode = failures === 0 && passed > 0 ? 0 : 1
