--- a/script/failure/scenario.ts
+++ b/script/failure/scenario.ts
@@ -6,7 +6,7 @@
 import { waitFor } from '../operator.js'
 import { createFault } from './catalogue.js'
 import type { Fault } from './fault.js'
-import { TestDeployment } from './test-deployment.js'
+import { TestDeployment, type DeploymentSize } from './test-deployment.js'
 
 /** Time without faults before the first one. */
 const baselineMilliseconds = 800
@@ -34,8 +34,8 @@
 }
 
 /** Runs series of faults on a fresh deployment: the faults of one series follow each other, the series overlap. */
-export async function runSeries (series: readonly (readonly string[])[], seed: number): Promise<ScenarioResult> {
-  const deployment = await TestDeployment.start(seed)
+export async function runSeries (series: readonly (readonly string[])[], seed: number, size?: DeploymentSize): Promise<ScenarioResult> {
+  const deployment = await TestDeployment.start(seed, size)
   try {
     return await injectFaults(deployment, series.map(names => names.map(createFault)), seed)
   } finally {
--- a/script/failure/test-deployment.ts
+++ b/script/failure/test-deployment.ts
@@ -21,6 +21,16 @@
 const callMilliseconds = 5000
 const burstCallMilliseconds = 3000
 
+/** Number of processes of a deployment. */
+export interface DeploymentSize {
+  readonly entries: number
+  /** Upstreams of each service; each has an agent. */
+  readonly upstreams: number
+}
+
+/** Default size of a deployment. */
+export const defaultDeploymentSize: DeploymentSize = { entries: 2, upstreams: 2 }
+
 /** Answers for two data centres, two organisations, a model service and a plain service. */
 export function testAnswers (checksOrders: boolean): Answers {
   return {
@@ -62,13 +72,13 @@
   }
 
   /** Starts all processes and rolls out the first version; callers are not started yet. */
-  static async start (seed: number): Promise<TestDeployment> {
+  static async start (seed: number, { entries, upstreams }: DeploymentSize = defaultDeploymentSize): Promise<TestDeployment> {
     const random = seededRandom(seed)
     const checksOrders = random() < 0.5
     const answers = testAnswers(checksOrders)
     const links = new Map<string, Link>()
     const flagsOf = linkLogs(links)
-    const running = await startDeployment(answers, 2, { [modelService]: 2, [plainService]: 2 }, { logLevel: 'warn', flagsOf })
+    const running = await startDeployment(answers, entries, { [modelService]: upstreams, [plainService]: upstreams }, { logLevel: 'warn', flagsOf })
     const agentLinks = linkAgents(running)
     const deployment = new TestDeployment(running, new Operator(running, answers), answers, links, agentLinks, random, seed)
     try {
