Soak: count the changes of the racing operators alone

Cause, in the soak: the check counted all changes between two reads of the log, and another series rolls out weights (version-change) at that time. Each race has an author of its own now, and its changes are counted by that; the equality is as strict as before, and no longer blind to a race whose excess another series' refusal hides.

--- a/script/failure/operator-faults.ts
+++ b/script/failure/operator-faults.ts
@@ -1,4 +1,5 @@
 /** Operations during load: data centres taken out and brought back, and concurrent operators. */
+import { randomUUID } from 'node:crypto'
 import type { RegisterLine } from '../../stand-in/register.js'
 import { emptyFold, foldPage } from '../../src/core/configuration/fold.js'
 import type { StreamPage } from '../../src/types/platform.js'
@@ -73,11 +74,10 @@
 
   async inject (deployment: TestDeployment): Promise<void> {
     this.zone = deployment.pick(deployment.answers.dataCentres).name
-    const before = await countAcceptedChanges(deployment)
-    const results = await Promise.all(['out', 'in', 'out', 'in'].map(async direction => await deployment.operator.tryZone(direction as 'in' | 'out', this.zone)))
+    const author = `race-${randomUUID()}`
+    const results = await Promise.all(['out', 'in', 'out', 'in'].map(async direction => await deployment.operator.tryZone(direction as 'in' | 'out', this.zone, author)))
     const accepted = results.filter(({ code }) => code === 0).length
-    const after = await countAcceptedChanges(deployment)
-    const inForce = after.accepted - before.accepted
+    const inForce = await countAcceptedChanges(deployment, author)
     if (accepted !== inForce) this.findings.push(`${accepted} operators were told accepted, and ${inForce} changes are in force: ${results.map(({ output, errors }) => output + errors).join(' ')}`)
     if (accepted === 0) this.findings.push('no operator won the race')
   }
@@ -91,15 +91,16 @@
   }
 }
 
-/** Counts the accepted changes by folding the records of the log. */
-async function countAcceptedChanges (deployment: TestDeployment): Promise<{ readonly accepted: number }> {
+/** Counts the accepted changes of one author by folding the records of the log; other series change the configuration too. */
+async function countAcceptedChanges (deployment: TestDeployment, author: string): Promise<number> {
   const page = await (await fetch(`${deployment.operator.log}/streams/configuration/records?from=0`)).json() as StreamPage
   let state = emptyFold
   let accepted = 0
   for (const record of page.records) {
     const next = foldPage(state, { ...page, records: [record] })
-    if (next.revision > state.revision) accepted += 1
+    const isAccepted = next.revision > state.revision
+    if (isAccepted && (JSON.parse(record.body) as { author?: string }).author === author) accepted += 1
     state = next
   }
-  return { accepted }
+  return accepted
 }
--- a/script/operator.ts
+++ b/script/operator.ts
@@ -68,9 +68,9 @@
     return await this.lastMoveAt(direction, dataCentre)
   }
 
-  /** Takes a data centre out or back in, whatever the command line answers. */
-  async tryZone (direction: 'in' | 'out', dataCentre: string): Promise<{ readonly code: number, readonly output: string, readonly errors: string }> {
-    return await runCommand(['zone', direction, dataCentre, '--log', this.log])
+  /** Takes a data centre out or back in, whatever the command line answers; `author` is the name in the history. */
+  async tryZone (direction: 'in' | 'out', dataCentre: string, author = 'operator'): Promise<{ readonly code: number, readonly output: string, readonly errors: string }> {
+    return await runCommand(['zone', direction, dataCentre, '--log', this.log, '--author', author])
   }
 
   /** When the log took the last such move, by its own record. */
