Soak: series that end and restart the same process

Cause, in the soak: ensureRunning rejected when another series ended the process while it started, and from then on always, since each call waits for the one before; a planned stop took the kill of another series for its own result. A start that another series ends is no error now, its ender restarts it; a planned stop must still exit with 0 unless the process was killed.

--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -141,6 +141,7 @@
   readonly name: string
   readonly impact = 'none'
   private exitCode: number | undefined
+  private wasKilled = false
   private stoppedInstance: StartedInstance | undefined
 
   constructor (private readonly target: 'entry' | 'model-agent' | 'plain-agent') {
@@ -151,7 +152,9 @@
   async inject (deployment: TestDeployment): Promise<void> {
     const service = this.target === 'model-agent' ? modelService : plainService
     this.stoppedInstance = this.target === 'entry' ? deployment.pick(deployment.entries) : deployment.pickBusy(deployment.agents(service))
-    this.exitCode = await this.stoppedInstance.process.stop()
+    const { process: stopped } = this.stoppedInstance
+    this.exitCode = await stopped.stop()
+    this.wasKilled = stopped.wasEndedAtOnce
   }
 
   async clear (): Promise<void> {
@@ -159,7 +162,8 @@
   }
 
   override check (): readonly string[] {
-    return this.exitCode === 0 ? [] : [`the planned stop ended with ${this.exitCode}`]
+    // Another series may kill the process before it has stopped.
+    return this.exitCode === 0 || this.wasKilled ? [] : [`the planned stop ended with ${this.exitCode}`]
   }
 }
 
--- a/script/process.ts
+++ b/script/process.ts
@@ -16,6 +16,7 @@
   private child: ChildProcess | undefined
   private starting: Promise<void> = Promise.resolve()
   private exited: Promise<number> = Promise.resolve(0)
+  private endedAtOnce = false
   /** Largest resident memory that was read, bytes. */
   private peak = 0
 
@@ -26,6 +27,7 @@
     guard()
     const child = spawn(process.execPath, this.words, { stdio: ['ignore', 'pipe', 'pipe'] })
     this.child = child
+    this.endedAtOnce = false
     running.add(this)
     this.exited = new Promise(resolve => {
       child.once('close', code => {
@@ -73,18 +75,33 @@
 
   /** Ends the process at once and resolves when it is gone. */
   async end (): Promise<void> {
+    this.endedAtOnce = true
     this.kill('SIGKILL')
     await this.exited
   }
 
+  /** Whether `end` was called since the process started last. */
+  get wasEndedAtOnce (): boolean {
+    return this.endedAtOnce
+  }
+
   get isRunning (): boolean {
     return running.has(this)
   }
 
-  /** Starts the process anew, with the same words and thus at the same addresses, unless it runs. */
+  /** Starts the process anew, with the same words and thus at the same addresses, unless it runs. Resolves too if `end` is called before it is ready. */
   async ensureRunning (): Promise<void> {
-    this.starting = this.starting.then(async () => { if (!this.isRunning) await this.start() })
-    await this.starting
+    const starting = this.starting.then(async () => { if (!this.isRunning) await this.startUnlessEnded() })
+    this.starting = starting.catch(() => {})
+    await starting
+  }
+
+  private async startUnlessEnded (): Promise<void> {
+    try {
+      await this.start()
+    } catch (error) {
+      if (!this.endedAtOnce) throw error
+    }
   }
 
   /** Reads the peak resident memory from the process table. */
