Soak: set a fault once the stand-in answers again

Suspected cause, in the soak: another series (kill-service) had ended the stand-in, and the control call was made once only. It is repeated for up to 15 s now.

--- a/script/deployment.ts
+++ b/script/deployment.ts
@@ -1,10 +1,15 @@
 /** A whole deployment of processes on loopback: stand-ins, entries, agents. */
 import type { Answers } from '../src/types/answers.js'
 import type { ListedInstance } from '../src/types/platform.js'
+import { waitUntil } from '../src/utils/clock.js'
 import type { RegisterLine } from '../stand-in/register.js'
 import { freshAddress, planUpstreams, startDaemon, startStandIn, startStandIns, type PlannedUpstream, type Started, type StartedInstance } from './launch.js'
 import type { ManagedProcess } from './process.js'
 
+/** Time for which a stand-in may be ended by another fault, milliseconds. */
+const maximumRestartMilliseconds = 15_000
+const restartPollMilliseconds = 50
+
 /** How to start a deployment. */
 export interface DeploymentOptions {
   /** Whether all engines and plain services share one process, to save memory; then no signal reaches one of them alone. */
@@ -85,6 +90,19 @@
   return await answer.json()
 }
 
+/** Sets faults as soon as the stand-in answers: another fault may have ended it for a while. */
+export async function setFaultsOnceRunning (standIn: Started, faults: Readonly<Record<string, unknown>>, path = ''): Promise<unknown> {
+  const deadline = Date.now() + maximumRestartMilliseconds
+  for (;;) {
+    try {
+      return await setFaults(standIn, faults, path)
+    } catch (error) {
+      if (Date.now() > deadline) throw error
+      await waitUntil(Date.now() + restartPollMilliseconds)
+    }
+  }
+}
+
 async function putJson (url: string, value: unknown): Promise<void> {
   await fetch(url, { method: 'PUT', body: JSON.stringify(value) })
 }
--- a/script/failure/crashing-request.ts
+++ b/script/failure/crashing-request.ts
@@ -3,7 +3,7 @@
 import { waitUntil } from '../../src/utils/clock.js'
 import { digestBytes } from '../../src/utils/digest.js'
 import { Caller, type Call, type Sending } from '../caller.js'
-import { setFaults } from '../deployment.js'
+import { setFaultsOnceRunning } from '../deployment.js'
 import { Fault } from './fault.js'
 import { modelService, plainService, type TestDeployment } from './test-deployment.js'
 
@@ -47,7 +47,7 @@
 
   async inject (deployment: TestDeployment): Promise<void> {
     const { service, kind, operation, key } = requestKinds[this.kind]
-    await Promise.all(deployment.agents(service).map(async ({ upstream }) => upstream && await setFaults(upstream, { crashText: crashingText })))
+    await Promise.all(deployment.agents(service).map(async ({ upstream }) => upstream && await setFaultsOnceRunning(upstream, { crashText: crashingText })))
     const caller = new Caller('small-one', [])
     for (let number = 0; number < sendCount; number += 1) {
       const call: Call = { service, kind, operation, key, text: crashingText, tokens: 5, deadline: Date.now() + requestTimeoutMilliseconds }
--- a/script/failure/platform-faults.ts
+++ b/script/failure/platform-faults.ts
@@ -1,5 +1,5 @@
 /** Faults of the platform, of upstreams and of links, most of them set at the stand-ins' control ports. */
-import { setFaults } from '../deployment.js'
+import { setFaults, setFaultsOnceRunning } from '../deployment.js'
 import type { Started } from '../launch.js'
 import type { Link } from '../link.js'
 import { Fault, type CallerImpact } from './fault.js'
@@ -54,7 +54,7 @@
   }
 
   async inject (deployment: TestDeployment): Promise<void> {
-    await setFaults(upstreamOf(deployment, this.service), {}, this.action)
+    await setFaultsOnceRunning(upstreamOf(deployment, this.service), {}, this.action)
   }
 
   async clear (): Promise<void> {}
@@ -71,12 +71,12 @@
 
   async inject (deployment: TestDeployment): Promise<void> {
     this.affected = upstreamOf(deployment, this.service)
-    await setFaults(this.affected, this.faults)
+    await setFaultsOnceRunning(this.affected, this.faults)
     if (this.service === modelService) await deployment.rollOutNext()
   }
 
   async clear (): Promise<void> {
-    if (this.affected !== undefined) await setFaults(this.affected, this.clearedFaults)
+    if (this.affected !== undefined) await setFaultsOnceRunning(this.affected, this.clearedFaults)
   }
 }
 
@@ -125,12 +125,12 @@
 
   async inject (deployment: TestDeployment): Promise<void> {
     this.affected = upstreamOf(deployment, modelService)
-    await setFaults(this.affected, { reportedWeights: foreignDigest })
+    await setFaultsOnceRunning(this.affected, { reportedWeights: foreignDigest })
     await deployment.rollOutNext()
   }
 
   async clear (deployment: TestDeployment): Promise<void> {
-    if (this.affected !== undefined) await setFaults(this.affected, { reportedWeights: '' })
+    if (this.affected !== undefined) await setFaultsOnceRunning(this.affected, { reportedWeights: '' })
     await deployment.waitForNewestWeights()
   }
 }
