Soak: callers may reach no entry while all of them have been stopped

The check allowed no caller without an answer, though both entries were stopped. It allows this now only for requests sent while every entry is between its planned stop and its return.

--- a/script/failure/fault.ts
+++ b/script/failure/fault.ts
@@ -12,6 +12,14 @@
   /** Broken connections to an entry, and requests with an unknown outcome. */
   | 'cut'
 
+/** Time in which an entry takes no requests since it stopped as planned, epoch milliseconds. */
+export interface EntryDowntime {
+  readonly entry: string
+  readonly from: number
+  /** Infinity while it has not been started again. */
+  readonly until: number
+}
+
 /** A fault; any two can be injected together. */
 export abstract class Fault {
   abstract readonly name: string
@@ -23,6 +31,11 @@
   /** Ends the fault and restores what it changed. */
   abstract clear (deployment: TestDeployment): Promise<void>
 
+  /** Downtime of the entry that this fault stopped as planned; undefined if it stopped none. Callers need one of the others. */
+  get downtime (): EntryDowntime | undefined {
+    return undefined
+  }
+
   /** Findings of the checks that apply to this fault only. */
   check (_deployment: TestDeployment, _register: readonly RegisterLine[], _sendings: readonly Sending[]): readonly string[] {
     return []
--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -4,7 +4,7 @@
 import type { ManagedProcess } from '../process.js'
 import type { RegisterLine } from '../../stand-in/register.js'
 import { waitUntil } from '../../src/utils/clock.js'
-import { Fault, type CallerImpact } from './fault.js'
+import { Fault, type CallerImpact, type EntryDowntime } from './fault.js'
 import { modelService, plainService, type TestDeployment } from './test-deployment.js'
 
 /** Kind of process that a fault affects. */
@@ -142,6 +142,8 @@
   readonly impact = 'none'
   private exitCode: number | undefined
   private wasKilled = false
+  private stoppedAt = Infinity
+  private restartedAt = Infinity
   private stoppedInstance: StartedInstance | undefined
 
   constructor (private readonly target: 'entry' | 'model-agent' | 'plain-agent') {
@@ -153,12 +155,19 @@
     const service = this.target === 'model-agent' ? modelService : plainService
     this.stoppedInstance = this.target === 'entry' ? deployment.pick(deployment.entries) : deployment.pickBusy(deployment.agents(service))
     const { process: stopped } = this.stoppedInstance
+    this.stoppedAt = Date.now()
     this.exitCode = await stopped.stop()
     this.wasKilled = stopped.wasEndedAtOnce
   }
 
   async clear (): Promise<void> {
     await this.stoppedInstance?.process.ensureRunning()
+    this.restartedAt = Date.now()
+  }
+
+  override get downtime (): EntryDowntime | undefined {
+    if (this.target !== 'entry' || this.stoppedInstance === undefined) return undefined
+    return { entry: this.stoppedInstance.listed.instance, from: this.stoppedAt, until: this.restartedAt }
   }
 
   override check (): readonly string[] {
--- a/script/failure/scenario.ts
+++ b/script/failure/scenario.ts
@@ -65,7 +65,7 @@
   const sendings = await deployment.stopCallers()
   const register = deployment.running.register()
   const summary = judge(sendings, register, deployment.operator.nonIdempotent)
-  const findings = [...errors, ...summary.findings, ...checkWeights(deployment, register), ...checkImpact(faults, sendings), ...faults.flatMap(fault => fault.check(deployment, register, sendings))]
+  const findings = [...errors, ...summary.findings, ...checkWeights(deployment, register), ...checkImpact(faults, sendings, deployment.entries.map(({ listed }) => listed.instance)), ...faults.flatMap(fault => fault.check(deployment, register, sendings))]
   return { name: faults.map(({ name }) => name).join('+'), seed, summary, findings, recoveryMilliseconds, failureCounts: countFailures(sendings), processOutput: deployment.processOutput }
 }
 
@@ -79,13 +79,16 @@
   return register.flatMap(line => line.event === 'started' && !deployment.manifests.has(line.weights) ? [`${line.upstream} ran ${line.id} on the unknown weights ${line.weights.slice(0, 8)}`] : [])
 }
 
-/** Sendings that ended in a way that none of the faults permits. */
-function checkImpact (faults: readonly Fault[], sendings: readonly Sending[]): readonly string[] {
+/** Sendings that ended in a way that none of the faults permits; callers may reach no entry while all of them have been stopped. */
+function checkImpact (faults: readonly Fault[], sendings: readonly Sending[], entries: readonly string[]): readonly string[] {
   const impacts = faults.map(({ impact }) => impact)
   const allowedEnds = new Set<Sending['end']>()
   if (impacts.includes('cut')) for (const end of ['cut', 'unreached', 'unknown'] as const) allowedEnds.add(end)
   if (impacts.includes('unknown')) allowedEnds.add('unknown')
-  const unexpectedSendings = sendings.filter(({ end }) => (end === 'cut' || end === 'unreached' || end === 'unknown') && !allowedEnds.has(end))
+  const downtimes = faults.flatMap(({ downtime }) => downtime ?? [])
+  const isDown = (entry: string, at: number): boolean => downtimes.some(downtime => downtime.entry === entry && at >= downtime.from && at < downtime.until)
+  const isReachable = ({ end, sentAt }: Sending): boolean => end !== 'unreached' || !entries.every(entry => isDown(entry, sentAt))
+  const unexpectedSendings = sendings.filter(sending => (sending.end === 'cut' || sending.end === 'unreached' || sending.end === 'unknown') && !allowedEnds.has(sending.end) && isReachable(sending))
   return unexpectedSendings.slice(0, maximumShownFindings).map(({ end, failure, entry, call, sentAt }) => `${end} without cause: ${failure} at ${entry}, ${call.service} "${call.text}" sent at ${sentAt}`)
 }
 
