--- a/script/process.ts
+++ b/script/process.ts
@@ -20,12 +20,13 @@
   /** Largest resident memory that was read, bytes. */
   private peak = 0
 
-  constructor (readonly name: string, private readonly words: readonly string[]) {}
+  /** `words` are the arguments of Node.js, `environment` is added to that of this process. */
+  constructor (readonly name: string, private readonly words: readonly string[], private readonly environment: Readonly<Record<string, string>> = {}) {}
 
   /** Starts the process and resolves with the first line that it prints. */
   async start (): Promise<string> {
     guard()
-    const child = spawn(process.execPath, this.words, { stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, this.words, { stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...this.environment } })
     this.child = child
     this.endedAtOnce = false
     running.add(this)
--- a/test/fakes/platform-store.ts
+++ b/test/fakes/platform-store.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform's store over HTTP: `log-read`, `log-newest` and `log-append`, with answers that are slow, cut short or missing. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { frameRecord } from '../../platform/framing.js'
+import { frameRecord, parseRead } from '../../platform/framing.js'
 
 /**
  * Fault of the answers of one topic. `silent` sends nothing, `stalled` nothing after some bytes of the body, and `cut` closes
@@ -23,6 +23,8 @@
 
 const defaultFetchLimit = 1024
 const maximumEntries = 500
+/** Size of the header that precedes the records of an answer. */
+const readHeaderBytes = 16
 /** Pace at which a slow answer is sent, milliseconds. */
 const sliceMilliseconds = 20
 
@@ -104,9 +106,21 @@
     if (this.faults.get(topic)?.kind === 'silent') return
     if (url.pathname === '/log-read') this.read(topic, url.searchParams, response)
     else if (url.pathname === '/log-newest') this.send(topic, this.newest(topic, url.searchParams), response)
+    else if (url.pathname === '/log-append') this.appendFrames(topic, incoming, response)
     else response.writeHead(404).end()
   }
 
+  private appendFrames (topic: string, incoming: IncomingMessage, response: ServerResponse): void {
+    const parts: Buffer[] = []
+    incoming.on('data', (part: Buffer) => { parts.push(part) })
+    incoming.on('end', () => {
+      const header = Buffer.alloc(readHeaderBytes)
+      const { records } = parseRead(Buffer.concat([header, ...parts]), 0)
+      for (const { key, value } of records) this.append(topic, key, value)
+      response.writeHead(200).end()
+    })
+  }
+
   private read (topic: string, query: URLSearchParams, response: ServerResponse): void {
     const from = Number(query.get('from'))
     const { records, first } = this.topicOf(topic)
