A stopping entry does not say not-run of a key that may have run

Cause: the refusal of a stopping entry did not pass confirmNotRun, as all others do, and such refusals were not counted among the requests that the stop waits for. The refusal asks the agents for the key now, and the stop waits for it.

--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -6,21 +6,22 @@
 import { Quarantine } from '../../core/quarantine.js'
 import { RetryBudget } from '../../core/retry.js'
 import { LeastLoad, PrefixAffinity, type NodeLocation } from '../../core/routing.js'
-import { createFailure } from '../../errors.js'
+import { createFailure, type Failure } from '../../errors.js'
 import { ConfigurationFollower } from '../../nodes/configuration-follower.js'
 import { InstanceDirectory } from '../../nodes/instance-directory.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { startTracing } from '../../plugins/tracing.js'
 import { ControlClient, ControlService, serveControl, type FollowEvent, type FollowRequest, type OutcomeReply, type OutcomeRequest, type FollowSession } from '../../transports/control.js'
-import { sendFailure, sendJson, serveHttp } from '../../transports/http-server.js'
+import { headerOf, sendFailure, sendJson, serveHttp } from '../../transports/http-server.js'
 import { HttpLogClient } from '../../transports/log-client.js'
 import type { FoldState } from '../../types/configuration.js'
-import type { LocateAnswer, NodeDescription } from '../../types/messages.js'
+import { headers, type LocateAnswer, type NodeDescription } from '../../types/messages.js'
 import type { EntrySettings } from '../../types/settings.js'
 import { waitUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { answerCaller } from './answer.js'
+import { confirmNotRun } from './confirm-not-run.js'
 import type { AnswerHost } from './host.js'
 import { RequestJournal } from './journal.js'
 import { peerPollIntervalMilliseconds, Peers } from './peers.js'
@@ -160,21 +161,24 @@
   }
 
   private async answer (request: IncomingMessage, response: ServerResponse, path: readonly string[]): Promise<void> {
-    if (this.isRefusing) {
-      response.setHeader('connection', 'close')
-      sendFailure(response, '', createFailure('leaving', Date.now()))
-      return
-    }
+    const [, service = '', operation = ''] = path
     if (this.leaving) response.setHeader('connection', 'close')
     this.inFlight += 1
     try {
-      await answerCaller(this, request, response, path[1] ?? '', path[2] ?? '')
+      if (this.isRefusing) sendFailure(response, '', await this.confirmedRefusal(request, service, operation))
+      else await answerCaller(this, request, response, service, operation)
       await responseClosed(response)
     } finally {
       this.inFlight -= 1
     }
   }
 
+  /** Refusal of a request while this entry stops; an earlier one with the same key may have run. */
+  private async confirmedRefusal (request: IncomingMessage, service: string, operation: string): Promise<Failure> {
+    const keyed = { service, operation, organisation: headerOf(request, headers.organisation), idempotencyKey: headerOf(request, headers.idempotencyKey) }
+    return await confirmNotRun(this, keyed, createFailure('leaving', Date.now()))
+  }
+
   private sendReport (response: ServerResponse, path: readonly string[], query: URLSearchParams): void {
     const [kind, id] = path
     const record = kind === 'requests' ? this.journal.find(id ?? '') : undefined
--- a/test/entry-stop.test.ts
+++ b/test/entry-stop.test.ts
@@ -4,7 +4,7 @@
 import type { RequestRecord } from '../src/roles/entry/journal.js'
 import { tokenAt } from '../stand-in/engine.js'
 import { answerTokens } from './fakes/agent.js'
-import { eventually, newWeights, TestCluster } from './fakes/test-cluster.js'
+import { eventually, newWeights, TestCluster, type Answer } from './fakes/test-cluster.js'
 
 async function locate (url: string): Promise<LocateAnswer> {
   return await (await fetch(`${url}/locate?organisation=troop&service=citations&prefix=a`)).json() as LocateAnswer
@@ -76,6 +76,44 @@
   t.equal(answer.lines.at(-1)?.['type'], 'end')
 })
 
+const keyedRefusals = [
+  { name: 'a key that ran', reportedOutcome: 'run', outcome: 'unknown' },
+  { name: 'a key that no agent has claimed', reportedOutcome: 'not-run', outcome: 'not-run' },
+  { name: 'a key whose outcome no agent knows', reportedOutcome: 'unknown', outcome: 'unknown' }
+] as const
+
+for (const { name, reportedOutcome, outcome } of keyedRefusals) {
+  test(`a stopping entry that refuses ${name} says ${outcome}`, async t => {
+    const world = await TestCluster.start({ citations: ['east'], ledger: ['east'], settings: { progressMilliseconds: 60_000 } })
+    t.teardown(() => { world.stop() })
+    const [engine, ledger] = [...world.agents].sort((left, right) => left.listed.service < right.listed.service ? -1 : 1)
+    let isEnded = false
+    if (engine !== undefined) {
+      engine.defaultOutcome = 'running'
+      engine.behave = async (run, response) => {
+        await eventually(() => isEnded)
+        await answerTokens()(run, response, engine)
+      }
+    }
+    if (ledger !== undefined) ledger.defaultOutcome = reportedOutcome
+    const long = world.call('citations/completions', { prompt: 'long', maximumTokens: 1 })
+    await eventually(() => engine?.runs.length === 1)
+    const stopping = world.entries[0]?.node.stop()
+    const refuse = async (): Promise<Answer> => await world.call('ledger/sign-off', 'badge', { 'idempotency-key': 'k' })
+    let answer = await refuse()
+    await eventually(async () => {
+      answer = await refuse()
+      return answer.failure === 'leaving'
+    })
+    t.equal(answer.outcome, outcome)
+    const last = refuse()
+    isEnded = true
+    t.equal((await last).outcome, outcome, 'a request that comes at the end of the stop is answered')
+    await stopping
+    t.equal((await long).status, 200)
+  })
+}
+
 test('a data centre that is out gets no new work from any entry, even before its agents know of the change', async t => {
   const world = await TestCluster.start({ entries: 3, citations: ['east', 'west'], settings: { dataCentre: 'west', region: 'two' } })
   t.teardown(() => { world.stop() })
