A stopping entry answers what is on its way on open connections

Cause: once no request ran the entry closed idle connections and ended, while requests were on their way on them.

--- a/src/roles/entry/entry.ts
+++ b/src/roles/entry/entry.ts
@@ -1,5 +1,6 @@
 /** Role entry: answers callers, chooses upstreams, and tells callers which entry to use. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { Server } from 'node:net'
 import { prefixKey } from '../../core/caller-request.js'
 import { rankEntries, type LocatableEntry } from '../../core/locate.js'
 import { FirstByteTracker } from '../../core/first-byte-tracker.js'
@@ -31,6 +32,8 @@
 const pruneIntervalMilliseconds = 10_000
 /** Interval at which a stopping entry checks whether requests still run. */
 const drainPollMilliseconds = 20
+/** Time in which requests that are on their way on open connections arrive, milliseconds. */
+const arrivalMilliseconds = 100
 
 /** Lateness of a query's timeout from which the entry itself was delayed, so that the reply may have arrived unread, milliseconds. */
 const ownDelayMilliseconds = 50
@@ -65,6 +68,7 @@
   private isRefusing = false
   /** Epoch milliseconds until which an answer of `locate` that names this entry is valid. */
   private locatedUntil = 0
+  private stopListening: () => void = () => {}
   private closeServers: () => void = () => {}
 
   constructor (readonly settings: EntrySettings) {
@@ -82,8 +86,9 @@
     this.directory.start()
     this.peers.start()
     this.pruning = setInterval(() => { this.quarantine.prune(Date.now()) }, pruneIntervalMilliseconds)
+    // The close method of an HTTP server also closes idle connections, on which a request may be on its way.
+    this.stopListening = () => { Server.prototype.close.call(http.server) }
     this.closeServers = () => {
-      http.server.close()
       http.server.closeIdleConnections()
       control.close()
     }
@@ -98,7 +103,10 @@
     await waitUntil(Math.max(this.locatedUntil, locatedByPeersUntil))
     this.isRefusing = true
     log.info('the entry refuses new requests and finishes the running ones', { inFlight: this.inFlight })
-    while (this.inFlight > 0) await waitUntil(Date.now() + drainPollMilliseconds)
+    await this.finishRequests()
+    this.stopListening()
+    await waitUntil(Date.now() + arrivalMilliseconds)
+    await this.finishRequests()
     clearInterval(this.pruning)
     this.upstreams.stop()
     this.peers.stop()
@@ -107,6 +115,10 @@
     this.closeServers()
   }
 
+  private async finishRequests (): Promise<void> {
+    while (this.inFlight > 0) await waitUntil(Date.now() + drainPollMilliseconds)
+  }
+
   get place (): NodeLocation {
     return this.settings
   }
