Soak: a data centre that another series brings back

Cause, in the soak: both plans move data centres in two series at once (zone-move with operators-race, and twice zone-move), and each counted until its own return only. The check ends with the first accepted return in the log now; the bound for new work until then stays.

--- a/script/failure/operator-faults.ts
+++ b/script/failure/operator-faults.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from 'node:crypto'
 import type { RegisterLine } from '../../stand-in/register.js'
 import { emptyFold, foldPage } from '../../src/core/configuration/fold.js'
+import type { Change } from '../../src/types/configuration.js'
 import type { StreamPage } from '../../src/types/platform.js'
 import { waitUntil } from '../../src/utils/clock.js'
 import { lastWorkAfter } from '../judge.js'
@@ -30,6 +31,13 @@
   async clear (deployment: TestDeployment): Promise<void> {
     this.inAt = Date.now()
     await deployment.operator.moveZone('in', this.zone)
+    await this.findEarlierReturn(deployment)
+  }
+
+  /** Another series may have brought the data centre back before this one did. */
+  protected async findEarlierReturn (deployment: TestDeployment): Promise<void> {
+    const returns = (await readAcceptedChanges(deployment)).filter(({ at, change }) => at > this.outAt && change.kind === 'data-centre' && change.dataCentre === this.zone && change.state === 'in')
+    this.inAt = Math.min(this.inAt, ...returns.map(({ at }) => at))
   }
 
   override check (deployment: TestDeployment, register: readonly RegisterLine[]): readonly string[] {
@@ -58,6 +66,7 @@
     for (const link of this.links(deployment)) link.unblock()
     for (const { process: managed } of deployment.running.instances) managed.kill('SIGCONT')
     await deployment.operator.moveZone('in', this.zone)
+    await this.findEarlierReturn(deployment)
   }
 
   private links (deployment: TestDeployment): ReadonlyArray<{ block (): void, unblock (): void }> {
@@ -77,7 +86,7 @@
     const author = `race-${randomUUID()}`
     const results = await Promise.all(['out', 'in', 'out', 'in'].map(async direction => await deployment.operator.tryZone(direction as 'in' | 'out', this.zone, author)))
     const accepted = results.filter(({ code }) => code === 0).length
-    const inForce = await countAcceptedChanges(deployment, author)
+    const inForce = (await readAcceptedChanges(deployment)).filter(accepted => accepted.author === author).length
     if (accepted !== inForce) this.findings.push(`${accepted} operators were told accepted, and ${inForce} changes are in force: ${results.map(({ output, errors }) => output + errors).join(' ')}`)
     if (accepted === 0) this.findings.push('no operator won the race')
   }
@@ -91,15 +100,24 @@
   }
 }
 
-/** Counts the accepted changes of one author by folding the records of the log; other series change the configuration too. */
-async function countAcceptedChanges (deployment: TestDeployment, author: string): Promise<number> {
+interface AcceptedChange {
+  readonly author: string
+  readonly change: Change
+  /** When the log took it, epoch milliseconds. */
+  readonly at: number
+}
+
+/** The changes that were accepted, of all series, by folding the records of the log. */
+async function readAcceptedChanges (deployment: TestDeployment): Promise<readonly AcceptedChange[]> {
   const page = await (await fetch(`${deployment.operator.log}/streams/configuration/records?from=0`)).json() as StreamPage
   let state = emptyFold
-  let accepted = 0
+  let accepted: readonly AcceptedChange[] = []
   for (const record of page.records) {
     const next = foldPage(state, { ...page, records: [record] })
-    const isAccepted = next.revision > state.revision
-    if (isAccepted && (JSON.parse(record.body) as { author?: string }).author === author) accepted += 1
+    if (next.revision > state.revision) {
+      const { author, change } = JSON.parse(record.body) as { readonly author: string, readonly change: Change }
+      accepted = [...accepted, { author, change, at: record.at }]
+    }
     state = next
   }
   return accepted
