Soak: stop a process once its start is over

Cause, in the soak: one series restarted the process that it had killed, and another sent SIGTERM before it had installed its handler.

--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -155,6 +155,8 @@
     const service = this.target === 'model-agent' ? modelService : plainService
     this.stoppedInstance = this.target === 'entry' ? deployment.pick(deployment.entries) : deployment.pickBusy(deployment.agents(service))
     const { process: stopped } = this.stoppedInstance
+    // Another series may be starting it.
+    await stopped.ensureRunning()
     this.stoppedAt = Date.now()
     this.exitCode = await stopped.stop()
     this.wasKilled = stopped.wasEndedAtOnce
