limit-soak: end the entries also when a test fails, and stop an entry once its start is over

Cause, in the test: a planned stop that met a start in progress made the series fail, and what ended the entries was skipped.

--- a/test/limit-soak.test.ts
+++ b/test/limit-soak.test.ts
@@ -47,6 +47,8 @@
 class PlannedStop extends EntryFault {
   readonly name = 'stop'
   async play ({ process: managed }: EntryProcess): Promise<void> {
+    // Another series may be starting it.
+    await managed.ensureRunning()
     await managed.stop()
     await managed.ensureRunning()
   }
@@ -94,6 +96,13 @@
     const random = seededRandom(seed * 7919)
     const agent = new Agent({ keepAlive: true })
     const { store, upstreams, fleet } = await startAll(random, agent)
+    const endAll = async (): Promise<void> => {
+      await fleet.end()
+      for (const upstream of upstreams) upstream.close()
+      store.close()
+      agent.destroy()
+    }
+    t.teardown(endAll)
     const until = monotonicNow() + calmMilliseconds + faultyMilliseconds
     const disturbed = new Set<string>()
     const played: string[] = []
@@ -125,10 +134,6 @@
       await Promise.all(calls)
     }
     await Promise.all([callAll(), changeLimits(), ...Array.from({ length: series }, playSeries)])
-    await fleet.end()
-    for (const upstream of upstreams) upstream.close()
-    store.close()
-    agent.destroy()
     const lost = results.filter(({ instance, result }) => result.kind === 'lost' && !disturbed.has(instance))
     t.same(upstreams.map(({ findings }) => findings), upstreams.map(() => []), played.join(', '))
     t.same(lost, [], 'entries that nothing happened to answer each request')
