Soak: excuse a planned stop only where a signal ended the process

Any exit code was excused once another series had killed the process; one that it had returned itself before is a finding again. The sendings that are excused have a name of their own.

--- a/script/failure/process-faults.ts
+++ b/script/failure/process-faults.ts
@@ -1,7 +1,7 @@
 /** Faults of processes: killed, paused, stopped as planned or replaced; also bursts of load. */
 import type { Load } from '../load.js'
 import type { StartedInstance } from '../launch.js'
-import type { ManagedProcess } from '../process.js'
+import { exitCodeOfSignal, type ManagedProcess } from '../process.js'
 import type { RegisterLine } from '../../stand-in/register.js'
 import { waitUntil } from '../../src/utils/clock.js'
 import { Fault, type CallerImpact, type EntryDowntime } from './fault.js'
@@ -174,7 +174,8 @@
 
   override check (): readonly string[] {
     // Another series may kill the process before it has stopped.
-    return this.exitCode === 0 || this.wasKilled ? [] : [`the planned stop ended with ${this.exitCode}`]
+    const isKilled = this.exitCode === exitCodeOfSignal && this.wasKilled
+    return this.exitCode === 0 || isKilled ? [] : [`the planned stop ended with ${this.exitCode}`]
   }
 }
 
--- a/script/failure/scenario.ts
+++ b/script/failure/scenario.ts
@@ -87,8 +87,9 @@
   if (impacts.includes('unknown')) allowedEnds.add('unknown')
   const downtimes = faults.flatMap(({ downtime }) => downtime ?? [])
   const isDown = (entry: string, at: number): boolean => downtimes.some(downtime => downtime.entry === entry && at >= downtime.from && at < downtime.until)
-  const isReachable = ({ end, sentAt }: Sending): boolean => end !== 'unreached' || !entries.every(entry => isDown(entry, sentAt))
-  const unexpectedSendings = sendings.filter(sending => (sending.end === 'cut' || sending.end === 'unreached' || sending.end === 'unknown') && !allowedEnds.has(sending.end) && isReachable(sending))
+  const isWithoutEntry = ({ end, sentAt }: Sending): boolean => end === 'unreached' && entries.every(entry => isDown(entry, sentAt))
+  const isSuspect = ({ end }: Sending): boolean => (end === 'cut' || end === 'unreached' || end === 'unknown') && !allowedEnds.has(end)
+  const unexpectedSendings = sendings.filter(sending => isSuspect(sending) && !isWithoutEntry(sending))
   return unexpectedSendings.slice(0, maximumShownFindings).map(({ end, failure, entry, call, sentAt }) => `${end} without cause: ${failure} at ${entry}, ${call.service} "${call.text}" sent at ${sentAt}`)
 }
 
--- a/script/process.ts
+++ b/script/process.ts
@@ -3,6 +3,8 @@
 import { readFileSync } from 'node:fs'
 import type { RegisterLine } from '../stand-in/register.js'
 
+/** Stands for the exit code of a process that a signal ended. */
+export const exitCodeOfSignal = -1
 const tailLines = 200
 const signalsThatEnd = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const
 const running = new Set<ManagedProcess>()
@@ -33,7 +35,7 @@
     this.exited = new Promise(resolve => {
       child.once('close', code => {
         if (this.child === child) running.delete(this)
-        resolve(code ?? -1)
+        resolve(code ?? exitCodeOfSignal)
       })
     })
     readLines(child.stderr, line => { this.keepError(line) })
