Route a request by one configuration, the newest once its body is whole

Callers saw 404 on a route that both configurations allow, when the route moved to another service and its old service was removed while the body arrived.

Cause: route and organisation were taken from the configuration in force at the head, the service of that route from the one in force after the body.

Route, organisation and service now come from one configuration, the one in force when the body is whole; a route or key that this one drops is refused as before, since it counts as not allowed.

--- a/src/core/fleet/match-route.ts
+++ b/src/core/fleet/match-route.ts
@@ -1,6 +1,6 @@
 /** Routing: the route and service of a request, and whether its caller may use them. */
 import { createHash } from 'node:crypto'
-import type { FleetConfiguration, Organisation, Route } from '../../types/fleet.js'
+import type { FleetConfiguration, Organisation, Route, Service } from '../../types/fleet.js'
 
 /** A configuration indexed for look-up. */
 export interface RouteTable {
@@ -43,6 +43,19 @@
   return { kind: 'match', route, organisation }
 }
 
+/** A request with its route, organisation and service, all of one configuration; or the tag of the failure that refuses it. */
+export type RoutedBy =
+  | { readonly kind: 'match', readonly route: Route, readonly organisation: Organisation | undefined, readonly service: Service }
+  | { readonly kind: 'unknown-route' | 'unknown-key' | 'unknown-service' }
+
+/** Finds route, organisation and service of a request in one configuration; `host` in lower case. */
+export function routeRequest (table: RouteTable, { host, target, key, id }: { readonly host: string, readonly target: string, readonly key: string | undefined, readonly id: string }): RoutedBy {
+  const match = matchRoute(table, host, target, key)
+  if (match.kind !== 'match') return match
+  const service = table.configuration.services.get(chooseService(match.route, id) ?? '')
+  return service === undefined ? { kind: 'unknown-service' } : { ...match, service }
+}
+
 /** Regions that may serve a request: those that both route and organisation allow; undefined for all. */
 export function regionsFor (route: Route, organisation: Organisation | undefined): readonly string[] | undefined {
   const restrictions = [route.regions, organisation?.regions ?? []].filter(regions => regions.length > 0)
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { fingerprintRequest } from '../../core/dispatch/crash-suspects.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
-import { chooseService, matchRoute } from '../../core/fleet/match-route.js'
+import { matchRoute, routeRequest } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
 import type { Organisation, Route, Service } from '../../types/fleet.js'
 import type { CallerRequest } from '../../types/ports.js'
@@ -47,27 +47,29 @@
       this.refuse(answer, caller, body.kind === 'late' ? 'out-of-time' : 'too-large', arrivedAt, undefined)
       return
     }
-    const service = state.service(chooseService(match.route, caller.id) ?? '')
-    if (service === undefined) {
-      this.refuse(answer, caller, 'unknown-service', arrivedAt, undefined)
+    // The configuration may have changed while the body arrived; the route of the earlier one may lead to a service that is gone.
+    const routed = routeRequest(state.table ?? table, caller)
+    if (routed.kind !== 'match') {
+      this.refuse(answer, caller, routed.kind, arrivedAt, undefined)
       return
     }
-    const request = this.createRoutedRequest(caller, incoming, match, service, body.bytes, arrivedAt)
-    metrics.count('requests_total', { route: match.route.name })
-    this.context.budget.recordRequest(service.name, arrivedAt)
+    const request = this.createRoutedRequest(caller, incoming, routed, body.bytes, arrivedAt)
+    metrics.count('requests_total', { route: routed.route.name })
+    this.context.budget.recordRequest(routed.service.name, arrivedAt)
     if (this.context.suspects.isRefused(request.fingerprint, arrivedAt)) this.refuse(answer, caller, 'crashing', arrivedAt, request)
     else await new RequestDispatch(this.context, request, answer, response).run()
   }
 
-  private createRoutedRequest (caller: CallerRequest, incoming: IncomingMessage, match: { readonly route: Route, readonly organisation: Organisation | undefined }, service: Service, body: Buffer, arrivedAt: number): RoutedRequest {
-    const { route, organisation } = match
+  private createRoutedRequest (caller: CallerRequest, incoming: IncomingMessage, routed: { readonly route: Route, readonly organisation: Organisation | undefined, readonly service: Service }, body: Buffer, arrivedAt: number): RoutedRequest {
+    const { route, organisation, service } = routed
     const callerTimeout = caller.timeoutMilliseconds ?? route.timeoutMilliseconds
     const longestTimeout = Math.max(callerTimeout, this.longestCallerTimeout.get(route.name) ?? 0)
     this.longestCallerTimeout.set(route.name, longestTimeout)
     return {
       caller,
       incoming,
-      ...match,
+      route,
+      organisation,
       service,
       body,
       arrivedAt,
