--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -19,7 +19,7 @@
 }
 
 /** Logs the result of a call and records the times of an answer; -1 stands for a time that is not known. */
-export function logCall (sentence: string, { request, answer, view, result, sentAt }: EndedCall, { metrics }: ServingContext): void {
+export function logCall (sentence: string, { request, answer, view, result, sentAt }: EndedCall, { metrics, state }: ServingContext): void {
   const now = monotonicNow()
   const firstByteMilliseconds = answer.firstByteAt === undefined ? -1 : Math.round(answer.firstByteAt - request.arrivedAt)
   if (result.kind === 'answer' || result.kind === 'stream-ended') {
@@ -35,6 +35,8 @@
     version: view.weights?.version ?? 0,
     result: result.kind,
     reason: 'reason' in result ? result.reason : result.kind === 'answer' ? String(result.head.status) : '',
+    end: 'isFramed' in result ? result.isFramed ? 'framed' : 'connection' : '',
+    configuration: state.table?.configuration.version ?? 0,
     isLate: request.isLate,
     callerTimeoutMilliseconds: Math.round(request.callerDeadline - request.arrivedAt),
     events: answer.eventCount,
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -272,6 +272,7 @@
       service: request.service.name,
       reason: tag,
       noSlotReason,
+      configuration: context.state.table?.configuration.version ?? 0,
       ran: this.ran,
       refused: this.refused,
       isLate: request.isLate,
