A clean end of the connection ends an answer without a length; streams go to callers in chunks

Callers saw: a whole stream that ends with its connection was run twice (10 calls for 5 requests, each drawing on the retry budget); where the answer began with chunks at an upstream that was reset, 0 of 5 callers got the end of the stream that another upstream completed without chunks; and a stream without a length that broke off for good, within an event or by a reset, ended regularly for 5 of 5 callers, so that it looked complete.

Cause: isFinal took an unframed answer for doubtful, whatever its end was, and CallerAnswer.end aborted a framed answer at such an end. An unframed answer was passed on without chunks, so that abort() (a close) equals its end.

Ruled out: that the parser takes a reset for the end (whenComplete asks the socket; the cases with a reset passed before and after).

Change: a proper end of the connection between two events is the end of the stream, asked for once and ended regularly; one within an event stays incomplete. Streams are always sent to callers in chunks: a break is then visible whatever the upstream's framing.

Evidence: test/answer-without-length, 4 of 7 failed before, 7 of 7 pass; test/gateway-call 24 of 24 pass unchanged. 5 calls for 5 requests.

--- a/src/roles/gateway/caller-answer.ts
+++ b/src/roles/gateway/caller-answer.ts
@@ -14,8 +14,6 @@
   lastEventId: string | undefined
   /** Number of events sent. */
   eventCount = 0
-  /** Whether the head determines where the answer ends. */
-  private isFramed = true
 
   constructor (private readonly response: ServerResponse, private readonly codec: RequestCodec, private readonly isStopping: () => boolean) {}
 
@@ -24,11 +22,13 @@
     return this.response.headersSent
   }
 
-  /** Sends a stream's head; ignored for later upstreams of the same stream. */
-  begin (headers: IncomingHttpHeaders, isFramed: boolean): void {
+  /**
+   * Sends a stream's head; ignored for later upstreams of the same stream. The stream is sent in chunks whatever its
+   * upstream does: without them a break would look like the end.
+   */
+  begin (headers: IncomingHttpHeaders): void {
     if (this.hasBegun) return
     this.setHeaders(headers)
-    if (!isFramed) this.delimitByClose()
     this.response.writeHead(200)
   }
 
@@ -39,10 +39,9 @@
     this.response.write(event.bytes)
   }
 
-  /** Ends a stream that is known to be complete, or whose end the caller cannot check either; aborts any other. */
-  end (isKnownComplete: boolean): void {
-    if (isKnownComplete || !this.isFramed) this.response.end()
-    else this.abort()
+  /** Ends a complete stream. */
+  end (): void {
+    this.response.end()
   }
 
   /** Closes the connection without a regular end, so that the caller does not take the answer for a complete one. */
@@ -77,9 +76,8 @@
     this.response.end(body)
   }
 
-  /** Passes on an answer without framing as it is, ended by the connection's close: a length would claim that it is complete. */
+  /** Passes on an answer without framing as it is, ended by the connection's close. */
   private delimitByClose (): void {
-    this.isFramed = false
     this.response.removeHeader('content-length')
     this.response.removeHeader('transfer-encoding')
     this.response.setHeader('connection', 'close')
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -214,16 +214,16 @@
     }
   }
 
-  /** Whether a result is the final answer. An error, or an answer that may be incomplete, is not while a repeatable request may try another upstream. */
+  /** Whether a result is the final answer. An error is not while a repeatable request may try another upstream. */
   private isFinal (result: CallResult): result is AnswerResult {
     if (result.kind !== 'answer' && result.kind !== 'stream-ended') return false
-    const isGood = result.isFramed && (result.kind === 'stream-ended' || result.head.status < 500)
+    const isGood = result.kind === 'stream-ended' || result.head.status < 500
     if (isGood || !isRepeatable(this.request.route)) return true
     return this.ran + 1 >= this.request.route.maximumUpstreams || monotonicNow() >= this.request.deadline
   }
 
   private deliver (result: AnswerResult): void {
-    if (result.kind === 'stream-ended') this.answer.end(result.isFramed)
+    if (result.kind === 'stream-ended') this.answer.end()
     else this.answer.send(result.head.status, result.headers, result.body, result.isFramed)
   }
 
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -8,9 +8,9 @@
 
 /** How a call ended. */
 export type CallResult =
-  /** A complete answer that is no stream, whatever its status. */
+  /** A complete answer that is no stream, whatever its status; one that is not framed ended with its connection. */
   | { readonly kind: 'answer', readonly head: AnswerHead, readonly headers: IncomingHttpHeaders, readonly body: Buffer, readonly isFramed: boolean }
-  /** The stream ended properly; one that is not framed may still lack events, as its end cannot be checked. */
+  /** The stream ended properly between two events, by its framing or with its connection. */
   | { readonly kind: 'stream-ended', readonly isFramed: boolean }
   /** The upstream has certainly not run the request. */
   | { readonly kind: 'not-run', readonly reason: NotRunReason }
@@ -61,7 +61,7 @@
 /** Receives a stream event by event. */
 export interface EventSink {
   /** Called with the stream's head before its first event. */
-  begin (headers: IncomingHttpHeaders, isFramed: boolean): void
+  begin (headers: IncomingHttpHeaders): void
   event (event: StreamEvent): void
 }
 
@@ -164,7 +164,7 @@
       if (!hasBegun) {
         hasBegun = true
         this.reportStarted(true)
-        sink.begin(answer.headers, isFramed(answer))
+        sink.begin(answer.headers)
       }
       for (const event of events) sink.event(event)
       const nextEventBy = Math.min(this.call.finishBy, monotonicNow() + this.call.inactivityTimeoutMilliseconds)
@@ -176,7 +176,7 @@
         return
       }
       // A resumed stream may have no events left; the caller still needs the signed head.
-      if (!hasBegun && !this.isFinished) sink.begin(answer.headers, isFramed(answer))
+      if (!hasBegun && !this.isFinished) sink.begin(answer.headers)
       this.finish({ kind: 'stream-ended', isFramed: isFramed(answer) })
     })
   }
