--- a/test/fakes/stream-fleet.ts
+++ b/test/fakes/stream-fleet.ts
@@ -30,6 +30,10 @@
     })
   }
 
+  get id (): string {
+    return String(this.incoming.headers['x-attempt-id'])
+  }
+
   /** Id of the event after which the stream is to continue; 0 for all of it. */
   get after (): number {
     return Number(this.incoming.headers['last-event-id'] ?? 0)
@@ -67,7 +71,7 @@
 
   /** Refuses the request without running it. */
   refuse (status: number): void {
-    this.response.writeHead(status, { 'x-attempt-id': String(this.incoming.headers['x-attempt-id']), 'x-not-executed': '1', 'content-length': '0' }).end()
+    this.response.writeHead(status, { 'x-attempt-id': this.id, 'x-not-executed': '1', 'content-length': '0' }).end()
   }
 
   /** Sends a complete answer that is no stream. */
@@ -79,7 +83,7 @@
   sendHead (status = 200): void {
     if (this.hasHead) return
     this.hasHead = true
-    this.response.writeHead(status, { 'x-server-stamp': 'stamp', 'x-attempt-id': String(this.incoming.headers['x-attempt-id']), 'content-type': 'text/event-stream' })
+    this.response.writeHead(status, { 'x-server-stamp': 'stamp', 'x-attempt-id': this.id, 'content-type': 'text/event-stream' })
     this.response.flushHeaders()
   }
 }
