--- a/test/fakes/configuration-changes.ts
+++ b/test/fakes/configuration-changes.ts
@@ -10,6 +10,8 @@
   readonly mayDeny?: boolean
   /** Whether the new configuration leaves the requests so little time that one may end at its deadline. */
   readonly mayTimeOut?: boolean
+  /** Whether the requests cannot be sent to any upstream, so that a failure without a promise is an answer. */
+  readonly mayFail?: boolean
 }
 
 const pause = (milliseconds: number): Promise<void> => sleepUntil(monotonicNow() + milliseconds)
@@ -74,6 +76,7 @@
   change('all organisations removed', configuration => ({ ...configuration, tenants: [] })),
   change('organisation renamed', configuration => ({ ...configuration, tenants: configuration.tenants.map(organisation => ({ ...organisation, name: 'renamed' })) })),
   change('organisation renamed to letters outside ASCII', configuration => ({ ...configuration, tenants: configuration.tenants.map(organisation => ({ ...organisation, name: 'खाकी' })) })),
+  { ...change('organisation renamed to a name that no header can carry', configuration => ({ ...configuration, tenants: configuration.tenants.map(organisation => ({ ...organisation, name: 'a\u0001b' })) })), mayFail: true },
   change('key moved to another organisation', configuration => ({ ...configuration, tenants: [{ name: 'p', 'api-keys': [callerKey] }] })),
   change('key added', configuration => ({ ...configuration, tenants: configuration.tenants.map(organisation => ({ ...organisation, 'api-keys': [...organisation['api-keys'], 'key-3'] })) })),
   change('key removed', configuration => ({ ...configuration, tenants: configuration.tenants.map(organisation => ({ ...organisation, 'api-keys': ['key-2'] })) }), true),
