Answer a request whose handler fails with 502, and give its slot back

Cause: building the call throws, and the handler's catch closed the connection. The slot that had been taken at the upstream was never given back, so each such request also took room from all others. The log had it at level error: 'Invalid character in header content'.

Whatever the handler throws, the caller now gets 502, which promises nothing, without headers of an upstream's answer; a stream that has begun is cut as before.

--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -62,7 +62,10 @@
     for (;;) {
       const view = await this.acquireSlot()
       if (view === undefined) return
-      const result = await this.call(view)
+      const result = await this.call(view).catch((error: unknown) => {
+        this.releaseSlot(view)
+        throw error
+      })
       if (this.callerDisconnect.signal.aborted) {
         this.log('caller disconnected; request abandoned', view, result)
         return
@@ -81,9 +84,14 @@
     const mustQueue = this.ran === 0 && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     if (view === undefined || !this.callerDisconnect.signal.aborted) return view
+    this.releaseSlot(view)
+    return undefined
+  }
+
+  /** Gives back the slot of a call that is not made. */
+  private releaseSlot (view: UpstreamView): void {
     this.context.pool.recordStarted(view.upstream.id)
     this.context.pool.recordEnded(view.upstream.id, 'none')
-    return undefined
   }
 
   /** Takes a slot at an upstream; without a free one it sets `noSlotReason` and returns undefined. */
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { entriesFor } from '../../core/fleet/directory.js'
 import { Membership } from '../../core/fleet/members.js'
+import { createFailure } from '../../errors.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
 import { listenOn } from '../../transports/http-listen.js'
@@ -15,6 +16,7 @@
 import { runInBackground } from '../../utils/background.js'
 import { sleepUntil, monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { CallerAnswer } from './caller-answer.js'
 import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
 import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
@@ -79,7 +81,7 @@
   private lastRequestAt = 0
   private staleTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly settings: GatewaySettings, ports: GatewayPorts) {
+  constructor (private readonly settings: GatewaySettings, private readonly ports: GatewayPorts) {
     this.members = new Membership({
       instance: settings.instance,
       ip: settings.ip,
@@ -217,8 +219,9 @@
       if (!incoming.complete) discardBody(incoming, { maximumBytes: maximumDiscardedBytes, deadline: monotonicNow() + discardMilliseconds })
     })
     this.server.serve(incoming, response).catch((error: unknown) => {
-      log.error('request handler failed; caller disconnected', { reason: String(error) })
-      response.destroy()
+      log.error('request handler failed', { reason: String(error) })
+      if (!response.headersSent) response.getHeaderNames().forEach(name => { response.removeHeader(name) })
+      new CallerAnswer(response, this.ports.requests, () => this.isStopping).fail(createFailure('upstream-lost'))
     })
   }
 
