--- a/test/configuration-change.test.ts
+++ b/test/configuration-change.test.ts
@@ -105,10 +105,12 @@
     await state.after?.(caller, bytesOf(state, id))
     const received = await caller.answer(monotonicNow() + timeoutMilliseconds + lateMilliseconds)
     caller.close()
-    return [state.name, judge(received, id, fleet, change)] as const
+    return [state.name, judge(received, id, fleet, change)] as [string, string]
   }))
   await changing
   await fleet.stop()
+  const foreign = [...fleet.organisations].filter(name => !fleet.organisationNames.has(name))
+  if (foreign.length > 0) findings.push(['upstreams', `were told organisations that no configuration has: ${foreign.join()}`])
   return Object.fromEntries(findings.filter(([, finding]) => finding !== ''))
 }
 
--- a/test/fakes/changing-fleet.ts
+++ b/test/fakes/changing-fleet.ts
@@ -48,6 +48,10 @@
   readonly log = new SharedLog(home)
   /** Ids of the requests that reached an upstream. */
   readonly arrived = new Set<string>()
+  /** Names of the organisations that upstreams were told. */
+  readonly organisations = new Set<string>()
+  /** Names that the organisations had in any configuration; the text for no organisation. */
+  readonly organisationNames = new Set<string>(['undefined'])
   configuration = firstConfiguration
   version = 0
   private readonly servers = new Map<string, Server>()
@@ -82,6 +86,7 @@
   configure (configuration: ConfigurationRecord): void {
     this.configuration = configuration
     this.version += 1
+    for (const { name } of configuration.tenants) this.organisationNames.add(name)
     this.log.append('operators', 'config', bytesOf({ version: this.version, ...configuration }))
   }
 
@@ -107,6 +112,7 @@
   private serve (incoming: IncomingMessage, response: ServerResponse): void {
     const id = String(incoming.headers['x-attempt-id'])
     this.arrived.add(id)
+    this.organisations.add(Buffer.from(String(incoming.headers['x-tenant']), 'latin1').toString('utf8'))
     const head = { 'x-server-stamp': 'stamp', 'x-attempt-id': id }
     const isStream = incoming.url?.startsWith('/stream/') === true
     if (isStream) response.writeHead(200, { ...head, 'content-type': 'text/event-stream' }).write('id: 1\ndata: 1\n\n')
