Keep a caller's connection for the time that it was told, also when the limits change

Causes: an answer's Keep-Alive header names the idle timeout in force at its request's arrival, while the timer of the idle connection takes the one at the answer's end; a longer timeout did not reach connections that were idle already; headersTimeout became shorter at once, and Node checks it against the start of a head, or of a connection without a request, that began under the longer one.

CallerTimeouts keeps an idle connection for the time that was named, gives idle connections a longer timeout when there is one, and lowers headersTimeout only when the earlier one has passed. A shorter limit so takes as long as the earlier one to bind callers that began before.

--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -17,6 +17,7 @@
 import { sleepUntil, monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { CallerAnswer } from './caller-answer.js'
+import { CallerTimeouts } from './caller-timeouts.js'
 import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
 import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
@@ -72,6 +73,7 @@
   private readonly server: RequestServer
   /** Server of callers' requests. */
   private readonly callers: Server
+  private readonly callerTimeouts: CallerTimeouts
   /** Servers of the readiness check, the directory and other nodes. */
   private readonly others: readonly Server[]
   private isStopping = false
@@ -94,7 +96,7 @@
       logDelayMilliseconds: -1
     }, monotonicNow())
     this.state = new FleetState(ports.codec, settings.rolloutMilliseconds, () => {
-      this.applyLimits()
+      if (this.state.table !== undefined) this.callerTimeouts.apply(this.state.table.configuration.limits)
       this.gossip.announceStateToAgents()
     })
     this.limits = new UpstreamLimits({
@@ -159,6 +161,7 @@
     this.callers = createServer({ maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000 }, (incoming, response) => {
       this.serve(incoming, response)
     })
+    this.callerTimeouts = new CallerTimeouts(this.callers)
     this.others = [
       createServer((incoming, response) => { ports.readiness(incoming, response, this.isReady) }),
       createServer((incoming, response) => { ports.directory(incoming, response, caller => this.findEntries(caller)) }),
@@ -194,6 +197,7 @@
   /** Ends all reads, timers and connections. */
   private close (): void {
     clearInterval(this.staleTimer)
+    this.callerTimeouts.close()
     this.records.stop()
     this.gossip.stop()
     this.datagrams.close()
@@ -214,6 +218,7 @@
   private serve (incoming: IncomingMessage, response: ServerResponse): void {
     this.active += 1
     this.lastRequestAt = monotonicNow()
+    this.callerTimeouts.keepPromise(incoming, response)
     response.on('close', () => { this.active -= 1 })
     response.on('finish', () => {
       if (!incoming.complete) discardBody(incoming, { maximumBytes: maximumDiscardedBytes, deadline: monotonicNow() + discardMilliseconds })
@@ -236,15 +241,6 @@
     this.connections.retainOnly(new Set(this.pool.all().map(({ upstream }) => upstream.id)))
   }
 
-  /** Applies the limits of a new configuration to the server of callers. */
-  private applyLimits (): void {
-    const limits = this.state.table?.configuration.limits
-    if (limits === undefined) return
-    this.callers.keepAliveTimeout = limits.idleTimeoutMilliseconds
-    // Node.js counts the idle time of a new connection towards `headersTimeout` as well.
-    this.callers.headersTimeout = Math.max(limits.headerTimeoutMilliseconds, limits.idleTimeoutMilliseconds)
-  }
-
   private serveInternal (incoming: IncomingMessage, response: ServerResponse): void {
     if (incoming.url?.startsWith('/records?') === true) this.records.serve(incoming.url, response)
     else if (incoming.url === '/metrics') response.end(this.renderMetrics())
