Index the routes of a host in linear time

A configuration with many routes on one host stopped an entry's event loop while it came into force: the list of the host's routes was copied for each route.

--- a/src/core/fleet/match-route.ts
+++ b/src/core/fleet/match-route.ts
@@ -22,7 +22,9 @@
   const routesByHost = new Map<string, Route[]>()
   for (const route of configuration.routes) {
     const host = route.host.toLowerCase()
-    routesByHost.set(host, [...routesByHost.get(host) ?? [], route])
+    const routes = routesByHost.get(host)
+    if (routes === undefined) routesByHost.set(host, [route])
+    else routes.push(route)
   }
   for (const routes of routesByHost.values()) routes.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length)
   const organisationByKey = new Map<string, Organisation>()
