--- a/test/configuration-change.test.ts
+++ b/test/configuration-change.test.ts
@@ -63,6 +63,12 @@
   { name: 'sent', request: { path: '/plain/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
   { name: 'sent, runs at most once', request: { path: '/once/1', method: 'POST', framing: 'length', body, holdMilliseconds: heldMilliseconds }, before: sendWhole },
   { name: 'stream begun', request: { path: '/stream/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
+  { name: 'resumable stream begun', request: { path: '/stream/again/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
+  {
+    name: 'sent, and half of the next head behind it',
+    request: { path: '/plain/11', holdMilliseconds: heldMilliseconds },
+    before: (caller, { head }) => { caller.send(head + head.slice(0, middleOf(head))) }
+  },
   { name: 'next one on a connection kept idle', request: { path: '/plain/2' }, before: useOnce, after: async (caller, { head }) => { await pause(restMilliseconds); caller.send(head) } },
   { name: 'next one arriving with the change on a connection kept idle', request: { path: '/plain/3' }, before: useOnce, after: (caller, { head }) => { caller.send(head) } },
   {
--- a/test/fakes/changing-fleet.ts
+++ b/test/fakes/changing-fleet.ts
@@ -28,7 +28,7 @@
 
 /** The configuration at the start. */
 export const firstConfiguration: ConfigurationRecord = {
-  routes: [route('plain', 'plain'), route('once', 'plain', 'unsafe'), route('stream', 'plain', 'stream'), route('queue', 'queue'), route('narrow', 'narrow'), route('narrow-once', 'narrow', 'unsafe')],
+  routes: [route('plain', 'plain'), route('once', 'plain', 'unsafe'), route('stream', 'plain', 'stream'), { ...route('stream/again', 'plain', 'stream'), resumable: true }, route('queue', 'queue'), route('narrow', 'narrow'), route('narrow-once', 'narrow', 'unsafe')],
   services: [{ name: 'plain', 'max-conns': 80 }, { name: 'queue', 'max-conns': 80 }, { name: 'narrow', 'max-conns': 2 }, { name: 'other', 'max-conns': 80 }],
   tenants: [{ name: 'o', 'api-keys': [callerKey, 'key-2'] }],
   limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1 << 20, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000 }
--- a/test/fakes/configuration-changes.ts
+++ b/test/fakes/configuration-changes.ts
@@ -89,7 +89,7 @@
   limitChange('header timeout lowered', { 'header-timeout-ms': 400 }),
   limitChange('idle and header timeouts lowered', { 'idle-timeout-ms': 400, 'header-timeout-ms': 400 }),
   limitChange('header timeout raised', { 'header-timeout-ms': 30_000 }),
-  limitChange('header and body bytes lowered', { 'max-header-bytes': 4096, 'max-body-bytes': 4096 }),
+  limitChange('header and body bytes lowered', { 'max-header-bytes': 1024, 'max-body-bytes': 1024 }),
   limitChange('header and body bytes raised', { 'max-header-bytes': 65_536, 'max-body-bytes': 8 << 20 }),
   {
     name: 'routes moved while their upstreams drain',
