Withdraw streams that would begin on older weights after the bound

What callers and upstreams saw: a request that was sent before the cutoff, 1,000 ms before a named version binds, and waited at its upstream (its queue, a silence) began there on the older weights after the bound.

Cause: the cutoff decides when a request may be sent; nothing limited when it begins.

Streams that began before the bound run to their end undisturbed.

Why it works: the entry watches its calls to upstreams with weights until their first event and closes those not begun 500 ms before the bound, by what it knows of named versions at that time. A server begins a request with its first token, so a withdrawn one counts neither as an attempt nor as certainly not run; sending it again takes from the retry budget. The cutoff for sending stays as it was: no upstream is unused for longer.

--- a/src/core/dispatch/next-step.ts
+++ b/src/core/dispatch/next-step.ts
@@ -7,6 +7,8 @@
   readonly route: Route
   /** Upstreams that may have started to run it. */
   readonly ran: number
+  /** Upstreams from which it was withdrawn before its answer began. They most likely did not run it, so that they are not counted as attempts; to be certain, what may not run twice is not sent again. */
+  readonly withdrawn: number
   /** Upstreams that certainly did not run it. */
   readonly refused: number
   /** Whether part of a stream was sent to the caller. */
@@ -26,7 +28,7 @@
 
 /** Step after a call that ended without a complete answer. */
 export function nextStep (progress: RequestProgress): NextStep {
-  const mayHaveRun = progress.ran > 0
+  const mayHaveRun = progress.ran + progress.withdrawn > 0
   if (progress.isPastDeadline) return { kind: 'fail', tag: mayHaveRun ? 'deadline-passed' : 'out-of-time' }
   if (mayHaveRun && !isRepeatable(progress.route)) return { kind: 'fail', tag: 'upstream-lost' }
   const isExhausted = progress.ran >= progress.route.maximumUpstreams || progress.refused >= maximumRefusals || !progress.hasBudget
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -43,6 +43,8 @@
   private noSlotReason: PlacementFailure = 'full'
   /** Calls whose upstream may have run the request. */
   private ran = 0
+  /** Calls that were withdrawn before their answer began: their upstream has most likely not run it. */
+  private withdrawn = 0
   /** Calls whose upstream certainly did not run it. */
   private refused = 0
   private sentAt = 0
@@ -78,7 +80,7 @@
 
   /** Takes a slot at an upstream, behind requests that are queued already; undefined when the request is over. */
   private async acquireSlot (): Promise<UpstreamView | undefined> {
-    const mustQueue = this.ran === 0 && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
+    const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     if (view === undefined || !this.callerDisconnect.signal.aborted) return view
     this.context.pool.recordStarted(view.upstream.id)
@@ -101,7 +103,7 @@
   private async waitForSlot (): Promise<UpstreamView | undefined> {
     const { request, context } = this
     const queue = context.queueOf(request.service.name)
-    const until = this.ran > 0
+    const until = this.mayHaveRun
       ? this.noSlotReason === 'limited' ? permitDeadline(monotonicNow(), request.deadline) : undefined
       : queueDeadline({
         now: monotonicNow(),
@@ -121,7 +123,7 @@
   /** Whether first events take so long that this request gets no slot now: at random by the refused share, or above a threshold if it is late. */
   private isRefusedForOverload (): boolean {
     const { request, context } = this
-    if (request.service.engine === undefined || this.ran > 0) return false
+    if (request.service.engine === undefined || this.mayHaveRun) return false
     const wait = context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow())
     const share = refusedShare(wait, request.route.latencyGoalMilliseconds, request.isLate)
     return request.isLate ? share > lateRefusalThreshold : this.refusalSample < share
@@ -140,10 +142,12 @@
     })
   }
 
+  private get mayHaveRun (): boolean {
+    return this.ran + this.withdrawn > 0
+  }
+
   private minimumVersion (): number | undefined {
-    const { request, context } = this
-    const { engine } = request.service
-    return engine === undefined ? undefined : context.state.minimumVersion(request.caller.model ?? engine.models[0] ?? '')
+    return this.request.model === undefined ? undefined : this.context.state.minimumVersion(this.request.model)
   }
 
   private async call (view: UpstreamView): Promise<CallResult> {
@@ -167,7 +171,7 @@
     const waits = context.firstEventWaitsOf(request.service.name)
     const waitNumber = waits.recordSent(now)
     this.tried.add(upstream.id)
-    this.currentCall = new CallInProgress({
+    const call = new CallInProgress({
       address: upstream.address,
       method: request.caller.method,
       target: request.caller.target,
@@ -186,9 +190,12 @@
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+        stopWatching?.()
       }
     }, context.requests, isStream ? this.answer : undefined)
-    const result = await this.currentCall.result
+    const stopWatching = isStream ? context.unstartedCalls.add(request.model, view, call) : undefined
+    this.currentCall = call
+    const result = await call.result
     this.recordResult(view, result)
     return result
   }
@@ -206,7 +213,7 @@
       pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
     } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
     else if (result.kind === 'lost') {
-      pool.recordEnded(id, result.reason === 'cancelled' ? 'none' : result.reason === 'timeout' ? 'error' : 'lost')
+      pool.recordEnded(id, result.reason === 'cancelled' || result.reason === 'withdrawn' ? 'none' : result.reason === 'timeout' ? 'error' : 'lost')
       if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
     } else {
       pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
@@ -230,10 +237,11 @@
   /** Decides on another call after one that is not final; otherwise answers or fails the request and returns false. */
   private continueAfter (view: UpstreamView, result: CallResult): boolean {
     if (result.kind === 'not-run') this.refused += 1
+    else if (result.kind === 'lost' && result.reason === 'withdrawn') this.withdrawn += 1
     else this.ran += 1
     const { request, context } = this
     const now = monotonicNow()
-    const progress = { route: request.route, ran: this.ran, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
+    const progress = { route: request.route, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
     const step = nextStep(progress)
     const isUnsent = result.kind === 'not-run' && unsentReasons.has(result.reason)
     const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), now))
@@ -252,7 +260,7 @@
   }
 
   private failWithoutSlot (): void {
-    this.fail(this.ran > 0 ? 'upstream-lost' : this.noSlotReason === 'no-weights' ? 'no-weights' : 'busy', this.noSlotReason)
+    this.fail(this.mayHaveRun ? 'upstream-lost' : this.noSlotReason === 'no-weights' ? 'no-weights' : 'busy', this.noSlotReason)
   }
 
   /** Sends a failure to the caller; `noSlotReason` is set when no upstream could be called. */
@@ -273,6 +281,7 @@
       reason: tag,
       noSlotReason,
       ran: this.ran,
+      withdrawn: this.withdrawn,
       refused: this.refused,
       isLate: request.isLate,
       firstEventWaitMilliseconds: Math.round(context.firstEventWaitsOf(request.service.name).medianMilliseconds(now)),
--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -1,7 +1,7 @@
 /** Operators' records as one entry knows them: configuration, evacuations and named weights. */
 import { mergeNamedVersion } from '../../core/weights/named-versions.js'
 import { rolloutFactsOf } from '../../core/weights/rollout-facts.js'
-import { cutoffLeadMilliseconds } from '../../core/weights/swap-schedule.js'
+import { minimumVersionAt, withdrawalAt } from '../../core/weights/start-cutoffs.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
 import { transferMilliseconds } from '../../nodes/read-metrics.js'
@@ -69,11 +69,14 @@
     return [...this.named].flatMap(([model, named]) => named.map(({ version, since }) => ({ model, version, ageMilliseconds: Math.round(now - since) })))
   }
 
-  /** Lowest version on which a request for a model may start now. Each named version is required from `weightsMilliseconds` after it became known, less a margin for requests in upstreams' queues. */
+  /** Lowest version on which a request for a model may be sent now. */
   minimumVersion (model: string): number {
-    const now = monotonicNow()
-    const required = (this.named.get(model) ?? []).filter(({ since }) => now >= since + this.weightsMilliseconds - cutoffLeadMilliseconds)
-    return Math.max(firstVersion, ...required.map(({ version }) => version))
+    return Math.max(firstVersion, minimumVersionAt(this.named.get(model) ?? [], this.weightsMilliseconds, monotonicNow()))
+  }
+
+  /** When a request that has not begun on a version is withdrawn from its upstream, milliseconds of the monotonic clock; undefined while no newer one is named. */
+  withdrawalAt (model: string, version: number): number | undefined {
+    return withdrawalAt(this.named.get(model) ?? [], version, this.weightsMilliseconds)
   }
 
   private recordNamedVersion (model: string, version: number, ageMilliseconds: number): void {
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { UpstreamConnections } from './upstream-connections.js'
 import { RequestQueue } from './request-queue.js'
 import { UpstreamLimits } from './upstream-limits.js'
+import { UnstartedCalls } from './unstarted-calls.js'
 import { UpstreamPool } from './upstream-pool.js'
 
 const log = logFor('entry')
@@ -101,7 +102,7 @@
         const ip = this.members.ipOf(instance)
         if (ip !== undefined) this.datagrams.send(message, ip)
       },
-      startOf: id => this.pool.startOf(id)
+      startOf: id => this.pool.find(id)?.upstream.startedAt
     })
     this.pool = new UpstreamPool({
       instance: settings.instance,
@@ -147,6 +148,10 @@
       connections: this.connections,
       budget,
       suspects: this.suspects,
+      unstartedCalls: new UnstartedCalls({
+        withdrawalAt: (model, version) => this.state.withdrawalAt(model, version),
+        versionAt: id => this.pool.find(id)?.weights?.version
+      }),
       metrics: this.metrics,
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -9,6 +9,7 @@
 import type { FleetState } from './fleet-state.js'
 import type { UpstreamConnections } from './upstream-connections.js'
 import type { RequestQueue } from './request-queue.js'
+import type { UnstartedCalls } from './unstarted-calls.js'
 import type { UpstreamPool } from './upstream-pool.js'
 
 /** Components that all requests of an entry share. */
@@ -19,6 +20,7 @@
   readonly connections: UpstreamConnections
   readonly budget: SharedRetryBudget
   readonly suspects: CrashSuspects
+  readonly unstartedCalls: UnstartedCalls
   readonly metrics: Metrics
   /** Times to the first event lately at a service. */
   firstEventWaitsOf (service: string): FirstEventWaits
@@ -38,6 +40,8 @@
   readonly route: Route
   readonly organisation: Organisation | undefined
   readonly service: Service
+  /** Model that serves it; undefined for a service without weights. */
+  readonly model: string | undefined
   readonly body: Buffer
   /** Equal for the same request sent again; identifies crashing requests. */
   readonly fingerprint: string
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -69,6 +69,7 @@
       incoming,
       ...match,
       service,
+      model: service.engine === undefined ? undefined : caller.model ?? service.engine.models[0] ?? '',
       body,
       arrivedAt,
       fingerprint: fingerprintRequest(caller.method, caller.target, organisation?.name ?? '', body),
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -23,9 +23,9 @@
  * Connection reset (`reset`), no head or event in time (`silent`), `finishBy` passed (`timeout`), an answer to another request,
  * or one that is unsigned or encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or
  * `maximumEventBytes` (`too-large`), an answer that ended early (`incomplete`), or a call that the entry cancelled
- * (`cancelled`).
+ * (`cancelled`), because it would begin on weights that are too old (`withdrawn`).
  */
-export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'too-large' | 'incomplete' | 'cancelled'
+export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'too-large' | 'incomplete' | 'cancelled' | 'withdrawn'
 
 /** Parameters of a call; deadlines are milliseconds of the monotonic clock. */
 export interface UpstreamCall {
@@ -107,6 +107,11 @@
     this.abandon({ kind: 'lost', reason: 'cancelled' })
   }
 
+  /** Cancels the call unless its answer has begun, of which an event may be on its way. */
+  withdraw (): void {
+    if (!this.hasStarted) this.abandon(this.isConnected ? { kind: 'lost', reason: 'withdrawn' } : { kind: 'not-run', reason: 'withdrawn' })
+  }
+
   private handleConnected (): void {
     if (this.isFinished) return
     if (this.call.isWithdrawn()) {
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -163,9 +163,9 @@
     return first > 0 && Number.isFinite(first) ? first : undefined
   }
 
-  /** Start of an upstream, epoch milliseconds; undefined for one that is not listed. */
-  startOf (id: string): number | undefined {
-    return this.views.get(id)?.upstream.startedAt
+  /** State of an upstream; undefined for one that is not listed. */
+  find (id: string): UpstreamView | undefined {
+    return this.views.get(id)
   }
 
   /** Records that a request is sent to an upstream. */
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -140,7 +140,7 @@
 
 const streamRoute: Route = { ...route, kind: 'stream', isResumable: true }
 const onceRoute: Route = { ...route, kind: 'once', maximumUpstreams: 1 }
-const progress: RequestProgress = { route, ran: 0, refused: 0, hasBegun: false, isPastDeadline: false, hasBudget: true }
+const progress: RequestProgress = { route, ran: 0, withdrawn: 0, refused: 0, hasBegun: false, isPastDeadline: false, hasBudget: true }
 const resend: NextStep = { kind: 'resend' }
 const nextStepCases: readonly { readonly name: string, readonly progress: Partial<RequestProgress>, readonly expected: NextStep }[] = [
   { name: 'an idempotent request, lost', progress: { ran: 1 }, expected: resend },
@@ -152,6 +152,11 @@
   { name: 'a request that may run once, lost', progress: { route: onceRoute, ran: 1 }, expected: { kind: 'fail', tag: 'upstream-lost' } },
   { name: 'refused without budget, not run anywhere', progress: { refused: 1, hasBudget: false }, expected: { kind: 'fail', tag: 'busy' } },
   { name: 'refused by three upstreams', progress: { refused: 3 }, expected: { kind: 'fail', tag: 'busy' } },
+  { name: 'a stream withdrawn from its upstream, which is no attempt', progress: { route: { ...streamRoute, maximumUpstreams: 1 }, withdrawn: 1 }, expected: resend },
+  { name: 'a stream withdrawn after its last attempt', progress: { route: streamRoute, ran: 2, withdrawn: 1 }, expected: { kind: 'fail', tag: 'upstream-lost' } },
+  { name: 'a stream withdrawn without budget', progress: { route: streamRoute, withdrawn: 1, hasBudget: false }, expected: { kind: 'fail', tag: 'upstream-lost' } },
+  { name: 'a stream that may run once, withdrawn', progress: { route: { ...streamRoute, isResumable: false }, withdrawn: 1 }, expected: { kind: 'fail', tag: 'upstream-lost' } },
+  { name: 'past the deadline, withdrawn', progress: { withdrawn: 1, isPastDeadline: true }, expected: { kind: 'fail', tag: 'deadline-passed' } },
   { name: 'past the deadline, may have run', progress: { ran: 1, isPastDeadline: true }, expected: { kind: 'fail', tag: 'deadline-passed' } },
   { name: 'past the deadline, not run', progress: { refused: 1, isPastDeadline: true }, expected: { kind: 'fail', tag: 'out-of-time' } }
 ]
--- a/test/wrong-version.test.ts
+++ b/test/wrong-version.test.ts
@@ -1,6 +1,8 @@
 /** Whether requests that wait at an upstream begin on older weights after the bound, when only the named version may start them. */
 import { test } from 'tap'
+import { minimumVersionAt, withdrawalAt } from '../src/core/weights/start-cutoffs.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
+import { eventually } from './fakes/test-cluster.js'
 import { EngineFleet, FakeEngine, prefixOf, wholeStream, type StreamRoute } from './fakes/engine-fleet.js'
 
 /** Time from the naming of a version until requests start on it only, as the entries of the tests have it, milliseconds. */
@@ -44,7 +46,7 @@
     await sleepUntil(boundAt - sentBeforeMilliseconds)
     const ids = Array.from({ length: 4 }, (_, index) => `${prefixOf(route)}${index}`)
     const calls = ids.map(id => fleet.call(route, id))
-    await sleepUntil(boundAt - sentBeforeMilliseconds + 50)
+    await eventually(async () => older.received.length === ids.length)
     if (hasNamed) fleet.list(named)
     const outcomes = await Promise.all(calls)
     await sleepUntil(boundAt + waitMilliseconds)
@@ -59,3 +61,26 @@
     }
   })
 }
+
+const rolloutMilliseconds = 8000
+const named = [{ version: 2, since: 1000 }, { version: 3, since: 4000 }]
+const cutoffs: readonly { readonly name: string, readonly version: number, readonly withdrawnAt: number | undefined }[] = [
+  { name: 'the newest version', version: 3, withdrawnAt: undefined },
+  { name: 'a version with one newer', version: 2, withdrawnAt: 11_500 },
+  { name: 'a version with two newer, of which the first decides', version: 1, withdrawnAt: 8500 }
+]
+
+for (const { name, version, withdrawnAt } of cutoffs) {
+  test(`start cutoffs: ${name}`, async t => { t.equal(withdrawalAt(named, version, rolloutMilliseconds), withdrawnAt) })
+}
+
+const minima: readonly { readonly now: number, readonly version: number }[] = [
+  { now: 7999, version: 0 },
+  { now: 8000, version: 2 },
+  { now: 10_999, version: 2 },
+  { now: 11_000, version: 3 }
+]
+
+for (const { now, version } of minima) {
+  test(`start cutoffs: lowest version at ${now} ms`, async t => { t.equal(minimumVersionAt(named, rolloutMilliseconds, now), version) })
+}
