--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -71,6 +71,7 @@
       route,
       organisation,
       service,
+      model: service.engine === undefined ? undefined : caller.model ?? service.engine.models[0] ?? '',
       body,
       arrivedAt,
       fingerprint: fingerprintRequest(caller.method, caller.target, organisation?.name ?? '', body),
