Configuration changes: fill the queue's upstream, and hold two requests for longer than dropped upstreams are remembered

The queue's state was not reached: a plain upstream takes three requests for each slot, so the request was sent. Two held requests and one slot now keep it queued; with its upstreams draining or removed it gets 503, not run.

--- a/test/configuration-change.test.ts
+++ b/test/configuration-change.test.ts
@@ -13,6 +13,7 @@
 const startMilliseconds = 1500
 /** Time for which requests in progress are held by the upstreams, for which a connection is held while another request waits for it (shorter than it waits), and after the change of which the rest of a partial request is sent, milliseconds. */
 const [heldMilliseconds, heldConnectionMilliseconds, restMilliseconds] = [500, 350, 300]
+const longHeldMilliseconds = 2400
 /** Time that callers wait, and for which a failure to answer in time is allowed to be late, milliseconds (the rules' half second). */
 const [timeoutMilliseconds, lateMilliseconds] = [3500, 500]
 /** Statuses that promise that the request has not run. */
@@ -32,10 +33,14 @@
 const middleOf = (text: string): number => Math.floor(text.length / 2)
 const body = 'x'.repeat(3000)
 
-/** Sends a request that takes the only slot or connection, then the one under test. */
-const sendBehindAnother = (path: string, holdMilliseconds: number, method = 'GET'): RequestState['before'] => async (caller, { head }, fleet) => {
-  const first = new RawCaller(fleet.entry.callers)
-  first.send(encodeRequest({ id: `first-of-${path}`, path, method, key: callerKey, timeoutMilliseconds, holdMilliseconds }).head)
+/** Requests of one entry that take all places at the upstream of the queue's service. */
+const placesInQueue = 2
+
+/** Sends requests that take all places or the only connection, then the one under test. */
+const sendBehindOthers = (path: string, count: number, holdMilliseconds: number, method = 'GET'): RequestState['before'] => async (caller, { head }, fleet) => {
+  for (let number = 0; number < count; number += 1) {
+    new RawCaller(fleet.entry.callers).send(encodeRequest({ id: `${number}-of-${path}`, path, method, key: callerKey, timeoutMilliseconds, holdMilliseconds }).head)
+  }
   await pause(60)
   caller.send(head)
 }
@@ -57,12 +62,14 @@
 })
 
 const states: readonly RequestState[] = [
-  { name: 'waiting in the queue', request: { path: '/queue/1', holdMilliseconds: 50 }, before: sendBehindAnother('/queue/0', heldMilliseconds) },
-  { name: 'waiting for a connection', request: { path: '/narrow/1', holdMilliseconds: 50 }, before: sendBehindAnother('/narrow/0', heldConnectionMilliseconds) },
-  { name: 'waiting for a connection of its own', request: { path: '/narrow-once/1', method: 'POST', holdMilliseconds: 50 }, before: sendBehindAnother('/narrow-once/0', heldConnectionMilliseconds, 'POST') },
+  { name: 'waiting in the queue', request: { path: '/queue/1', holdMilliseconds: 50 }, before: sendBehindOthers('/queue/0', placesInQueue, heldMilliseconds) },
+  { name: 'waiting for a connection', request: { path: '/narrow/1', holdMilliseconds: 50 }, before: sendBehindOthers('/narrow/0', 1, heldConnectionMilliseconds) },
+  { name: 'waiting for a connection of its own', request: { path: '/narrow-once/1', method: 'POST', holdMilliseconds: 50 }, before: sendBehindOthers('/narrow-once/0', 1, heldConnectionMilliseconds, 'POST') },
   { name: 'sent', request: { path: '/plain/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
   { name: 'sent, runs at most once', request: { path: '/once/1', method: 'POST', framing: 'length', body, holdMilliseconds: heldMilliseconds }, before: sendWhole },
   { name: 'stream begun', request: { path: '/stream/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
+  { name: 'sent, held for longer than dropped upstreams are remembered', request: { path: '/plain/12', holdMilliseconds: longHeldMilliseconds }, before: sendWhole },
+  { name: 'stream begun, held as long', request: { path: '/stream/2', holdMilliseconds: longHeldMilliseconds }, before: sendWhole },
   { name: 'resumable stream begun', request: { path: '/stream/again/1', holdMilliseconds: heldMilliseconds }, before: sendWhole },
   {
     name: 'sent, and half of the next head behind it',
--- a/test/fakes/changing-fleet.ts
+++ b/test/fakes/changing-fleet.ts
@@ -34,11 +34,11 @@
   limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1 << 20, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15_000 }
 }
 
-/** Upstreams by key: their service and slots. With two slots, one request in progress leaves none free, as entries that are not known are reckoned with. */
+/** Upstreams by key: their service and slots. */
 const upstreams: readonly { readonly key: string, readonly service: string, readonly slots: number }[] = [
   { key: 'p-1', service: 'plain', slots: 200 },
   { key: 'p-2', service: 'plain', slots: 200 },
-  { key: 'q-1', service: 'queue', slots: 2 },
+  { key: 'q-1', service: 'queue', slots: 1 },
   { key: 'n-1', service: 'narrow', slots: 200 },
   { key: 'o-1', service: 'other', slots: 200 }
 ]
