Tell known ages of a named version from unknown ones

What callers and upstreams saw: an entry that was frozen for longer than the bound reads the record late, takes it for just named and allows the older weights for another 7 s (9 s where the bound is 10 s), while it is in touch again after 3 s. An entry that starts beside a naming requires the new version at once until the bound, and makes entries that have not read the record do the same: they refuse what the older weights may still serve.

Cause: an age of the bound and more stood for an unknown one. A known age that large was ignored, and an unknown one was kept as the earliest time and passed on by gossip and subscriptions as known.

By reading, not measured: transit, long polls and a delayed event loop add to the time at which one node hears of a name, but the earliest known time wins everywhere; all times are of the monotonic clock.

Why it works: an unknown age is told as such (-1), still requires the version at once, and gives way to any known age; of known ages the earliest counts, however large. The two cases of mergeNamedVersion in which 8,000 stood for an unknown age say so now and have the same result; two new ones cover known ages. A correction of the time is logged.

--- a/src/core/weights/version-plan.ts
+++ b/src/core/weights/version-plan.ts
@@ -5,6 +5,8 @@
   readonly version: number
   /** Earliest known time at which a node learned of it, milliseconds of the monotonic clock; operators named it before that. */
   readonly since: number
+  /** Set where no node has told since when it is named: `since` then assumes that its cutoff has passed. */
+  readonly isAgeUnknown?: true
 }
 
 /** Named version that the engine does not serve yet. */
--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -16,6 +16,9 @@
 /** Version of the weights that serves while none is named. */
 const firstVersion = 1
 
+/** Smallest correction of the time of a named version that is logged, milliseconds: the delay of messages is below it. */
+const loggedCorrectionMilliseconds = 250
+
 /** Configuration, evacuations and named weights in force. */
 export class FleetState {
   private routeTable: RouteTable | undefined
@@ -54,7 +57,7 @@
     const decoded = this.codec.operatorRecord(record.key, record.value)
     if (decoded.kind === 'evacuation') this.putEvacuation(decoded.dataCentre, record.value !== undefined, record.offset)
     else if (decoded.kind === 'configuration') this.putConfiguration(decoded.configuration, record.offset, read)
-    else if (decoded.kind === 'weights') this.recordNamedVersion(decoded.weights.model, decoded.weights.version, isFirst ? this.weightsMilliseconds : 0)
+    else if (decoded.kind === 'weights') this.recordNamedVersion(decoded.weights.model, decoded.weights.version, isFirst ? undefined : 0)
     else log.warn('operator record ignored', { key: record.key, offset: record.offset, reason: decoded.reason })
   }
 
@@ -63,10 +66,10 @@
     for (const { model, version, ageMilliseconds } of received) this.recordNamedVersion(model, version, ageMilliseconds)
   }
 
-  /** Named weights, each with the time since it was first known, for gossip. */
+  /** Named weights, each with the time since it was first known, where that is known, for gossip. */
   get weights (): readonly GossipedWeights[] {
     const now = monotonicNow()
-    return [...this.named].flatMap(([model, named]) => named.map(({ version, since }) => ({ model, version, ageMilliseconds: Math.round(now - since) })))
+    return [...this.named].flatMap(([model, named]) => named.map(({ version, since, isAgeUnknown }) => ({ model, version, ageMilliseconds: isAgeUnknown === true ? undefined : Math.round(now - since) })))
   }
 
   /** Lowest version on which a request for a model may be sent now. */
@@ -79,15 +82,28 @@
     return withdrawalAt(this.named.get(model) ?? [], version, this.weightsMilliseconds)
   }
 
-  private recordNamedVersion (model: string, version: number, ageMilliseconds: number): void {
+  private recordNamedVersion (model: string, version: number, ageMilliseconds: number | undefined): void {
     const known = this.named.get(model) ?? []
     const merged = mergeNamedVersion(known, { version, ageMilliseconds }, this.weightsMilliseconds, monotonicNow())
     this.named.set(model, merged)
-    if (merged === known || known.some(named => named.version === version)) return
-    log.info('new weights version named', { model, version, ageMilliseconds: Math.round(ageMilliseconds) })
+    if (merged === known) return
+    const before = known.find(named => named.version === version)
+    const age = Math.round(ageMilliseconds ?? -1)
+    if (before !== undefined) {
+      this.logCorrection(model, version, age, before)
+      return
+    }
+    log.info('new weights version named', { model, version, ageMilliseconds: age })
     this.changed()
   }
 
+  /** Logs a known time that has been corrected; -1 stands for an age that was not known. */
+  private logCorrection (model: string, version: number, ageMilliseconds: number, before: NamedVersion): void {
+    const previousMilliseconds = before.isAgeUnknown === true ? -1 : Math.round(monotonicNow() - before.since)
+    if (previousMilliseconds >= 0 && ageMilliseconds - previousMilliseconds < loggedCorrectionMilliseconds) return
+    log.info('age of a named weights version corrected', { model, version, ageMilliseconds, previousMilliseconds })
+  }
+
   private putConfiguration (configuration: RouteTable['configuration'], offset: number, { source, cost }: RecordRead): void {
     const inForce = this.routeTable?.configuration.version
     if (inForce !== undefined && configuration.version <= inForce) {
--- a/src/roles/weights/named-versions.ts
+++ b/src/roles/weights/named-versions.ts
@@ -24,7 +24,7 @@
     const merged = mergeNamedVersion(known, reported, this.rolloutMilliseconds, monotonicNow())
     this.named.set(model, merged)
     const { version, ageMilliseconds } = reported
-    if (merged !== known && !known.some(named => named.version === version)) log.info('weights are named', { model, version, source, ageMilliseconds: Math.round(ageMilliseconds) })
+    if (merged !== known && !known.some(named => named.version === version)) log.info('weights are named', { model, version, source, ageMilliseconds: Math.round(ageMilliseconds ?? -1) })
   }
 
   /** A version with the time at which it was named; one that was never named counts from the start of this process. */
--- a/src/roles/weights/rollout-source.ts
+++ b/src/roles/weights/rollout-source.ts
@@ -25,8 +25,6 @@
 /** Dependencies of a source. */
 export interface RolloutContext {
   readonly service: string
-  /** Time from the naming of a version until new requests run on that version only, milliseconds. */
-  readonly rolloutMilliseconds: number
   readonly records: RecordLog
   readonly codec: RecordCodec
   readonly named: NamedVersions
@@ -139,10 +137,10 @@
   }
 
   private putRecord ({ key, value }: KeyedRecord): void {
-    const { codec, named, service, rolloutMilliseconds } = this.context
+    const { codec, named, service } = this.context
     const decoded = codec.operatorRecord(key, value)
     // The age of what the first read finds is unknown; requests count as required on it at once, as at entries.
-    if (decoded.kind === 'weights') named.merge(decoded.weights.model, { version: decoded.weights.version, ageMilliseconds: this.hasLearned ? 0 : rolloutMilliseconds }, logSource)
+    if (decoded.kind === 'weights') named.merge(decoded.weights.model, { version: decoded.weights.version, ageMilliseconds: this.hasLearned ? 0 : undefined }, logSource)
     else if (decoded.kind === 'configuration') this.putFacts(rolloutFactsOf(decoded.configuration, service), 0, logSource)
   }
 
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -78,9 +78,9 @@
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
     this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
-    const { service, rolloutMilliseconds } = settings
+    const { service } = settings
     const { records, codec } = ports
-    this.rollout = new RolloutSource({ service, rolloutMilliseconds, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
+    this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -80,8 +80,9 @@
   return [member.instance, member.ip, member.callers, member.dataCentre, member.region, member.incarnation, member.beat, member.isReady, member.logDelayMilliseconds]
 }
 
+/** An unknown age becomes -1. */
 function encodeWeights (weights: readonly GossipedWeights[]): Fields {
-  return weights.map(({ model, version, ageMilliseconds }) => [model, version, ageMilliseconds])
+  return weights.map(({ model, version, ageMilliseconds }) => [model, version, ageMilliseconds ?? -1])
 }
 
 /** A lifted limit becomes -1. */
@@ -117,7 +118,7 @@
   return list.map(fields => {
     checkTypes(fields, ['string', 'number', 'number'])
     const [model, version, ageMilliseconds] = fields as [string, number, number]
-    return { model, version, ageMilliseconds }
+    return { model, version, ageMilliseconds: ageMilliseconds < 0 ? undefined : ageMilliseconds }
   })
 }
 
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -4,11 +4,11 @@
 import type { Member } from '../core/fleet/members.js'
 import type { RolloutFacts } from './fleet.js'
 
-/** Named weights with the time since the sender learned of them, milliseconds. */
+/** Named weights with the time since some node learned of them, milliseconds; undefined where the sender does not know it. */
 export interface GossipedWeights {
   readonly model: string
   readonly version: number
-  readonly ageMilliseconds: number
+  readonly ageMilliseconds: number | undefined
 }
 
 /** Sent by an entry to another entry. */
--- a/test/weights-rollout-source.test.ts
+++ b/test/weights-rollout-source.test.ts
@@ -73,7 +73,7 @@
 function sourceWith (log: FakeLog): { readonly source: RolloutSource, readonly named: NamedVersions, readonly peers: PeerTable } {
   const named = new NamedVersions(settings.rolloutMilliseconds)
   const peers = new PeerTable(settings.ip, settings.dataCentre)
-  const source = new RolloutSource({ service, rolloutMilliseconds: settings.rolloutMilliseconds, records: log, codec: new FakeCodec(), named, peers, metrics: new Metrics(), introduce: () => {} })
+  const source = new RolloutSource({ service, records: log, codec: new FakeCodec(), named, peers, metrics: new Metrics(), introduce: () => {} })
   return { source, named, peers }
 }
 
@@ -121,8 +121,10 @@
   { name: 'an older version', known: named([3, 99_000]), reported: { version: 2, ageMilliseconds: 4000 }, expected: named([2, 96_000], [3, 99_000]) },
   { name: 'an earlier time', known: named([2, 99_000]), reported: { version: 2, ageMilliseconds: 4000 }, expected: named([2, 96_000]) },
   { name: 'a later time', known: named([2, 99_000]), reported: { version: 2, ageMilliseconds: 400 }, expected: named([2, 99_000]) },
-  { name: 'an unknown age, of a known version', known: named([2, 99_000]), reported: { version: 2, ageMilliseconds: 8000 }, expected: named([2, 99_000]) },
-  { name: 'an unknown age, of a new version', known: [], reported: { version: 2, ageMilliseconds: 8000 }, expected: named([2, 92_000]) },
+  { name: 'an unknown age, of a known version', known: named([2, 99_000]), reported: { version: 2, ageMilliseconds: undefined }, expected: named([2, 99_000]) },
+  { name: 'an age past the bound, of a known version', known: named([2, 99_000]), reported: { version: 2, ageMilliseconds: 9000 }, expected: named([2, 91_000]) },
+  { name: 'an unknown age, of a new version', known: [], reported: { version: 2, ageMilliseconds: undefined }, expected: [{ version: 2, since: 92_000, isAgeUnknown: true }] },
+  { name: 'a known age, of a version whose age was unknown', known: [{ version: 2, since: 92_000, isAgeUnknown: true }], reported: { version: 2, ageMilliseconds: 400 }, expected: named([2, 99_600]) },
   { name: 'a fifth version', known: named([2, 1], [3, 2], [4, 3], [5, 4]), reported: { version: 6, ageMilliseconds: 0 }, expected: named([3, 2], [4, 3], [5, 4], [6, now]) },
   { name: 'a version that was forgotten', known: named([3, 2], [4, 3], [5, 4], [6, 5]), reported: { version: 2, ageMilliseconds: 99_999 }, expected: named([3, 2], [4, 3], [5, 4], [6, 5]) }
 ]
