--- a/test/fakes/engine-fleet.ts
+++ b/test/fakes/engine-fleet.ts
@@ -34,7 +34,8 @@
   readonly begun = new Map<string, number>()
   private readonly server: Server
 
-  constructor (readonly id: string, readonly version: number, private readonly firstEventMilliseconds: number, private readonly eventMilliseconds = 20) {
+  /** Its record names `listedVersion`, which may no longer be right. */
+  constructor (readonly id: string, private readonly version: number, private readonly firstEventMilliseconds: number, private readonly eventMilliseconds = 20, private readonly listedVersion = version) {
     this.server = createServer((incoming, response) => { this.serve(incoming, response) })
   }
 
@@ -50,13 +51,18 @@
   /** Its record in the instance list. */
   get record (): Buffer {
     const { port } = this.server.address() as AddressInfo
-    return bytesOf({ service, address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots: 40, born: 1000, 'model-list': [{ name: model, version: this.version }] })
+    return bytesOf({ service, address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots: 40, born: 1000, 'model-list': [{ name: model, version: this.listedVersion }] })
   }
 
   private serve (incoming: IncomingMessage, response: ServerResponse): void {
     const id = String(incoming.headers['x-attempt-id'])
     this.received.push(id)
     incoming.resume()
+    const expected = Number(incoming.headers['x-expect-version'] ?? this.version)
+    if (expected !== this.version) {
+      response.writeHead(421, { 'x-not-executed': '1', 'x-attempt-id': id }).end()
+      return
+    }
     let isDropped = false
     response.on('close', () => { isDropped = true })
     setTimeout(() => {
--- a/test/wrong-version.test.ts
+++ b/test/wrong-version.test.ts
@@ -18,6 +18,9 @@
   readonly route: StreamRoute
   /** Wait for the first event at the upstream with older weights, milliseconds. */
   readonly wait?: number
+  readonly requests?: number
+  /** Version in the record of the upstream with older weights. */
+  readonly listedVersion?: number
   /** Whether an upstream serves the named version before the bound. */
   readonly hasNamed?: boolean
   /** What callers get: the whole stream, or the status of a failure. */
@@ -29,22 +32,23 @@
 const cases: readonly Case[] = [
   { name: 'one attempt', route: { isResumable: true, maximumUpstreams: 1 }, expected: 'whole', servedBy: 'named' },
   { name: 'two attempts', route: { isResumable: true, maximumUpstreams: 2 }, expected: 'whole', servedBy: 'named' },
+  { name: 'an upstream that is listed with the named version but has older weights', route: { isResumable: true, maximumUpstreams: 2 }, listedVersion: namedVersion, requests: 1, hasNamed: false, expected: 503 },
   { name: 'a stream that may not run twice', route: { isResumable: false, maximumUpstreams: 1 }, expected: 502 },
   { name: 'no upstream with the named version', route: { isResumable: true, maximumUpstreams: 2 }, hasNamed: false, expected: 502 },
   { name: 'a stream that begins before the bound and ends after it', route: { isResumable: true, maximumUpstreams: 2 }, wait: 200, expected: 'whole', servedBy: 'older' },
   { name: 'one that may not run twice and begins before the bound', route: { isResumable: false, maximumUpstreams: 1 }, wait: 200, expected: 'whole', servedBy: 'older' }
 ]
 
-for (const { name, route, wait = waitMilliseconds, hasNamed = true, expected, servedBy } of cases) {
+for (const { name, route, wait = waitMilliseconds, listedVersion = namedVersion - 1, requests = 4, hasNamed = true, expected, servedBy } of cases) {
   test(`wrong version: ${name}`, async t => {
     const fleet = new EngineFleet()
     await fleet.start([route])
-    const older = await fleet.add(new FakeEngine('i-1', namedVersion - 1, wait, 500))
+    const older = await fleet.add(new FakeEngine('i-1', namedVersion - 1, wait, 500, listedVersion))
     const named = await fleet.add(new FakeEngine('i-2', namedVersion, 20), false)
     await sleepUntil(monotonicNow() + 1000)
     const boundAt = fleet.nameVersion(namedVersion) + boundMilliseconds
     await sleepUntil(boundAt - sentBeforeMilliseconds)
-    const ids = Array.from({ length: 4 }, (_, index) => `${prefixOf(route)}${index}`)
+    const ids = Array.from({ length: requests }, (_, index) => `${prefixOf(route)}${index}`)
     const calls = ids.map(id => fleet.call(route, id))
     await eventually(async () => older.received.length === ids.length)
     if (hasNamed) fleet.list(named)
