Entries that need the same records do not all read them over the link

Change: an answer of the feed says since when a read outside the data centre is in progress (x-record-reading). The pure decision outsideReadDelay says how long an entry leaves the link to others: 0.6 s for each one that reads again, 0.8 s at a start while those before it refuse connections; it asks the others again meanwhile, also those that come after it once its own records are old. The entry that reads for the others waits for none that lost the log. A node that stops ends its reads (RecordLog.close).

--- a/src/core/fleet/record-sources.ts
+++ b/src/core/fleet/record-sources.ts
@@ -16,7 +16,7 @@
 /** Entries near the log that the first entry of another data centre tries before the log itself. */
 const relaysNearLog = 2
 /** Entries of the own data centre that are tried after the log itself: they may still reach it. */
-const laterEntries = 2
+const laterEntries = 8
 
 /** An entry of the own data centre that answered although its records are not current. */
 export interface StaleEntry {
@@ -24,16 +24,53 @@
   readonly ageMilliseconds: number
   /** Whether its read is in progress, rather than failed. */
   readonly isConnected: boolean
+  /** Time since it began to read outside the data centre, milliseconds; undefined while it does not. */
+  readonly readingMilliseconds: number | undefined
 }
 
 /** Age of the records of an entry whose read is in progress from which the next one reads outside the data centre too, milliseconds; and the additional age for each further such entry. A full link delays all reads, and each further one fills it more. */
 const takeOverMilliseconds = { first: 1200, further: 400 } as const
 
-/** Whether an entry reads outside its data centre although the entries before it, which are to do so, answered: their reads failed, or take too long. */
-export function mayReadOutside (stale: readonly StaleEntry[]): boolean {
-  const reading = stale.filter(({ isConnected }) => isConnected)
-  const age = Math.min(...reading.map(({ ageMilliseconds }) => ageMilliseconds))
-  return age >= takeOverMilliseconds.first + takeOverMilliseconds.further * (reading.length - 1)
+/** Time that a copy of the records takes over a link that carries nothing else, milliseconds; several at once share the link. */
+const copyMilliseconds = 600
+/** Additional wait for each entry that comes before, milliseconds, so that entries do not begin to read at the same moment. */
+const positionMilliseconds = 50
+/** Time for which entries that refuse connections count as starting for one that has no records yet, milliseconds. */
+const startingMilliseconds = 800
+
+/** What an entry learned when it asked the others of its data centre, none of which delivered. */
+export interface AskedEntries {
+  /** Stale entries that come before it. */
+  readonly before: readonly StaleEntry[]
+  /** Stale entries that come after it; they are asked only by an entry whose own records are not current. */
+  readonly after: readonly StaleEntry[]
+  /** Number of entries before it that refused its connection. */
+  readonly refused: number
+}
+
+/** The entry that is about to read outside its data centre. */
+export interface OutsideReader {
+  /** Whether its last read was outside the data centre and its records are current: it reads for the others. */
+  readonly isReadingForOthers: boolean
+  readonly hasRecords: boolean
+  /** Time since it first asked the others for this read, milliseconds. */
+  readonly heldMilliseconds: number
+}
+
+/**
+ * Time for which an entry still leaves the link to others before it reads outside its data centre, milliseconds; 0 or less if it reads now.
+ * The wait for an entry that lost its source is bounded, since that one may be cut off from the log alone.
+ */
+export function outsideReadDelay ({ before, after, refused }: AskedEntries, { isReadingForOthers, hasRecords, heldMilliseconds }: OutsideReader): number {
+  const connected = before.filter(({ isConnected }) => isConnected)
+  const age = Math.min(...connected.map(({ ageMilliseconds }) => ageMilliseconds))
+  const takeOver = takeOverMilliseconds.first + takeOverMilliseconds.further * (connected.length - 1) - age
+  if (isReadingForOthers) return takeOver
+  const reads = [...before.filter(({ isConnected }) => !isConnected), ...after].flatMap(({ readingMilliseconds }) => readingMilliseconds ?? [])
+  const elapsed = Math.max(heldMilliseconds, ...reads)
+  const position = positionMilliseconds * (before.length - connected.length + refused)
+  const starting = !hasRecords && refused > 0 ? startingMilliseconds + position - heldMilliseconds : -Infinity
+  return Math.max(takeOver, copyMilliseconds * reads.length + position - elapsed, starting)
 }
 
 /** Sources in the order in which `self` tries them; `others` are the other living entries. */
--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -16,8 +16,8 @@
 
 /** Thrown when a node answers but cannot read the log, or has not for some time; see `FedRecords`. */
 export class StaleRecordsError extends Error {
-  constructor (address: string, readonly ageMilliseconds: number, readonly isConnected: boolean) {
-    super(`the records of ${address} were confirmed ${ageMilliseconds} ms ago`)
+  constructor (address: string, readonly sender: Pick<FedRecords, 'ageMilliseconds' | 'isConnected' | 'readingMilliseconds'>) {
+    super(`the records of ${address} were confirmed ${sender.ageMilliseconds} ms ago`)
   }
 }
 
@@ -47,7 +47,7 @@
     const read = await this.poll(from, wait).catch(ignoreUnknownRemovals)
     if (read === undefined) return { kind: 'expired' }
     if (read.records.length === 0) this.checkCurrent(read)
-    if (read.next < 0) throw new StaleRecordsError(this.address, read.ageMilliseconds, read.isConnected)
+    if (read.next < 0) throw new StaleRecordsError(this.address, read)
     const next = Math.max(from, read.next)
     // A node that has read less than the caller cannot confirm the caller's records.
     const ageMilliseconds = read.next < from ? Infinity : read.ageMilliseconds
@@ -59,7 +59,7 @@
   }
 
   private checkCurrent (read: FedRecords): void {
-    if (!areCurrent(read)) throw new StaleRecordsError(this.address, read.ageMilliseconds, read.isConnected)
+    if (!areCurrent(read)) throw new StaleRecordsError(this.address, read)
   }
 
   private poll (from: number, waitMilliseconds: number): Promise<PolledRecords> {
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -8,8 +8,8 @@
 
 const compress = promisify(gzip)
 
-/** Headers of the feed's answers, in lower case; see `FedRecords`. `connected` is `yes` or `no`. */
-const feedHeaders = { age: 'x-record-age', connected: 'x-record-source-connected' } as const
+/** Headers of the feed's answers, in lower case; see `FedRecords`. `connected` is `yes` or `no`; `reading` is left out while no read is in progress. */
+const feedHeaders = { age: 'x-record-age', connected: 'x-record-source-connected', reading: 'x-record-reading' } as const
 /** Longest time for which a poll is held open, milliseconds. */
 const maximumWaitMilliseconds = 2000
 /** Age from which a node's records no longer count as current, milliseconds: it reads the log twice a second. */
@@ -41,6 +41,8 @@
   readonly ageMilliseconds: number
   /** Whether the sender's last read of any source succeeded, or its first one is in progress; false if that source is the reader itself. */
   readonly isConnected: boolean
+  /** Time since the sender began to read outside its data centre, milliseconds; undefined while it does not. */
+  readonly readingMilliseconds: number | undefined
 }
 
 /** Whether records are current enough to be relied on while nothing newer is there. */
@@ -55,16 +57,26 @@
     records: records.map(decodeRecord),
     next,
     ageMilliseconds: Number(headers[feedHeaders.age] ?? Infinity),
-    isConnected: headers[feedHeaders.connected] === 'yes'
+    isConnected: headers[feedHeaders.connected] === 'yes',
+    readingMilliseconds: decodeMilliseconds(headers[feedHeaders.reading])
   }
 }
 
+function decodeMilliseconds (value: string | readonly string[] | undefined): number | undefined {
+  const milliseconds = Number(value ?? NaN)
+  return Number.isFinite(milliseconds) ? milliseconds : undefined
+}
+
 /** Answers polls for the records of a node's followers. */
 export class RecordFeed {
   private readonly cached: CachedAnswer[] = []
 
-  /** `sourceOf` gives the name of the source from which this node reads a stream; see `SelectedRecordLog`. */
-  constructor (private readonly followers: Readonly<Record<FedStream, RecordFollower>>, private readonly sourceOf: (stream: FedStream) => string) {}
+  /** `sourceOf` gives the name of the source from which this node reads a stream, `readingSinceOf` the start of its read outside the data centre; see `SelectedRecordLog`. */
+  constructor (
+    private readonly followers: Readonly<Record<FedStream, RecordFollower>>,
+    private readonly sourceOf: (stream: FedStream) => string,
+    private readonly readingSinceOf: (stream: FedStream) => number | undefined = () => undefined
+  ) {}
 
   /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 410 if removals since the offset may be unknown here, 404 for an unknown stream. */
   async serve (target: string, response: ServerResponse): Promise<void> {
@@ -92,6 +104,8 @@
     const { ageMilliseconds, isConnected } = freshnessOf(follower)
     response.setHeader(feedHeaders.age, String(Math.round(ageMilliseconds)))
     response.setHeader(feedHeaders.connected, isConnected && !isReadFromReader() ? 'yes' : 'no')
+    const readingSince = this.readingSinceOf(stream)
+    if (readingSince !== undefined) response.setHeader(feedHeaders.reading, String(Math.round(monotonicNow() - readingSince)))
     if (body.isCompressed) response.setHeader('content-encoding', 'gzip')
     response.end(body.bytes)
   }
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,7 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
-import { mayReadOutside, type PreferredSource } from '../core/fleet/record-sources.js'
+import { outsideReadDelay, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
@@ -14,8 +15,10 @@
 const avoidedMilliseconds = { log: 500, entry: 1000, maximum: 8000 } as const
 /** Entries without an answer after which a call turns to the log: each one takes up to a second. */
 const maximumUnanswered = 2
-/** Delay of a read of the log for each preferred entry that has not read it either, milliseconds: when the log answers again, a few entries read it and the others read from them. */
-const staleEntryMilliseconds = 50
+/** Time after which the other entries are asked again while they are left the link, milliseconds. */
+const askAgainMilliseconds = 100
+/** Age from which this node's own records no longer count as current, milliseconds. */
+const maximumAgeMilliseconds = 1200
 
 /** Options of a selection. */
 export interface SelectionOptions {
@@ -41,6 +44,12 @@
   /** Consecutive calls that a source did not answer. */
   private readonly failures = new Map<string, number>()
   private current = ''
+  /** Whether the source that answered last is outside the data centre. */
+  private isCurrentOutside = false
+  /** Time at which the log last confirmed what was read, milliseconds of the monotonic clock; undefined before the first answer. */
+  private confirmedAt: number | undefined
+  private outsideSince: number | undefined
+  private isStopped = false
 
   constructor (private readonly options: SelectionOptions) {
     super()
@@ -51,6 +60,11 @@
     return this.current
   }
 
+  /** Start of the read outside the data centre that is in progress, milliseconds of the monotonic clock; undefined for none. */
+  get readingSince (): number | undefined {
+    return this.outsideSince
+  }
+
   async newest (stream: StreamName): Promise<NewestRecords> {
     return await this.tryInOrder(source => this.reach(source).newest(stream))
   }
@@ -66,26 +80,79 @@
     await this.options.log.write(stream, key, value)
   }
 
-  private async tryInOrder<Result> (call: (source: PreferredSource) => Promise<Result>): Promise<Result> {
-    const stale: StaleRecordsError[] = []
-    let unanswered = 0
-    let failure: unknown
-    for (const source of this.choose()) {
-      if (source.kind === 'entry' && unanswered >= maximumUnanswered) continue
-      if (isOutside(source) && !mayReadOutside(stale)) break
-      if (source.kind === 'log') await sleepUntil(monotonicNow() + stale.length * staleEntryMilliseconds)
-      try {
-        const result = await call(source)
-        this.recordSuccess(source)
-        return result
-      } catch (error) {
-        failure = failure === undefined || source.kind === 'log' ? error : failure
-        this.recordFailure(source, error)
-        if (!(error instanceof StaleRecordsError)) unanswered += 1
-        else if (!isOutside(source)) stale.push(error)
+  /** Ends the call in progress without trying a further source: where all nodes stop at once, each one loses its sources and would read the log. */
+  override close (): void {
+    this.isStopped = true
+    this.agent.destroy()
+    this.options.log.close()
+  }
+
+  private async tryInOrder<Result extends NewestRecords | RecordPage> (call: (source: PreferredSource) => Promise<Result>): Promise<Result> {
+    const attempt = new Attempt(call)
+    const startedAt = monotonicNow()
+    for (;;) {
+      const { before, outside, after } = splitSources(this.choose())
+      // Entries that come later may have begun to read while this one still has old records.
+      const isOld = this.confirmedAt !== undefined && monotonicNow() - this.confirmedAt > maximumAgeMilliseconds
+      const asked = await this.ask(attempt, before, isOld ? after : [])
+      if (attempt.result !== undefined) return attempt.result
+      if (outside.length > 0) {
+        const delay = this.outsideReadDelay(asked, startedAt)
+        if (delay > 0 && !this.isStopped) {
+          await sleepUntil(monotonicNow() + Math.min(delay, askAgainMilliseconds))
+          continue
+        }
+        await this.readOutside(attempt, outside)
       }
+      if (attempt.result === undefined && !isOld) await this.ask(attempt, [], after)
+      if (attempt.result !== undefined) return attempt.result
+      throw attempt.failure ?? new Error('no source of records is known')
+    }
+  }
+
+  /** Asks entries of the own data centre until one delivers. */
+  private async ask<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, before: readonly PreferredSource[], after: readonly PreferredSource[]): Promise<AskedEntries> {
+    const asked = { before: new Array<StaleEntry>(), after: new Array<StaleEntry>(), refused: 0 }
+    for (const source of [...before, ...after]) {
+      const error = await this.tryOne(attempt, source)
+      if (attempt.result !== undefined) break
+      if (error instanceof StaleRecordsError) asked[before.includes(source) ? 'before' : 'after'].push(error.sender)
+      else if (isRefused(error) && before.includes(source)) asked.refused += 1
     }
-    throw failure ?? new Error('no source of records is known')
+    return asked
+  }
+
+  private async readOutside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, outside: readonly PreferredSource[]): Promise<void> {
+    this.outsideSince = monotonicNow()
+    try {
+      for (const source of outside) {
+        await this.tryOne(attempt, source)
+        if (attempt.result !== undefined) return
+      }
+    } finally {
+      this.outsideSince = undefined
+    }
+  }
+
+  /** Calls one source, unless it is an entry and too many of them did not answer; returns the error of a call that failed. */
+  private async tryOne<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): Promise<unknown> {
+    if (this.isStopped || (source.kind === 'entry' && attempt.unanswered >= maximumUnanswered)) return
+    try {
+      attempt.result = await attempt.call(source)
+      this.recordSuccess(source, attempt.result)
+    } catch (error) {
+      if (attempt.failure === undefined || source.kind === 'log') attempt.failure = error
+      const isStarting = this.confirmedAt === undefined && isRefused(error)
+      this.recordFailure(source, error, isStarting)
+      if (!(error instanceof StaleRecordsError) && !isStarting) attempt.unanswered += 1
+      return error
+    }
+  }
+
+  private outsideReadDelay (asked: AskedEntries, startedAt: number): number {
+    const now = monotonicNow()
+    const isReadingForOthers = this.isCurrentOutside && this.confirmedAt !== undefined && now - this.confirmedAt <= maximumAgeMilliseconds
+    return outsideReadDelay(asked, { isReadingForOthers, hasRecords: this.confirmedAt !== undefined, heldMilliseconds: now - startedAt })
   }
 
   /** Sources to try: those that have not failed lately, otherwise the one whose failure is longest ago. */
@@ -105,9 +172,9 @@
     return feed
   }
 
-  private recordFailure (source: PreferredSource, error: unknown): void {
+  private recordFailure (source: PreferredSource, error: unknown, isStarting: boolean): void {
     const name = nameOf(source)
-    if (!(error instanceof StaleRecordsError)) {
+    if (!(error instanceof StaleRecordsError) && !isStarting) {
       const failures = (this.failures.get(name) ?? 0) + 1
       this.failures.set(name, failures)
       const milliseconds = source.kind === 'log' ? avoidedMilliseconds.log : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.entry * 2 ** (failures - 1))
@@ -118,15 +185,44 @@
     if (this.current === name) log.warn('an entry does not deliver records; trying the next source', { stream: this.options.stream, source: name, reason: String(error) })
   }
 
-  private recordSuccess (source: PreferredSource): void {
+  private recordSuccess (source: PreferredSource, result: NewestRecords | RecordPage): void {
     const name = nameOf(source)
     this.failures.delete(name)
+    this.isCurrentOutside = isOutside(source)
+    const { ageMilliseconds = 0 } = 'kind' in result && result.kind === 'expired' ? { ageMilliseconds: Infinity } : result as NewestRecords
+    this.confirmedAt = Math.max(this.confirmedAt ?? -Infinity, monotonicNow() - ageMilliseconds)
     if (name === this.current) return
     log.info('records are read from another source', { stream: this.options.stream, source: name, before: this.current })
     this.current = name
   }
 }
 
+/** One call, tried at one source after another. */
+class Attempt<Result> {
+  result: Result | undefined
+  /** Error of the log if it was tried, otherwise of the first source. */
+  failure: unknown
+  /** Entries that did not answer. */
+  unanswered = 0
+
+  constructor (readonly call: (source: PreferredSource) => Promise<Result>) {}
+}
+
+interface SplitSources { readonly before: readonly PreferredSource[], readonly outside: readonly PreferredSource[], readonly after: readonly PreferredSource[] }
+
+/** Sources outside the own data centre, and the entries in it that come before and after the log. */
+function splitSources (sources: readonly PreferredSource[]): SplitSources {
+  const firstOutside = sources.findIndex(isOutside)
+  const inside = sources.filter(source => !isOutside(source))
+  const count = firstOutside === -1 ? inside.length : firstOutside
+  return { before: inside.slice(0, count), outside: sources.filter(isOutside), after: inside.slice(count) }
+}
+
+/** Whether nothing listened at the address, as while a process starts. */
+function isRefused (error: unknown): boolean {
+  return error instanceof HttpCallError && error.cause instanceof Error && 'code' in error.cause && error.cause.code === 'ECONNREFUSED'
+}
+
 function isOutside (source: PreferredSource): boolean {
   return source.kind === 'log' || !source.isSameDataCentre
 }
--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -55,7 +55,7 @@
   constructor (private readonly context: FleetRecordsContext) {
     this.operators = this.follow('operators', context.operators)
     this.instances = this.follow('instances', context.instances)
-    this.feed = new RecordFeed({ operators: this.operators, instances: this.instances }, stream => this.selected.get(stream)?.source ?? '')
+    this.feed = new RecordFeed({ operators: this.operators, instances: this.instances }, stream => this.selected.get(stream)?.source ?? '', stream => this.selected.get(stream)?.readingSince)
   }
 
   /** Looks for other entries, then follows both streams until `stop`. */
@@ -69,6 +69,7 @@
     this.isStopped = true
     this.operators.stop()
     this.instances.stop()
+    for (const selected of this.selected.values()) selected.close()
   }
 
   /** Answers another entry's request for records. */
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -61,6 +61,8 @@
   abstract read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage>
   /** Writes the newest value of a key. */
   abstract write (stream: StreamName, key: string, value: Buffer): Promise<void>
+  /** Ends the calls in progress, as the node stops; they reject. */
+  close (): void {}
 }
 
 /** Decoder of records. */
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -98,6 +98,8 @@
 }
 
 class SharedLogReader extends RecordLog {
+  private isClosed = false
+
   constructor (private readonly log: SharedLog, private readonly dataCentre: string, private readonly instance: string) {
     super()
   }
@@ -128,7 +130,11 @@
     this.log.append(stream, key, value)
   }
 
+  override close (): void {
+    this.isClosed = true
+  }
+
   private checkReachable (): void {
-    if (this.log.isUnavailable || this.log.unreachableFrom.has(this.instance)) throw new Error('the log refuses this node')
+    if (this.isClosed || this.log.isUnavailable || this.log.unreachableFrom.has(this.instance)) throw new Error('the log refuses this node')
   }
 }
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -1,7 +1,7 @@
 /** Sources of records: which entry reads for which, and what a reader takes over when another one fails. */
 import { createServer, type Server } from 'node:http'
 import { test, type Test } from 'tap'
-import { mayReadOutside, orderSources, type StaleEntry } from '../src/core/fleet/record-sources.js'
+import { orderSources, outsideReadDelay, type AskedEntries, type OutsideReader, type StaleEntry } from '../src/core/fleet/record-sources.js'
 import type { Member } from '../src/core/fleet/members.js'
 import { ReadMetrics } from '../src/nodes/read-metrics.js'
 import { SelectedRecordLog } from '../src/nodes/selected-record-log.js'
@@ -46,21 +46,43 @@
   })
 }
 
-const reading = (ageMilliseconds: number): StaleEntry => ({ ageMilliseconds, isConnected: true })
-const failed: StaleEntry = { ageMilliseconds: 300, isConnected: false }
-const outsideCases: readonly { readonly name: string, readonly stale: readonly StaleEntry[], readonly expected: boolean }[] = [
-  { name: 'no entry before it answers', stale: [], expected: true },
-  { name: 'the reads of those before it failed', stale: [failed, failed, failed], expected: true },
-  { name: 'the one before it is reading over a slow link', stale: [reading(900)], expected: false },
-  { name: 'the one before it has been reading for too long', stale: [reading(1300)], expected: true },
-  { name: 'the second one has begun to read after the first', stale: [reading(1300), reading(1300)], expected: false },
-  { name: 'neither of two has finished', stale: [reading(2100), reading(2100)], expected: true },
-  { name: 'one of three is still reading', stale: [failed, reading(500), failed], expected: false }
+const reading = (ageMilliseconds: number): StaleEntry => ({ ageMilliseconds, isConnected: true, readingMilliseconds: undefined })
+const failed: StaleEntry = { ageMilliseconds: 300, isConnected: false, readingMilliseconds: undefined }
+const readingAgain = (readingMilliseconds: number): StaleEntry => ({ ageMilliseconds: 4000, isConnected: false, readingMilliseconds })
+const one: OutsideReader = { isReadingForOthers: false, hasRecords: true, heldMilliseconds: 0 }
+
+interface OutsideCase {
+  readonly name: string
+  readonly asked: Partial<AskedEntries>
+  readonly reader?: Partial<OutsideReader>
+  /** Time for which the entry still leaves the link to others, milliseconds; 0 if it reads at once. */
+  readonly expected: number
+}
+
+const outsideCases: readonly OutsideCase[] = [
+  { name: 'no entry before it answers', asked: {}, expected: 0 },
+  { name: 'the reads of those before it failed: it asks them once more', asked: { before: [failed, failed, failed] }, expected: 150 },
+  { name: 'the reads of those before it failed', asked: { before: [failed, failed, failed] }, reader: { heldMilliseconds: 150 }, expected: 0 },
+  { name: 'the one before it is reading over a slow link', asked: { before: [reading(900)] }, expected: 300 },
+  { name: 'the one before it has been reading for too long', asked: { before: [reading(1300)] }, expected: 0 },
+  { name: 'the second one has begun to read after the first', asked: { before: [reading(1300), reading(1300)] }, expected: 300 },
+  { name: 'neither of two has finished', asked: { before: [reading(2100), reading(2100)] }, expected: 0 },
+  { name: 'one of three is still reading', asked: { before: [failed, reading(500), failed] }, expected: 700 },
+  { name: 'one before it that had lost the log reads it again', asked: { before: [readingAgain(100)] }, expected: 550 },
+  { name: 'one after it reads the log again', asked: { after: [failed, readingAgain(100)] }, expected: 500 },
+  { name: 'one that reads again does not finish: it is cut off', asked: { before: [readingAgain(650)] }, expected: 0 },
+  { name: 'one that reads again does not finish, and begins anew', asked: { before: [readingAgain(0)] }, reader: { heldMilliseconds: 650 }, expected: 0 },
+  { name: 'two read again and share the link', asked: { before: [readingAgain(650)], after: [readingAgain(10)] }, expected: 600 },
+  { name: 'it reads for the others: one that is cut off from the log alone does not hold it back', asked: { before: [readingAgain(100), failed] }, reader: { isReadingForOthers: true }, expected: 0 },
+  { name: 'it reads for the others, and the first one has got through again', asked: { before: [reading(900)] }, reader: { isReadingForOthers: true }, expected: 300 },
+  { name: 'it starts, and so does the one before it', asked: { refused: 1 }, reader: { hasRecords: false }, expected: 850 },
+  { name: 'it starts, and the one before it has not started for long', asked: { refused: 1 }, reader: { hasRecords: false, heldMilliseconds: 850 }, expected: 0 },
+  { name: 'it has records, and the process of the one before it has ended', asked: { refused: 1 }, reader: { heldMilliseconds: 50 }, expected: 0 }
 ]
 
-for (const { name, stale, expected } of outsideCases) {
-  test(`record sources: ${expected ? 'an entry reads outside its data centre' : 'an entry leaves the link to others'}: ${name}`, async t => {
-    t.equal(mayReadOutside(stale), expected)
+for (const { name, asked, reader, expected } of outsideCases) {
+  test(`record sources: ${expected === 0 ? 'an entry reads outside its data centre' : 'an entry leaves the link to others'}: ${name}`, async t => {
+    t.equal(Math.max(0, outsideReadDelay({ before: [], after: [], refused: 0, ...asked }, { ...one, ...reader })), expected)
   })
 }
 
