A delayed process does not take its own delay for an answer that misses its deadline

Suspected: an entry whose event loop is delayed by more than the 0.4 s that a source has beyond its wait turns to the log although the answer lies unread in its socket.

Cause, shown without load by test/record-reader-delay: after a delay the timers that became due run before the socket is read, so the call is abandoned and the source avoided. A source on a thread of its own answers after 0.3 s, the reader is blocked from 0.1 s or from the start until past the deadline: it read the log in both cases.

Change: processDelay sums the delays of the process's own ticks; the deadlines of an HTTP call move by what was added since its last progress, by 1 s at most, so that a source that does not answer still costs a bounded time.

--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -1,12 +1,16 @@
 /** HTTP calls whose request and answer bodies are held in memory. */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
+import { processDelay } from '../utils/process-delay.js'
 
 /** Longest time without a byte of an answer that has begun, milliseconds; a link that is full delays a packet by half a second. */
 const inactivityMilliseconds = 1200
 /** Longest time from the deadline of an answer's head to that of its end, milliseconds, so that a trickle ends. */
 const maximumTransferMilliseconds = 15_000
 
+/** Own delay of the process that a deadline of an answer makes up for, milliseconds: the answer may have arrived unread. */
+const maximumOwnDelayMilliseconds = 1000
+
 /** Largest bodies of answers by what they hold, bytes; an answer without end must not take the memory of the process. */
 export const maximumAnswerBytes = {
   /** States, orders and acknowledgements. */
@@ -109,6 +113,8 @@
   /** Deadline of the next progress, milliseconds of the monotonic clock. */
   private progressBy: number
   private timer: NodeJS.Timeout | undefined
+  /** `processDelay` at the last progress; the deadlines move by what was added since, up to a limit. */
+  private delayAtProgress = processDelay()
 
   constructor (private readonly call: HttpCall, private readonly expire: (reason: string) => void) {
     this.progressBy = call.progress?.headDeadline ?? Infinity
@@ -128,6 +134,7 @@
       this.expire(`the answer from ${this.call.address} exceeds ${this.call.maximumBytes} bytes`)
       return
     }
+    this.delayAtProgress = processDelay()
     if (this.call.progress !== undefined) this.progressBy = monotonicNow() + this.call.progress.inactivityMilliseconds
   }
 
@@ -137,16 +144,21 @@
 
   /** Waits for the deadline that is next now; by then, progress may have moved it. */
   private wait (): void {
-    const deadline = Math.min(this.call.deadline, this.progressBy)
+    const deadline = this.nextDeadline()
     this.timer = setTimeout(() => { this.check() }, Math.max(0, Math.ceil(deadline - monotonicNow())))
   }
 
   private check (): void {
     const now = monotonicNow()
-    if (now < Math.min(this.call.deadline, this.progressBy)) this.wait()
+    if (now < this.nextDeadline()) this.wait()
     else this.expire(this.problem(now))
   }
 
+  private nextDeadline (): number {
+    const ownDelay = Math.min(maximumOwnDelayMilliseconds, processDelay() - this.delayAtProgress)
+    return Math.min(this.call.deadline, this.progressBy) + ownDelay
+  }
+
   private problem (now: number): string {
     const { address, deadline } = this.call
     if (!this.hasHead) return `no answer from ${address} in time`
