An entry claims a read of the log and asks the others once more before it begins

Seen: beside ten busy processes (load 6 to 28) record-herd carried 5.0 copies in two of its ten cases in which a log answers again, where 4 are allowed.

Cause: to ask eight entries one after another takes a while on a busy machine; of two entries that ask at the same time, each finds the other not reading yet.

Change: an entry with old records says that it reads, asks all once more, and leaves the read to one that said so earlier (isEarlierRead, a table of cases).

--- a/src/core/fleet/record-sources.ts
+++ b/src/core/fleet/record-sources.ts
@@ -73,6 +73,14 @@
   return Math.max(takeOver, copyMilliseconds * reads.length + position - elapsed, starting)
 }
 
+/**
+ * Whether another entry's read outside the data centre began before this one's claim to read; both in milliseconds until now.
+ * An entry that claims asks the others once more before it reads, so that of two that claim at the same time one sees the other.
+ */
+export function isEarlierRead (readingMilliseconds: number | undefined, claimMilliseconds: number | undefined): boolean {
+  return readingMilliseconds !== undefined && (claimMilliseconds === undefined || readingMilliseconds >= claimMilliseconds)
+}
+
 /** Sources in the order in which `self` tries them; `others` are the other living entries. */
 export function orderSources (self: Member, others: readonly Member[]): readonly PreferredSource[] {
   const ranked = rankReaders([self, ...others], self.dataCentre)
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,6 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
-import { outsideReadDelay, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { isEarlierRead, outsideReadDelay, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
 import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
@@ -60,7 +60,7 @@
     return this.current
   }
 
-  /** Start of the read outside the data centre that is in progress, milliseconds of the monotonic clock; undefined for none. */
+  /** Start of the read outside the data centre that is in progress or about to begin, milliseconds of the monotonic clock; undefined for none. */
   get readingSince (): number | undefined {
     return this.outsideSince
   }
@@ -95,17 +95,26 @@
       // Entries that come later may have begun to read while this one still has old records.
       const isOld = this.confirmedAt !== undefined && monotonicNow() - this.confirmedAt > maximumAgeMilliseconds
       const asked = await this.ask(attempt, before, isOld ? after : [])
-      if (attempt.result !== undefined) return attempt.result
+      if (attempt.result !== undefined) {
+        this.outsideSince = undefined
+        return attempt.result
+      }
       if (outside.length > 0) {
         const delay = this.outsideReadDelay(asked, startedAt)
         if (delay > 0 && !this.isStopped) {
+          this.outsideSince = undefined
           await sleepUntil(monotonicNow() + Math.min(delay, askAgainMilliseconds))
           continue
         }
+        if (isOld && this.outsideSince === undefined) {
+          this.outsideSince = monotonicNow()
+          continue
+        }
         await this.readOutside(attempt, outside)
       }
       if (attempt.result === undefined && !isOld) await this.ask(attempt, [], after)
       if (attempt.result !== undefined) return attempt.result
+      this.outsideSince = undefined
       throw attempt.failure ?? new Error('no source of records is known')
     }
   }
@@ -114,16 +123,25 @@
   private async ask<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, before: readonly PreferredSource[], after: readonly PreferredSource[]): Promise<AskedEntries> {
     const asked = { before: new Array<StaleEntry>(), after: new Array<StaleEntry>(), refused: 0 }
     for (const source of [...before, ...after]) {
+      const isBefore = before.includes(source)
+      const sentAt = monotonicNow()
       const error = await this.tryOne(attempt, source)
       if (attempt.result !== undefined) break
-      if (error instanceof StaleRecordsError) asked[before.includes(source) ? 'before' : 'after'].push(error.sender)
+      if (error instanceof StaleRecordsError) asked[isBefore ? 'before' : 'after'].push(this.withEarlierRead(error.sender, isBefore ? sentAt : monotonicNow()))
       else if (isRefused(error) && before.includes(source)) asked.refused += 1
     }
     return asked
   }
 
+  /** An answer without a read that began after this node's claim; `at` is when it was asked for one that comes before, so that this node leaves the read to it if both claim at once. */
+  private withEarlierRead (sender: StaleEntry, at: number): StaleEntry {
+    const { ageMilliseconds, isConnected, readingMilliseconds } = sender
+    const claimMilliseconds = this.outsideSince === undefined ? undefined : at - this.outsideSince
+    return { ageMilliseconds, isConnected, readingMilliseconds: isEarlierRead(readingMilliseconds, claimMilliseconds) ? readingMilliseconds : undefined }
+  }
+
   private async readOutside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, outside: readonly PreferredSource[]): Promise<void> {
-    this.outsideSince = monotonicNow()
+    this.outsideSince ??= monotonicNow()
     try {
       for (const source of outside) {
         await this.tryOne(attempt, source)
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -1,7 +1,7 @@
 /** Sources of records: which entry reads for which, and what a reader takes over when another one fails. */
 import { createServer, type Server } from 'node:http'
 import { test, type Test } from 'tap'
-import { orderSources, outsideReadDelay, type AskedEntries, type OutsideReader, type StaleEntry } from '../src/core/fleet/record-sources.js'
+import { isEarlierRead, orderSources, outsideReadDelay, type AskedEntries, type OutsideReader, type StaleEntry } from '../src/core/fleet/record-sources.js'
 import type { Member } from '../src/core/fleet/members.js'
 import { ReadMetrics } from '../src/nodes/read-metrics.js'
 import { SelectedRecordLog } from '../src/nodes/selected-record-log.js'
@@ -86,6 +86,19 @@
   })
 }
 
+const claimCases: readonly { readonly name: string, readonly reading: number | undefined, readonly claim: number | undefined, readonly expected: boolean }[] = [
+  { name: 'another one reads, and this one does not claim to', reading: 0, claim: undefined, expected: true },
+  { name: 'another one began first', reading: 30, claim: 20, expected: true },
+  { name: 'this one claimed first', reading: 20, claim: 30, expected: false },
+  { name: 'no one else reads', reading: undefined, claim: 30, expected: false }
+]
+
+for (const { name, reading: readingMilliseconds, claim, expected } of claimCases) {
+  test(`record sources: ${expected ? 'the read of another entry counts' : 'an entry goes on'}: ${name}`, async t => {
+    t.equal(isEarlierRead(readingMilliseconds, claim), expected)
+  })
+}
+
 interface FailureCase {
   readonly name: string
   /** How the preferred entry answers a poll; undefined for a process that has ended. */
