A silent upstream is given up only once another one has gone on

Cause: CallInProgress destroyed the call 1.3 s after its last event, and only then were attempts, retry budget, slots and weights asked for another one.

Ruled out: a longer timeout (callers leave after 2 s, too late for another upstream); asking for another attempt before destroying the call (a second upstream that is silent, refuses or is lost would still cost the stream).

Change: silence is reported, it ends no call. RequestCalls holds the calls of a request; core/dispatch/takeover decides whether another upstream may be called beside those that are all silent (each counts as an attempt) and what the end of a call means while others are in progress. Where budget or slots are lacking the request looks again each 100 ms. The first call with an event cancels the others before it is passed on, so that no event is sent twice and the other upstream resumes after the last event sent; a plain answer counts once it is complete. The caller's leaving cancels all. A call that cannot end by silence any more accepts at most 100 interim answers.

--- a/src/core/dispatch/shared-retry-budget.ts
+++ b/src/core/dispatch/shared-retry-budget.ts
@@ -29,14 +29,19 @@
 
   /** Takes one retry; false when the share of this entry, one of `entries`, is used up. */
   take (service: string, entries: number, now: number): boolean {
-    const slice = this.slice(service, now)
+    if (!this.hasRetry(service, entries, now)) return false
+    this.slice(service, now).retries += 1
+    return true
+  }
+
+  /** Whether `take` would allow a retry. */
+  hasRetry (service: string, entries: number, now: number): boolean {
+    this.slice(service, now)
     const recent = this.services.get(service) ?? []
     const requests = recent.reduce((sum, { requests }) => sum + requests, 0)
     const retries = recent.reduce((sum, { retries }) => sum + retries, 0)
     const maximumRetries = usedShare * (this.bounds.share * requests + this.bounds.slack / Math.max(1, entries))
-    if (retries + 1 > maximumRetries) return false
-    slice.retries += 1
-    return true
+    return retries + 1 <= maximumRetries
   }
 
   private slice (service: string, now: number): Slice {
--- a/src/core/dispatch/upstream-health.ts
+++ b/src/core/dispatch/upstream-health.ts
@@ -2,9 +2,9 @@
 
 /**
  * How a call ended: `good` with an answer, `error` with a status of 500 or above or at the deadline, `lost` without a
- * usable answer, `unreachable` without a connection.
+ * usable answer, `unreachable` without a connection, `silent` when it was cancelled while nothing came.
  */
-export type CallOutcome = 'good' | 'error' | 'lost' | 'unreachable'
+export type CallOutcome = 'good' | 'error' | 'lost' | 'unreachable' | 'silent'
 
 /** Health of one incarnation of an upstream. */
 export interface Health {
@@ -28,10 +28,15 @@
 /** Error share that is usual and gives no penalty. */
 const toleratedErrorShare = 0.2
 
-/** Health after one more call that ended at `now`, milliseconds of the monotonic clock. A single lost call does not eject. */
-export function updateHealth (health: Health, outcome: CallOutcome, now: number): Health {
+/**
+ * Health after one more call that was sent at `sentAt` and ended at `now`, milliseconds of the monotonic clock. A single
+ * lost call does not eject. Silent calls are no errors, and those sent before the end of an ejection do not lengthen it:
+ * they may all be of one pause, which a sound upstream makes too.
+ */
+export function updateHealth (health: Health, outcome: CallOutcome, now: number, sentAt = now): Health {
   if (outcome === 'good') return { errorShare: health.errorShare * (1 - newestCallWeight), losses: 0, ejectedUntil: 0 }
-  const errorShare = health.errorShare * (1 - newestCallWeight) + newestCallWeight
+  if (outcome === 'silent' && health.ejectedUntil > sentAt) return health
+  const errorShare = outcome === 'silent' ? health.errorShare : health.errorShare * (1 - newestCallWeight) + newestCallWeight
   if (outcome === 'error') return { ...health, errorShare }
   const losses = health.losses + 1
   const isEjected = outcome === 'unreachable' || losses > 1
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -3,9 +3,9 @@
 import { admissionFor } from '../../core/dispatch/admission.js'
 import { permitDeadline, queueDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
 import { refusedShare } from '../../core/dispatch/first-event-waits.js'
-import { isRepeatable, nextStep } from '../../core/dispatch/next-step.js'
+import { nextStep, type RequestProgress } from '../../core/dispatch/next-step.js'
+import { mayTakeOver, stepAfterEnd, type CallYield } from '../../core/dispatch/takeover.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
-import { answerStartDeadline, streamInactivityTimeoutMilliseconds } from '../../core/dispatch/answer-timeouts.js'
 import { regionsFor } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -13,30 +13,25 @@
 import { logCall } from './call-log.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult, type NotRunReason } from './upstream-call.js'
+import { RequestCalls, type EndedAttempt } from './request-calls.js'
+import type { CallResult, NotRunReason } from './upstream-call.js'
 import type { SelectionFailure } from './upstream-pool.js'
 import type { UpstreamView } from './upstream-view.js'
 
 const log = logFor('requests')
 
-/** Timeout of opening a connection, milliseconds: about a hundred round trips between regions. */
-const connectTimeoutMilliseconds = 400
 /** Timers may fire up to this much early, milliseconds. */
 const timerToleranceMilliseconds = 5
 /** Results of calls of which the upstream received nothing; another one needs no retry budget. */
 const unsentReasons: ReadonlySet<NotRunReason> = new Set(['unreachable', 'no-connection', 'withdrawn'])
 /** Share of requests to refuse, as `refusedShare` gives it, above which late requests are queued instead of sent. */
 const lateRefusalThreshold = 0.2
-/** Ranks at an upstream, 0 the most urgent: a late request ranks behind those that can still meet their goal. */
-const ranks = { lateIncrement: 3, maximum: 9 } as const
-
-/** A result that carries an answer for the caller. */
-type AnswerResult = Extract<CallResult, { readonly kind: 'answer' | 'stream-ended' }>
+/** Interval at which a request that is silent everywhere looks for another upstream, milliseconds. */
+const takeoverIntervalMilliseconds = 100
 
 /** Serves one request until its final answer or failure. */
 export class RequestDispatch {
-  private readonly tried = new Set<string>()
-  private currentCall: CallInProgress | undefined
+  private readonly calls: RequestCalls
   private readonly callerDisconnect = new AbortController()
   /** Random number in [0, 1), one for all refusal checks of the request. */
   private readonly refusalSample: number
@@ -45,35 +40,84 @@
   private ran = 0
   /** Calls whose upstream certainly did not run it. */
   private refused = 0
-  private sentAt = 0
-  private streamVersion: number | undefined
+  private takeoverTimer: NodeJS.Timeout | undefined
+  /** Whether the final answer was delivered. */
+  private isOver = false
 
   constructor (private readonly context: ServingContext, private readonly request: RoutedRequest, private readonly answer: CallerAnswer, private readonly response: ServerResponse) {
     this.refusalSample = context.random()
+    this.calls = new RequestCalls(context, request, answer, () => { this.considerTakeover() })
     response.on('close', () => {
       if (response.writableFinished) return
       this.callerDisconnect.abort()
-      this.currentCall?.cancel()
+      this.calls.cancel()
     })
   }
 
   async run (): Promise<void> {
     if (this.response.destroyed) return
+    let view = await this.acquireSlot()
+    while (view !== undefined) {
+      this.startCall(view)
+      view = await this.awaitCalls() ? await this.acquireSlot() : undefined
+    }
+  }
+
+  /** Waits for the ends of all calls, answers with the first that is usable, and returns whether another call is to be made. */
+  private async awaitCalls (): Promise<boolean> {
     for (;;) {
-      const view = await this.acquireSlot()
-      if (view === undefined) return
-      const result = await this.call(view)
-      if (this.callerDisconnect.signal.aborted) {
-        this.log('caller disconnected; request abandoned', view, result)
-        return
+      const attempt = await this.calls.next()
+      const others = this.calls.count
+      if (this.isOver || this.callerDisconnect.signal.aborted) {
+        this.log(this.isOver ? 'call cancelled: the request is answered' : 'caller disconnected; request abandoned', attempt)
+      } else {
+        const step = stepAfterEnd(this.progress(), this.yieldOf(attempt.result), others)
+        if (step === 'decide') return this.continueAfter(attempt)
+        if (step === 'deliver') this.endWith(attempt)
+        else this.countAndAwaitOthers(attempt)
       }
-      if (this.isFinal(result)) {
-        this.deliver(result)
-        this.log('request ended with the answer of this upstream', view, result)
-        return
-      }
-      if (!this.continueAfter(view, result)) return
+      if (others === 0) return false
+    }
+  }
+
+  /** Answers the caller with a call's result. */
+  private endWith (attempt: EndedAttempt): void {
+    this.isOver = true
+    this.deliver(attempt.result)
+    this.calls.cancel()
+    this.log('request ended with the answer of this upstream', attempt)
+  }
+
+  private countAndAwaitOthers (attempt: EndedAttempt): void {
+    this.countEnded(attempt.result)
+    this.log('attempt ended; another upstream may still answer', attempt)
+    this.considerTakeover()
+  }
+
+  /** Calls another upstream beside silent ones if one may run the request; where none can take it yet, looks again later. */
+  private considerTakeover (): void {
+    const { request, context } = this
+    clearTimeout(this.takeoverTimer)
+    if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open)) return
+    const [service, entries, now] = [request.service.name, context.entryCount(), monotonicNow()]
+    const view = context.budget.hasRetry(service, entries, now) ? this.chooseUpstream() : 'full'
+    if (typeof view === 'string') {
+      this.takeoverTimer = setTimeout(() => { this.considerTakeover() }, takeoverIntervalMilliseconds)
+      return
     }
+    context.budget.take(service, entries, now)
+    context.pool.recordSent(view.upstream.id)
+    log.info('upstream silent; another one is called as well', { id: request.caller.id, route: request.route.name, upstream: view.upstream.id, inProgress: this.calls.count, events: this.answer.eventCount, ran: this.ran })
+    this.startCall(view)
+  }
+
+  private startCall (view: UpstreamView): void {
+    this.calls.start(view, this.ran + this.calls.count, this.minimumVersion())
+  }
+
+  private progress (): RequestProgress {
+    const { request, ran, refused, answer } = this
+    return { route: request.route, ran, refused, hasBegun: answer.hasBegun, isPastDeadline: monotonicNow() >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
   }
 
   /** Takes a slot at an upstream, behind requests that are queued already; undefined when the request is over. */
@@ -134,9 +178,9 @@
       service: request.service,
       regions: regionsFor(request.route, request.organisation),
       admission: admissionFor({ route: request.route, engine, isLate: request.isLate && !this.answer.hasBegun, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
-      tried: this.tried,
+      tried: this.calls.tried,
       minimumVersion: this.minimumVersion(),
-      streamVersion: this.answer.hasBegun ? this.streamVersion : undefined
+      streamVersion: this.calls.startedBy?.weights?.version
     })
   }
 
@@ -146,101 +190,36 @@
     return engine === undefined ? undefined : context.state.minimumVersion(request.caller.model ?? engine.models[0] ?? '')
   }
 
-  private async call (view: UpstreamView): Promise<CallResult> {
-    const { request, context } = this
-    const { upstream } = view
-    const now = monotonicNow()
-    const isStream = request.route.kind === 'stream'
-    context.metrics.count('upstream_requests_total', { upstream: upstream.id })
-    const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entryCount())
-    const minimumVersion = this.minimumVersion()
-    const headers = context.requests.upstreamHeaders(request.incoming.headers, {
-      remainingMilliseconds: request.deadline - now,
-      upstreamId: upstream.id,
-      organisation: request.organisation?.name,
-      rank: this.rank(),
-      weightsVersion: minimumVersion !== undefined && minimumVersion > 1 ? view.weights?.version : undefined,
-      lastEventId: this.answer.lastEventId ?? request.caller.lastEventId
-    })
-    this.sentAt = now
-    if (!this.answer.hasBegun) this.streamVersion = view.weights?.version
-    const waits = context.firstEventWaitsOf(request.service.name)
-    const waitNumber = waits.recordSent(now)
-    this.tried.add(upstream.id)
-    this.currentCall = new CallInProgress({
-      address: upstream.address,
-      method: request.caller.method,
-      target: request.caller.target,
-      headers,
-      body: request.body,
-      agent: isRepeatable(request.route) ? agents.persistent : agents.singleUse,
-      isResumed: this.answer.lastEventId !== undefined || request.caller.lastEventId !== undefined,
-      requestId: request.caller.id,
-      connectBy: Math.min(request.deadline, now + connectTimeoutMilliseconds),
-      isWithdrawn: () => context.pool.isWithdrawn(upstream.id),
-      firstResponseBy: answerStartDeadline(request.route, this.ran, now, request.deadline),
-      inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
-      finishBy: request.deadline,
-      headReceived: head => { context.pool.applyAnswerHead(upstream.id, head, now) },
-      bytesReceived: () => { context.pool.recordActivity(upstream.id) },
-      started: isAnswer => {
-        context.pool.recordStarted(upstream.id)
-        waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
-      }
-    }, context.requests, isStream ? this.answer : undefined)
-    const result = await this.currentCall.result
-    this.recordResult(view, result)
-    return result
-  }
-
-  private rank (): number {
-    const priority = this.request.organisation?.priority ?? this.request.route.priority
-    return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
+  /** What a result is worth to the caller; a stream that has begun is continued by a stream only. */
+  private yieldOf (result: CallResult): CallYield {
+    if (result.kind === 'stream-ended') return 'usable'
+    if (result.kind !== 'answer') return 'none'
+    return result.head.status < 500 && !this.answer.hasBegun ? 'usable' : 'error'
   }
 
-  /** Records how a call ended, for the health of its upstream and the detection of crashing requests. */
-  private recordResult (view: UpstreamView, result: CallResult): void {
-    const { pool, suspects } = this.context
-    const { id, startedAt } = view.upstream
-    if (result.kind === 'answer') {
-      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
-    } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
-    else if (result.kind === 'lost') {
-      pool.recordEnded(id, result.reason === 'cancelled' ? 'none' : result.reason === 'timeout' ? 'error' : 'lost')
-      if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
-    } else {
-      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
-      if (result.reason === 'misdirected') pool.recordMisdirected(id)
-    }
-  }
-
-  /** Whether a result is the final answer. An error is not while a repeatable request may try another upstream. */
-  private isFinal (result: CallResult): result is AnswerResult {
-    if (result.kind !== 'answer' && result.kind !== 'stream-ended') return false
-    const isGood = result.kind === 'stream-ended' || result.head.status < 500
-    if (isGood || !isRepeatable(this.request.route)) return true
-    return this.ran + 1 >= this.request.route.maximumUpstreams || monotonicNow() >= this.request.deadline
-  }
-
-  private deliver (result: AnswerResult): void {
+  private deliver (result: CallResult): void {
     if (result.kind === 'stream-ended') this.answer.end()
-    else this.answer.send(result.head.status, result.headers, result.body, result.isFramed)
+    else if (result.kind === 'answer') this.answer.send(result.head.status, result.headers, result.body, result.isFramed)
   }
 
-  /** Decides on another call after one that is not final; otherwise answers or fails the request and returns false. */
-  private continueAfter (view: UpstreamView, result: CallResult): boolean {
+  private countEnded (result: CallResult): void {
     if (result.kind === 'not-run') this.refused += 1
     else this.ran += 1
+  }
+
+  /** Decides on another call after the last one, which is not final; otherwise answers or fails the request and returns false. */
+  private continueAfter (attempt: EndedAttempt): boolean {
+    const { result } = attempt
+    this.countEnded(result)
     const { request, context } = this
-    const now = monotonicNow()
-    const progress = { route: request.route, ran: this.ran, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
+    const progress = this.progress()
     const step = nextStep(progress)
     const isUnsent = result.kind === 'not-run' && unsentReasons.has(result.reason)
-    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), now))
+    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), monotonicNow()))
     const final = step.kind === 'fail' ? step : nextStep({ ...progress, hasBudget: false })
-    this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', view, result)
+    this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', attempt)
     if (mayResend || final.kind === 'resend') return true
-    if (result.kind === 'answer' || result.kind === 'stream-ended') this.deliver(result)
+    if (result.kind === 'answer') this.deliver(result)
     else this.fail(final.tag)
     return false
   }
@@ -283,8 +262,8 @@
     })
   }
 
-  private log (sentence: string, view: UpstreamView, result: CallResult): void {
-    const { request, answer, sentAt } = this
-    logCall(sentence, { request, answer, view, result, sentAt }, this.context)
+  private log (sentence: string, attempt: EndedAttempt): void {
+    const { request, answer } = this
+    logCall(sentence, { request, answer, ...attempt }, this.context)
   }
 }
--- /dev/null
+++ b/src/roles/gateway/request-calls.ts
@@ -0,0 +1,162 @@
+/** The calls of one request to upstreams; several may be in progress, and the first one to go on cancels the others. */
+import { answerStartDeadline, streamInactivityTimeoutMilliseconds } from '../../core/dispatch/answer-timeouts.js'
+import { isRepeatable } from '../../core/dispatch/next-step.js'
+import type { CallOutcome } from '../../core/dispatch/upstream-health.js'
+import type { OpenCall } from '../../core/dispatch/takeover.js'
+import { monotonicNow } from '../../utils/clock.js'
+import type { CallerAnswer } from './caller-answer.js'
+import type { RoutedRequest, ServingContext } from './routed-request.js'
+import { CallInProgress, type CallResult, type EventSink, type LostReason } from './upstream-call.js'
+import type { UpstreamView } from './upstream-view.js'
+
+/** Timeout of opening a connection, milliseconds: about a hundred round trips between regions. */
+const connectTimeoutMilliseconds = 400
+/** Ranks at an upstream, 0 the most urgent: a late request ranks behind those that can still meet their goal. */
+const ranks = { lateIncrement: 3, maximum: 9 } as const
+
+/** What each kind of loss says about the health of its upstream. */
+const lossEvidence: Readonly<Record<LostReason, CallOutcome | 'none'>> = {
+  reset: 'lost',
+  'wrong-answer': 'lost',
+  'too-large': 'lost',
+  incomplete: 'lost',
+  silent: 'silent',
+  timeout: 'error',
+  cancelled: 'none'
+}
+
+/** A call that has ended; `sentAt` in milliseconds of the monotonic clock. */
+export interface EndedAttempt {
+  readonly view: UpstreamView
+  readonly sentAt: number
+  readonly result: CallResult
+}
+
+/** Makes the calls of one request, passes on the events of one of them at a time, and records how each ended. */
+export class RequestCalls {
+  /** Ids of the upstreams called so far. */
+  readonly tried = new Set<string>()
+  /** The upstream whose stream the caller's answer began with. */
+  startedBy: UpstreamView | undefined
+  private readonly inProgress = new Set<CallInProgress>()
+  private readonly ended: EndedAttempt[] = []
+  private wake: () => void = () => {}
+
+  /** `silent` is called when a call becomes silent. */
+  constructor (private readonly context: ServingContext, private readonly request: RoutedRequest, private readonly answer: CallerAnswer, private readonly silent: () => void) {}
+
+  /** Calls that are in progress, or whose end `next` has not returned yet. */
+  get count (): number {
+    return this.inProgress.size + this.ended.length
+  }
+
+  /** Calls in progress. */
+  get open (): readonly OpenCall[] {
+    return [...this.inProgress]
+  }
+
+  /** The next call that ends. */
+  async next (): Promise<EndedAttempt> {
+    for (;;) {
+      const attempt = this.ended.shift()
+      if (attempt !== undefined) return attempt
+      await new Promise<void>(resolve => { this.wake = resolve })
+    }
+  }
+
+  /** Cancels all calls. */
+  cancel (): void {
+    for (const call of this.inProgress) call.cancel()
+  }
+
+  /** Calls an upstream of which a slot was taken; `ran` others may have run the request, `minimumVersion` is the lowest version of the weights that may. */
+  start (view: UpstreamView, ran: number, minimumVersion: number | undefined): void {
+    const { request, context } = this
+    const { upstream } = view
+    const now = monotonicNow()
+    context.metrics.count('upstream_requests_total', { upstream: upstream.id })
+    const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entryCount())
+    const lastEventId = this.answer.lastEventId ?? request.caller.lastEventId
+    const headers = context.requests.upstreamHeaders(request.incoming.headers, {
+      remainingMilliseconds: request.deadline - now,
+      upstreamId: upstream.id,
+      organisation: request.organisation?.name,
+      rank: this.rank(),
+      weightsVersion: minimumVersion !== undefined && minimumVersion > 1 ? view.weights?.version : undefined,
+      lastEventId
+    })
+    const waits = context.firstEventWaitsOf(request.service.name)
+    const waitNumber = waits.recordSent(now)
+    this.tried.add(upstream.id)
+    const call: CallInProgress = new CallInProgress({
+      address: upstream.address,
+      method: request.caller.method,
+      target: request.caller.target,
+      headers,
+      body: request.body,
+      agent: isRepeatable(request.route) ? agents.persistent : agents.singleUse,
+      isResumed: lastEventId !== undefined,
+      requestId: request.caller.id,
+      connectBy: Math.min(request.deadline, now + connectTimeoutMilliseconds),
+      isWithdrawn: () => context.pool.isWithdrawn(upstream.id),
+      firstResponseBy: answerStartDeadline(request.route, ran, now, request.deadline),
+      inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
+      finishBy: request.deadline,
+      headReceived: head => { context.pool.applyAnswerHead(upstream.id, head, now) },
+      bytesReceived: () => { context.pool.recordActivity(upstream.id) },
+      silent: this.silent,
+      started: isAnswer => {
+        context.pool.recordStarted(upstream.id)
+        waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+      }
+    }, context.requests, request.route.kind === 'stream' ? this.sinkFor(view, () => call) : undefined)
+    this.inProgress.add(call)
+    call.result.then(result => { this.handleEnd(call, { view, sentAt: now, result }) }, () => {})
+  }
+
+  /** Passes on the events of a call once the others are cancelled: they would repeat them. */
+  private sinkFor (view: UpstreamView, call: () => CallInProgress): EventSink {
+    const goOn = (): void => {
+      for (const other of this.inProgress) if (other !== call()) other.cancel()
+    }
+    return {
+      begin: headers => {
+        goOn()
+        this.startedBy ??= view
+        this.answer.begin(headers)
+      },
+      event: event => {
+        goOn()
+        this.answer.event(event)
+      }
+    }
+  }
+
+  private handleEnd (call: CallInProgress, attempt: EndedAttempt): void {
+    this.inProgress.delete(call)
+    this.recordResult(attempt)
+    this.ended.push(attempt)
+    this.wake()
+  }
+
+  private rank (): number {
+    const priority = this.request.organisation?.priority ?? this.request.route.priority
+    return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
+  }
+
+  /** Records how a call ended, for the health of its upstream and the detection of crashing requests. */
+  private recordResult ({ view, sentAt, result }: EndedAttempt): void {
+    const { pool, suspects } = this.context
+    const { id, startedAt } = view.upstream
+    if (result.kind === 'answer') {
+      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
+    } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
+    else if (result.kind === 'lost') {
+      pool.recordEnded(id, lossEvidence[result.reason], sentAt)
+      if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
+    } else {
+      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
+      if (result.reason === 'misdirected') pool.recordMisdirected(id)
+    }
+  }
+}
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -20,10 +20,10 @@
 /** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests (`withdrawn`). */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
 /**
- * Connection reset (`reset`), no head or event in time (`silent`), `finishBy` passed (`timeout`), an answer to another request,
- * or one that is unsigned or encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or
- * `maximumEventBytes` (`too-large`), an answer that ended early (`incomplete`), or a call that the entry cancelled
- * (`cancelled`).
+ * Connection reset (`reset`), `finishBy` passed (`timeout`), an answer to another request, or one that is unsigned or
+ * encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or `maximumEventBytes`, or over
+ * `maximumInterimAnswers` before it (`too-large`), an answer that ended early (`incomplete`), or a call that the entry
+ * cancelled, while it was silent (`silent`) or not (`cancelled`).
  */
 export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'too-large' | 'incomplete' | 'cancelled'
 
@@ -44,9 +44,9 @@
   readonly connectBy: number
   /** Whether the upstream gets no more requests; checked when there is a connection, before anything is sent. */
   readonly isWithdrawn: () => boolean
-  /** Deadline of the answer's head or, for a stream, of its first event. */
+  /** When the call counts as silent without the answer's head or, for a stream, its first event. */
   readonly firstResponseBy: number
-  /** Longest time between two events of a stream, milliseconds. */
+  /** Time after an event of a stream at which the call counts as silent, milliseconds. */
   readonly inactivityTimeoutMilliseconds: number
   /** Deadline of the complete answer. */
   readonly finishBy: number
@@ -54,6 +54,8 @@
   readonly headReceived: (head: AnswerHead) => void
   /** Called for the head of an answer and for each part of a stream. */
   readonly bytesReceived: () => void
+  /** Called each time when the call becomes silent; it goes on until it is cancelled or `finishBy` has passed. */
+  readonly silent: () => void
   /** Called once: with true for the first event or the complete answer, with false when the call ends without one. */
   readonly started: (isAnswer: boolean) => void
 }
@@ -71,12 +73,16 @@
 const maximumAnswerBytes = 8 << 20
 /** Largest event of a stream, bytes. */
 const maximumEventBytes = 1 << 20
+/** Largest number of interim answers (status 1xx); an upstream could send them until the deadline. */
+const maximumInterimAnswers = 100
 
 /** Makes a call; events of a stream with status 200 go to `sink`, any other answer is buffered and returned in the result. */
 export class CallInProgress {
   readonly result: Promise<CallResult>
   private resolveResult: (result: CallResult) => void = () => {}
   private isFinished = false
+  private hasPaused = false
+  private interimAnswers = 0
   private hasSocket = false
   private isConnected = false
   private hasStarted = false
@@ -97,14 +103,20 @@
       else this.handleConnected()
     })
     this.outgoing.on('error', () => { this.finish(this.isConnected ? { kind: 'lost', reason: 'reset' } : { kind: 'not-run', reason: 'unreachable' }) })
+    this.outgoing.on('information', () => { this.handleInterimAnswer() })
     this.outgoing.on('response', answer => { this.handleAnswer(answer) })
     this.watch(call.connectBy, () => { this.abandon({ kind: 'not-run', reason: this.hasSocket ? 'unreachable' : 'no-connection' }) })
     this.outgoing.end(call.body)
   }
 
+  /** Whether nothing has come for so long that another upstream may be called as well. */
+  get isSilent (): boolean {
+    return this.hasPaused
+  }
+
   /** Cancels the call; the upstream drops the request when its connection closes. */
   cancel (): void {
-    this.abandon({ kind: 'lost', reason: 'cancelled' })
+    this.abandon({ kind: 'lost', reason: this.hasPaused ? 'silent' : 'cancelled' })
   }
 
   private handleConnected (): void {
@@ -114,7 +126,12 @@
       return
     }
     this.isConnected = true
-    this.watch(this.call.firstResponseBy, () => { this.abandonUnresponsive() })
+    this.watch(this.call.firstResponseBy, () => { this.handleSilence() })
+  }
+
+  private handleInterimAnswer (): void {
+    this.interimAnswers += 1
+    if (this.interimAnswers > maximumInterimAnswers) this.abandon({ kind: 'lost', reason: 'too-large' })
   }
 
   private handleAnswer (answer: IncomingMessage): void {
@@ -138,7 +155,8 @@
   private readAnswer (answer: IncomingMessage, head: AnswerHead): void {
     const parts: Buffer[] = []
     let bytes = 0
-    this.watch(this.call.finishBy, () => { this.abandonUnresponsive() })
+    this.hasPaused = false
+    this.watch(this.call.finishBy, () => { this.handleSilence() })
     answer.on('data', (part: Buffer) => {
       parts.push(part)
       bytes += part.length
@@ -168,7 +186,8 @@
       }
       for (const event of events) sink.event(event)
       const nextEventBy = Math.min(this.call.finishBy, monotonicNow() + this.call.inactivityTimeoutMilliseconds)
-      this.watch(nextEventBy, () => { this.abandonUnresponsive() })
+      this.hasPaused = false
+      this.watch(nextEventBy, () => { this.handleSilence() })
     })
     this.whenComplete(answer, () => {
       if (splitter.bufferedBytes > 0 || (!hasBegun && !this.call.isResumed)) {
@@ -213,12 +232,20 @@
   }
 
   private handleTimer (): void {
+    this.timer = undefined
     if (monotonicNow() < this.deadline - timerToleranceMilliseconds) this.armTimer()
     else this.actAtDeadline()
   }
 
-  private abandonUnresponsive (): void {
-    this.abandon({ kind: 'lost', reason: monotonicNow() >= this.call.finishBy - timerToleranceMilliseconds ? 'timeout' : 'silent' })
+  /** Reports that nothing has come in time; ends the call only at its deadline, as the upstream may go on. */
+  private handleSilence (): void {
+    if (monotonicNow() >= this.call.finishBy - timerToleranceMilliseconds) {
+      this.abandon({ kind: 'lost', reason: 'timeout' })
+      return
+    }
+    this.hasPaused = true
+    this.watch(this.call.finishBy, () => { this.handleSilence() })
+    this.call.silent()
   }
 
   private abandon (result: CallResult): void {
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -187,15 +187,15 @@
     if (view !== undefined) this.views.set(id, { ...view, unstarted: Math.max(0, view.unstarted - 1) })
   }
 
-  /** Records how a call ended; `none` for one that says nothing about the upstream's health. */
-  recordEnded (id: string, evidence: CallOutcome | 'shed' | 'none'): void {
+  /** Records how a call ended that was sent at `sentAt`; `none` for one that says nothing about the upstream's health. */
+  recordEnded (id: string, evidence: CallOutcome | 'shed' | 'none', sentAt = monotonicNow()): void {
     const view = this.views.get(id)
     if (view === undefined) return
     const now = monotonicNow()
     const ended = { ...view, inFlight: Math.max(0, view.inFlight - 1), observedLoad: { ...view.observedLoad, ended: view.observedLoad.ended + 1 } }
     if (evidence === 'none') this.views.set(id, ended)
     else if (evidence === 'shed') this.views.set(id, { ...ended, atCapacityUntil: now + shedBackoffMilliseconds })
-    else this.recordEvidence(ended, evidence, now)
+    else this.recordEvidence(ended, evidence, now, sentAt)
   }
 
   /** Load as a share of the slots of a service's upstreams, 0 to 1, for the log; 1 where there are no slots. */
@@ -247,9 +247,9 @@
     this.responsiveness.forget(id)
   }
 
-  private recordEvidence (view: UpstreamView, evidence: CallOutcome, now: number): void {
+  private recordEvidence (view: UpstreamView, evidence: CallOutcome, now: number, sentAt: number): void {
     const { id } = view.upstream
-    const health = updateHealth(view.health, evidence, now)
+    const health = updateHealth(view.health, evidence, now, sentAt)
     if (health.ejectedUntil > now && view.health.ejectedUntil <= now) {
       log.warn('upstream ejected after failed calls', { upstream: id, evidence, losses: health.losses, errorShare: Math.round(health.errorShare * 100) / 100, milliseconds: Math.round(health.ejectedUntil - now) })
     }
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -71,6 +71,7 @@
     finishBy: monotonicNow() + 2000,
     headReceived: () => {},
     bytesReceived: () => {},
+    silent: () => {},
     started: () => {}
   }, new PlatformRequests(), isStream ? { begin: () => {}, event: () => {} } : undefined)
   const result = await call.result
