Expect the named version of an upstream also before the cutoff

What callers and upstreams saw: an upstream that an entry takes to serve the named version, while it has older weights, began a request on these after the bound.

Cause: X-Expect-Version was sent only once the version was required. A request sent before had none, and as its upstream counted as one with the named version, it was not withdrawn either.

Why it works: whatever is not withdrawn expects its version. The first version is not expected: an upstream that has swapped from it may serve the request, and a refusal would only cost a retry.

--- a/src/core/weights/start-cutoffs.ts
+++ b/src/core/weights/start-cutoffs.ts
@@ -2,6 +2,9 @@
 import { cutoffLeadMilliseconds } from './swap-schedule.js'
 import type { NamedVersion } from './version-plan.js'
 
+/** Version that serves while none is named. */
+export const firstVersion = 1
+
 /**
  * Time before the bound at which requests that have not begun are withdrawn from upstreams with older weights,
  * milliseconds: covers how late entries learn of a name, a delayed event loop, and the close of a connection on its way to
@@ -20,3 +23,12 @@
   const required = named.filter(({ since }) => now >= since + rolloutMilliseconds - cutoffLeadMilliseconds)
   return Math.max(0, ...required.map(({ version }) => version))
 }
+
+/**
+ * Version that an upstream is asked to expect: the one that the entry takes it to serve, from the first named one on, since
+ * a request at an upstream that is taken to serve a named version is not withdrawn. Undefined for the first version: an
+ * upstream that has swapped from it may serve the request as well.
+ */
+export function expectedVersion (version: number | undefined): number | undefined {
+  return version === undefined || version <= firstVersion ? undefined : version
+}
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -6,6 +6,7 @@
 import { isRepeatable, nextStep } from '../../core/dispatch/next-step.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { answerStartDeadline, streamInactivityTimeoutMilliseconds } from '../../core/dispatch/answer-timeouts.js'
+import { expectedVersion } from '../../core/weights/start-cutoffs.js'
 import { regionsFor } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -157,13 +158,12 @@
     const isStream = request.route.kind === 'stream'
     context.metrics.count('upstream_requests_total', { upstream: upstream.id })
     const agents = context.connections.agentsFor(upstream.id, request.service.maximumConnections, context.entryCount())
-    const minimumVersion = this.minimumVersion()
     const headers = context.requests.upstreamHeaders(request.incoming.headers, {
       remainingMilliseconds: request.deadline - now,
       upstreamId: upstream.id,
       organisation: request.organisation?.name,
       rank: this.rank(),
-      weightsVersion: minimumVersion !== undefined && minimumVersion > 1 ? view.weights?.version : undefined,
+      weightsVersion: expectedVersion(request.model === undefined ? undefined : view.weights?.version),
       lastEventId: this.answer.lastEventId ?? request.caller.lastEventId
     })
     this.sentAt = now
--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -1,7 +1,7 @@
 /** Operators' records as one entry knows them: configuration, evacuations and named weights. */
 import { mergeNamedVersion } from '../../core/weights/named-versions.js'
 import { rolloutFactsOf } from '../../core/weights/rollout-facts.js'
-import { minimumVersionAt, withdrawalAt } from '../../core/weights/start-cutoffs.js'
+import { firstVersion, minimumVersionAt, withdrawalAt } from '../../core/weights/start-cutoffs.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
 import { transferMilliseconds } from '../../nodes/read-metrics.js'
@@ -13,9 +13,6 @@
 
 const log = logFor('configuration')
 
-/** Version of the weights that serves while none is named. */
-const firstVersion = 1
-
 /** Smallest correction of the time of a named version that is logged, milliseconds: the delay of messages is below it. */
 const loggedCorrectionMilliseconds = 250
 
