--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -120,7 +120,7 @@
   /** Calls an upstream of which a slot was taken; throws, with the slot given back, if no call can be made of the request. */
   private startCall (view: UpstreamView): void {
     try {
-      this.calls.start(view, this.ran + this.calls.count, this.minimumVersion())
+      this.calls.start(view, this.ran + this.calls.count)
     } catch (error) {
       this.releaseSlot(view)
       throw error
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -3,6 +3,7 @@
 import { isRepeatable } from '../../core/dispatch/next-step.js'
 import type { CallOutcome } from '../../core/dispatch/upstream-health.js'
 import type { OpenCall } from '../../core/dispatch/takeover.js'
+import { expectedVersion } from '../../core/weights/start-cutoffs.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
@@ -70,8 +71,8 @@
     for (const call of this.inProgress) call.cancel()
   }
 
-  /** Calls an upstream of which a slot was taken; `ran` others may have run the request, `minimumVersion` is the lowest version of the weights that may. */
-  start (view: UpstreamView, ran: number, minimumVersion: number | undefined): void {
+  /** Calls an upstream of which a slot was taken; `ran` others may have run the request. */
+  start (view: UpstreamView, ran: number): void {
     const { request, context } = this
     const { upstream } = view
     const isStream = request.route.kind === 'stream'
@@ -84,7 +85,7 @@
       upstreamId: upstream.id,
       organisation: request.organisation?.name,
       rank: this.rank(),
-      weightsVersion: minimumVersion !== undefined && minimumVersion > 1 ? view.weights?.version : undefined,
+      weightsVersion: expectedVersion(request.model === undefined ? undefined : view.weights?.version),
       lastEventId
     })
     const waits = context.firstEventWaitsOf(request.service.name)
