Refuse the part of a prompt on which upstreams end, and nothing else

Cause: evidence was kept for the fingerprint of the whole request only, no code read the parts of a prompt, and a request that had just ended an upstream was sent to the next one.

Change: one mechanism for the fingerprint and for all parts but the last (core/dispatch/crash-suspects). An upstream that ends accuses what the requests share to which it had not begun an answer. The first event of an answer on a part, anywhere, clears it, a refused one too, as does a later event of the upstream that was taken to have ended. A part is refused after four ends at different moments (50 ms apart) with no event on it in between, the fingerprint after three as before. Once a part may have ended two upstreams, a lost request with it is not sent again. An end that a refused part explains no longer counts against what ran beside it; an entry that loses more than five upstreams in a second without an event accuses nothing. Evidence goes to all entries at once (datagram crash-evidence, at most each 100 ms), what is known with each round of gossip and to entries that join. Refusals extend a conviction at every entry; there are no trial requests. Refused requests get 503 crashing-part without Retry-After: they have not run and will not, and a 4xx of our own would count as denied.

Tests changed: the case of fleet-decisions records the same ends by recordEnd, as the list of crashes in gossip is replaced; its datagram case became one of crash-evidence; platform-records decodes a prompt's parts too.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -35,6 +35,7 @@
   'unknown-route': { status: 404, outcome: 'not-run', text: 'no route for this host and path' },
   'unknown-key': { status: 401, outcome: 'not-run', text: 'the key is not known' },
   crashing: { status: 503, outcome: 'not-run', text: 'the request has crashed several upstreams and is not sent again' },
+  'crashing-part': { status: 503, outcome: 'not-run', text: 'a part of the prompt has crashed several upstreams and requests with it are not sent' },
   'out-of-time': { status: 503, outcome: 'not-run', text: 'the deadline passed before an upstream could take the request' },
   'outcome-pruned': { status: 409, outcome: 'run', text: 'the request ran and its answer is no longer kept' }
 } as const satisfies Readonly<Record<string, FailureDefinition>>
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -11,6 +11,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { logCall } from './call-log.js'
+import { CallEvidence, crashFailure } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { CallInProgress, type CallResult, type NotRunReason } from './upstream-call.js'
@@ -80,9 +81,11 @@
   private async acquireSlot (): Promise<UpstreamView | undefined> {
     const mustQueue = this.ran === 0 && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
-    if (view === undefined || !this.callerDisconnect.signal.aborted) return view
+    const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.ran)
+    if (view === undefined || (tag === undefined && !this.callerDisconnect.signal.aborted)) return view
     this.context.pool.recordStarted(view.upstream.id)
     this.context.pool.recordEnded(view.upstream.id, 'none')
+    if (tag !== undefined && !this.callerDisconnect.signal.aborted) this.fail(tag)
     return undefined
   }
 
@@ -166,6 +169,7 @@
     if (!this.answer.hasBegun) this.streamVersion = view.weights?.version
     const waits = context.firstEventWaitsOf(request.service.name)
     const waitNumber = waits.recordSent(now)
+    const evidence = new CallEvidence(context.suspects, request.traits, upstream)
     this.tried.add(upstream.id)
     this.currentCall = new CallInProgress({
       address: upstream.address,
@@ -181,14 +185,19 @@
       firstResponseBy: answerStartDeadline(request.route, this.ran, now, request.deadline),
       inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
       finishBy: request.deadline,
-      headReceived: head => { context.pool.applyAnswerHead(upstream.id, head, now) },
+      headReceived: head => {
+        context.pool.applyAnswerHead(upstream.id, head, now)
+        evidence.recordHead(head.status)
+      },
       bytesReceived: () => { context.pool.recordActivity(upstream.id) },
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+        if (isAnswer) evidence.recordBegun()
       }
     }, context.requests, isStream ? this.answer : undefined)
     const result = await this.currentCall.result
+    evidence.recordResult(result)
     this.recordResult(view, result)
     return result
   }
@@ -198,16 +207,15 @@
     return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
   }
 
-  /** Records how a call ended, for the health of its upstream and the detection of crashing requests. */
+  /** Records how a call ended, for the health of its upstream. */
   private recordResult (view: UpstreamView, result: CallResult): void {
-    const { pool, suspects } = this.context
-    const { id, startedAt } = view.upstream
+    const { pool } = this.context
+    const { id } = view.upstream
     if (result.kind === 'answer') {
       pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
     } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
     else if (result.kind === 'lost') {
       pool.recordEnded(id, result.reason === 'cancelled' ? 'none' : result.reason === 'timeout' ? 'error' : 'lost')
-      if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
     } else {
       pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
@@ -236,7 +244,8 @@
     const progress = { route: request.route, ran: this.ran, refused: this.refused, hasBegun: this.answer.hasBegun, isPastDeadline: now >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
     const step = nextStep(progress)
     const isUnsent = result.kind === 'not-run' && unsentReasons.has(result.reason)
-    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), now))
+    const isHeldBack = this.ran > 0 && context.suspects.isSuspect(request.traits)
+    const mayResend = step.kind === 'resend' && !isHeldBack && (isUnsent || context.budget.take(request.service.name, context.entryCount(), now))
     const final = step.kind === 'fail' ? step : nextStep({ ...progress, hasBudget: false })
     this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', view, result)
     if (mayResend || final.kind === 'resend') return true
@@ -260,7 +269,7 @@
     const { request, context } = this
     const now = monotonicNow()
     const failure = createFailure(tag)
-    const isRefusal = failure.outcome === 'not-run'
+    const isRefusal = failure.outcome === 'not-run' && !tag.startsWith('crashing')
     const isOutage = noSlotReason === 'no-weights' || noSlotReason === 'no-upstream'
     const expectedAt = isOutage ? this.expectedAt() ?? Infinity : noSlotReason === 'limited' ? this.expectedAt() : undefined
     const retryAt = isRefusal ? chooseRetryAt(now, request.callerDeadline, expectedAt, context.random) : now
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -1,6 +1,5 @@
 /** The role of an entry that calls upstreams directly: its servers, its followers of records, and its start and stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { entriesFor } from '../../core/fleet/directory.js'
@@ -15,6 +14,7 @@
 import { runInBackground } from '../../utils/background.js'
 import { sleepUntil, monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { createCrashSuspects } from './crash-gossip.js'
 import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
 import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
@@ -63,7 +63,7 @@
   private readonly pool: UpstreamPool
   private readonly limits: UpstreamLimits
   private readonly connections = new UpstreamConnections()
-  private readonly suspects = new CrashSuspects()
+  private readonly suspects = createCrashSuspects()
   private readonly records: FleetRecords
   private readonly datagrams: DatagramSocket
   private readonly gossip: EntryGossip
@@ -253,6 +253,7 @@
     this.metrics.set('active_requests', {}, this.active)
     this.metrics.set('living_entries', {}, this.livingEntries().length)
     this.metrics.set('configuration_version', {}, this.state.table?.configuration.version ?? 0)
+    this.metrics.set('crashing_traits', {}, this.suspects.refusedCount)
     this.metrics.set('log_connected', {}, this.records.operators.state.isConnected ? 1 : 0)
     for (const view of this.pool.all()) {
       this.metrics.set('upstream_requests', { upstream: view.upstream.id }, view.inFlight)
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -13,15 +13,13 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { AgentSubscriptions } from './agent-subscriptions.js'
+import { CrashGossip } from './crash-gossip.js'
 import type { FleetState } from './fleet-state.js'
 import type { UpstreamLimits } from './upstream-limits.js'
 import type { UpstreamPool } from './upstream-pool.js'
 
 const log = logFor('members')
 
-/** Crash counts sent in one message, the latest first. */
-const maximumCrashCounts = 5
-
 /** Shortest time between two fetches of a stream from other entries, milliseconds. */
 const fetchIntervalMilliseconds = 500
 /** Time without a confirmation by the own sources after which records are fetched from another data centre, milliseconds. */
@@ -52,6 +50,7 @@
   private readonly fetching = new Set<FedStream>()
   /** When a stream may be fetched again, milliseconds of the monotonic clock. */
   private readonly nextFetchAt = new Map<FedStream, number>()
+  private readonly crashes: CrashGossip
   private readonly timer: NodeJS.Timeout
 
   constructor (private readonly context: GossipContext) {
@@ -62,6 +61,7 @@
       engines: () => pool.all().flatMap(({ upstream }) => upstream.isEngine ? [upstream] : []),
       send: (message, ip) => { datagrams().send(message, ip) }
     })
+    this.crashes = new CrashGossip({ suspects: context.suspects, datagrams, reachable: () => members.reachable() })
     this.timer = setInterval(() => { this.round() }, roundMilliseconds)
   }
 
@@ -79,6 +79,7 @@
   stop (): void {
     clearInterval(this.timer)
     this.subscriptions.stop()
+    this.crashes.stop()
   }
 
   /** Sends this entry's state to an entry that was found by other means than gossip. */
@@ -89,6 +90,7 @@
   /** Handles a datagram of another node; those between agents are ignored. */
   receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'gossip') this.handleGossip(message)
+    else if (message.kind === 'crash-evidence') this.crashes.receive(message)
     else if (message.kind === 'permit-request') this.answerPermitRequest(message, ip)
     else if (message.kind === 'permit-answer') this.context.limits.receive(message, ip)
     else if (message.kind === 'load') this.context.pool.applyLoadReport(message, ip)
@@ -104,12 +106,13 @@
     if (others.length < fanOut.sameDataCentre + fanOut.any) for (const seed of seeds) ips.add(seed)
     ips.delete(members.self.ip)
     for (const ip of ips) datagrams().send(message, ip)
+    this.crashes.sendTo([...ips])
     members.prune(monotonicNow())
     this.subscriptions.renew()
   }
 
   private message (): Gossip {
-    const { members, state, limits, suspects, operators, instances } = this.context
+    const { members, state, limits, operators, instances } = this.context
     const self = members.beat(this.context.isReady())
     const others = members.living(monotonicNow()).filter(member => member.instance !== self.instance)
     return {
@@ -119,17 +122,15 @@
       operatorsNext: operators.state.next,
       instancesNext: instances.state.next,
       weights: state.weights,
-      crashes: suspects.latest(maximumCrashCounts),
       limits: limits.gossip()
     }
   }
 
   private handleGossip (gossip: Gossip): void {
-    const { state, limits, suspects } = this.context
+    const { state, limits } = this.context
     const now = monotonicNow()
     for (const member of [gossip.sender, ...gossip.others]) this.recordMember(member, now)
     state.mergeWeights(gossip.weights)
-    for (const { fingerprint, upstreams } of gossip.crashes) suspects.record(fingerprint, upstreams, now)
     limits.merge(gossip.limits, gossip.sender.instance)
     this.fetchIfLagging('operators', gossip.operatorsNext, gossip.sender, now)
     this.fetchIfLagging('instances', gossip.instancesNext, gossip.sender, now)
@@ -154,6 +155,7 @@
 
   private recordMember (member: Member, now: number): void {
     if (!this.context.members.observe(member, now)) return
+    this.crashes.sendTo([member.ip])
     log.info('entry joined or is alive again', { instance: member.instance, dataCentre: member.dataCentre, incarnation: member.incarnation })
   }
 
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -39,8 +39,8 @@
   readonly organisation: Organisation | undefined
   readonly service: Service
   readonly body: Buffer
-  /** Equal for the same request sent again; identifies crashing requests. */
-  readonly fingerprint: string
+  /** What identifies crashing requests: its fingerprint, equal when it is sent again, and the parts of its prompt that others share. */
+  readonly traits: readonly string[]
   readonly arrivedAt: number
   /** Deadline of the final answer: the caller's timeout or the route's, whichever ends first. */
   readonly deadline: number
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -1,6 +1,6 @@
 /** Serves callers' requests: routes them, reads their bodies, and dispatches or refuses them. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { fingerprintRequest } from '../../core/dispatch/crash-suspects.js'
+import { fingerprintRequest, traitsOf } from '../../core/dispatch/crash-suspects.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { chooseService, matchRoute } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
@@ -8,6 +8,7 @@
 import type { CallerRequest } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
+import { crashFailure } from './call-evidence.js'
 import { CallerAnswer } from './caller-answer.js'
 import { RequestDispatch } from './dispatch-request.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
@@ -18,6 +19,9 @@
 /** A request whose caller timeout is below this share of the longest one on its route is a retry; the timeouts of first attempts differ by some 15%. */
 const firstAttemptTimeoutShare = 0.82
 
+/** Traits of a refused request that are logged. */
+const maximumLoggedTraits = 10
+
 /** Serves requests until their final answer. */
 export class RequestServer {
   /** Longest caller timeout received on each route, which is that of first attempts, milliseconds. */
@@ -55,7 +59,8 @@
     const request = this.createRoutedRequest(caller, incoming, match, service, body.bytes, arrivedAt)
     metrics.count('requests_total', { route: match.route.name })
     this.context.budget.recordRequest(service.name, arrivedAt)
-    if (this.context.suspects.isRefused(request.fingerprint, arrivedAt)) this.refuse(answer, caller, 'crashing', arrivedAt, request)
+    const crashing = crashFailure(this.context.suspects, request.traits, 0)
+    if (crashing !== undefined) this.refuse(answer, caller, crashing, arrivedAt, request)
     else await new RequestDispatch(this.context, request, answer, response).run()
   }
 
@@ -71,7 +76,7 @@
       service,
       body,
       arrivedAt,
-      fingerprint: fingerprintRequest(caller.method, caller.target, organisation?.name ?? '', body),
+      traits: traitsOf(fingerprintRequest(caller.method, caller.target, organisation?.name ?? '', body), service.name, caller.promptParts),
       deadline: arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds),
       callerDeadline: arrivedAt + callerTimeout,
       isLate: callerTimeout < longestTimeout * firstAttemptTimeoutShare
@@ -82,6 +87,6 @@
   private refuse (answer: CallerAnswer, caller: CallerRequest, tag: FailureTag, now: number, request: RoutedRequest | undefined): void {
     answer.fail(createFailure(tag), tag === 'no-configuration' ? chooseRetryAt(now, now + (caller.timeoutMilliseconds ?? 1000), Infinity, this.context.random) - now : undefined)
     this.context.metrics.count('refusals_total', { reason: tag })
-    log.info('request refused before dispatch', { id: caller.id, reason: tag, host: caller.host, target: caller.target, configuration: this.context.state.table?.configuration.version ?? 0, service: request?.service.name ?? '' })
+    log.info('request refused before dispatch', { id: caller.id, reason: tag, host: caller.host, target: caller.target, configuration: this.context.state.table?.configuration.version ?? 0, service: request?.service.name ?? '', traits: request?.traits.slice(0, maximumLoggedTraits).join(' ') ?? '' })
   }
 }
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -2,7 +2,7 @@
 import { createSocket, type Socket } from 'node:dgram'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
-import type { Gossip, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, Subscription } from '../types/node-messages.js'
+import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, Subscription } from '../types/node-messages.js'
 import { logFor } from '../utils/log.js'
 
 const log = logFor('members')
@@ -66,7 +66,8 @@
 
 function encodeFields (message: NodeMessage): Fields {
   switch (message.kind) {
-    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, encodeWeights(message.weights), message.crashes.map(({ fingerprint, upstreams }) => [fingerprint, upstreams]), message.limits.map(encodeLimit)]
+    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, encodeWeights(message.weights), [], message.limits.map(encodeLimit)]
+    case 'crash-evidence': return [message.accusations.map(({ trait, ends, refusedAgeMilliseconds, isConvicted }) => [trait, ends, refusedAgeMilliseconds, isConvicted]), message.sound]
     case 'permit-request': return [message.number, encodeLimit(message.limit)]
     case 'permit-answer': return [message.number, encodeLimit(message.limit), message.retryInMilliseconds]
     case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout)]
@@ -121,6 +122,21 @@
   })
 }
 
+function decodeAccusation (fields: Fields): GossipedEvidence['accusations'][number] {
+  checkTypes(fields, ['string', 'list', 'number', 'boolean'])
+  const [trait, ends, refusedAgeMilliseconds, isConvicted] = fields as [string, Fields, number, boolean]
+  return { trait, ends: decodeAges(ends), refusedAgeMilliseconds, isConvicted }
+}
+
+/** Decodes names with a time since something happened to each. */
+function decodeAges (list: Fields): readonly (readonly [string, number])[] {
+  return list.map(fields => {
+    checkTypes(fields, ['string', 'number'])
+    const [name, ageMilliseconds] = fields as [string, number]
+    return [name, Math.max(0, ageMilliseconds)]
+  })
+}
+
 function decodeAgents (list: Fields): Subscription['agents'] {
   return list.map(fields => {
     checkTypes(fields, ['string', 'string'])
@@ -147,8 +163,8 @@
 const decoders: Readonly<Record<NodeMessage['kind'], (fields: Fields) => NodeMessage>> = {
   gossip: fields => {
     checkTypes(fields, ['list', 'list', 'number', 'number', 'list', 'list'])
-    // Entries of earlier versions send no limits.
-    const [sender, others, operatorsNext, instancesNext, weights, crashes, limits = []] = fields as [Fields, readonly Fields[], number, number, Fields, readonly [string, readonly string[]][], Fields?]
+    // The sixth field was used by earlier versions, which send no limits.
+    const [sender, others, operatorsNext, instancesNext, weights, , limits = []] = fields as [Fields, readonly Fields[], number, number, Fields, Fields, Fields?]
     return {
       kind: 'gossip',
       sender: decodeMember(sender),
@@ -156,10 +172,14 @@
       operatorsNext,
       instancesNext,
       weights: decodeWeights(weights),
-      crashes: crashes.map(([fingerprint, upstreams]) => ({ fingerprint, upstreams })),
       limits: limits.map(decodeLimit)
     } satisfies Gossip
   },
+  'crash-evidence': fields => {
+    checkTypes(fields, ['list', 'list'])
+    const [accusations, sound] = fields as [readonly Fields[], Fields]
+    return { kind: 'crash-evidence', accusations: accusations.map(decodeAccusation), sound: decodeAges(sound) } satisfies GossipedEvidence
+  },
   'permit-request': fields => {
     checkTypes(fields, ['number', 'list'])
     const [number, limit] = fields as [number, Fields]
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -1,5 +1,5 @@
 /** Messages between the nodes of a deployment whose upstreams are called directly. */
-import type { CrashCount } from '../core/dispatch/crash-suspects.js'
+import type { CrashEvidence } from '../core/dispatch/crash-suspects.js'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
 import type { RolloutFacts } from './fleet.js'
@@ -21,11 +21,15 @@
   readonly operatorsNext: number
   readonly instancesNext: number
   readonly weights: readonly GossipedWeights[]
-  readonly crashes: readonly CrashCount[]
   /** Some of the limits that upstreams have named, and of those lifted lately. */
   readonly limits: readonly GossipedLimit[]
 }
 
+/** Sent by an entry to another one: which traits of requests are accused of crashing upstreams, and which were proved sound. */
+export interface GossipedEvidence extends CrashEvidence {
+  readonly kind: 'crash-evidence'
+}
+
 /** Sent by an entry to the one that grants the permits of an upstream: asks for one, and says what the sender knows of the limit. */
 export interface PermitRequest {
   readonly kind: 'permit-request'
@@ -101,4 +105,4 @@
 }
 
 /** A message between nodes, distinguished by `kind`. */
-export type NodeMessage = Gossip | PermitRequest | PermitAnswer | Subscription | Introduction | LoadReport | Holdings
+export type NodeMessage = Gossip | GossipedEvidence | PermitRequest | PermitAnswer | Subscription | Introduction | LoadReport | Holdings
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -86,6 +86,8 @@
   readonly lastEventId: string | undefined
   readonly promptTokens: number
   readonly maximumAnswerTokens: number
+  /** Ids of the parts of the prompt, in order; other requests share them, except the last. Empty for a request without a prompt. */
+  readonly promptParts: readonly string[]
   readonly model: string | undefined
 }
 
--- /dev/null
+++ b/test/crash-suspects.test.ts
@@ -0,0 +1,233 @@
+/** Traits of requests that crash upstreams: tables of cases, and replays before many entries. */
+import type { IncomingMessage } from 'node:http'
+import { test } from 'tap'
+import { PlatformRequests } from '../platform/requests.js'
+import { CrashSuspects, traitsOf } from '../src/core/dispatch/crash-suspects.js'
+import { replayCrashes, type CrashReplay } from './fakes/crash-replay.js'
+
+/** The stated rule, requests with a bad part that may reach upstreams within `stable` of the fifth end at a rate a second; each ends one. */
+const ruleEnds = (perSecond: number): number => 5 + 3 * perSecond
+/** The goal of the project at 4 requests a second: ends by a part, on average; the most in one replay is that of the rule. */
+const goalEnds = 8
+
+const replay: CrashReplay = { seed: 1, entries: 8, upstreams: 24, soundPerSecond: 60, badParts: ['bad'], badPerSecond: 4, otherEndsPerSecond: 0.2, inventedParts: 0, firstEvent: [70, 150], until: 15_000 }
+const seeds = Array.from({ length: 10 }, (_, index) => index + 1)
+const maximumRefusedShare = 0.001
+
+interface ReplayCase {
+  readonly name: string
+  readonly settings?: Partial<CrashReplay>
+  /** Bounds of the ends by one part: their mean over all seeds, and the most in one. */
+  readonly mean?: number
+  readonly most?: number
+}
+
+const replayCases: readonly ReplayCase[] = [
+  ...[8, 40, 120].flatMap((entries): readonly ReplayCase[] => [
+    { name: `4 requests a second before ${entries} entries`, settings: { entries } },
+    { name: `15 requests a second before ${entries} entries`, settings: { entries, badPerSecond: 15 }, mean: ruleEnds(15), most: ruleEnds(15) }
+  ]),
+  { name: 'three parts', settings: { badParts: ['x', 'y', 'z'], badPerSecond: 12 } },
+  { name: 'a request each 20 s', settings: { badPerSecond: 0.05, until: 400_000, soundPerSecond: 5 } },
+  { name: 'a third of the upstreams ends at once', settings: { massEndAt: 10_000 } },
+  { name: 'a third of the upstreams ends at once, no bad part, many entries', settings: { massEndAt: 10_000, badPerSecond: 0, entries: 120, soundPerSecond: 200 }, mean: 0, most: 0 },
+  { name: 'slow first events', settings: { firstEvent: [300, 2000], massEndAt: 10_000 }, mean: ruleEnds(4) },
+  { name: 'an entry that loses all of its calls', settings: { brokenLink: { from: 5000, to: 9000 }, soundPerSecond: 120 } },
+  { name: 'many ends without cause', settings: { otherEndsPerSecond: 2 } },
+  { name: 'invented parts', settings: { inventedParts: 200 } },
+  { name: 'a part that is sound at first', settings: { badFrom: 10_000 }, mean: ruleEnds(4) }
+]
+
+for (const { name, settings, mean = goalEnds, most = ruleEnds(4) } of replayCases) {
+  test(`crash suspects: ${name}`, async t => {
+    const outcomes = seeds.map(seed => replayCrashes({ ...replay, ...settings, seed }))
+    const ends = outcomes.flatMap(outcome => outcome.ends)
+    const meanEnds = ends.reduce((sum, count) => sum + count, 0) / ends.length
+    const [sound, refused, notResent] = [outcomes.reduce((sum, outcome) => sum + outcome.sound, 0), outcomes.reduce((sum, outcome) => sum + outcome.refused, 0), outcomes.reduce((sum, outcome) => sum + outcome.notResent, 0)]
+    t.ok(meanEnds <= mean, `ends by a part: ${meanEnds.toFixed(1)} on average, at most ${mean}`)
+    t.ok(Math.max(...ends) <= most, `ends by a part: ${Math.max(...ends)} in one replay, at most ${most}`)
+    t.equal(Math.max(...outcomes.map(({ late }) => late)), 0, 'no request with the part reaches an upstream later than 3 s after the fifth end')
+    t.ok(refused < sound * maximumRefusedShare, `sound requests refused: ${refused} of ${sound}; not sent again: ${notResent}`)
+  })
+}
+
+const [fingerprint, ...partTraits] = traitsOf('request-1', 'service', ['a', 'b', 'own'])
+const [part = '', otherPart = ''] = partTraits
+const minute = 60_000
+
+/** Ends of upstreams at these times, each of another upstream. */
+function endAt (suspects: CrashSuspects, traits: readonly string[], times: readonly number[]): void {
+  for (const time of times) suspects.recordEnd(traits, `i-${time}/1`, time)
+}
+
+/** Another entry that has heard at `now` what `suspects` tells entries that may know nothing. */
+function informed (suspects: CrashSuspects, now: number): CrashSuspects {
+  const other = new CrashSuspects()
+  other.merge(suspects.summary(40, now) ?? { accusations: [], sound: [] }, now)
+  return other
+}
+
+interface SuspectCase {
+  readonly name: string
+  readonly run: (suspects: CrashSuspects) => CrashSuspects
+  /** Whether requests with the part are refused at `at`. */
+  readonly at: number
+  readonly isRefused: boolean
+}
+
+const suspectCases: readonly SuspectCase[] = [
+  { name: 'three ends', run: suspects => { endAt(suspects, [part], [0, 200, 400]); return suspects }, at: 500, isRefused: false },
+  { name: 'four ends', run: suspects => { endAt(suspects, [part], [0, 200, 400, 600]); return suspects }, at: 700, isRefused: true },
+  { name: 'eight ends at one moment', run: suspects => { endAt(suspects, [part], [0, 1, 2, 3, 20, 30, 40, 50]); return suspects }, at: 700, isRefused: false },
+  {
+    name: 'an end that all entries report',
+    run: suspects => {
+      for (const time of [0, 200, 400, 600]) suspects.merge({ accusations: [{ trait: part, ends: [['i-1/1', 0]], refusedAgeMilliseconds: -1, isConvicted: false }], sound: [] }, time)
+      return suspects
+    },
+    at: 700,
+    isRefused: false
+  },
+  {
+    name: 'an event between the ends',
+    run: suspects => {
+      endAt(suspects, [part], [0, 1000])
+      suspects.recordBegun([part], 'i-9/1', 1500)
+      endAt(suspects, [part], [3000, 4000])
+      return suspects
+    },
+    at: 4500,
+    isRefused: false
+  },
+  {
+    name: 'a part that was sound before',
+    run: suspects => {
+      suspects.recordBegun([part], 'i-9/1', 0)
+      endAt(suspects, [part], [1000, 1200, 1400, 1600])
+      return suspects
+    },
+    at: 1700,
+    isRefused: true
+  },
+  {
+    name: 'an event at another entry after the part is refused',
+    run: suspects => {
+      endAt(suspects, [part], [0, 200, 400, 600])
+      suspects.merge({ accusations: [], sound: [[part, 10]] }, 900)
+      return suspects
+    },
+    at: 1000,
+    isRefused: false
+  },
+  {
+    name: 'connections lost to upstreams that go on',
+    run: suspects => {
+      endAt(suspects, [part], [0, 200, 400])
+      suspects.recordBegun([otherPart], 'i-200/1', 1000)
+      endAt(suspects, [part], [1200])
+      return suspects
+    },
+    at: 1300,
+    isRefused: false
+  },
+  {
+    name: 'last events of an upstream that ended',
+    run: suspects => {
+      endAt(suspects, [part], [0, 200, 400])
+      suspects.recordBegun([otherPart], 'i-400/1', 500)
+      endAt(suspects, [part], [600])
+      return suspects
+    },
+    at: 700,
+    isRefused: true
+  },
+  {
+    name: 'a part of requests that ran beside the crashing part',
+    run: suspects => {
+      endAt(suspects, [otherPart], [0, 200, 400, 600, 800])
+      for (const time of [200, 400, 600, 800]) suspects.recordEnd([part], `i-${time}/1`, time)
+      return suspects
+    },
+    at: 900,
+    isRefused: false
+  },
+  { name: 'an entry that joins', run: suspects => { endAt(suspects, [part], [0, 200, 400, 600]); return informed(suspects, 700) }, at: 800, isRefused: true },
+  {
+    name: 'an entry that joins long after the ends, while such requests come',
+    run: suspects => {
+      endAt(suspects, [part], [0, 200, 400, 600])
+      for (let time = minute; time <= 60 * minute; time += minute) suspects.refusedTrait([part], time)
+      return informed(suspects, 61 * minute)
+    },
+    at: 61 * minute + 100,
+    isRefused: true
+  },
+  {
+    name: 'an entry that loses call after call and gets no event',
+    run: suspects => {
+      endAt(suspects, [otherPart], [0, 20, 40, 60, 80])
+      endAt(suspects, [part], Array.from({ length: 40 }, (_, index) => 100 + index * 50))
+      return suspects
+    },
+    at: 2200,
+    isRefused: false
+  },
+  { name: 'no such request for long', run: suspects => { endAt(suspects, [part], [0, 200, 400, 600]); return suspects }, at: 16 * minute, isRefused: false },
+  {
+    name: 'a flood of invented parts after the part is refused',
+    run: suspects => {
+      endAt(suspects, [part], [0, 200, 400, 600])
+      for (let number = 0; number < 10_000; number += 1) suspects.recordEnd([`part:service/e${number}`], `i-${number % 50}/2`, 700)
+      return suspects
+    },
+    at: 800,
+    isRefused: true
+  }
+]
+
+for (const { name, run, at, isRefused } of suspectCases) {
+  test(`crash suspects: ${name}`, async t => {
+    t.equal(run(new CrashSuspects()).refusedTrait([fingerprint ?? '', part], at), isRefused ? part : undefined)
+  })
+}
+
+test('crash suspects: a request is held back once one of its parts may have ended two upstreams', async t => {
+  const suspects = new CrashSuspects()
+  endAt(suspects, [part], [0])
+  t.equal(suspects.isSuspect([part, otherPart]), false)
+  endAt(suspects, [part], [200])
+  t.equal(suspects.isSuspect([part, otherPart]), true)
+  t.equal(suspects.isSuspect([otherPart]), false)
+})
+
+test('crash suspects: a conviction is told once, with the ends that prove it, and so is its end', async t => {
+  const told: unknown[] = []
+  const suspects = new CrashSuspects((conviction, isLifted) => { told.push({ ...conviction, isLifted }) })
+  endAt(suspects, [part], [0, 200, 400, 600, 800])
+  t.same(told, [{ trait: part, upstreams: ['i-0/1', 'i-200/1', 'i-400/1', 'i-600/1'], isLifted: false }])
+  t.equal(suspects.refusedCount, 1)
+  suspects.recordBegun([part], 'i-9/1', 900)
+  t.same(told.slice(1), [{ trait: part, upstreams: [], isLifted: true }])
+  t.equal(suspects.refusedCount, 0)
+})
+
+const traitCases: readonly { readonly name: string, readonly header: string | undefined, readonly traits: readonly string[] }[] = [
+  { name: 'no prompt', header: undefined, traits: ['f'] },
+  { name: 'the last part is the request\'s own', header: '5c1e07a2:800,91bd3f06:410,e4402b7d:250', traits: ['f', 'part:s/5c1e07a2', 'part:s/91bd3f06'] },
+  { name: 'case and spaces', header: '5C1E07A2:800, 91bd3f06:410,e4:1', traits: ['f', 'part:s/5c1e07a2', 'part:s/91bd3f06'] },
+  { name: 'a part twice', header: 'aa:1,aa:1,bb:1', traits: ['f', 'part:s/aa'] },
+  { name: 'empty entries', header: ',aa:1,,bb', traits: ['f', 'part:s/aa'] }
+]
+
+for (const { name, header, traits } of traitCases) {
+  test(`traits of a request: ${name}`, async t => {
+    const incoming = { headers: header === undefined ? {} : { 'x-prompt-prefix': header } } as unknown as IncomingMessage
+    t.same(traitsOf('f', 's', new PlatformRequests().callerRequest(incoming).promptParts), traits)
+  })
+}
+
+test('traits of a request: long ids and many parts are bounded', async t => {
+  const traits = traitsOf('f', 's', Array.from({ length: 5000 }, (_, index) => `${'a'.repeat(1000)}${index}`))
+  t.ok(traits.length <= 300, `${traits.length} traits`)
+  t.ok(Math.max(...traits.map(trait => trait.length)) < 40, 'short')
+})
--- a/test/crashing-part.test.ts
+++ b/test/crashing-part.test.ts
@@ -44,6 +44,8 @@
   readonly entries: number
   readonly badParts: readonly string[]
   readonly badPerSecond: number
+  /** Time after which another entry joins, milliseconds. */
+  readonly joinMilliseconds?: number
   /** Parts of the nth request with a bad part, the last one excepted. */
   readonly partsOf: (number: number, badPart: string) => readonly string[]
 }
@@ -52,10 +54,11 @@
   { name: 'the part follows one that sound requests share', entries: 8, badParts: ['bad1'], badPerSecond: 4, partsOf: (_number, badPart) => ['aa', badPart] },
   { name: 'the part is the first one', entries: 8, badParts: ['bad1'], badPerSecond: 4, partsOf: (number, badPart) => [badPart, ['b0', 'b1', 'b2'][number % 3] ?? ''] },
   { name: 'two parts at once', entries: 8, badParts: ['bad1', 'bad2'], badPerSecond: 4, partsOf: (number, badPart) => number % 2 === 0 ? ['aa', badPart, 'b1'] : ['aa', 'b0', badPart] },
+  { name: 'an entry that joins later', entries: 4, badParts: ['bad1'], badPerSecond: 6, joinMilliseconds: 8000, partsOf: (_number, badPart) => ['aa', badPart] },
   { name: 'fifteen requests a second', entries: 8, badParts: ['bad1'], badPerSecond: 15, partsOf: (_number, badPart) => ['aa', badPart] }
 ]
 
-for (const { name, entries: count, badParts, badPerSecond, partsOf } of cases) {
+for (const { name, entries: count, badParts, badPerSecond, partsOf, joinMilliseconds } of cases) {
   test(`crashing part: ${name}`, async t => {
     const random = seededRandom(1)
     const dataCentre = 'zone-a'
@@ -78,7 +81,7 @@
       }
     })
     await upstreams.start()
-    const entries = await startEntries(log, [dataCentre], count)
+    const entries = [...await startEntries(log, [dataCentre], count)]
     await delay(1500)
     const until = monotonicNow() + observedMilliseconds
     const sound: Promise<CallerResult>[] = []
@@ -90,7 +93,13 @@
         await delay(1000 / perSecond)
       }
     }
+    const join = async (): Promise<void> => {
+      if (joinMilliseconds === undefined) return
+      await delay(joinMilliseconds)
+      entries.push(...await startEntries(log, [dataCentre], 1, entries))
+    }
     await Promise.all([
+      join(),
       sendEach(soundPerSecond, sound, number => ({ id: `sound-${number}`, parts: ['aa', `b${number % 3}`, `c${number}`] })),
       sendEach(badPerSecond, bad, number => ({ id: `bad-${number}`, parts: [...partsOf(number, badParts[number % badParts.length] ?? ''), `d${number}`] }))
     ])
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -165,10 +165,9 @@
   const fingerprint = fingerprintRequest('POST', '/a/', 'organisation-a', Buffer.from('body'))
   t.equal(fingerprint, fingerprintRequest('POST', '/a/', 'organisation-a', Buffer.from('body')))
   t.not(fingerprint, fingerprintRequest('POST', '/a/', 'organisation-a', Buffer.from('other')))
-  suspects.record(fingerprint, ['i-1/1', 'i-2/1'], 0)
-  suspects.record(fingerprint, ['i-1/1'], 0)
+  for (const upstream of ['i-1/1', 'i-2/1', 'i-1/1']) suspects.recordEnd([fingerprint], upstream, 0)
   t.equal(suspects.isRefused(fingerprint, 10), false)
-  suspects.record(fingerprint, ['i-1/2'], 0)
+  suspects.recordEnd([fingerprint], 'i-1/2', 0)
   t.equal(suspects.isRefused(fingerprint, 10), true)
   t.equal(suspects.isRefused(fingerprint, 100_000), false)
 })
@@ -192,7 +191,8 @@
 }
 
 const datagramCases: readonly NodeMessage[] = [
-  { kind: 'gossip', sender: member('a'), others: [member('b', otherRegion)], operatorsNext: 3, instancesNext: 9, weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], crashes: [{ fingerprint: 'f', upstreams: ['i-1/1'] }], limits: [{ upstreamId: 'i-1', startedAt: 1000, perSecond: 1.5, ageMilliseconds: 20 }, { upstreamId: 'i-2', startedAt: 0, perSecond: undefined, ageMilliseconds: 0 }] },
+  { kind: 'gossip', sender: member('a'), others: [member('b', otherRegion)], operatorsNext: 3, instancesNext: 9, weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], limits: [{ upstreamId: 'i-1', startedAt: 1000, perSecond: 1.5, ageMilliseconds: 20 }, { upstreamId: 'i-2', startedAt: 0, perSecond: undefined, ageMilliseconds: 0 }] },
+  { kind: 'crash-evidence', accusations: [{ trait: 'f', ends: [['i-1/1', 20], ['i-2/1', 0]], refusedAgeMilliseconds: -1, isConvicted: false }, { trait: 'part:service/a', ends: [], refusedAgeMilliseconds: 7, isConvicted: true }], sound: [['upstream:i-1/1', 3]] },
   { kind: 'permit-request', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: 2, ageMilliseconds: 7 } },
   { kind: 'permit-answer', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: undefined, ageMilliseconds: 7 }, retryInMilliseconds: -1 },
   { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [['zone-a', '10.0.0.1']], rollout: undefined },
--- a/test/platform-records.test.ts
+++ b/test/platform-records.test.ts
@@ -103,16 +103,16 @@
 
 test('frames: a response shorter than its header is rejected', async t => { t.throws(() => parseRead(Buffer.alloc(3), 0)) })
 
-const callerHeaders = { host: 'One.Example:80', 'x-attempt-id': 'id-1', 'x-deadline-ms': '6033', 'x-token-counts': '1460,80', authorization: 'Token key-a', 'x-tenant': 'forged', 'last-event-id': '12', connection: 'keep-alive, x-hop', 'x-hop': 'gone', 'x-model': 'weights-a' }
+const callerHeaders = { host: 'One.Example:80', 'x-attempt-id': 'id-1', 'x-deadline-ms': '6033', 'x-token-counts': '1460,80', 'x-prompt-prefix': '5C1e:800,91bd:410, e440:250', authorization: 'Token key-a', 'x-tenant': 'forged', 'last-event-id': '12', connection: 'keep-alive, x-hop', 'x-hop': 'gone', 'x-model': 'weights-a' }
 const incoming = { headers: callerHeaders, method: 'POST', url: '/a/b?c' } as unknown as IncomingMessage
 
 test("headers: a caller's request is decoded", async t => {
-  t.same(requests.callerRequest(incoming), { id: 'id-1', method: 'POST', target: '/a/b?c', host: 'one.example', key: 'key-a', timeoutMilliseconds: 6033, lastEventId: '12', promptTokens: 1460, maximumAnswerTokens: 80, model: 'weights-a' })
+  t.same(requests.callerRequest(incoming), { id: 'id-1', method: 'POST', target: '/a/b?c', host: 'one.example', key: 'key-a', timeoutMilliseconds: 6033, lastEventId: '12', promptTokens: 1460, maximumAnswerTokens: 80, promptParts: ['5c1e', '91bd', 'e440'], model: 'weights-a' })
 })
 
 test('headers: the upstream gets neither the API key, nor a forged organisation, nor hop-by-hop headers', async t => {
   const headers = requests.upstreamHeaders(callerHeaders, { remainingMilliseconds: 512.7, upstreamId: 'i-1', organisation: 'organisation-a', rank: 3, weightsVersion: 2, lastEventId: '12' })
-  t.same(headers, { host: 'One.Example:80', 'x-attempt-id': 'id-1', 'x-token-counts': '1460,80', 'x-model': 'weights-a', 'x-deadline-ms': '512', 'x-expect-instance': 'i-1', 'x-request-priority': '3', 'x-tenant': 'organisation-a', 'x-expect-version': '2', 'last-event-id': '12' })
+  t.same(headers, { host: 'One.Example:80', 'x-attempt-id': 'id-1', 'x-token-counts': '1460,80', 'x-prompt-prefix': '5C1e:800,91bd:410, e440:250', 'x-model': 'weights-a', 'x-deadline-ms': '512', 'x-expect-instance': 'i-1', 'x-request-priority': '3', 'x-tenant': 'organisation-a', 'x-expect-version': '2', 'last-event-id': '12' })
 })
 
 const answerHeads: readonly { readonly name: string, readonly status: number, readonly headers: Record<string, string>, readonly expected: object }[] = [
