--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -11,6 +11,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { logCall } from './call-log.js'
+import { crashFailure } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { RequestCalls, type EndedAttempt } from './request-calls.js'
@@ -100,7 +101,7 @@
   private considerTakeover (): void {
     const { request, context } = this
     clearTimeout(this.takeoverTimer)
-    if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open)) return
+    if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open) || context.suspects.isSuspect(request.traits)) return
     const [service, entries, now] = [request.service.name, context.entryCount(), monotonicNow()]
     const view = context.budget.hasRetry(service, entries, now) ? this.chooseUpstream() : 'full'
     if (typeof view === 'string') {
@@ -136,8 +137,11 @@
   private async acquireSlot (): Promise<UpstreamView | undefined> {
     const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
-    if (view === undefined || !this.callerDisconnect.signal.aborted) return view
+    const hasLeft = this.callerDisconnect.signal.aborted
+    const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.ran + this.withdrawn)
+    if (view === undefined || (tag === undefined && !hasLeft)) return view
     this.releaseSlot(view)
+    if (tag !== undefined && !hasLeft) this.fail(tag)
     return undefined
   }
 
@@ -235,7 +239,8 @@
     const progress = this.progress()
     const step = nextStep(progress)
     const isUnsent = result.kind === 'not-run' && unsentReasons.has(result.reason)
-    const mayResend = step.kind === 'resend' && (isUnsent || context.budget.take(request.service.name, context.entryCount(), monotonicNow()))
+    const isHeldBack = this.ran > 0 && context.suspects.isSuspect(request.traits)
+    const mayResend = step.kind === 'resend' && !isHeldBack && (isUnsent || context.budget.take(request.service.name, context.entryCount(), monotonicNow()))
     const final = step.kind === 'fail' ? step : nextStep({ ...progress, hasBudget: false })
     this.log(mayResend ? 'attempt failed; trying another upstream' : 'attempt failed; no further attempt allowed', attempt)
     if (mayResend || final.kind === 'resend') return true
@@ -259,7 +264,7 @@
     const { request, context } = this
     const now = monotonicNow()
     const failure = createFailure(tag)
-    const isRefusal = failure.outcome === 'not-run'
+    const isRefusal = failure.outcome === 'not-run' && !tag.startsWith('crashing')
     const isOutage = noSlotReason === 'no-weights' || noSlotReason === 'no-upstream'
     const expectedAt = isOutage ? this.expectedAt() ?? Infinity : noSlotReason === 'limited' ? this.expectedAt() : undefined
     const retryAt = isRefusal ? chooseRetryAt(now, request.callerDeadline, expectedAt, context.random) : now
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -5,6 +5,7 @@
 import type { OpenCall } from '../../core/dispatch/takeover.js'
 import { expectedVersion } from '../../core/weights/start-cutoffs.js'
 import { monotonicNow } from '../../utils/clock.js'
+import { CallEvidence } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { CallInProgress, type CallResult, type EventSink, type LostReason } from './upstream-call.js'
@@ -90,6 +91,7 @@
     })
     const waits = context.firstEventWaitsOf(request.service.name)
     const waitNumber = waits.recordSent(now)
+    const evidence = new CallEvidence(context.suspects, request.traits, upstream)
     this.tried.add(upstream.id)
     const call: CallInProgress = new CallInProgress({
       address: upstream.address,
@@ -105,18 +107,25 @@
       firstResponseBy: answerStartDeadline(request.route, ran, now, request.deadline),
       inactivityTimeoutMilliseconds: isRepeatable(request.route) ? streamInactivityTimeoutMilliseconds : request.deadline - now,
       finishBy: request.deadline,
-      headReceived: head => { context.pool.applyAnswerHead(upstream.id, head, now) },
+      headReceived: head => {
+        context.pool.applyAnswerHead(upstream.id, head, now)
+        evidence.recordHead(head.status)
+      },
       bytesReceived: () => { context.pool.recordActivity(upstream.id) },
       silent: this.silent,
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+        if (isAnswer) evidence.recordBegun()
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call) : undefined)
     const stopWatching = isStream ? context.unstartedCalls.add(request.model, view, call) : undefined
     this.inProgress.add(call)
-    call.result.then(result => { this.handleEnd(call, { view, sentAt: now, result }) }, () => {})
+    call.result.then(result => {
+      evidence.recordResult(result)
+      this.handleEnd(call, { view, sentAt: now, result })
+    }, () => {})
   }
 
   /** Passes on the events of a call once the others are cancelled: they would repeat them. */
@@ -149,16 +158,15 @@
     return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
   }
 
-  /** Records how a call ended, for the health of its upstream and the detection of crashing requests. */
+  /** Records how a call ended, for the health of its upstream. */
   private recordResult ({ view, sentAt, result }: EndedAttempt): void {
-    const { pool, suspects } = this.context
-    const { id, startedAt } = view.upstream
+    const { pool } = this.context
+    const { id } = view.upstream
     if (result.kind === 'answer') {
       pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
     } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
     else if (result.kind === 'lost') {
       pool.recordEnded(id, lossEvidence[result.reason], sentAt)
-      if (result.reason === 'reset' || result.reason === 'incomplete') suspects.record(this.request.fingerprint, [`${id}/${startedAt}`], monotonicNow())
     } else {
       pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
