--- a/test/platform-store.test.ts
+++ b/test/platform-store.test.ts
@@ -55,6 +55,16 @@
   t.equal(server.connections, before + 1, 'the next try after a time-out opens a new connection')
 })
 
+test('platform store: a node that stops ends its reads', async t => {
+  const server = await PlatformStoreStandIn.start()
+  t.teardown(() => { server.close() })
+  const store = new PlatformStore(server.address)
+  server.faults.set(topics.operators, { kind: 'silent' })
+  const read = store.read('operators', 0, monotonicNow() + 5000, 1024)
+  setTimeout(() => { store.close() }, 100)
+  await t.rejects(read, /hang up/)
+})
+
 test('platform store: a large record is read whole over a link on which it takes seconds', async t => {
   const server = await PlatformStoreStandIn.start()
   t.teardown(() => { server.close() })
--- a/test/record-source-faults.test.ts
+++ b/test/record-source-faults.test.ts
@@ -75,6 +75,25 @@
   })
 }
 
+test('record source faults: a node that stops does not turn to the log because its source stops too', async t => {
+  const log = new SharedLog('home')
+  log.append('operators', 'config', Buffer.from('first'))
+  const ip = await listen(t, silent)
+  const selected = new SelectedRecordLog({
+    stream: 'operators',
+    instance: 'self',
+    log: log.readerIn('east', 'self'),
+    internalPort,
+    logWaitMilliseconds: 500,
+    metrics: new ReadMetrics(new Metrics(), 'operators'),
+    sources: () => [{ kind: 'entry', instance: 'first', ip, isSameDataCentre: true }, { kind: 'log' }]
+  })
+  const read = selected.read('operators', 0, monotonicNow() + readWaitMilliseconds, 1024)
+  setTimeout(() => { selected.close() }, 100)
+  await t.rejects(read)
+  t.equal(log.bytesReadIn('east'), 0)
+})
+
 class UnresponsiveLog extends RecordLog {
   async newest (): Promise<never> { return await new Promise<never>(() => {}) }
   async read (): Promise<never> { return await new Promise<never>(() => {}) }
