Give processes whose ids differ by 250 different loopback addresses

Seen: EADDRINUSE 127.155.0.1:7700 in weights-remote, once, beside other test runs. Cause: freshAddress told two processes with equal ids modulo 250 apart by the port, and entries and agents under test replace the port with 7700.

--- a/script/launch.ts
+++ b/script/launch.ts
@@ -74,14 +74,22 @@
 const firstPort = 10_100
 const portRange = 20_000
 const secondOctets = 250
+/** Ranges of third octets among which processes with the same second octet are spread, and the octets of one range. */
+const [thirdOctetRanges, thirdOctetsPerRange] = [16, 16] as const
 let addressesTaken = 0
 
-/** An address on loopback that no other call and no other process of this kind gets: the process id chooses port and second octet. */
+/** An address on loopback that no other call and no other process of this kind gets. */
 export function freshAddress (): string {
-  const port = firstPort + Math.floor(process.pid / secondOctets) % portRange
-  const number = addressesTaken
+  const address = loopbackAddress(process.pid, addressesTaken)
   addressesTaken += 1
-  return `127.${1 + process.pid % secondOctets}.${Math.floor(number / 250)}.${1 + number % 250}:${port}`
+  return address
+}
+
+/** Address with a number that is not used twice in a process. Its IP differs between processes too, as some servers have a fixed port. */
+export function loopbackAddress (processId: number, number: number): string {
+  const block = Math.floor(processId / secondOctets)
+  const thirdOctet = ((block % thirdOctetRanges) * thirdOctetsPerRange + Math.floor(number / 250)) % 256
+  return `127.${1 + processId % secondOctets}.${thirdOctet}.${1 + number % 250}:${firstPort + block % portRange}`
 }
 
 /** Service, data centre and kind of each upstream of a deployment. */
