Do not count a cancelled call that had no connection as an attempt

What callers saw: a stream was cut although its route allowed another attempt. By reading; shown at the call, not through an entry.

Cause: an entry calls another upstream beside a silent one. When the silent one goes on while the connection to the other is still being opened, the second call is cancelled and ended as lost, which counts as an attempt; if the first upstream breaks off later, none is left.

Evidence: npm test -- gateway-call, 'one that is cancelled before it has a connection was not sent': lost before, not run after.

Why it works: without a connection nothing was sent, as where an upstream is withdrawn.

--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -17,7 +17,7 @@
   /** The upstream may have run the request. */
   | { readonly kind: 'lost', readonly reason: LostReason }
 
-/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests (`withdrawn`). */
+/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests or the call was cancelled before it had a connection (`withdrawn`). */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), `finishBy` passed (`timeout`), an answer to another request, or one that is unsigned or
@@ -117,7 +117,7 @@
 
   /** Cancels the call; the upstream drops the request when its connection closes. */
   cancel (): void {
-    this.abandon({ kind: 'lost', reason: this.hasPaused ? 'silent' : 'cancelled' })
+    this.abandon(this.isConnected ? { kind: 'lost', reason: this.hasPaused ? 'silent' : 'cancelled' } : { kind: 'not-run', reason: 'withdrawn' })
   }
 
   /** Cancels the call unless its answer has begun, of which an event may be on its way. */
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -5,7 +5,7 @@
 import { PlatformRequests } from '../platform/requests.js'
 import { CallInProgress, type CallResult, type EventSink, type UpstreamCall } from '../src/roles/gateway/upstream-call.js'
 import { UpstreamConnections } from '../src/roles/gateway/upstream-connections.js'
-import { monotonicNow } from '../src/utils/clock.js'
+import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 
 const requestId = 'id-1'
 const signed = `X-Server-Stamp: s\r\nX-Attempt-Id: ${requestId}\r\n`
@@ -122,6 +122,17 @@
   }
 })
 
+test('upstream call: one that is cancelled before it has a connection was not sent', async t => {
+  let requests = 0
+  const { address, close } = await listen(() => { requests += 1 })
+  const call = startCall(address, false, false, new SeenStream())
+  call.cancel()
+  t.match(await call.result, { kind: 'not-run', reason: 'withdrawn' })
+  await sleepUntil(monotonicNow() + 100)
+  t.equal(requests, 0)
+  close()
+})
+
 test('upstream call: no server at the address', async t => {
   const { address, close } = await listen(() => {})
   close()
