Count a request's wait for its first event only once its call is made

What callers would see: a call of which no request can be made (a header value that Node refuses) left a wait without end; from three of them on, the median of the waits grows without bound and up to three quarters of the requests of a service with an engine are refused.

Cause: the wait was recorded before the call was constructed, which throws; the slot was given back, the wait was not.

Evidence: npm test -- unsendable-request: a median of 59,989 ms a minute after five such calls, now 0.

Why it works: a call that was made always reports its start or end, which ends its wait; it does so asynchronously, so that the number is there.

--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -90,7 +90,6 @@
       lastEventId
     })
     const waits = context.firstEventWaitsOf(request.service.name)
-    const waitNumber = waits.recordSent(now)
     const evidence = new CallEvidence(context.suspects, request.traits, upstream)
     this.tried.add(upstream.id)
     const call: CallInProgress = new CallInProgress({
@@ -120,6 +119,7 @@
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call) : undefined)
+    const waitNumber = waits.recordSent(now)
     const stopWatching = isStream ? context.unstartedCalls.add(request.model, view, call) : undefined
     this.inProgress.add(call)
     call.result.then(result => {
