wrong-version: show a record that names newer weights while requests wait

A request that was sent without X-Expect-Version to an upstream on the first version is not withdrawn once a record claims the named version for that upstream.

--- a/test/fakes/engine-fleet.ts
+++ b/test/fakes/engine-fleet.ts
@@ -48,10 +48,10 @@
     this.server.closeAllConnections()
   }
 
-  /** Its record in the instance list. */
-  get record (): Buffer {
+  /** Its record in the instance list, which names `version`. */
+  recordOf (version = this.listedVersion): Buffer {
     const { port } = this.server.address() as AddressInfo
-    return bytesOf({ service, address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots: 40, born: 1000, 'model-list': [{ name: model, version: this.listedVersion }] })
+    return bytesOf({ service, address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots: 40, born: 1000, 'model-list': [{ name: model, version }] })
   }
 
   private serve (incoming: IncomingMessage, response: ServerResponse): void {
@@ -116,8 +116,8 @@
     return engine
   }
 
-  list (engine: FakeEngine): void {
-    this.log.append('instances', engine.id, engine.record)
+  list (engine: FakeEngine, version?: number): void {
+    this.log.append('instances', engine.id, engine.recordOf(version))
   }
 
   /** Names a version of the weights; returns when it was acknowledged, milliseconds of the monotonic clock. */
--- a/test/wrong-version.test.ts
+++ b/test/wrong-version.test.ts
@@ -20,6 +20,8 @@
   readonly requests?: number
   /** Version in the record of the upstream with older weights. */
   readonly listedVersion?: number
+  /** Version in a later record of it, which is written once it has the requests. */
+  readonly relistedVersion?: number
   /** Whether an upstream serves the named version before the bound. */
   readonly hasNamed?: boolean
   /** What callers get: the whole stream, or the status of a failure. */
@@ -32,13 +34,14 @@
   { name: 'one attempt', route: { isResumable: true, maximumUpstreams: 1 }, expected: 'whole', servedBy: 'named' },
   { name: 'two attempts', route: { isResumable: true, maximumUpstreams: 2 }, expected: 'whole', servedBy: 'named' },
   { name: 'an upstream that is listed with the named version but has older weights', route: { isResumable: true, maximumUpstreams: 2 }, listedVersion: namedVersion, requests: 1, hasNamed: false, expected: 503 },
+  { name: 'an upstream whose record names the named version while requests wait there, but which keeps older weights', route: { isResumable: true, maximumUpstreams: 2 }, relistedVersion: namedVersion, expected: 'whole', servedBy: 'named' },
   { name: 'a stream that may not run twice', route: { isResumable: false, maximumUpstreams: 1 }, expected: 502 },
   { name: 'no upstream with the named version', route: { isResumable: true, maximumUpstreams: 2 }, hasNamed: false, expected: 502 },
   { name: 'a stream that begins before the bound and ends after it', route: { isResumable: true, maximumUpstreams: 2 }, wait: 200, expected: 'whole', servedBy: 'older' },
   { name: 'one that may not run twice and begins before the bound', route: { isResumable: false, maximumUpstreams: 1 }, wait: 200, expected: 'whole', servedBy: 'older' }
 ]
 
-for (const { name, route, wait = waitMilliseconds, listedVersion = namedVersion - 1, requests = 4, hasNamed = true, expected, servedBy } of cases) {
+for (const { name, route, wait = waitMilliseconds, listedVersion = namedVersion - 1, relistedVersion, requests = 4, hasNamed = true, expected, servedBy } of cases) {
   test(`wrong version: ${name}`, async t => {
     const fleet = new EngineFleet()
     await fleet.start([route])
@@ -50,6 +53,7 @@
     const ids = Array.from({ length: requests }, (_, index) => `${prefixOf(route)}${index}`)
     const calls = ids.map(id => fleet.call(route, id))
     while (older.received.length < ids.length && monotonicNow() < boundAt - 700) await sleepUntil(monotonicNow() + 10)
+    if (relistedVersion !== undefined) fleet.list(older, relistedVersion)
     if (hasNamed) fleet.list(named)
     const outcomes = await Promise.all(calls)
     await sleepUntil(boundAt + waitMilliseconds)
