Take only an agent's report for a sign that an upstream has swapped

What callers and upstreams saw: requests that wait at an upstream on the first version, for which a record then names the named version that it does not have, began on the first version after the bound.

Cause: such requests carry no X-Expect-Version, and the withdrawal spared them since it read the version from the upstream's view, which records raise as well. That everything not withdrawn expects its version held only for a record that was wrong before the request was sent.

Why it works: the withdrawal compares with the version of the agent's last report, which a record does not change. Without a report a request is withdrawn, which costs a retry where the upstream has swapped.

--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -154,7 +154,7 @@
       suspects: this.suspects,
       unstartedCalls: new UnstartedCalls({
         withdrawalAt: (model, version) => this.state.withdrawalAt(model, version),
-        versionAt: id => this.pool.find(id)?.weights?.version
+        versionAt: id => this.pool.find(id)?.reportedVersion
       }),
       metrics: this.metrics,
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
--- a/src/roles/gateway/unstarted-calls.ts
+++ b/src/roles/gateway/unstarted-calls.ts
@@ -23,7 +23,7 @@
 export interface WithdrawalContext {
   /** When requests that have not begun on a version are withdrawn, milliseconds of the monotonic clock; undefined for never. */
   withdrawalAt (model: string, version: number): number | undefined
-  /** Weights version that an upstream serves now; undefined where that is not known. */
+  /** Weights version that the agent of an upstream reports; undefined without a report. A record may name weights that the upstream does not have. */
   versionAt (upstreamId: string): number | undefined
 }
 
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -80,7 +80,7 @@
       return
     }
     this.engineIds = undefined
-    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
+    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
   }
 
   /** Handles the removal of a record. The upstream is used until `retainUntil`, milliseconds of the monotonic clock, or that of an earlier removal: the record may only have lapsed. */
@@ -124,7 +124,7 @@
   /** Records that another upstream or other weights were at the address: an upstream with weights gets no requests until its agent reports again. */
   recordMisdirected (id: string): void {
     const view = this.views.get(id)
-    if (view !== undefined) this.views.set(id, { ...view, weights: undefined, atCapacityUntil: monotonicNow() + shedBackoffMilliseconds })
+    if (view !== undefined) this.views.set(id, { ...view, weights: undefined, reportedVersion: undefined, atCapacityUntil: monotonicNow() + shedBackoffMilliseconds })
   }
 
   /** Records that bytes of an answer were received. */
@@ -232,7 +232,7 @@
       upstream: isRestart ? { ...view.upstream, startedAt: report.startedAt } : view.upstream,
       health: view.health.losses > 0 && isRestart ? initialHealth : view.health,
       coldUntil: isRestart ? now + (this.serviceOf(view.upstream.service)?.coldMilliseconds ?? 0) : view.coldUntil,
-      weights: report.version > 0 ? { model: report.model, version: report.version } : undefined,
+      ...report.version > 0 ? { weights: { model: report.model, version: report.version }, reportedVersion: report.version } : { weights: undefined, reportedVersion: undefined },
       isSwapping: report.isSwapping,
       readyAt: report.readyInMilliseconds < 0 ? undefined : now + report.readyInMilliseconds,
       observedLoad: this.observeLoad(view, report.running + report.waiting)
--- a/src/roles/gateway/upstream-view.ts
+++ b/src/roles/gateway/upstream-view.ts
@@ -30,6 +30,8 @@
   readonly atCapacityUntil: number
   /** Weights that it serves; undefined for none and for upstreams without weights. */
   readonly weights: LoadedWeights | undefined
+  /** Weights version of the last report of its agent; undefined for none. Unlike `weights` it is never taken from a record. */
+  readonly reportedVersion: number | undefined
   /** Whether it takes no requests because its weights are being swapped. */
   readonly isSwapping: boolean
   /** When it is expected to serve; undefined when that is not known. */
