--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -5,7 +5,8 @@
 import type { RunningNode } from '../../src/nodes/running-node.js'
 import { startGateway } from '../../src/roles/gateway/gateway.js'
 import type { GatewaySettings } from '../../src/types/node-settings.js'
-import type { SharedLog } from './shared-log.js'
+import type { RecordLog } from '../../src/types/ports.js'
+import type { Place } from './shared-network.js'
 
 /** An entry under test. */
 export interface GroupedEntry {
@@ -18,13 +19,22 @@
   readonly node: RunningNode
 }
 
-const internalPort = 7700
+/** Port between nodes. */
+export const internalPort = 7700
+
+/** A log as the nodes of each data centre read it. */
+export interface LogReaders {
+  readerIn (dataCentre: string, instance: string): RecordLog
+}
+
+/** Starts a node at its place. */
+export type StartAt = (place: Place, start: () => Promise<RunningNode>) => Promise<RunningNode>
 
 /**
  * Starts `count` entries in each data centre, each of which is a region of its own; they know `earlier` entries, and their names
- * follow on theirs. `ips` are kept for a later start of the same entries.
+ * follow on theirs. `ips` are kept for a later start of the same entries. `startAt` may place them in a network.
  */
-export async function startEntries (log: SharedLog, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = [], ips = new Map<string, string>()): Promise<readonly GroupedEntry[]> {
+export async function startEntries (log: LogReaders, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = [], ips = new Map<string, string>(), startAt: StartAt = (_place, start) => start()): Promise<readonly GroupedEntry[]> {
   const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => {
     const instance = `${dataCentre}-${earlier.length + index}`
     return { dataCentre, instance, ip: ips.get(instance) ?? freshIp() }
@@ -59,13 +69,13 @@
       heartbeatMilliseconds: 1200,
       stableMilliseconds: 4000
     }
-    const node = await startGateway(settings, {
+    const node = await startAt({ dataCentre, ip }, () => startGateway(settings, {
       records: log.readerIn(dataCentre, instance),
       codec: new PlatformRecords(),
       requests: new PlatformRequests(),
       directory: (_incoming, response) => { response.end() },
       readiness: (_incoming, response, isReady) => { response.writeHead(isReady ? 200 : 503).end() }
-    })
+    }))
     return { instance, dataCentre, callers: settings.callers, internal: `${ip}:${internalPort}`, node }
   }))
 }
@@ -81,6 +91,7 @@
   return lines.filter(line => (line.startsWith(`${name} `) || line.startsWith(`${name}{`)) && line.includes(label)).reduce((sum, line) => sum + Number(line.split(' ').at(-1)), 0)
 }
 
-function freshIp (): string {
+/** An IP of loopback that no other node has. */
+export function freshIp (): string {
   return freshAddress().split(':')[0] ?? ''
 }
