Weights: count the delays at the origin from its last failure

Callers: streams are refused while no engine has the named weights; after an outage of the origin the rollout took 0.4 to 3 s longer than it needs to. Cause: the delays by which agents leave a chunk to its primary fetcher, and the one before an offered chunk is fetched from the origin all the same, counted from the time at which the version was wanted. Change: the delays count from the last failed fetch and from a chunk's first offer; positions that nobody holds come first. The origin is asked again after 150 ms in place of 250. Evidence: test/origin-outage-rush, in simulated time. A correction: the first replay reserved a link ahead of time for chunks that still waited at the origin.

--- a/src/core/weights/distribution-plan.ts
+++ b/src/core/weights/distribution-plan.ts
@@ -53,8 +53,10 @@
   /** Positions that this agent holds. */
   readonly held: Bitmap
   readonly ranks: FetchRanks
-  /** Since when the version is wanted. */
-  readonly wantedAt: number
+  /** Since when the origin is expected to send the version: since the version is wanted, or since the last fetch from it that failed. */
+  readonly originSince: number
+  /** Place of each position in the order in which positions fall due at the origin from then on. */
+  readonly originPlaces: readonly number[]
   readonly peers: readonly DistributionPeer[]
   /** Positions that agents are known to hold, without those that fail to deliver. */
   readonly offered: Bitmap
@@ -113,11 +115,25 @@
   return best === undefined ? undefined : { position: best.position, peer: undefined }
 }
 
-/** Monotonic time from which an agent of a rank may fetch a chunk from the origin, milliseconds. */
+/**
+ * Monotonic time from which an agent of a rank may fetch a chunk from the origin, milliseconds. The delay of a rank counts from
+ * the last failure, since after an outage all delays from before it have passed, and all agents would ask at once.
+ */
 function dueAt (view: DistributionView, position: number, rank: number): number {
   const chunkMilliseconds = view.originCopyMilliseconds / view.total
-  const paceDelay = Math.max(0, position - originWindowChunks) * chunkMilliseconds
-  return view.wantedAt + paceDelay + (rank * rankDelayCopies + (hasBit(view.offered, position) ? offeredDelayCopies : 0)) * view.originCopyMilliseconds
+  const paceDelay = Math.max(0, (view.originPlaces[position] ?? 0) - originWindowChunks) * chunkMilliseconds
+  const dueFrom = view.originSince + paceDelay
+  const from = hasBit(view.offered, position) ? Math.max(dueFrom, view.offeredAt.get(position) ?? view.now) + offeredDelayCopies * view.originCopyMilliseconds : dueFrom
+  return from + rank * rankDelayCopies * view.originCopyMilliseconds
+}
+
+/** Place of each position in the order in which positions fall due at the origin: those that are missing everywhere come first. */
+export function originPlaces (total: number, available: Bitmap): readonly number[] {
+  const positions = Array.from({ length: total }, (_, position) => position)
+  const order = [...positions.filter(position => !hasBit(available, position)), ...positions.filter(position => hasBit(available, position))]
+  const places = new Array<number>(total).fill(0)
+  for (const [place, position] of order.entries()) places[position] = place
+  return places
 }
 
 /** Rarest missing chunk first, starting behind a position for which this agent is the primary fetcher. */
--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -1,7 +1,7 @@
 /** Fetches the chunks of one version from the origin and from other agents. */
 import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
-import { maximumFetches, nextDistributionFetch, fetchRanks, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
+import { maximumFetches, nextDistributionFetch, fetchRanks, originPlaces, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
@@ -17,7 +17,7 @@
 /** Backoff after a failed fetch from a peer, milliseconds; it doubles with each consecutive failure. */
 const peerBackoffMilliseconds = { first: 400, maximum: 6400 } as const
 /** Backoff after a failed fetch from the origin, milliseconds. */
-const originBackoffMilliseconds = 250
+const originBackoffMilliseconds = 150
 
 /** Assumed time of one copy from an origin whose link speed is not configured, milliseconds. */
 const defaultCopyMilliseconds = 3000
@@ -62,6 +62,9 @@
   private readonly offeredAt = new Map<number, number>()
   private originInFlight = 0
   private originRetryAt = 0
+  /** Start of the fetch, or the last failure of the origin, milliseconds of the monotonic clock. */
+  private originSince: number
+  private originPlaces: readonly number[]
   private ranks: FetchRanks | undefined
   /** Membership of the peer table for which `ranks` were computed. */
   private rankedMembership = -1
@@ -75,7 +78,10 @@
   private readonly chunkCounts = { origin: 0, sameDataCentre: 0, otherDataCentres: 0, corrupt: 0 }
 
   /** `wantedAt`: start of the fetch, milliseconds of the monotonic clock. */
-  constructor (private readonly context: FetchContext, readonly chunks: VersionChunks, readonly wantedAt: number) {}
+  constructor (private readonly context: FetchContext, readonly chunks: VersionChunks, readonly wantedAt: number) {
+    this.originSince = wantedAt
+    this.originPlaces = originPlaces(chunks.digests.length, chunks.held)
+  }
 
   /** Starts no more fetches, closes the connections to peers and ignores chunks that still arrive. */
   stop (): void {
@@ -119,7 +125,8 @@
       total: this.chunks.digests.length,
       held: this.chunks.held,
       ranks: this.currentRanks(),
-      wantedAt: this.wantedAt,
+      originSince: this.originSince,
+      originPlaces: this.originPlaces,
       peers: holders.map(holder => this.toSpreadPeer(holder)),
       offered,
       offeredAt: this.offeredAt,
@@ -209,7 +216,9 @@
     if (this.isStopped) return
     log.warn('could not fetch a chunk', { model: this.chunks.model, version: this.chunks.version, position: chunkFetch.position, source: chunkFetch.peer ?? 'origin', reason })
     if (chunkFetch.peer === undefined) {
-      this.originRetryAt = monotonicNow() + originBackoffMilliseconds
+      this.originSince = monotonicNow()
+      this.originRetryAt = this.originSince + originBackoffMilliseconds
+      this.originPlaces = originPlaces(this.chunks.digests.length, unionOf(this.chunks.digests.length, [this.chunks.held, this.offeredBy(this.holders())]))
       return
     }
     const failures = (this.peerFailures.get(chunkFetch.peer) ?? 0) + 1
--- a/test/fakes/exchange-replay.ts
+++ b/test/fakes/exchange-replay.ts
@@ -1,6 +1,6 @@
 /** Replays the exchange of weights among agents in simulated time: real choices of chunks and uploads, simulated links and origin. */
 import { emptyBitmap, hasBit, unionOf, withBit, type Bitmap } from '../../src/core/weights/bitmap.js'
-import { fetchRanks, nextDistributionFetch, primaryFetcher, type DistributionPeer, type FetchRanks } from '../../src/core/weights/distribution-plan.js'
+import { fetchRanks, nextDistributionFetch, originPlaces, primaryFetcher, type DistributionPeer, type FetchRanks } from '../../src/core/weights/distribution-plan.js'
 import { decideUpload } from '../../src/core/weights/upload.js'
 import { PeerTable } from '../../src/roles/weights/peer-table.js'
 
@@ -12,7 +12,7 @@
 const announcementBytes = 150
 const peerTimeoutMilliseconds = 1500
 const originTimeoutMilliseconds = 3000
-const backoffMilliseconds = { first: 400, maximum: 6400, origin: 250 } as const
+const backoffMilliseconds = { first: 400, maximum: 6400, origin: 150 } as const
 const agentBytesPerSecond = 640_000
 const uploadShare = 0.92
 const originBytesPerSecond = 912_000
@@ -69,6 +69,8 @@
   uploadMilliseconds = 0
   originInFlight = 0
   originRetryAt = 0
+  originSince = 0
+  originPlaces = originPlaces(chunkCount, emptyBitmap(chunkCount))
   heldCount = 0
   completeAt = Infinity
   isDirty = true
@@ -184,8 +186,7 @@
   private startFetches (agent: Agent): void {
     if (agent.heldCount === chunkCount || (!agent.isDirty && this.now % 20 !== 0)) return
     agent.isDirty = false
-    const offering = [...agent.known].filter(([index]) => !agent.failures.has(index)).flatMap(([, { held, heldInDataCentre }]) => [held, heldInDataCentre])
-    const offered = unionOf(chunkCount, offering)
+    const offered = this.offeredTo(agent)
     for (let position = 0; position < chunkCount; position += 1) if (!agent.offeredAt.has(position) && hasBit(offered, position)) agent.offeredAt.set(position, this.now)
     for (;;) {
       const peers: readonly DistributionPeer[] = [...agent.known].map(([index, { held }]) => ({
@@ -195,7 +196,7 @@
         inFlight: agent.fetches.get(index) ?? 0,
         retryAt: agent.retryAt.get(index) ?? 0
       }))
-      const next = nextDistributionFetch({ now: this.now, total: chunkCount, held: agent.held, ranks: agent.ranks, wantedAt: 0, peers, offered, offeredAt: agent.offeredAt, inFlight: agent.inFlight, originInFlight: agent.originInFlight, originRetryAt: agent.originRetryAt, originCopyMilliseconds: chunkCount * chunkBytes / originBytesPerSecond * 1000 })
+      const next = nextDistributionFetch({ now: this.now, total: chunkCount, held: agent.held, ranks: agent.ranks, originSince: agent.originSince, originPlaces: agent.originPlaces, peers, offered, offeredAt: agent.offeredAt, inFlight: agent.inFlight, originInFlight: agent.originInFlight, originRetryAt: agent.originRetryAt, originCopyMilliseconds: chunkCount * chunkBytes / originBytesPerSecond * 1000 })
       if (next === undefined) return
       agent.inFlight.add(next.position)
       if (next.peer === undefined) this.fetchFromOrigin(agent, next.position)
@@ -207,7 +208,7 @@
     agent.originInFlight += 1
     const end = (isStored: boolean): void => {
       agent.originInFlight -= 1
-      if (!isStored) agent.originRetryAt = this.now + backoffMilliseconds.origin
+      if (!isStored) this.recordOriginFailure(agent)
       this.finish(agent, position, isStored)
       if (isStored) this.announceToPrimaryFetchers(agent, position)
     }
@@ -217,17 +218,35 @@
       return
     }
     this.originChunks += 1
-    const sentAt = this.origin.carry(chunkBytes + overheadBytes, this.now)
-    const arrivedAt = agent.down.carry(chunkBytes, this.link(0, agent.dataCentre)?.carry(chunkBytes + overheadBytes, sentAt) ?? sentAt)
-    this.deliver(arrivedAt, this.now + originTimeoutMilliseconds, end)
+    this.deliver([this.origin, this.link(0, agent.dataCentre), agent.down], this.now + originTimeoutMilliseconds, end)
   }
 
-  private deliver (arrivedAt: number, deadline: number, end: (isStored: boolean) => void): void {
-    if (arrivedAt <= deadline) this.after(arrivedAt, () => { end(true) })
-    else {
-      this.timeouts += 1
-      this.after(deadline, () => { end(false) })
+  private recordOriginFailure (agent: Agent): void {
+    agent.originSince = this.now
+    agent.originRetryAt = this.now + backoffMilliseconds.origin
+    agent.originPlaces = originPlaces(chunkCount, unionOf(chunkCount, [agent.held, this.offeredTo(agent)]))
+  }
+
+  private offeredTo (agent: Agent): Bitmap {
+    return unionOf(chunkCount, [...agent.known].filter(([index]) => !agent.failures.has(index)).flatMap(([, { held, heldInDataCentre }]) => [held, heldInDataCentre]))
+  }
+
+  /** Carries a chunk through pipes one after another; `end` is called once, with whether it arrived by the deadline. */
+  private deliver (pipes: readonly (Pipe | undefined)[], deadline: number, end: (isStored: boolean) => void): void {
+    let isEnded = false
+    const finish = (isStored: boolean): void => {
+      if (isEnded) return
+      isEnded = true
+      if (!isStored) this.timeouts += 1
+      end(isStored)
+    }
+    this.after(deadline, () => { finish(false) })
+    const [first, ...rest] = pipes.filter(pipe => pipe !== undefined)
+    const pass = (pipe: Pipe | undefined, following: readonly Pipe[]): void => {
+      if (pipe === undefined) finish(true)
+      else this.after(pipe.carry(chunkBytes + overheadBytes, this.now), () => { pass(following[0], following.slice(1)) })
     }
+    pass(first, rest)
   }
 
   private fetchFromPeer (agent: Agent, index: number, position: number): void {
@@ -251,13 +270,12 @@
       }
       peer.uploads += 1
       const startedAt = this.now
-      const sentAt = peer.up.carry(chunkBytes + overheadBytes, this.now)
+      const sentAt = Math.max(peer.up.freeAt, this.now) + (chunkBytes + overheadBytes) / agentBytesPerSecond / uploadShare * 1000
       this.after(sentAt, () => {
         peer.uploads -= 1
         peer.uploadMilliseconds += (this.now - startedAt - peer.uploadMilliseconds) * 0.2
       })
-      const arrivedAt = agent.down.carry(chunkBytes, back?.carry(chunkBytes + overheadBytes, sentAt) ?? sentAt)
-      this.deliver(arrivedAt, deadline, isStored => {
+      this.deliver([peer.up, back, agent.down], deadline, isStored => {
         release()
         if (isStored) agent.failures.delete(index)
         else {
--- a/test/origin-outage-rush.test.ts
+++ b/test/origin-outage-rush.test.ts
@@ -1,4 +1,4 @@
-/** After an outage of the origin, agents that all waited for it do not fill the links between data centres, on which configurations and leavings wait behind the chunks. */
+/** After an outage of the origin, agents whose delays have all passed meanwhile do not ask it for the same chunks at once. */
 import { test } from 'tap'
 import { ExchangeReplay, type ExchangeOptions, type ExchangeResult } from './fakes/exchange-replay.js'
 
