Records: a slow link delays a read, and no longer prevents it; leavings travel ahead of their records

Cause: an entry gave up a read from another data centre 1.2 s after its wait and began again, on a new connection. Through a queue of 0.85 s or more each way no answer could ever arrive: neither stream made any progress. Planned stops made it worse: an entry that stops ended its reads outside the data centre at once, and each one that took its place began with a connection over the full link. The class: a fixed time limit that takes slow for lost, and repeats work that was nearly done. Change: - a read outside the data centre that is slow goes on; the next source is asked beside it, the first answer counts, and later ones are used as well; - an entry that stops goes on reading and tells its data centre at once what it has read; entries near the log that stop are asked beside the next ones; - an entry that reads a leaving in the log tells all others by datagram; - fetches after gossip back off when they fail: each entry of a data centre repeated them twice a second over the full link; - three entries near the log are tried before the log itself, and a source that refuses at once does not count as one that does not answer. The order of sources changed as above in two rows of record-sources.

--- a/src/core/fleet/record-sources.ts
+++ b/src/core/fleet/record-sources.ts
@@ -9,12 +9,12 @@
 /** Where an entry reads records: the log itself, or another entry. */
 export type PreferredSource =
   | { readonly kind: 'log' }
-  | { readonly kind: 'entry', readonly instance: string, readonly ip: string, readonly isSameDataCentre: boolean }
+  | { readonly kind: 'entry', readonly instance: string, readonly ip: string, readonly isSameDataCentre: boolean, readonly isReady: boolean }
 
 /** Round trip to the log by which another data centre must be nearer for its entries to be preferred to the log, milliseconds. */
 const nearerMilliseconds = 1
 /** Entries near the log that the first entry of another data centre tries before the log itself. */
-const relaysNearLog = 2
+const relaysNearLog = 3
 /** Entries of the own data centre that are tried after the log itself: they may still reach it. */
 const laterEntries = 8
 
@@ -81,13 +81,17 @@
   return readingMilliseconds !== undefined && (claimMilliseconds === undefined || readingMilliseconds >= claimMilliseconds)
 }
 
-/** Sources in the order in which `self` tries them; `others` are the other living entries. */
+/**
+ * Sources in the order in which `self` tries them; `others` are the other living entries. Entries that are not ready may be
+ * stopping and still have newer records than the one that takes their place.
+ */
 export function orderSources (self: Member, others: readonly Member[]): readonly PreferredSource[] {
   const ranked = rankReaders([self, ...others], self.dataCentre)
   const position = ranked.findIndex(({ instance }) => instance === self.instance)
   const before = position === -1 ? ranked : ranked.slice(0, position)
-  const after = position === -1 ? [] : ranked.slice(position + 1, position + 1 + laterEntries)
-  const toSource = (member: Member): PreferredSource => ({ kind: 'entry', instance: member.instance, ip: member.ip, isSameDataCentre: member.dataCentre === self.dataCentre })
+  const unready = others.filter(member => member.dataCentre === self.dataCentre && !ranked.includes(member))
+  const after = position === -1 ? [] : [...unready, ...ranked.slice(position + 1)].slice(0, laterEntries)
+  const toSource = (member: Member): PreferredSource => ({ kind: 'entry', instance: member.instance, ip: member.ip, isSameDataCentre: member.dataCentre === self.dataCentre, isReady: member.isReady })
   return [...before.map(toSource), ...relaysFor(self, others).map(toSource), { kind: 'log' }, ...after.map(toSource)]
 }
 
@@ -99,7 +103,7 @@
   return rankMembers(`records/${dataCentre}`, [...candidates.keys()]).flatMap(instance => candidates.get(instance) ?? [])
 }
 
-/** First entries of the data centre that is nearest to the log, unless that is the one of `self` or hardly nearer. */
+/** First entries of the data centre that is nearest to the log, after those that rank before them and are not ready; none if it is the one of `self` or hardly nearer. */
 function relaysFor (self: Member, others: readonly Member[]): readonly Member[] {
   const delays = new Map<string, number>()
   for (const { dataCentre, logDelayMilliseconds } of [self, ...others]) {
@@ -110,5 +114,31 @@
   const [dataCentre, delay] = nearest
   const ownDelay = delays.get(self.dataCentre) ?? Infinity
   if (dataCentre === self.dataCentre || ownDelay - delay < nearerMilliseconds) return []
-  return rankReaders(others, dataCentre).slice(0, relaysNearLog)
+  const ready = rankReaders(others, dataCentre).slice(0, relaysNearLog)
+  const last = ready.at(-1)
+  const local = new Map(others.filter(member => member.dataCentre === dataCentre).map(member => [member.instance, member]))
+  const ranked = rankMembers(`records/${dataCentre}`, [...local.keys()]).flatMap(instance => local.get(instance) ?? [])
+  const unready = ranked.slice(0, last === undefined ? 0 : ranked.indexOf(last)).filter(member => !ready.includes(member))
+  return [...unready.slice(0, relaysNearLog), ...ready]
+}
+
+/** Sources outside the own data centre, and the entries in it that come before and after the log. */
+export interface SplitSources { readonly before: readonly PreferredSource[], readonly outside: readonly PreferredSource[], readonly after: readonly PreferredSource[] }
+
+/** Splits sources by where they are; their order remains. */
+export function splitSources (sources: readonly PreferredSource[]): SplitSources {
+  const firstOutside = sources.findIndex(isOutside)
+  const inside = sources.filter(source => !isOutside(source))
+  const count = firstOutside === -1 ? inside.length : firstOutside
+  return { before: inside.slice(0, count), outside: sources.filter(isOutside), after: inside.slice(count) }
+}
+
+/** Whether a source is outside the own data centre. */
+export function isOutside (source: PreferredSource): boolean {
+  return source.kind === 'log' || !source.isSameDataCentre
+}
+
+/** Name of a source: `log`, or the instance of an entry. */
+export function nameOfSource (source: PreferredSource): string {
+  return source.kind === 'log' ? 'log' : source.instance
 }
--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -12,7 +12,7 @@
 /** Longest wait of one poll, milliseconds: a node that ends without a word is noticed that soon. */
 const pollMilliseconds = 500
 /** Time until an answer begins on top of the poll's wait, milliseconds: in the own data centre, and over a link that other traffic may fill. */
-const answerMilliseconds = { peer: 400, 'remote-peer': 1200 } as const
+const answerMilliseconds = { peer: 400, 'remote-peer': 5000 } as const
 
 /** Thrown when a node answers but cannot read the log, or has not for some time; see `FedRecords`. */
 export class StaleRecordsError extends Error {
--- /dev/null
+++ b/src/nodes/record-attempt.ts
@@ -0,0 +1,55 @@
+/** A read of records that is tried at several sources, and the calls that it makes outside the data centre. */
+import type { PreferredSource } from '../core/fleet/record-sources.js'
+import type { NewestRecords, RecordPage } from '../types/ports.js'
+
+/** What a call asks for. */
+export type ReadKind = 'newest' | 'records'
+
+/** One call of a source outside the data centre; it may outlast the attempt that began it. */
+export class PendingCall {
+  /** Resolves when the call has ended, with or without a result. */
+  end: Promise<void> = Promise.resolve()
+  isEnded = false
+  /** Undefined unless the call succeeded. */
+  result: NewestRecords | RecordPage | undefined
+  /** Whether an attempt has taken the result. */
+  isAdopted = false
+
+  /** `from`: first offset that it asks for, -1 for all keys; `slowAt`: when it counts as slow, milliseconds of the monotonic clock. */
+  constructor (readonly kind: ReadKind, readonly from: number, readonly slowAt: number) {}
+}
+
+/** One read, tried at one source after another. */
+export class Attempt<Result extends NewestRecords | RecordPage = NewestRecords | RecordPage> {
+  /** Error of the log if it was tried, otherwise of the first source. */
+  failure: unknown
+  /** Entries that did not answer. */
+  unanswered = 0
+  /** Whether it has ended, with or without a result. */
+  isEnded = false
+  private resolveAnswered: () => void = () => {}
+  /** Resolves when there is a result. */
+  readonly answered = new Promise<void>(resolve => { this.resolveAnswered = resolve })
+  private found: Result | undefined
+
+  /** `from`: first offset that it asks for, -1 for all keys. */
+  constructor (readonly kind: ReadKind, readonly from: number, readonly call: (source: PreferredSource) => Promise<Result>) {}
+
+  get result (): Result | undefined {
+    return this.found
+  }
+
+  set result (result: Result | undefined) {
+    this.found ??= result
+    if (result !== undefined) this.resolveAnswered()
+  }
+
+  /** Takes the result of a call if it answers this read, which may ask for fewer records than the call did. */
+  adopt (call: PendingCall): void {
+    if (this.isEnded || this.found !== undefined || call.isAdopted || call.result === undefined || call.kind !== this.kind || call.from > this.from) return
+    if (call.from !== this.from && 'kind' in call.result && call.result.kind === 'expired') return
+    call.isAdopted = true
+    // Calls of one kind have results of one type.
+    this.result = call.result as Result
+  }
+}
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,12 +1,13 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
-import { isEarlierRead, outsideReadDelay, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { isEarlierRead, isOutside, nameOfSource as nameOf, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
 import { HttpCallError } from '../transports/http-call.js'
-import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../types/ports.js'
+import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
 import { logFor } from '../utils/log.js'
 import { FedRecordLog, StaleRecordsError } from './fed-record-log.js'
 import type { ReadMetrics } from './read-metrics.js'
+import { Attempt, PendingCall } from './record-attempt.js'
 import type { FedStream } from './record-feed.js'
 
 const log = logFor('records')
@@ -15,6 +16,10 @@
 const avoidedMilliseconds = { log: 500, entry: 1000, maximum: 8000 } as const
 /** Entries without an answer after which a call turns to the log: each one takes up to a second. */
 const maximumUnanswered = 2
+/** Time within which a failure costs too little to count as no answer, milliseconds. */
+const quickFailureMilliseconds = 300
+/** Time after which another source is asked beside an entry of another data centre, milliseconds: a read that waits for a record is answered after half a second. */
+const slowReadMilliseconds = 1700
 /** Time after which the other entries are asked again while they are left the link, milliseconds. */
 const askAgainMilliseconds = 100
 /** Age from which this node's own records no longer count as current, milliseconds. */
@@ -33,6 +38,8 @@
   readonly metrics: ReadMetrics
   /** Sources in the order of preference. */
   sources (): readonly PreferredSource[]
+  /** Receives what was read from the offset `from` on, -1 for everything, by a call that another source had answered before. */
+  readLate (read: ReadRecords, from: number): void
 }
 
 /** The log's records by way of the preferred source; calls throw the log's error if it was tried, otherwise that of the first source. */
@@ -49,6 +56,8 @@
   /** Time at which the log last confirmed what was read, milliseconds of the monotonic clock; undefined before the first answer. */
   private confirmedAt: number | undefined
   private outsideSince: number | undefined
+  /** Calls outside the data centre that have not ended, by name of the source. */
+  private readonly pending = new Map<string, PendingCall>()
   private isStopped = false
 
   constructor (private readonly options: SelectionOptions) {
@@ -66,14 +75,14 @@
   }
 
   async newest (stream: StreamName): Promise<NewestRecords> {
-    return await this.tryInOrder(source => this.reach(source).newest(stream))
+    return await this.tryInOrder(new Attempt('newest', -1, source => this.reach(source).newest(stream)))
   }
 
   async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
-    return await this.tryInOrder(source => {
+    return await this.tryInOrder(new Attempt('records', from, source => {
       const until = source.kind === 'log' ? Math.min(waitUntil, monotonicNow() + this.options.logWaitMilliseconds) : waitUntil
       return this.reach(source).read(stream, from, until, limit)
-    })
+    }))
   }
 
   async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
@@ -87,8 +96,15 @@
     this.options.log.close()
   }
 
-  private async tryInOrder<Result extends NewestRecords | RecordPage> (call: (source: PreferredSource) => Promise<Result>): Promise<Result> {
-    const attempt = new Attempt(call)
+  private async tryInOrder<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>): Promise<Result> {
+    try {
+      return await this.trySources(attempt)
+    } finally {
+      attempt.isEnded = true
+    }
+  }
+
+  private async trySources<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>): Promise<Result> {
     const startedAt = monotonicNow()
     for (;;) {
       const { before, outside, after } = splitSources(this.choose())
@@ -144,7 +160,7 @@
     this.outsideSince ??= monotonicNow()
     try {
       for (const source of outside) {
-        await this.tryOne(attempt, source)
+        await this.tryBeside(attempt, source)
         if (attempt.result !== undefined) return
       }
     } finally {
@@ -152,21 +168,66 @@
     }
   }
 
+  /**
+   * Asks a source outside the data centre, and returns without its answer once an entry counts as slow. The call goes on: over a
+   * full link no answer would ever arrive if each call were given up and begun again. Whichever source answers first ends the attempt.
+   */
+  private async tryBeside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): Promise<void> {
+    if (this.isStopped || (source.kind === 'entry' && attempt.unanswered >= maximumUnanswered)) return
+    const call = this.pending.get(nameOf(source)) ?? this.startBeside(attempt, source)
+    const ended = call.end.then(() => { attempt.adopt(call) })
+    // One that stops may end before it answers: the next one is asked at the same time.
+    if (source.kind === 'entry' && !source.isReady) return
+    await Promise.race([ended, attempt.answered, ...source.kind === 'log' ? [] : [sleepUntil(call.slowAt)]])
+    if (call.isEnded || attempt.result !== undefined) return
+    attempt.unanswered += 1
+    this.avoid(source)
+    log.warn('an entry in another data centre is slow to deliver records; asking the next source beside it', { stream: this.options.stream, source: nameOf(source), milliseconds: slowReadMilliseconds })
+  }
+
+  private startBeside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): PendingCall {
+    const name = nameOf(source)
+    const startedAt = monotonicNow()
+    const call = new PendingCall(attempt.kind, attempt.from, startedAt + slowReadMilliseconds)
+    this.pending.set(name, call)
+    call.end = attempt.call(source).then(result => {
+      call.result = result
+      this.recordSuccess(source, result)
+    }, (error: unknown) => { this.recordAttemptFailure(attempt, source, error, startedAt) }).then(() => {
+      call.isEnded = true
+      this.pending.delete(name)
+      setImmediate(() => { this.deliverUnused(call) })
+    })
+    return call
+  }
+
+  /** Hands on what no attempt has taken when its call ended. */
+  private deliverUnused ({ result, from, isAdopted }: PendingCall): void {
+    if (this.isStopped || isAdopted || result === undefined) return
+    if (!('kind' in result) || result.kind === 'records') this.options.readLate(result, from)
+  }
+
   /** Calls one source, unless it is an entry and too many of them did not answer; returns the error of a call that failed. */
   private async tryOne<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): Promise<unknown> {
     if (this.isStopped || (source.kind === 'entry' && attempt.unanswered >= maximumUnanswered)) return
+    const startedAt = monotonicNow()
     try {
       attempt.result = await attempt.call(source)
       this.recordSuccess(source, attempt.result)
     } catch (error) {
-      if (attempt.failure === undefined || source.kind === 'log') attempt.failure = error
-      const isStarting = this.confirmedAt === undefined && isRefused(error)
-      this.recordFailure(source, error, isStarting)
-      if (!(error instanceof StaleRecordsError) && !isStarting) attempt.unanswered += 1
+      this.recordAttemptFailure(attempt, source, error, startedAt)
       return error
     }
   }
 
+  private recordAttemptFailure (attempt: Pick<Attempt, 'failure' | 'unanswered'>, source: PreferredSource, error: unknown, startedAt: number): void {
+    if (attempt.failure === undefined || source.kind === 'log') attempt.failure = error
+    const isStarting = this.confirmedAt === undefined && isRefused(error)
+    this.recordFailure(source, error, isStarting)
+    const isQuick = monotonicNow() - startedAt < quickFailureMilliseconds
+    if (!(error instanceof StaleRecordsError) && !isStarting && !isQuick) attempt.unanswered += 1
+  }
+
   private outsideReadDelay (asked: AskedEntries, startedAt: number): number {
     const now = monotonicNow()
     const isReadingForOthers = this.isCurrentOutside && this.confirmedAt !== undefined && now - this.confirmedAt <= maximumAgeMilliseconds
@@ -192,20 +253,25 @@
 
   private recordFailure (source: PreferredSource, error: unknown, isStarting: boolean): void {
     const name = nameOf(source)
-    if (!(error instanceof StaleRecordsError) && !isStarting) {
-      const failures = (this.failures.get(name) ?? 0) + 1
-      this.failures.set(name, failures)
-      const milliseconds = source.kind === 'log' ? avoidedMilliseconds.log : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.entry * 2 ** (failures - 1))
-      this.avoidedUntil.set(name, monotonicNow() + milliseconds)
-    }
+    if (!(error instanceof StaleRecordsError) && !isStarting) this.avoid(source)
     if (source.kind === 'log') return
     this.options.metrics.countFailure(source.isSameDataCentre ? 'peer' : 'remote-peer', error)
     if (this.current === name) log.warn('an entry does not deliver records; trying the next source', { stream: this.options.stream, source: name, reason: String(error) })
   }
 
+  /** Leaves a source out for some time, longer after each consecutive failure of an entry. */
+  private avoid (source: PreferredSource): void {
+    const name = nameOf(source)
+    const failures = (this.failures.get(name) ?? 0) + 1
+    this.failures.set(name, failures)
+    const milliseconds = source.kind === 'log' ? avoidedMilliseconds.log : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.entry * 2 ** (failures - 1))
+    this.avoidedUntil.set(name, monotonicNow() + milliseconds)
+  }
+
   private recordSuccess (source: PreferredSource, result: NewestRecords | RecordPage): void {
     const name = nameOf(source)
     this.failures.delete(name)
+    this.avoidedUntil.delete(name)
     this.isCurrentOutside = isOutside(source)
     const { ageMilliseconds = 0 } = 'kind' in result && result.kind === 'expired' ? { ageMilliseconds: Infinity } : result as NewestRecords
     this.confirmedAt = Math.max(this.confirmedAt ?? -Infinity, monotonicNow() - ageMilliseconds)
@@ -215,36 +281,7 @@
   }
 }
 
-/** One call, tried at one source after another. */
-class Attempt<Result> {
-  result: Result | undefined
-  /** Error of the log if it was tried, otherwise of the first source. */
-  failure: unknown
-  /** Entries that did not answer. */
-  unanswered = 0
-
-  constructor (readonly call: (source: PreferredSource) => Promise<Result>) {}
-}
-
-interface SplitSources { readonly before: readonly PreferredSource[], readonly outside: readonly PreferredSource[], readonly after: readonly PreferredSource[] }
-
-/** Sources outside the own data centre, and the entries in it that come before and after the log. */
-function splitSources (sources: readonly PreferredSource[]): SplitSources {
-  const firstOutside = sources.findIndex(isOutside)
-  const inside = sources.filter(source => !isOutside(source))
-  const count = firstOutside === -1 ? inside.length : firstOutside
-  return { before: inside.slice(0, count), outside: sources.filter(isOutside), after: inside.slice(count) }
-}
-
 /** Whether nothing listened at the address, as while a process starts. */
 function isRefused (error: unknown): boolean {
   return error instanceof HttpCallError && error.cause instanceof Error && 'code' in error.cause && error.cause.code === 'ECONNREFUSED'
 }
-
-function isOutside (source: PreferredSource): boolean {
-  return source.kind === 'log' || !source.isSameDataCentre
-}
-
-function nameOf (source: PreferredSource): string {
-  return source.kind === 'log' ? 'log' : source.instance
-}
--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -72,6 +72,11 @@
     for (const selected of this.selected.values()) selected.close()
   }
 
+  /** Whether this entry reads a stream from the log itself, rather than from another entry. */
+  readsLog (stream: FedStream): boolean {
+    return this.selected.get(stream)?.source === 'log'
+  }
+
   /** Answers another entry's request for records. */
   serve (target: string, response: ServerResponse): void {
     runInBackground(this.feed.serve(target, response), log, 'serve records')
@@ -79,9 +84,19 @@
 
   private follow (stream: FedStream, listener: RecordListener): RecordFollower {
     const { log: records, settings, metrics } = this.context
-    const selected = new SelectedRecordLog({ instance: settings.instance, stream, log: records, internalPort: settings.internalPort, logWaitMilliseconds, metrics: new ReadMetrics(metrics, stream), sources: () => this.sources() })
+    const selected = new SelectedRecordLog({
+      instance: settings.instance,
+      stream,
+      log: records,
+      internalPort: settings.internalPort,
+      logWaitMilliseconds,
+      metrics: new ReadMetrics(metrics, stream),
+      sources: () => this.sources(),
+      readLate: (read, from) => { follower.receiveRecords(read, from) }
+    })
     this.selected.set(stream, selected)
-    return new RecordFollower(selected, stream, { pause: pauseMilliseconds[stream], wait: readWaitMilliseconds }, listener, metrics)
+    const follower = new RecordFollower(selected, stream, { pause: pauseMilliseconds[stream], wait: readWaitMilliseconds }, listener, metrics)
+    return follower
   }
 
   private sources (): readonly PreferredSource[] {
@@ -90,7 +105,9 @@
     const others = members.living(now).filter(({ instance }) => instance !== members.self.instance)
     const known = new Set(others.map(({ instance }) => instance))
     const announced = now < this.announcedUntil ? this.announced.filter(({ instance }) => !known.has(instance)) : []
-    return orderSources(members.self, [...others, ...announced])
+    // An entry that stops goes on reading for those that have not yet turned to another one.
+    const hasRecords = this.operators.state.next >= 0 && this.instances.state.next >= 0
+    return orderSources({ ...members.self, isReady: hasRecords }, [...others, ...announced])
   }
 
   /** Reads which entries there are and writes this entry's record, so that later ones find it without a seed; then measures the way to the log. */
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -123,7 +123,8 @@
       upstreamGone: upstream => {
         if (upstream.isDraining) this.unprovedRuns.recordLeft(incarnationOf(upstream))
         else this.unprovedRuns.recordEnded(incarnationOf(upstream), monotonicNow())
-      }
+      },
+      upstreamLeaves: () => { if (this.records.readsLog('instances')) this.gossip.announceLeaving() }
     }, name => this.state.service(name))
     this.records = new FleetRecords({
       log: ports.records,
@@ -201,6 +202,7 @@
     this.gossip.announceToAll()
     const cachedUntil = monotonicNow() + this.settings.directoryCacheSeconds * 1000 * directoryCacheFactor
     while (monotonicNow() < stopBy && (this.active > 0 || monotonicNow() < cachedUntil || monotonicNow() - this.lastRequestAt < 1000)) {
+      this.gossip.announceRead()
       await sleepUntil(monotonicNow() + 50)
     }
     this.close()
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -20,11 +20,14 @@
 
 const log = logFor('members')
 
-/** Shortest time between two fetches of a stream from other entries, milliseconds. */
-const fetchIntervalMilliseconds = 500
+/** Shortest time between two fetches of a stream from other entries, milliseconds; doubled for each consecutive failure up to the maximum, since the link to them may be full. */
+const fetchIntervalMilliseconds = { first: 500, maximum: 8000 } as const
 /** Time without a confirmation by the own sources after which records are fetched from another data centre, milliseconds. */
 const remoteFetchMilliseconds = 1500
 
+/** Time for which leaving upstreams are collected before all members are told, milliseconds. */
+const leavingDelayMilliseconds = 20
+
 /** What gossip reads and updates. */
 export interface GossipContext {
   readonly members: Membership
@@ -50,6 +53,11 @@
   private readonly fetching = new Set<FedStream>()
   /** When a stream may be fetched again, milliseconds of the monotonic clock. */
   private readonly nextFetchAt = new Map<FedStream, number>()
+  /** Consecutive fetches that failed. */
+  private readonly fetchFailures = new Map<FedStream, number>()
+  private leavingTimer: NodeJS.Timeout | undefined
+  /** What `announceRead` sent last. */
+  private lastAnnouncedRead = ''
   private readonly crashes: CrashGossip
   private readonly timer: NodeJS.Timeout
 
@@ -71,6 +79,24 @@
     for (const member of this.context.members.reachable()) this.context.datagrams().send(message, member.ip)
   }
 
+  /** Tells all members at once which upstreams leave, as for one that has just been read from the log: records may take longer to reach them. */
+  announceLeaving (): void {
+    this.leavingTimer ??= setTimeout(() => {
+      this.leavingTimer = undefined
+      this.announceToAll()
+    }, leavingDelayMilliseconds)
+  }
+
+  /** Tells the entries of this data centre at once what this one has read since the last call, as while it stops: they have turned to another one, which may not read yet. */
+  announceRead (): void {
+    const { members, operators, instances, datagrams } = this.context
+    const read = `${operators.state.next}/${instances.state.next}`
+    if (read === this.lastAnnouncedRead) return
+    this.lastAnnouncedRead = read
+    const message = this.message()
+    for (const member of members.reachable()) if (member.dataCentre === members.self.dataCentre) datagrams().send(message, member.ip)
+  }
+
   /** Tells agents of new named weights and of new facts at once. */
   announceStateToAgents (): void {
     this.subscriptions.announceChanges()
@@ -78,6 +104,7 @@
 
   stop (): void {
     clearInterval(this.timer)
+    clearTimeout(this.leavingTimer)
     this.subscriptions.stop()
     this.crashes.stop()
   }
@@ -147,11 +174,14 @@
   private fetchIfLagging (stream: FedStream, next: number, sender: Member, now: number): void {
     const { members } = this.context
     const follower = this.context[stream]
-    if (!isLagging(follower.state, next, now) || members.self.instance === sender.instance || this.fetching.has(stream)) return
     const isNear = sender.dataCentre === members.self.dataCentre
+    // One that stops announces what the entry that takes its place may not have read yet.
+    const isHandedOver = isNear && !sender.isReady && next > follower.state.next
+    if ((!isHandedOver && !isLagging(follower.state, next, now)) || members.self.instance === sender.instance || this.fetching.has(stream)) return
     if (!isNear && now - follower.state.confirmedAt < remoteFetchMilliseconds && follower.state.next >= 0) return
     if (now < (this.nextFetchAt.get(stream) ?? 0)) return
-    this.nextFetchAt.set(stream, now + fetchIntervalMilliseconds)
+    const { first, maximum } = fetchIntervalMilliseconds
+    this.nextFetchAt.set(stream, now + Math.min(maximum, first * 2 ** (this.fetchFailures.get(stream) ?? 0)))
     runInBackground(this.fetchRecords(stream, sender), log, 'fetch records from another entry')
   }
 
@@ -173,9 +203,11 @@
         if (error instanceof UnknownRemovalsError) return fetchFrom(-1)
         throw error
       })
+      this.fetchFailures.delete(stream)
       follower.receiveRecords(read, from)
       log.info('records fetched from another entry', { instance: member.instance, stream, records: read.records.length, from, next: read.next, bytes: read.cost.bytes })
     } catch (error) {
+      this.fetchFailures.set(stream, (this.fetchFailures.get(stream) ?? 0) + 1)
       follower.countPeerFailure(error)
       throw error
     } finally {
--- a/src/roles/gateway/upstream-availability.ts
+++ b/src/roles/gateway/upstream-availability.ts
@@ -62,6 +62,15 @@
     else this.statements.set(upstream.id, { startedAt: upstream.startedAt, rest, isLeaving })
   }
 
+  /** Applies whether the record of an upstream says that it leaves, so that gossip tells entries that have not read it; returns whether that is new. */
+  observeRecord (upstream: Upstream, wasDraining: boolean): boolean {
+    const known = this.statementOf(upstream)
+    const isNew = upstream.isDraining && known?.isLeaving !== true
+    if (isNew) this.statements.set(upstream.id, { startedAt: upstream.startedAt, rest: known?.rest, isLeaving: true })
+    else if (!upstream.isDraining && wasDraining && known !== undefined) this.statements.set(upstream.id, { ...known, isLeaving: false })
+    return isNew
+  }
+
   /** Records that a request is sent. */
   recordSent (upstream: Upstream): void {
     const known = this.statementOf(upstream)
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -54,6 +54,8 @@
   isEvacuated (dataCentre: string): boolean
   /** Called when an incarnation of an upstream is gone: its record was removed, or it has started again. */
   upstreamGone (upstream: Upstream): void
+  /** Called when a record says that an upstream leaves of which that was not known. */
+  upstreamLeaves (): void
 }
 
 /** Why no upstream was selected: no listed one may serve the request, none of these serves its weights, all of them rest, all are at capacity, or all have named limits, which are used up. */
@@ -78,6 +80,7 @@
     const known = this.views.get(upstream.id)
     const now = monotonicNow()
     const isSame = known !== undefined && known.upstream.startedAt === upstream.startedAt && known.upstream.address === upstream.address
+    if (this.availability.observeRecord(upstream, isSame && known.upstream.isDraining)) this.context.upstreamLeaves()
     const coldUntil = upstream.coldMilliseconds > 0 ? now + upstream.coldMilliseconds : isSame ? known.coldUntil : 0
     if (!isSame || known.upstream.isDraining !== upstream.isDraining) {
       log.info('upstream listed, restarted or changed between ready and draining', { upstream: upstream.id, service: upstream.service, dataCentre: upstream.dataCentre, state: upstream.isDraining ? 'draining' : 'ready', startedAt: upstream.startedAt, version: upstream.weights?.version ?? 0, coldMilliseconds: upstream.coldMilliseconds, isFirst })
--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -30,11 +30,19 @@
 /** Starts a node at its place. */
 export type StartAt = (place: Place, start: () => Promise<RunningNode>) => Promise<RunningNode>
 
+/** Options of a group. */
+export interface GroupOptions {
+  /** May place the entries in a network. */
+  readonly startAt?: StartAt
+  /** Time for a planned stop, milliseconds; an entry serves on for 0.7 s less, unless callers and their cached addresses are gone before. */
+  readonly stopGraceMilliseconds?: number
+}
+
 /**
  * Starts `count` entries in each data centre, each of which is a region of its own; they know `earlier` entries, and their names
- * follow on theirs. `ips` are kept for a later start of the same entries. `startAt` may place them in a network.
+ * follow on theirs. `ips` are kept for a later start of the same entries.
  */
-export async function startEntries (log: LogReaders, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = [], ips = new Map<string, string>(), startAt: StartAt = (_place, start) => start()): Promise<readonly GroupedEntry[]> {
+export async function startEntries (log: LogReaders, dataCentres: readonly string[], count: number, earlier: readonly GroupedEntry[] = [], ips = new Map<string, string>(), { startAt = (_place, start) => start(), stopGraceMilliseconds = 1000 }: GroupOptions = {}): Promise<readonly GroupedEntry[]> {
   const planned = dataCentres.flatMap(dataCentre => Array.from({ length: count }, (_, index) => {
     const instance = `${dataCentre}-${earlier.length + index}`
     return { dataCentre, instance, ip: ips.get(instance) ?? freshIp() }
@@ -60,7 +68,7 @@
       configurationApplyMilliseconds: 3000,
       drainMilliseconds: 3000,
       rolloutMilliseconds: 10_000,
-      stopGraceMilliseconds: 1000,
+      stopGraceMilliseconds,
       retryRatio: 0.2,
       retryWindowMilliseconds: 10_000,
       retrySlack: 100,
--- a/test/fakes/regional-fleet.ts
+++ b/test/fakes/regional-fleet.ts
@@ -12,7 +12,7 @@
 import { EnginePort, type OrderResult } from '../../src/types/ports.js'
 import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
 import { rankMembers } from '../../src/utils/rendezvous.js'
-import { freshIp, internalPort, metricOf, startEntries, type GroupedEntry } from './entry-group.js'
+import { freshIp, internalPort, metricOf, startEntries, type GroupedEntry, type StartAt } from './entry-group.js'
 import { PlatformStoreStandIn } from './platform-store.js'
 import { SharedNetwork } from './shared-network.js'
 import { settings as agentSettings } from './weights-node.js'
@@ -34,6 +34,8 @@
 export interface FleetSize {
   readonly entries: number
   readonly agents: number
+  /** See `GroupOptions`. */
+  readonly stopGraceMilliseconds?: number
 }
 
 const chunkOf = (version: number, position: number): Buffer => {
@@ -175,12 +177,13 @@
     this.network.close()
   }
 
-  private async startNodes ({ entries, agents }: FleetSize): Promise<void> {
+  private async startNodes ({ entries, agents, stopGraceMilliseconds }: FleetSize): Promise<void> {
     const log = { readerIn: () => new PlatformStore(this.store.address) }
-    this.entries = await startEntries(log, dataCentres, entries, [], new Map(), (place, start) => {
+    const startAt: StartAt = (place, start) => {
       this.network.place(place.ip, place.dataCentre)
       return this.network.run(place, start)
-    })
+    }
+    this.entries = await startEntries(log, dataCentres, entries, [], new Map(), { startAt, ...stopGraceMilliseconds === undefined ? {} : { stopGraceMilliseconds } })
     const seeds = this.entries.slice(0, 3).map(({ internal }) => internal.split(':')[0] ?? '')
     this.agents = await Promise.all(dataCentres.flatMap(dataCentre => Array.from({ length: agents }, () => this.startAgent(dataCentre, seeds))))
     const isKnown = async (entry: GroupedEntry): Promise<boolean> => await metricOf(entry, 'pollendyke_living_entries') === this.entries.length && await metricOf(entry, 'pollendyke_configuration_version') === 1
--- a/test/late-records-full-link.test.ts
+++ b/test/late-records-full-link.test.ts
@@ -17,20 +17,27 @@
   readonly transfers: number
   /** Number of entries of each data centre that stop, first ones first. */
   readonly stops: number
+  /** Time for a stop, see `GroupOptions`; entries of a planned stop serve others until callers no longer cache their addresses. */
+  readonly stopGraceMilliseconds: number
   /** From the configuration until it must be in force, and from the leaving until it must be known, milliseconds. */
   readonly goals: { readonly configuration: number, readonly leaving: number }
 }
 
+const plannedMilliseconds = 8000
+const atOnceMilliseconds = 1000
+
 const cases: readonly Case[] = [
-  { name: 'a queue of 0.3 s', transfers: 24, stops: 0, goals: { configuration: 1500, leaving: 1000 } },
-  { name: 'a queue of 0.3 s, half of the entries stop', transfers: 24, stops: 4, goals: { configuration: 1500, leaving: 1000 } },
-  { name: 'a queue of 1 s', transfers: 82, stops: 0, goals: { configuration: 3000, leaving: 3000 } },
-  { name: 'a queue of 1 s, half of the entries stop', transfers: 82, stops: 4, goals: { configuration: 3000, leaving: 3000 } }
+  { name: 'a queue of 0.3 s', transfers: 24, stops: 0, stopGraceMilliseconds: plannedMilliseconds, goals: { configuration: 1500, leaving: 1000 } },
+  { name: 'a queue of 0.3 s, planned stops of half of the entries', transfers: 24, stops: 4, stopGraceMilliseconds: plannedMilliseconds, goals: { configuration: 1500, leaving: 1000 } },
+  { name: 'a queue of 0.3 s, half of the entries stop', transfers: 24, stops: 4, stopGraceMilliseconds: atOnceMilliseconds, goals: { configuration: 1500, leaving: 1000 } },
+  { name: 'a queue of 1 s', transfers: 82, stops: 0, stopGraceMilliseconds: plannedMilliseconds, goals: { configuration: 3000, leaving: 3000 } },
+  { name: 'a queue of 1 s, planned stops of half of the entries', transfers: 82, stops: 4, stopGraceMilliseconds: plannedMilliseconds, goals: { configuration: 3000, leaving: 3000 } },
+  { name: 'a queue of 1 s, half of the entries stop', transfers: 82, stops: 4, stopGraceMilliseconds: atOnceMilliseconds, goals: { configuration: 3000, leaving: 3000 } }
 ]
 
-for (const { name, transfers, stops, goals } of cases) {
+for (const { name, transfers, stops, stopGraceMilliseconds, goals } of cases) {
   test(`late records, full link: ${name}`, async t => {
-    const fleet = await RegionalFleet.start({ entries: entriesPerDataCentre, agents: 0 })
+    const fleet = await RegionalFleet.start({ entries: entriesPerDataCentre, agents: 0, stopGraceMilliseconds })
     const reached = { configuration: new Map<string, number>(), leaving: new Map<string, number>() }
     writeLogs('info', line => { recordReached(reached, fleet, line) })
     for (const from of dataCentres) for (const to of dataCentres) if (from !== to) fleet.network.fill(from, to, transfers, chunkBytes)
@@ -73,5 +80,6 @@
   const instance = entries.find(({ internal }) => internal.startsWith(`${place?.ip ?? ''}:`))?.instance
   if (instance === undefined) return
   if (message.endsWith('new configuration in force') && context['version'] === version) configuration.set(instance, monotonicNow())
-  if (message.includes('upstream listed, restarted or changed') && context['upstream'] === 'plain-0') leaving.set(instance, monotonicNow())
+  const isLeaving = message.includes('upstream listed, restarted or changed') ? context['state'] === 'draining' : message.includes('another entry knows that an upstream leaves')
+  if (isLeaving && context['upstream'] === 'plain-0' && !leaving.has(instance)) leaving.set(instance, monotonicNow())
 }
--- a/test/record-reader-delay.test.ts
+++ b/test/record-reader-delay.test.ts
@@ -49,7 +49,7 @@
     await new Promise(resolve => { worker.once('message', resolve) })
     const log = new SharedLog('home')
     log.append('operators', 'config', Buffer.from('first'))
-    const sources: readonly PreferredSource[] = [{ kind: 'entry', instance: 'source', ip, isSameDataCentre: true }, { kind: 'log' }]
+    const sources: readonly PreferredSource[] = [{ kind: 'entry', instance: 'source', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
     const selected = new SelectedRecordLog({
       stream: 'operators',
       instance: 'self',
@@ -57,6 +57,7 @@
       internalPort,
       logWaitMilliseconds: 500,
       metrics: new ReadMetrics(new Metrics(), 'operators'),
+      readLate: () => {},
       sources: () => sources
     })
     const startedAt = monotonicNow()
--- a/test/record-source-faults.test.ts
+++ b/test/record-source-faults.test.ts
@@ -56,7 +56,7 @@
   test(`record source faults: ${name}`, async t => {
     const log = new SharedLog('home')
     log.append('operators', 'config', Buffer.from('first'))
-    const entries = await Promise.all(sources.map(async (serve, index): Promise<PreferredSource> => ({ kind: 'entry', instance: String(index), ip: await listen(t, serve), isSameDataCentre: true })))
+    const entries = await Promise.all(sources.map(async (serve, index): Promise<PreferredSource> => ({ kind: 'entry', instance: String(index), ip: await listen(t, serve), isSameDataCentre: true, isReady: true })))
     const selected = new SelectedRecordLog({
       stream: 'operators',
       instance: 'self',
@@ -64,6 +64,7 @@
       internalPort,
       logWaitMilliseconds: 500,
       metrics: new ReadMetrics(new Metrics(), 'operators'),
+      readLate: () => {},
       sources: () => [...entries, { kind: 'log' }]
     })
     const startedAt = monotonicNow()
@@ -86,7 +87,8 @@
     internalPort,
     logWaitMilliseconds: 500,
     metrics: new ReadMetrics(new Metrics(), 'operators'),
-    sources: () => [{ kind: 'entry', instance: 'first', ip, isSameDataCentre: true }, { kind: 'log' }]
+    readLate: () => {},
+    sources: () => [{ kind: 'entry', instance: 'first', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
   })
   const read = selected.read('operators', 0, monotonicNow() + readWaitMilliseconds, 1024)
   setTimeout(() => { selected.close() }, 100)
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -32,10 +32,11 @@
   { name: 'the first one of a data centre reads the log', self: member(a0), others: [member(a1), member(a2)], expected: ['log', a1, a2] },
   { name: 'the others read from it, then from each other in order, then from the log', self: member(a2), others: [member(a0), member(a1)], expected: [a0, a1, 'log'] },
   { name: 'entries of other data centres are no sources while no way to the log is measured', self: member(a0), others: [member(b0), member(b1)], expected: ['log'] },
-  { name: 'the first one far from the log reads from those near it, then from the log', self: member(b0, far), others: [member(a0, near), member(a1, near), member(a2), member(b1)], expected: [a0, a1, 'log', b1] },
+  { name: 'the first one far from the log reads from those near it, then from the log', self: member(b0, far), others: [member(a0, near), member(a1, near), member(a2), member(b1)], expected: [a0, a1, a2, 'log', b1] },
+  { name: 'those near the log that stop are asked as well', self: member(b0, far), others: [member(a0, { ...near, isReady: false }), member(a1, near), member(a2)], expected: [a0, a1, a2, 'log'] },
   { name: 'the first one near the log reads the log', self: member(a0, near), others: [member(b0, far)], expected: ['log'] },
   { name: 'a difference within the accuracy of the measurement does not count', self: member(b0, { logDelayMilliseconds: 4.5 }), others: [member(a0, near)], expected: ['log'] },
-  { name: 'one that stops is no source', self: member(a1), others: [member(a0, { isReady: false })], expected: ['log'] },
+  { name: 'one that stops comes after the log', self: member(a1), others: [member(a0, { isReady: false })], expected: ['log', a0] },
   { name: 'one that starts reads from ready ones of any rank', self: member(a0, { isReady: false }), others: [member(a1), member(a2)], expected: [a1, a2, 'log'] },
   { name: 'while all start, the first one reads the log', self: member(a1, { isReady: false }), others: [member(a0, { isReady: false })], expected: [a0, 'log'] }
 ]
@@ -126,7 +127,8 @@
       internalPort: Number(port),
       logWaitMilliseconds: 500,
       metrics: new ReadMetrics(new Metrics(), 'operators'),
-      sources: () => [{ kind: 'entry', instance: 'reader', ip, isSameDataCentre: true }, { kind: 'log' }]
+      readLate: () => {},
+      sources: () => [{ kind: 'entry', instance: 'reader', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
     })
     const startedAt = monotonicNow()
     const page = await selected.read('operators', 0, monotonicNow() + 1000, 10)
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -27,7 +27,8 @@
     entries: () => ['entry-1'],
     knownEntries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre),
-    upstreamGone: () => {}
+    upstreamGone: () => {},
+    upstreamLeaves: () => {}
   }, () => service, () => 0)
   for (const one of upstreams) pool.putRecord(one, false)
   return pool
@@ -120,7 +121,8 @@
     },
     knownEntries: () => ['entry-1', 'entry-2'],
     isEvacuated: () => false,
-    upstreamGone: () => {}
+    upstreamGone: () => {},
+    upstreamLeaves: () => {}
   }, () => service, () => 0)
   for (let index = 0; index < 40; index += 1) pool.putRecord({ ...upstream, id: `i-${index}`, address: `10.0.0.${index}:8080`, coldMilliseconds: 3000 }, false)
   t.equal(typeof pool.choose(requirements), 'object')
