Entries do not deny a request by a configuration that they know to be old

Cause: an entry answered by what it had, although gossip told it that others had read further. Change: while another entry has read operators' records that this one lacks, 404 and 401 become 503 (old-configuration) with a time to retry; for ten seconds from the report on, so that a node with wrong offsets cannot keep requests from being refused. An entry that reads records in the log tells all others at once by datagram, so that they know after one way of the link.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -24,6 +24,7 @@
   closed: { status: 503, outcome: 'not-run', text: 'the instance does not serve these weights' },
   isolated: { status: 503, outcome: 'not-run', text: 'the configuration in force cannot be confirmed' },
   'no-configuration': { status: 503, outcome: 'not-run', text: 'no configuration is in force yet' },
+  'old-configuration': { status: 503, outcome: 'not-run', text: 'a newer configuration is known of but has not been read yet' },
   'log-unavailable': { status: 503, outcome: 'not-run', text: 'the log cannot take a claim now' },
   quarantined: { status: 422, outcome: 'not-run', text: 'the request has crashed upstreams and is quarantined' },
   'suspect-waits': { status: 503, outcome: 'not-run', text: 'the request may have crashed an upstream and must run alone' },
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -124,7 +124,7 @@
         if (upstream.isDraining) this.unprovedRuns.recordLeft(incarnationOf(upstream))
         else this.unprovedRuns.recordEnded(incarnationOf(upstream), monotonicNow())
       },
-      upstreamLeaves: () => { if (this.records.readsLog('instances')) this.gossip.announceLeaving() }
+      upstreamLeaves: () => { if (this.records.readsLog('instances')) this.gossip.announceNews() }
     }, name => this.state.service(name))
     this.records = new FleetRecords({
       log: ports.records,
@@ -132,7 +132,10 @@
       members: this.members,
       metrics: this.metrics,
       operators: {
-        record: (record, isFirst, read) => { this.state.put(record, isFirst, read) },
+        record: (record, isFirst, read) => {
+          this.state.put(record, isFirst, read)
+          if (read.source === 'log' && !isFirst) this.gossip.announceNews()
+        },
         confirmed: () => {}
       },
       instances: new InstanceRecords(ports.codec, this.pool, settings.heartbeatMilliseconds),
@@ -170,7 +173,8 @@
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
       random: Math.random,
       entryCount: () => this.members.knownEntries(monotonicNow()).length,
-      isStopping: () => this.isStopping
+      isStopping: () => this.isStopping,
+      lacksRecords: () => this.gossip.lacksOperatorsRecords
     })
     this.callers = createServer({ maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000 }, (incoming, response) => {
       this.serve(incoming, response)
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -1,6 +1,7 @@
 /** Gossip between entries, and the messages of agents. */
 import { Agent } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
+import { KnownLag } from '../../core/fleet/known-lag.js'
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
@@ -25,8 +26,8 @@
 /** Time without a confirmation by the own sources after which records are fetched from another data centre, milliseconds. */
 const remoteFetchMilliseconds = 1500
 
-/** Time for which leaving upstreams are collected before all members are told, milliseconds. */
-const leavingDelayMilliseconds = 20
+/** Time for which news are collected before all members are told, milliseconds. */
+const newsDelayMilliseconds = 20
 
 /** What gossip reads and updates. */
 export interface GossipContext {
@@ -55,7 +56,9 @@
   private readonly nextFetchAt = new Map<FedStream, number>()
   /** Consecutive fetches that failed. */
   private readonly fetchFailures = new Map<FedStream, number>()
-  private leavingTimer: NodeJS.Timeout | undefined
+  /** What other entries have read of the operators' records. */
+  private readonly operatorsRead = new KnownLag()
+  private newsTimer: NodeJS.Timeout | undefined
   /** What `announceRead` sent last. */
   private lastAnnouncedRead = ''
   private readonly crashes: CrashGossip
@@ -79,12 +82,18 @@
     for (const member of this.context.members.reachable()) this.context.datagrams().send(message, member.ip)
   }
 
-  /** Tells all members at once which upstreams leave, as for one that has just been read from the log: records may take longer to reach them. */
-  announceLeaving (): void {
-    this.leavingTimer ??= setTimeout(() => {
-      this.leavingTimer = undefined
-      this.announceToAll()
-    }, leavingDelayMilliseconds)
+  /** Tells all members at once what has been read from the log and which upstreams leave: the records may take longer to reach them. */
+  announceNews (): void {
+    this.newsTimer ??= setTimeout(() => {
+      this.newsTimer = undefined
+      const message = this.message([])
+      for (const member of this.context.members.reachable()) this.context.datagrams().send(message, member.ip)
+    }, newsDelayMilliseconds)
+  }
+
+  /** Whether other entries have read operators' records that this one lacks. */
+  get lacksOperatorsRecords (): boolean {
+    return this.operatorsRead.isBehind(this.context.operators.state.next, monotonicNow())
   }
 
   /** Tells the entries of this data centre at once what this one has read since the last call, as while it stops: they have turned to another one, which may not read yet. */
@@ -104,7 +113,7 @@
 
   stop (): void {
     clearInterval(this.timer)
-    clearTimeout(this.leavingTimer)
+    clearTimeout(this.newsTimer)
     this.subscriptions.stop()
     this.crashes.stop()
   }
@@ -138,14 +147,13 @@
     this.subscriptions.renew()
   }
 
-  private message (): Gossip {
+  private message (others = this.sampleOthers()): Gossip {
     const { members, state, pool, limits, operators, instances } = this.context
     const self = members.beat(this.context.isReady())
-    const others = members.living(monotonicNow()).filter(member => member.instance !== self.instance)
     return {
       kind: 'gossip',
       sender: self,
-      others: sample(others, membersPerMessage(others.length), Math.random),
+      others,
       operatorsNext: operators.state.next,
       instancesNext: instances.state.next,
       weights: state.weights,
@@ -154,6 +162,12 @@
     }
   }
 
+  private sampleOthers (): readonly Member[] {
+    const { members } = this.context
+    const others = members.living(monotonicNow()).filter(member => member.instance !== members.self.instance)
+    return sample(others, membersPerMessage(others.length), Math.random)
+  }
+
   private handleGossip (gossip: Gossip): void {
     const { state, limits, pool } = this.context
     const now = monotonicNow()
@@ -161,6 +175,7 @@
     state.mergeWeights(gossip.weights)
     limits.merge(gossip.limits, gossip.sender.instance)
     pool.availability.merge(gossip.leaving, id => pool.find(id), gossip.sender.instance)
+    this.operatorsRead.observe(gossip.operatorsNext, now)
     this.fetchIfLagging('operators', gossip.operatorsNext, gossip.sender, now)
     this.fetchIfLagging('instances', gossip.instancesNext, gossip.sender, now)
   }
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -33,6 +33,8 @@
   /** Number of entries among which sums over all of them are divided, see `Membership.knownEntries`. */
   entryCount (): number
   isStopping (): boolean
+  /** Whether other entries have read operators' records that this one lacks. */
+  lacksRecords (): boolean
 }
 
 /** A caller's request with its route, service and deadlines; times are milliseconds of the monotonic clock. */
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -42,7 +42,7 @@
     }
     const match = matchRoute(table, caller.host, caller.target, caller.key)
     if (match.kind !== 'match') {
-      this.refuse(answer, caller, match.kind, arrivedAt, undefined)
+      this.refuse(answer, caller, this.denialOf(match.kind), arrivedAt, undefined)
       return
     }
     const body = await readBody(incoming, table.configuration.limits.bodyBytes, arrivedAt + Math.min(caller.timeoutMilliseconds ?? Infinity, match.route.timeoutMilliseconds))
@@ -54,7 +54,7 @@
     // The configuration may have changed while the body arrived; the route of the earlier one may lead to a service that is gone.
     const routed = routeRequest(state.table ?? table, caller)
     if (routed.kind !== 'match') {
-      this.refuse(answer, caller, routed.kind, arrivedAt, undefined)
+      this.refuse(answer, caller, this.denialOf(routed.kind), arrivedAt, undefined)
       return
     }
     const request = this.createRoutedRequest(caller, incoming, routed, body.bytes, arrivedAt)
@@ -86,9 +86,14 @@
     }
   }
 
-  /** Refuses a request that was not dispatched; only a missing configuration tells the caller when to retry. */
+  /** What a request is refused with that the configuration does not allow: a newer one that is known of may allow it. */
+  private denialOf (tag: FailureTag): FailureTag {
+    return this.context.lacksRecords() ? 'old-configuration' : tag
+  }
+
+  /** Refuses a request that was not dispatched; only a missing or old configuration tells the caller when to retry. */
   private refuse (answer: CallerAnswer, caller: CallerRequest, tag: FailureTag, now: number, request: RoutedRequest | undefined): void {
-    answer.fail(createFailure(tag), tag === 'no-configuration' ? chooseRetryAt(now, now + (caller.timeoutMilliseconds ?? 1000), Infinity, this.context.random) - now : undefined)
+    answer.fail(createFailure(tag), tag === 'no-configuration' || tag === 'old-configuration' ? chooseRetryAt(now, now + (caller.timeoutMilliseconds ?? 1000), Infinity, this.context.random) - now : undefined)
     this.context.metrics.count('refusals_total', { reason: tag })
     log.info('request refused before dispatch', { id: caller.id, reason: tag, host: caller.host, target: caller.target, configuration: this.context.state.table?.configuration.version ?? 0, service: request?.service.name ?? '', traits: request?.traits.slice(0, maximumLoggedTraits).join(' ') ?? '' })
   }
