--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -1,5 +1,6 @@
 /** Records of the log as an entry follows them: the operators', the instance list, and the entries that announced themselves. */
 import type { ServerResponse } from 'node:http'
+import { isIPv4 } from 'node:net'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { orderSources, type PreferredSource } from '../../core/fleet/record-sources.js'
 import { RecordFeed, type FedStream } from '../../nodes/record-feed.js'
@@ -153,7 +154,7 @@
   if (value === undefined) return undefined
   try {
     const member = JSON.parse(value.toString()) as Partial<Member>
-    if (typeof member.ip !== 'string' || typeof member.instance !== 'string' || typeof member.dataCentre !== 'string') return undefined
+    if (typeof member.ip !== 'string' || !isIPv4(member.ip) || typeof member.instance !== 'string' || typeof member.dataCentre !== 'string') return undefined
     const { instance, ip, callers = '', dataCentre, region = '', incarnation = 0 } = member
     return { instance, ip, callers, dataCentre, region, incarnation, beat: 0, isReady: false, logDelayMilliseconds: typeof member.logDelayMilliseconds === 'number' ? member.logDelayMilliseconds : -1 }
   } catch {
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -1,5 +1,6 @@
 /** UDP messages between nodes. They are JSON arrays without field names, to be short, since many of them cross regions. */
 import { createSocket, type Socket } from 'node:dgram'
+import { isIPv4 } from 'node:net'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
 import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, Subscription } from '../types/node-messages.js'
@@ -106,6 +107,7 @@
 function decodeMember (fields: unknown): Member {
   checkTypes(fields, memberTypes)
   const [instance, ip, callers, dataCentre, region, incarnation, beat, isReady, logDelayMilliseconds] = fields as [string, string, string, string, string, number, number, boolean, number]
+  checkIp(ip)
   return { instance, ip, callers, dataCentre, region, incarnation, beat, isReady, logDelayMilliseconds }
 }
 
@@ -142,6 +144,7 @@
   return list.map(fields => {
     checkTypes(fields, ['string', 'string'])
     const [dataCentre, ip] = fields as [string, string]
+    checkIp(ip)
     return [dataCentre, ip]
   })
 }
@@ -154,6 +157,11 @@
   return { configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin: address === '' ? undefined : { address, bytesPerSecond }, isResumable }
 }
 
+/** Throws for a text that is no IPv4 address: sending to it would look up a name. */
+function checkIp (ip: string): void {
+  if (!isIPv4(ip)) throw new TypeError('not an IP')
+}
+
 /** Throws unless `fields` is an array that starts with fields of the given types. */
 function checkTypes (fields: unknown, types: readonly FieldType[]): void {
   if (!Array.isArray(fields)) throw new TypeError('not a list')
--- a/test/platform-records.test.ts
+++ b/test/platform-records.test.ts
@@ -24,6 +24,9 @@
   { name: 'an unknown state', value: { ...server, state: 'resting' }, expected: { reason: 'state is neither ready nor draining' } },
   { name: 'an address of another type', value: { ...server, address: 7 }, expected: { reason: 'service, address or zone is missing' } },
   { name: 'an address without a port', value: { ...server, address: 'nowhere' }, expected: { reason: 'address is not an IPv4 address and port' } },
+  ...['127.0.0.1:99999', '127.0.0.1:0', `127.0.0.1:${'9'.repeat(40)}`, '999.1.1.1:80', '1.2.3:80', '10.0.0.9:80:80', '10.0.0.9:+80'].map(address => (
+    { name: `the address ${address}, which cannot be connected to`, value: { ...server, address }, expected: { reason: 'address is not an IPv4 address and port' } })),
+  ...[-5, 0.3, 1e300].map(slots => ({ name: `${slots} slots`, value: { ...server, slots }, expected: { reason: 'slots is no number of requests' } })),
   { name: 'slots of another type', value: { ...server, slots: 'many' }, expected: { reason: 'slots, cold-left-ms or sequence is not a number' } },
   { name: 'models of another type', value: { ...server, 'model-list': 'weights-a' }, expected: { reason: 'model-list is not a list' } },
   { name: 'a list', value: [server], expected: { reason: 'not a JSON object' } }
