A resumed stream passes on nothing that does not continue it

Cause: whatever a blank line ends was an event. Change: an event of a resumed stream has a known field or a comment, its lines are fields, and its id is higher than that of the event before; otherwise the call counts as a wrong answer, and the stream may be resumed elsewhere. Evidence: four rows of gateway-call fail with the question always answered yes; five rows show what may still come.

--- a/src/core/event-splitter.ts
+++ b/src/core/event-splitter.ts
@@ -79,6 +79,22 @@
   }
 }
 
+/** A comment, or a field of the format. */
+const knownLine = /^(?::|(?:id|event|data|retry)(?::|$))/
+/** A field that upstreams may add. */
+const furtherField = /^[a-z][a-z-]*:/
+
+/**
+ * Whether an event can continue a stream after the event `lastId`: its lines are fields or comments, at least one of them is
+ * known, and its id is higher. The body of an upstream that fails may hold other text.
+ */
+export function continuesStream ({ bytes, id }: StreamEvent, lastId: string | undefined): boolean {
+  const lines = bytes.toString('utf8').split(/\r?\n/).filter(line => line !== '')
+  if (!lines.some(line => knownLine.test(line)) || !lines.every(line => knownLine.test(line) || furtherField.test(line))) return false
+  const [last, next] = [Number(lastId ?? NaN), Number(id ?? NaN)]
+  return Number.isNaN(last) || Number.isNaN(next) || next > last
+}
+
 function idOf (event: Buffer): string | undefined {
   for (const line of event.toString('utf8').split('\n')) {
     if (line.startsWith(idField.toString())) return line.slice(idField.length).trim()
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -106,7 +106,7 @@
       body: request.body,
       // On a new connection no late answer to another request can arrive.
       agent: isRepeatable(request.route) && !this.isForeignAnswered ? agents.persistent : agents.singleUse,
-      isResumed: lastEventId !== undefined,
+      resumedAfter: lastEventId,
       requestId: request.caller.id,
       connectBy: Math.min(request.deadline, now + connectTimeoutMilliseconds),
       isWithdrawn: () => context.pool.isWithdrawn(upstream.id),
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,11 +1,10 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
-import type { Socket } from 'node:net'
-import { EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
+import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
-import { isAnswerTo, isFramed, isPersistent } from './answer-framing.js'
+import { isAnswerTo, isFramed, isPersistent, watchForEnd } from './answer-framing.js'
 import { socketStateOf } from './upstream-connections.js'
 
 /** How a call ended. */
@@ -40,8 +39,8 @@
   readonly headers: Readonly<Record<string, string | readonly string[]>>
   readonly body: Buffer
   readonly agent: Agent
-  /** Whether it resumes a stream of which the caller already has events. */
-  readonly isResumed: boolean
+  /** Id of the last event that the caller has of a stream that the call resumes; undefined for one from the start. */
+  readonly resumedAfter: string | undefined
   /** Id that the answer must carry; the first one on a connection may carry none. */
   readonly requestId: string
   readonly connectBy: number
@@ -78,8 +77,6 @@
 const maximumAnswerBytes = 8 << 20
 /** Largest event of a stream, bytes. */
 const maximumEventBytes = 1 << 20
-/** Time after a complete error in which the loss of its connection is taken for the end of the upstream, milliseconds. */
-const connectionWatchMilliseconds = 300
 /** Largest number of interim answers (status 1xx); an upstream could send them until the deadline. */
 const maximumInterimAnswers = 100
 
@@ -91,6 +88,8 @@
   private hasPaused = false
   private interimAnswers = 0
   private hasSocket = false
+  /** Id of the last event of a resumed stream. */
+  private lastId: string | undefined
   private isConnected = false
   private hasStarted = false
   private timer: NodeJS.Timeout | undefined
@@ -176,16 +175,19 @@
       if (bytes > maximumAnswerBytes) this.abandon({ kind: 'lost', reason: 'too-large' })
     })
     this.whenComplete(answer, () => {
-      if (head.status >= 500 && isPersistent(answer, this.outgoing)) this.watchConnection(socket)
+      if (head.status >= 500 && isPersistent(answer, this.outgoing)) watchForEnd(socket, this.call.lostAfterError)
       this.finish({ kind: 'answer', head, headers: answer.headers, body: Buffer.concat(parts), isFramed: isFramed(answer) })
     })
   }
 
-  /** An upstream that ends by a request may do so right after a complete error. */
-  private watchConnection (socket: Socket): void {
-    const state = socketStateOf(socket)
-    const until = monotonicNow() + connectionWatchMilliseconds
-    socket.once('close', () => { if ((state.hasFailed || state.hasEnded) && monotonicNow() < until) this.call.lostAfterError() })
+  /** Whether events continue the stream that the call resumes, if it does. */
+  private areContinuing (events: readonly StreamEvent[]): boolean {
+    if (this.call.resumedAfter === undefined) return true
+    return events.every(event => {
+      const lastId = this.lastId ?? this.call.resumedAfter
+      this.lastId = event.id ?? lastId
+      return continuesStream(event, lastId)
+    })
   }
 
   private readStream (answer: IncomingMessage, sink: EventSink): void {
@@ -202,6 +204,10 @@
       }
       const events = splitter.push(part)
       if (events.length === 0) return
+      if (!this.areContinuing(events)) {
+        this.abandon({ kind: 'lost', reason: 'wrong-answer' })
+        return
+      }
       if (!hasBegun) {
         hasBegun = true
         this.reportStarted(true)
@@ -213,7 +219,7 @@
       this.watch(nextEventBy, () => { this.handleSilence() })
     })
     this.whenComplete(answer, () => {
-      if (splitter.bufferedBytes > 0 || (!hasBegun && !this.call.isResumed)) {
+      if (splitter.bufferedBytes > 0 || (!hasBegun && this.call.resumedAfter === undefined)) {
         this.finish({ kind: 'lost', reason: 'incomplete' })
         return
       }
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -62,7 +62,7 @@
     headers: {},
     body: Buffer.alloc(0),
     agent: new UpstreamConnections().agentsFor('i-1', 0, 1).persistent,
-    isResumed: false,
+    resumedAfter: undefined,
     requestId: 'id-1',
     connectBy: monotonicNow() + 500,
     isWithdrawn: () => false,
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -58,6 +58,19 @@
   { name: 'a framed stream that ends within an event', isStream: true, answer: socket => { socket.write(streamHead + chunk(event(1)) + chunk('id: 2\nda') + end) }, result: { kind: 'lost', reason: 'incomplete' }, events: 1 },
   { name: 'a stream without events', isStream: true, answer: socket => { socket.write(streamHead + end) }, result: { kind: 'lost', reason: 'incomplete' }, events: 0 },
   { name: 'a resumed stream without further events', isStream: true, isResumed: true, answer: socket => { socket.write(streamHead + end) }, result: { kind: 'stream-ended' }, events: 0 },
+  ...[
+    { name: 'a whole head', text: 'HTTP/1.1 500 X\nContent-Type: text/plain\n\n' },
+    { name: 'the text of an error', text: 'upstream failed\n\n' },
+    { name: 'a field that is not known', text: 'error: failed\n\n' },
+    { name: 'an event that the caller has', text: event(7) }
+  ].map(({ name, text }) => ({ name: `a resumed stream that holds ${name}`, isStream: true, isResumed: true, answer: (socket: Socket) => { socket.write(streamHead + chunk(text) + end) }, result: { kind: 'lost', reason: 'wrong-answer' }, events: 0 })),
+  ...[
+    { name: 'the next event', text: event(8) },
+    { name: 'an event without an id', text: 'data: text\n\n' },
+    { name: 'the version of its weights', text: 'x-weight-versions: 2\nid: 8\ndata: text\n\n' },
+    { name: 'a comment and fields without a value', text: ': wait\ndata\n\n' },
+    { name: 'an event with lines that end in CRLF', text: 'id: 8\r\ndata: text\r\n\r\n' }
+  ].map(({ name, text }) => ({ name: `a resumed stream with ${name}`, isStream: true, isResumed: true, answer: (socket: Socket) => { socket.write(streamHead + chunk(text) + end) }, result: { kind: 'stream-ended' }, events: 1 })),
   { name: 'a stream without a length', isStream: true, answer: socket => { socket.end(`HTTP/1.1 200 OK\r\n${signed}\r\n${event(1)}`) }, result: { kind: 'stream-ended', isFramed: false }, events: 1 },
   { name: 'a stream that sends nothing after its first event', isStream: true, answer: socket => { socket.write(streamHead + chunk(event(1))) }, result: { kind: 'lost', reason: 'timeout' }, events: 1, silences: 1 },
   {
@@ -211,7 +224,7 @@
     headers: { host: 'one.example' },
     body: Buffer.from('body'),
     agent: connections.agentsFor('i-1', 0, 1).persistent,
-    isResumed,
+    resumedAfter: isResumed ? '7' : undefined,
     requestId,
     connectBy: now + 300,
     isWithdrawn: () => false,
