--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -204,7 +204,7 @@
   /** Hands on what no attempt has taken when its call ended. */
   private deliverUnused ({ result, from, isAdopted }: PendingCall): void {
     if (this.isStopped || isAdopted || result === undefined) return
-    if (!('kind' in result) || result.kind === 'records') this.options.readLate(result, from)
+    if (!('kind' in result) || result.kind === 'records') this.options.readLate({ source: 'log', ...result }, from)
   }
 
   /** Calls one source, unless it is an entry and too many of them did not answer; returns the error of a call that failed. */
