Soak: operators-race reads the log again while another series has it lose answers

Cause, by reading: the trouble counts the accepted changes with a single read of the log. Change: it reads again, as operators' commands do, for as long as these may take; the check is the same.

--- a/script/failure/operator-faults.ts
+++ b/script/failure/operator-faults.ts
@@ -3,7 +3,6 @@
 import type { RegisterLine } from '../../stand-in/register.js'
 import { emptyFold, foldPage } from '../../src/core/configuration/fold.js'
 import type { Change } from '../../src/types/configuration.js'
-import type { StreamPage } from '../../src/types/platform.js'
 import { waitUntil } from '../../src/utils/clock.js'
 import { lastWorkAfter } from '../judge.js'
 import { Fault, type CallerImpact } from './fault.js'
@@ -109,7 +108,7 @@
 
 /** The changes that were accepted, of all series, by folding the records of the log. */
 async function readAcceptedChanges (deployment: TestDeployment): Promise<readonly AcceptedChange[]> {
-  const page = await (await fetch(`${deployment.operator.log}/streams/configuration/records?from=0`)).json() as StreamPage
+  const page = await deployment.operator.readChanges()
   let state = emptyFold
   let accepted: readonly AcceptedChange[] = []
   for (const record of page.records) {
--- a/script/operator.ts
+++ b/script/operator.ts
@@ -13,6 +13,8 @@
 
 const rolloutMilliseconds = 60_000
 const commandMilliseconds = 30_000
+/** Time between two reads of the log while it fails, milliseconds. */
+const readRetryMilliseconds = 200
 const pollMilliseconds = 50
 
 /** A rollout that was accepted; times in epoch milliseconds. */
@@ -73,9 +75,22 @@
     return await runCommand(['zone', direction, dataCentre, '--log', this.log, '--author', author])
   }
 
+  /** All records of the configuration stream; read again while the log fails, as another series may have it lose answers. */
+  async readChanges (): Promise<StreamPage> {
+    const deadline = Date.now() + commandMilliseconds
+    for (;;) {
+      try {
+        return await (await fetch(`${this.log}/streams/configuration/records?from=0`)).json() as StreamPage
+      } catch (error) {
+        if (Date.now() > deadline) throw error
+        await waitUntil(Date.now() + readRetryMilliseconds)
+      }
+    }
+  }
+
   /** When the log took the last such move, by its own record. */
   private async lastMoveAt (state: 'in' | 'out', dataCentre: string): Promise<number> {
-    const page = await (await fetch(`${this.log}/streams/configuration/records?from=0`)).json() as StreamPage
+    const page = await this.readChanges()
     const moves = page.records.filter(({ body }) => isMatch(body, { kind: 'data-centre', dataCentre, state }))
     return moves.at(-1)?.at ?? Date.now()
   }
