--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -50,9 +50,10 @@
   return isConnected && ageMilliseconds <= maximumAgeMilliseconds
 }
 
-/** Decodes an answer of the feed; throws for invalid JSON. */
+/** Decodes an answer of the feed; throws for invalid JSON, and for offsets from which no read could continue. */
 export function decodeFedRecords (body: Buffer, headers: IncomingHttpHeaders): FedRecords {
   const { records, next } = JSON.parse(body.toString()) as { readonly records: readonly EncodedRecord[], readonly next: number }
+  if (![next, ...records.map(({ offset }) => offset)].every(offset => Number.isSafeInteger(offset))) throw new Error('an answer with records has an offset that is no whole number')
   return {
     records: records.map(decodeRecord),
     next,
