--- a/test/repeated-refusal.test.ts
+++ b/test/repeated-refusal.test.ts
@@ -12,13 +12,15 @@
 const requests = 200
 const intervalMilliseconds = 15
 const workMilliseconds = 25
+/** A whole answer, and a whole stream. */
+const answerText = 'id: 1\ndata: done\n\n'
 
 const bytesOf = (value: object): Buffer => Buffer.from(JSON.stringify(value))
 
 /** An upstream that sends each refusal once more when the next request on the connection has been read. */
 class RepeatingUpstream {
-  /** Ids of the requests that it ran. */
-  readonly ran = new Set<string>()
+  /** Ids of the requests that it ran, each time. */
+  readonly ran: string[] = []
   private received = 0
   private readonly sockets = new Set<Socket>()
   private readonly server: Server
@@ -53,27 +55,28 @@
         socket.write(repeated)
         return
       }
-      this.ran.add(id)
-      setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok`) }, workMilliseconds)
+      this.ran.push(id)
+      setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: ${answerText.length}\r\n\r\n${answerText}`) }, workMilliseconds)
     })
   }
 }
 
 /** With one refusal in four the repeats exceed the retry budget of the entry, so that requests may be lost. */
-const cases: readonly { readonly name: string, readonly hasId: boolean, readonly refusalInterval: number, readonly isWithinBudget: boolean }[] = [
+const cases: readonly { readonly name: string, readonly hasId: boolean, readonly refusalInterval: number, readonly isWithinBudget: boolean, readonly kind?: 'safe' | 'unsafe' | 'stream' }[] = [
   { name: 'with the id of its request', hasId: true, refusalInterval: 8, isWithinBudget: true },
   { name: 'without an id', hasId: false, refusalInterval: 8, isWithinBudget: true },
   { name: 'with the id of its request, one in four', hasId: true, refusalInterval: 4, isWithinBudget: false },
-  { name: 'without an id, one in four', hasId: false, refusalInterval: 4, isWithinBudget: false }
+  { name: 'without an id, one in four', hasId: false, refusalInterval: 4, isWithinBudget: false },
+  ...(['unsafe', 'stream'] as const).flatMap(kind => [true, false].map(hasId => ({ name: `${hasId ? 'with the id of its request' : 'without an id'}, ${kind}`, hasId, refusalInterval: 8, isWithinBudget: true, kind })))
 ]
 
-for (const { name, hasId, refusalInterval, isWithinBudget } of cases) {
+for (const { name, hasId, refusalInterval, isWithinBudget, kind = 'safe' } of cases) {
   test(`repeated refusal: ${name}`, async t => {
     const log = new SharedLog(dataCentre)
     const faulty = Array.from({ length: upstreams }, () => new RepeatingUpstream(hasId, refusalInterval))
     log.append('operators', 'config', bytesOf({
       version: 1,
-      routes: [{ name: 'r', host: 'a.example', 'path-prefix': '/r/', 'route-type': 'safe', 'timeout-ms': 1500, 'latency-goal-ms': 300, priority: 1, 'max-attempts': 2, public: true, service: 'plain' }],
+      routes: [{ name: 'r', host: 'a.example', 'path-prefix': '/r/', 'route-type': kind, resumable: kind === 'stream', 'timeout-ms': 1500, 'latency-goal-ms': 300, priority: 1, 'max-attempts': 2, public: true, service: 'plain' }],
       services: [{ name: 'plain', 'max-conns': 200 }]
     }))
     for (const [index, upstream] of faulty.entries()) log.append('instances', `i-${index}`, bytesOf({ service: 'plain', address: `127.0.0.1:${await upstream.start()}`, zone: dataCentre, state: 'ready', slots: 20, born: 1000 }))
@@ -87,9 +90,11 @@
       await sleepUntil(monotonicNow() + intervalMilliseconds)
     }
     const results = await Promise.all(answers)
-    const ran = (id: string): boolean => faulty.some(upstream => upstream.ran.has(id))
+    const ran = (id: string): boolean => faulty.some(upstream => upstream.ran.includes(id))
     const untrue = results.filter(({ id, status }) => status === 503 && ran(id))
     const lost = results.filter(({ status }) => status !== 200 && status !== 503)
+    const runs = faulty.flatMap(upstream => upstream.ran)
+    if (kind === 'unsafe') t.equal(new Set(runs).size, runs.length, 'no request runs twice')
     t.same(untrue, [], 'no caller is told that a request was not run that an upstream ran')
     if (isWithinBudget) t.same(lost, [], 'no caller loses its answer over the late bytes of another request')
     await entry.node.stop()
