Manifests: near agents are asked first, slow ones go on beside the origin

Streams are refused until engines have the named weights. Cause: an agent gave each holder of a manifest 0.3 s, in no order. Change: two agents of the same data centre come first; two of others get 3 s, and the origin is asked beside them after 0.3 s.

--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -5,7 +5,7 @@
 import type { OriginFacts } from '../../types/fleet.js'
 import type { EnginePort, OriginPort } from '../../types/ports.js'
 import { runInBackground } from '../../utils/background.js'
-import { monotonicNow } from '../../utils/clock.js'
+import { monotonicNow, sleepUntil } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import { ChunkFetcher } from './chunk-fetcher.js'
 import { VersionChunks } from './chunk-store.js'
@@ -13,8 +13,12 @@
 
 const log = logFor('exchange')
 
-/** Timeout of a manifest request to an agent, and minimum time between two attempts to start a fetch, milliseconds. */
-const manifestTimeoutMilliseconds = 300
+/** Timeout of a manifest request to an agent of the same data centre and of another one, to which the link may be full, milliseconds. */
+const manifestTimeoutMilliseconds = { sameDataCentre: 300, otherDataCentre: 3000 } as const
+/** Agents of each kind that are asked for a manifest before the origin. */
+const maximumManifestSources = 2
+/** Minimum time between two attempts to start a fetch, milliseconds. */
+const openIntervalMilliseconds = 300
 /** Maximum number of cached versions: the one that is being fetched, and the one before, which peers may still fetch. */
 const maximumVersions = 2
 
@@ -85,7 +89,7 @@
     }
     const now = monotonicNow()
     if (this.isOpening || now < this.openRetryAt) return
-    this.openRetryAt = now + manifestTimeoutMilliseconds
+    this.openRetryAt = now + openIntervalMilliseconds
     this.isOpening = true
     runInBackground(this.open(model, version, since).finally(() => { this.isOpening = false }), log, 'start fetching a version')
   }
@@ -135,20 +139,44 @@
     }
   }
 
-  /** Fetches the digests from an agent that has them, else from the origin; throws when no source answers. */
+  /** Fetches the digests from an agent of the same data centre that has them, else from others and the origin; throws when no source answers. */
   private async fetchDigests (model: string, version: number): Promise<readonly string[]> {
-    const { peers, internalPort, httpAgent, origin } = this.context
-    for (const { ip } of peers.all()) {
-      if (!peers.hasManifest(ip, model, version)) continue
+    const { peers } = this.context
+    const holders = peers.all().filter(({ ip }) => peers.hasManifest(ip, model, version))
+    for (const { ip } of holders.filter(({ isSameDataCentre }) => isSameDataCentre).slice(0, maximumManifestSources)) {
       try {
-        const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + manifestTimeoutMilliseconds, maximumBytes: maximumAnswerBytes.manifest, agent: httpAgent })
-        if (answer.status === 200) return JSON.parse(answer.body.toString()) as readonly string[]
+        return await this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds.sameDataCentre)
       } catch (error) {
         log.warn('could not fetch a manifest from an agent', { ip, model, version, reason: String(error) })
       }
     }
-    const facts = this.context.originFacts()
-    if (facts === undefined) throw new Error('the configuration has no origin of weights')
-    return await origin.digests(facts.address, model, version)
+    const remote = holders.filter(({ isSameDataCentre }) => !isSameDataCentre).slice(0, maximumManifestSources)
+    return await this.fetchRemotely(remote.map(({ ip }) => ip), model, version)
+  }
+
+  /** Asks agents of other data centres and, if none answers soon, the origin beside them: one that is slow may still be the first. */
+  private async fetchRemotely (ips: readonly string[], model: string, version: number): Promise<readonly string[]> {
+    let isFetched = false
+    const fetches = ips.map(async ip => await this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds.otherDataCentre))
+    const fetchFromOrigin = async (): Promise<readonly string[]> => {
+      if (ips.length > 0) await sleepUntil(monotonicNow() + manifestTimeoutMilliseconds.sameDataCentre)
+      const facts = this.context.originFacts()
+      if (isFetched || facts === undefined) throw new Error('the configuration has no origin of weights')
+      return await this.context.origin.digests(facts.address, model, version)
+    }
+    try {
+      return await Promise.any([...fetches, fetchFromOrigin()])
+    } catch (error) {
+      throw error instanceof AggregateError ? error.errors.at(-1) : error
+    } finally {
+      isFetched = true
+    }
+  }
+
+  private async fetchFromAgent (ip: string, model: string, version: number, timeoutMilliseconds: number): Promise<readonly string[]> {
+    const { internalPort, httpAgent } = this.context
+    const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.manifest, agent: httpAgent })
+    if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
+    return JSON.parse(answer.body.toString()) as readonly string[]
   }
 }
