Chunks on their way from another data centre are waited for as long as those from the origin

An agent gave a chunk from any agent 1.5 s in all; through a queue of 0.75 s each way none ever arrived, and each was asked for again. Those of other data centres get 3 s.

--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -12,8 +12,8 @@
 
 const log = logFor('exchange')
 
-/** Timeout of a fetch from a peer, milliseconds; three chunks at once on its link take 120 ms. */
-const peerTimeoutMilliseconds = 1500
+/** Timeout of a fetch from a peer of the same data centre, where three chunks at once on its link take 120 ms, and of another one, to which the link may be full, milliseconds. */
+const peerTimeoutMilliseconds = { sameDataCentre: 1500, otherDataCentre: 3000 } as const
 /** Backoff after a failed fetch from a peer, milliseconds; it doubles with each consecutive failure. */
 const peerBackoffMilliseconds = { first: 400, maximum: 6400 } as const
 /** Backoff after a failed fetch from the origin, milliseconds. */
@@ -240,7 +240,8 @@
   private async fetchFromPeer (ip: string, position: number): Promise<Buffer> {
     const { model, version } = this.chunks
     const path = `/chunks/${model}/${version}/${position}`
-    const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + peerTimeoutMilliseconds, maximumBytes: maximumAnswerBytes.chunk, agent: this.agent })
+    const timeoutMilliseconds = peerTimeoutMilliseconds[this.context.peers.isSameDataCentre(ip) ? 'sameDataCentre' : 'otherDataCentre']
+    const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.chunk, agent: this.agent })
     if (answer.status === 503) throw new PeerBusyError(monotonicNow() + Number(answer.headers['retry-after'] ?? 0) * 1000)
     if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
     return answer.body
--- a/test/fakes/exchange-replay.ts
+++ b/test/fakes/exchange-replay.ts
@@ -10,7 +10,7 @@
 const tickMilliseconds = 5
 const announcementMilliseconds = 100
 const announcementBytes = 150
-const peerTimeoutMilliseconds = 1500
+const peerTimeoutMilliseconds = { sameDataCentre: 1500, otherDataCentre: 3000 } as const
 const originTimeoutMilliseconds = 3000
 const backoffMilliseconds = { first: 400, maximum: 6400, origin: 150 } as const
 const agentBytesPerSecond = 640_000
@@ -252,7 +252,7 @@
   private fetchFromPeer (agent: Agent, index: number, position: number): void {
     const peer = this.agents[index]
     if (peer === undefined) return
-    const deadline = this.now + peerTimeoutMilliseconds
+    const deadline = this.now + peerTimeoutMilliseconds[peer.dataCentre === agent.dataCentre ? 'sameDataCentre' : 'otherDataCentre']
     agent.fetches.set(index, (agent.fetches.get(index) ?? 0) + 1)
     const release = (): void => { agent.fetches.set(index, (agent.fetches.get(index) ?? 0) - 1) }
     const arrivesAt = this.link(agent.dataCentre, peer.dataCentre)?.carry(200, this.now) ?? this.now + 1
--- a/test/slow-link-weights.test.ts
+++ b/test/slow-link-weights.test.ts
@@ -32,6 +32,7 @@
 
 const cases: readonly { readonly name: string, readonly peers: number, readonly roundTripMilliseconds: number }[] = [
   { name: 'a round trip of 0.6 s', peers: 1, roundTripMilliseconds: 600 },
+  { name: 'a round trip of 2 s', peers: 1, roundTripMilliseconds: 2000 },
   { name: 'twelve agents that do not answer, before one that does', peers: 13, roundTripMilliseconds: 100 }
 ]
 
