--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,6 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
-import { isEarlierRead, isOutside, nameOfSource as nameOf, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { isEarlierRead, isOutside, nameOfSource, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
 import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
@@ -174,7 +174,7 @@
    */
   private async tryBeside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): Promise<void> {
     if (this.isStopped || (source.kind === 'entry' && attempt.unanswered >= maximumUnanswered)) return
-    const call = this.pending.get(nameOf(source)) ?? this.startBeside(attempt, source)
+    const call = this.pending.get(nameOfSource(source)) ?? this.startBeside(attempt, source)
     const ended = call.end.then(() => { attempt.adopt(call) })
     // One that stops may end before it answers: the next one is asked at the same time.
     if (source.kind === 'entry' && !source.isReady) return
@@ -182,11 +182,11 @@
     if (call.isEnded || attempt.result !== undefined) return
     attempt.unanswered += 1
     this.avoid(source)
-    log.warn('an entry in another data centre is slow to deliver records; asking the next source beside it', { stream: this.options.stream, source: nameOf(source), milliseconds: slowReadMilliseconds })
+    log.warn('an entry in another data centre is slow to deliver records; asking the next source beside it', { stream: this.options.stream, source: nameOfSource(source), milliseconds: slowReadMilliseconds })
   }
 
   private startBeside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): PendingCall {
-    const name = nameOf(source)
+    const name = nameOfSource(source)
     const startedAt = monotonicNow()
     const call = new PendingCall(attempt.kind, attempt.from, startedAt + slowReadMilliseconds)
     this.pending.set(name, call)
@@ -238,9 +238,9 @@
   private choose (): readonly PreferredSource[] {
     const now = monotonicNow()
     const sources = this.options.sources()
-    const usable = sources.filter(source => (this.avoidedUntil.get(nameOf(source)) ?? 0) <= now)
+    const usable = sources.filter(source => (this.avoidedUntil.get(nameOfSource(source)) ?? 0) <= now)
     if (usable.length > 0) return usable
-    return [...sources].sort((left, right) => (this.avoidedUntil.get(nameOf(left)) ?? 0) - (this.avoidedUntil.get(nameOf(right)) ?? 0)).slice(0, 1)
+    return [...sources].sort((left, right) => (this.avoidedUntil.get(nameOfSource(left)) ?? 0) - (this.avoidedUntil.get(nameOfSource(right)) ?? 0)).slice(0, 1)
   }
 
   private reach (source: PreferredSource): RecordLog {
@@ -252,7 +252,7 @@
   }
 
   private recordFailure (source: PreferredSource, error: unknown, isStarting: boolean): void {
-    const name = nameOf(source)
+    const name = nameOfSource(source)
     if (!(error instanceof StaleRecordsError) && !isStarting) this.avoid(source)
     if (source.kind === 'log') return
     this.options.metrics.countFailure(source.isSameDataCentre ? 'peer' : 'remote-peer', error)
@@ -261,7 +261,7 @@
 
   /** Leaves a source out for some time, longer after each consecutive failure of an entry. */
   private avoid (source: PreferredSource): void {
-    const name = nameOf(source)
+    const name = nameOfSource(source)
     const failures = (this.failures.get(name) ?? 0) + 1
     this.failures.set(name, failures)
     const milliseconds = source.kind === 'log' ? avoidedMilliseconds.log : Math.min(avoidedMilliseconds.maximum, avoidedMilliseconds.entry * 2 ** (failures - 1))
@@ -269,7 +269,7 @@
   }
 
   private recordSuccess (source: PreferredSource, result: NewestRecords | RecordPage): void {
-    const name = nameOf(source)
+    const name = nameOfSource(source)
     this.failures.delete(name)
     this.avoidedUntil.delete(name)
     this.isCurrentOutside = isOutside(source)
--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -1,4 +1,5 @@
 /** Log lines and metrics about the results of calls to upstreams. */
+import type { FailureTag } from '../../errors.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { CallerAnswer } from './caller-answer.js'
@@ -44,3 +45,37 @@
     milliseconds: Math.round(now - request.arrivedAt)
   })
 }
+
+/** A request that failed; times in milliseconds of the monotonic clock. */
+export interface FailedRequest {
+  readonly request: RoutedRequest
+  readonly tag: FailureTag
+  /** Why no upstream could be called; empty if one was. */
+  readonly noSlotReason: string
+  readonly ran: number
+  readonly withdrawn: number
+  readonly refused: number
+  readonly now: number
+  /** When the caller is told to try again. */
+  readonly retryAt: number
+}
+
+/** Logs a request that no upstream answered completely. */
+export function logFailure ({ request, tag, noSlotReason, ran, withdrawn, refused, now, retryAt }: FailedRequest, context: ServingContext): void {
+  log.info('request failed: no upstream answered it completely', {
+    id: request.caller.id,
+    route: request.route.name,
+    service: request.service.name,
+    reason: tag,
+    noSlotReason,
+    configuration: context.state.table?.configuration.version ?? 0,
+    ran,
+    withdrawn,
+    refused,
+    isLate: request.isLate,
+    firstEventWaitMilliseconds: Math.round(context.firstEventWaitsOf(request.service.name).medianMilliseconds(now)),
+    loadPercent: Math.round(context.pool.loadShare(request.service.name) * 100),
+    elapsedMilliseconds: Math.round(now - request.arrivedAt),
+    retryAfterMilliseconds: Math.round(retryAt - now)
+  })
+}
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -10,7 +10,7 @@
 import { createFailure, type FailureTag } from '../../errors.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
-import { logCall } from './call-log.js'
+import { logCall, logFailure } from './call-log.js'
 import { crashFailure } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
@@ -184,9 +184,12 @@
   }
 
   /** Time until which a request that may have run waits for a slot; undefined if it does not. */
-  private deadlineOfRepeat ({ deadline, route } = this.request): number | undefined {
-    if (this.noSlotReason === 'limited') return permitDeadline(monotonicNow(), deadline)
-    if (this.calls.hasForeignAnswer) return repeatDeadline(monotonicNow(), deadline, route.latencyGoalMilliseconds)
+  private deadlineOfRepeat (): number | undefined {
+    const { deadline, route } = this.request
+    const now = monotonicNow()
+    if (this.noSlotReason === 'limited') return permitDeadline(now, deadline)
+    if (this.calls.hasForeignAnswer) return repeatDeadline(now, deadline, route.latencyGoalMilliseconds)
+    return undefined
   }
 
   /** Whether first events take so long that this request gets no slot now: at random by the refused share, or above a threshold if it is late. */
@@ -275,22 +278,7 @@
     const retryAt = isRefusal ? chooseRetryAt(now, request.callerDeadline, expectedAt, context.random) : now
     this.answer.fail(failure, isRefusal ? retryAt - now : undefined)
     context.metrics.count('refusals_total', { reason: tag })
-    log.info('request failed: no upstream answered it completely', {
-      id: request.caller.id,
-      route: request.route.name,
-      service: request.service.name,
-      reason: tag,
-      noSlotReason,
-      configuration: context.state.table?.configuration.version ?? 0,
-      ran: this.ran,
-      withdrawn: this.withdrawn,
-      refused: this.refused,
-      isLate: request.isLate,
-      firstEventWaitMilliseconds: Math.round(context.firstEventWaitsOf(request.service.name).medianMilliseconds(now)),
-      loadPercent: Math.round(this.context.pool.loadShare(request.service.name) * 100),
-      elapsedMilliseconds: Math.round(now - request.arrivedAt),
-      retryAfterMilliseconds: Math.round(retryAt - now)
-    })
+    logFailure({ request, tag, noSlotReason, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused, now, retryAt }, context)
   }
 
   private log (sentence: string, attempt: EndedAttempt): void {
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -43,7 +43,7 @@
   /** The upstream whose stream the caller's answer began with. */
   startedBy: UpstreamView | undefined
   private readonly inProgress = new Set<CallInProgress>()
-  private isForeignAnswered = false
+  private receivedForeignAnswer = false
   private readonly ended: EndedAttempt[] = []
   private wake: () => void = () => {}
 
@@ -57,7 +57,7 @@
 
   /** Whether a call received the answer to another request. */
   get hasForeignAnswer (): boolean {
-    return this.isForeignAnswered
+    return this.receivedForeignAnswer
   }
 
   /** Calls in progress. */
@@ -105,7 +105,7 @@
       headers,
       body: request.body,
       // On a new connection no late answer to another request can arrive.
-      agent: isRepeatable(request.route) && !this.isForeignAnswered ? agents.persistent : agents.singleUse,
+      agent: isRepeatable(request.route) && !this.receivedForeignAnswer ? agents.persistent : agents.singleUse,
       resumedAfter: lastEventId,
       requestId: request.caller.id,
       connectBy: Math.min(request.deadline, now + connectTimeoutMilliseconds),
@@ -164,7 +164,7 @@
 
   /** The connection is to blame: the same upstream may be called again, on a new one. */
   private recordForeignAnswer (id: string): void {
-    this.isForeignAnswered = true
+    this.receivedForeignAnswer = true
     this.tried.delete(id)
   }
 
