A stopping entry takes only requests that end before it closes

Cause: Gateway.stop() served as before until its close, which destroys what is active; as long as callers came there was always something active. Nothing looked at how long a request may still take.

Change: while an entry stops, a request is taken if its deadline is before the close. A repeatable one is taken too while callers may still hold the address, if twice the longest recent duration of its route ends before the close. Any other is refused at once as not run, with Connection: close and Retry-After 0: other entries serve it now. What may not be repeated is thus never passed on where it could be cut.

Ruled out: refusing everything from the SIGTERM on, as the role entry does (callers with a fresh address would all retry); taking everything until the addresses expire (still cuts streams that began late).

--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
+import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import { entriesFor } from '../../core/fleet/directory.js'
 import { Membership } from '../../core/fleet/members.js'
 import { createFailure } from '../../errors.js'
@@ -25,6 +26,7 @@
 import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
 import { EntryGossip } from './gossip.js'
 import { RequestServer } from './serve-request.js'
+import { mayClose, stopTimesFrom } from './planned-stop.js'
 import { UpstreamConnections } from './upstream-connections.js'
 import { RequestQueue } from './request-queue.js'
 import { UpstreamLimits } from './upstream-limits.js'
@@ -33,10 +35,6 @@
 
 const log = logFor('entry')
 
-/** Part of the time for a planned stop that is reserved for the exit of the process, milliseconds. */
-const shutdownReserveMilliseconds = 700
-/** Callers may cache an answer of the directory for this many times its stated lifetime. */
-const directoryCacheFactor = 3
 /** Largest head of a caller's request, bytes. */
 const maximumHeaderBytes = 65_536
 /** Bytes and time, in milliseconds, for which the rest of an answered request is received before its connection is closed: closing it earlier can lose the answer. */
@@ -80,7 +78,8 @@
   private readonly callerTimeouts: CallerTimeouts
   /** Servers of the readiness check, the directory and other nodes. */
   private readonly others: readonly Server[]
-  private isStopping = false
+  /** Set once a planned stop has begun. */
+  private stopTimes: StopTimes | undefined
   /** Requests of callers in progress. */
   private active = 0
   /** When the last request arrived, milliseconds of the monotonic clock. */
@@ -173,7 +172,7 @@
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
       random: Math.random,
       entryCount: () => this.members.knownEntries(monotonicNow()).length,
-      isStopping: () => this.isStopping,
+      stopTimes: () => this.stopTimes,
       lacksRecords: () => this.gossip.lacksOperatorsRecords
     })
     this.callers = createServer({ maxHeaderSize: maximumHeaderBytes, requestTimeout: 0, connectionsCheckingInterval: 1000 }, (incoming, response) => {
@@ -198,14 +197,13 @@
     this.staleTimer = setInterval(() => { this.removeStale() }, staleCheckMilliseconds)
   }
 
-  /** Removes this entry from the directory and serves requests until callers no longer cache its address, none is in progress and none has arrived for a second, or the time is up. */
+  /** Removes this entry from the directory, serves the requests that end in time, see `mayTakeWhileStopping`, and closes, see `mayClose`. */
   async stop (): Promise<void> {
-    const stopBy = monotonicNow() + this.settings.stopGraceMilliseconds - shutdownReserveMilliseconds
-    this.isStopping = true
+    const stopTimes = stopTimesFrom(monotonicNow(), this.settings)
+    this.stopTimes = stopTimes
     log.info('stopping: removed from the directory, finishing active requests', { active: this.active })
     this.gossip.announceToAll()
-    const cachedUntil = monotonicNow() + this.settings.directoryCacheSeconds * 1000 * directoryCacheFactor
-    while (monotonicNow() < stopBy && (this.active > 0 || monotonicNow() < cachedUntil || monotonicNow() - this.lastRequestAt < 1000)) {
+    while (!mayClose(stopTimes, { active: this.active, lastAt: this.lastRequestAt }, monotonicNow())) {
       this.gossip.announceRead()
       await sleepUntil(monotonicNow() + 50)
     }
@@ -227,7 +225,7 @@
   }
 
   private get isReady (): boolean {
-    return !this.isStopping && this.state.table !== undefined
+    return this.stopTimes === undefined && this.state.table !== undefined
   }
 
   private livingEntries (): readonly string[] {
@@ -245,7 +243,7 @@
     this.server.serve(incoming, response).catch((error: unknown) => {
       log.error('request handler failed', { reason: String(error) })
       if (!response.headersSent) response.getHeaderNames().forEach(name => { response.removeHeader(name) })
-      new CallerAnswer(response, this.ports.requests, () => this.isStopping).fail(createFailure('upstream-lost'))
+      new CallerAnswer(response, this.ports.requests, () => this.stopTimes !== undefined).fail(createFailure('upstream-lost'))
     })
   }
 
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -3,6 +3,7 @@
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
+import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import type { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
 import type { Metrics } from '../../plugins/metrics.js'
 import type { Organisation, Route, Service } from '../../types/fleet.js'
@@ -32,7 +33,8 @@
   random (): number
   /** Number of entries among which sums over all of them are divided, see `Membership.knownEntries`. */
   entryCount (): number
-  isStopping (): boolean
+  /** Times of the entry's planned stop; undefined before one has begun. */
+  stopTimes (): StopTimes | undefined
   /** Whether other entries have read operators' records that this one lacks. */
   lacksRecords (): boolean
 }
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -1,6 +1,9 @@
 /** Serves callers' requests: routes them, reads their bodies, and dispatches or refuses them. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { isRepeatable } from '../../core/dispatch/next-step.js'
 import { fingerprintRequest, traitsOf, withBegunParts } from '../../core/dispatch/request-traits.js'
+import { RouteDurations } from '../../core/dispatch/route-durations.js'
+import { mayTakeWhileStopping } from '../../core/dispatch/stop-admission.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { matchRoute, routeRequest } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
@@ -24,6 +27,7 @@
 
 /** Serves requests until their final answer. */
 export class RequestServer {
+  private readonly durations = new RouteDurations()
   /** Longest caller timeout received on each route, which is that of first attempts, milliseconds. */
   private readonly longestCallerTimeout = new Map<string, number>()
 
@@ -34,7 +38,7 @@
     const arrivedAt = monotonicNow()
     const { requests, state, metrics } = this.context
     const caller = requests.callerRequest(incoming)
-    const answer = new CallerAnswer(response, requests, () => this.context.isStopping())
+    const answer = new CallerAnswer(response, requests, () => this.context.stopTimes() !== undefined)
     const table = state.table
     if (table === undefined) {
       this.refuse(answer, caller, 'no-configuration', arrivedAt, undefined)
@@ -62,7 +66,17 @@
     this.context.budget.recordRequest(routed.service.name, arrivedAt)
     const crashing = crashFailure(this.context.suspects, request.traits, 0)
     if (crashing !== undefined) this.refuse(answer, caller, crashing, arrivedAt, request)
-    else await new RequestDispatch(this.context, request, answer, response).run()
+    else if (!this.endsBeforeStop(request)) this.refuse(answer, caller, 'leaving', arrivedAt, request)
+    else {
+      response.on('finish', () => { this.durations.recordEnd(routed.route.name, arrivedAt, monotonicNow()) })
+      await new RequestDispatch(this.context, request, answer, response).run()
+    }
+  }
+
+  private endsBeforeStop ({ route, arrivedAt, deadline }: RoutedRequest): boolean {
+    const stopTimes = this.context.stopTimes()
+    if (stopTimes === undefined) return true
+    return mayTakeWhileStopping(stopTimes, { arrivedAt, deadline, usualEnd: this.durations.usualEnd(route.name, arrivedAt), isRepeatable: isRepeatable(route) })
   }
 
   private createRoutedRequest (caller: CallerRequest, incoming: IncomingMessage, routed: { readonly route: Route, readonly organisation: Organisation | undefined, readonly service: Service }, body: Buffer, arrivedAt: number): RoutedRequest {
@@ -91,10 +105,17 @@
     return this.context.lacksRecords() ? 'old-configuration' : tag
   }
 
-  /** Refuses a request that was not dispatched; only a missing or old configuration tells the caller when to retry. */
+  /** Refuses a request that was not dispatched. */
   private refuse (answer: CallerAnswer, caller: CallerRequest, tag: FailureTag, now: number, request: RoutedRequest | undefined): void {
-    answer.fail(createFailure(tag), tag === 'no-configuration' || tag === 'old-configuration' ? chooseRetryAt(now, now + (caller.timeoutMilliseconds ?? 1000), Infinity, this.context.random) - now : undefined)
+    answer.fail(createFailure(tag), this.retryAfter(tag, caller, now))
     this.context.metrics.count('refusals_total', { reason: tag })
     log.info('request refused before dispatch', { id: caller.id, reason: tag, host: caller.host, target: caller.target, configuration: this.context.state.table?.configuration.version ?? 0, service: request?.service.name ?? '', traits: request?.traits.slice(0, maximumLoggedTraits).join(' ') ?? '' })
   }
+
+  /** Milliseconds after which a refused caller should retry: at once where only this entry leaves, later while it lacks a configuration; undefined if a retry is of no use. */
+  private retryAfter (tag: FailureTag, caller: CallerRequest, now: number): number | undefined {
+    if (tag === 'leaving') return 0
+    if (tag !== 'no-configuration' && tag !== 'old-configuration') return undefined
+    return chooseRetryAt(now, now + (caller.timeoutMilliseconds ?? 1000), Infinity, this.context.random) - now
+  }
 }
