--- a/test/fakes/stream-fleet.ts
+++ b/test/fakes/stream-fleet.ts
@@ -69,6 +69,13 @@
     this.response.socket?.resetAndDestroy()
   }
 
+  /** Writes bytes past the server's HTTP library; then closes the connection, resets it, or leaves it open. */
+  sendRaw (bytes: string, end: 'close' | 'reset' | 'none'): void {
+    const { socket } = this.response
+    if (end === 'close') socket?.end(bytes, 'latin1')
+    else socket?.write(bytes, 'latin1', () => { if (end === 'reset') socket.resetAndDestroy() })
+  }
+
   /** Refuses the request without running it. */
   refuse (status: number): void {
     this.response.writeHead(status, { 'x-attempt-id': this.id, 'x-not-executed': '1', 'content-length': '0' }).end()
@@ -153,10 +160,10 @@
   }
 
   /** Sends a request; `outgoing` can be destroyed to leave. */
-  send (id: string): { readonly outgoing: ClientRequest, readonly result: Promise<CallerResult> } {
+  send (id: string, method = 'GET'): { readonly outgoing: ClientRequest, readonly result: Promise<CallerResult> } {
     const [host = '', port = ''] = this.entry.callers.split(':')
     const path = id === 'start' ? '/unknown/' : '/r/1'
-    const outgoing = request({ host, port, path, agent: false, headers: { host: 'a.example', 'x-attempt-id': id, 'x-deadline-ms': '8000' } })
+    const outgoing = request({ host, port, method, path, agent: false, headers: { host: 'a.example', 'x-attempt-id': id, 'x-deadline-ms': '8000' } })
     const result = new Promise<CallerResult>(resolve => {
       outgoing.on('error', () => { resolve({ status: 0, text: '', isComplete: false }) })
       outgoing.on('response', answer => {
