Answers to HEAD and with status 304 keep their Content-Length

Cause: the length of the received body replaced the upstream's header, which for these answers is that of a body which is not sent.

--- a/src/roles/gateway/caller-answer.ts
+++ b/src/roles/gateway/caller-answer.ts
@@ -58,8 +58,9 @@
     this.firstByteAt ??= monotonicNow()
     this.setHeaders(headers)
     if (!isFramed) this.delimitByClose()
-    const isLengthKnown = isFramed && (body.length > 0 || headers['content-length'] !== undefined)
-    this.response.writeHead(status, isLengthKnown ? { 'content-length': String(body.length) } : {})
+    // The length of an answer without a body, to HEAD or with status 304, is that of the body which it stands for.
+    const length = body.length > 0 ? String(body.length) : headers['content-length']
+    this.response.writeHead(status, isFramed && length !== undefined ? { 'content-length': length } : {})
     this.response.end(body)
   }
 
--- a/test/answer-head-cut.test.ts
+++ b/test/answer-head-cut.test.ts
@@ -66,13 +66,13 @@
   })
 }
 
-const bodiless: readonly { readonly name: string, readonly method: string, readonly answer: (id: string) => string, readonly status: number }[] = [
-  { name: 'to HEAD', method: 'HEAD', answer: id => `${signed(id)}content-length: 14\r\n\r\n`, status: 200 },
-  { name: 'with status 204', method: 'GET', answer: id => `${signed(id).replace('200 OK', '204 No Content')}\r\n`, status: 204 },
-  { name: 'with status 304', method: 'GET', answer: id => `${signed(id).replace('200 OK', '304 Not Modified')}content-length: 14\r\n\r\n`, status: 304 }
+const bodiless: readonly { readonly name: string, readonly method: string, readonly answer: (id: string) => string, readonly status: number, readonly contentLength: string | undefined }[] = [
+  { name: 'to HEAD', method: 'HEAD', answer: id => `${signed(id)}content-length: 14\r\n\r\n`, status: 200, contentLength: '14' },
+  { name: 'with status 204', method: 'GET', answer: id => `${signed(id).replace('200 OK', '204 No Content')}\r\n`, status: 204, contentLength: undefined },
+  { name: 'with status 304', method: 'GET', answer: id => `${signed(id).replace('200 OK', '304 Not Modified')}content-length: 14\r\n\r\n`, status: 304, contentLength: '14' }
 ]
 
-for (const { name, method, answer, status } of bodiless) {
+for (const { name, method, answer, status, contentLength } of bodiless) {
   test(`answer cut: an answer ${name}, and its head cut`, async t => {
     const script = (call: ScriptedCall): void => {
       const bytes = answer(call.id)
@@ -81,7 +81,7 @@
     const fleet = new StreamFleet({ upstreams: 2, maximumUpstreams: 2, kind: 'safe' }, script)
     await fleet.start()
     t.teardown(async () => { await fleet.stop() })
-    t.match(await fleet.send('whole', method).result, { status, isComplete: true, text: '' })
+    t.match(await fleet.send('whole', method).result, { status, isComplete: true, text: '', contentLength })
     t.match(await fleet.send('cut', method).result, { status: 502 })
   })
 }
--- a/test/fakes/stream-fleet.ts
+++ b/test/fakes/stream-fleet.ts
@@ -104,6 +104,8 @@
   readonly text: string
   /** Whether the answer ended regularly. */
   readonly isComplete: boolean
+  /** Its header; undefined without one. */
+  readonly contentLength?: string | undefined
 }
 
 /** Options of the fleet's only route. */
@@ -170,7 +172,7 @@
         let text = ''
         answer.on('data', (part: Buffer) => { text += part.toString() })
         answer.on('error', () => {})
-        answer.on('close', () => { resolve({ status: answer.statusCode ?? 0, text, isComplete: answer.complete }) })
+        answer.on('close', () => { resolve({ status: answer.statusCode ?? 0, text, isComplete: answer.complete, contentLength: answer.headers['content-length'] }) })
       })
     })
     outgoing.end()
