Idle connections are read before one of them is reused

Change: where an upstream has idle connections, the agent assigns one after the event loop has polled once more.

--- a/src/roles/gateway/upstream-connections.ts
+++ b/src/roles/gateway/upstream-connections.ts
@@ -1,5 +1,5 @@
 /** HTTP connections to upstreams: persistent for requests that may be repeated, one per request for all others. */
-import { Agent, type ClientRequestArgs } from 'node:http'
+import { Agent, type ClientRequest, type ClientRequestArgs } from 'node:http'
 import type { Socket } from 'node:net'
 
 /** Idle time after which a persistent connection is closed, milliseconds: less than the shortest `Keep-Alive` timeout that upstreams send. */
@@ -27,8 +27,20 @@
   return (socket === null || socket === undefined ? undefined : socketStates.get(socket)) ?? { hasFailed: false, hasEnded: false }
 }
 
+/** The parts of Node's agent that its types lack. */
+interface AgentInternals {
+  addRequest (request: ClientRequest, ...options: readonly unknown[]): void
+}
+
 /** Agent that closes an idle persistent connection on which bytes arrive: they could be taken for the answer to the next request. */
 class CheckedAgent extends Agent {
+  /** Has what has arrived on idle connections read before one of them is reused: a process that was delayed has not seen it yet. */
+  addRequest (request: ClientRequest, ...options: readonly unknown[]): void {
+    const add = (): void => { (Agent.prototype as unknown as AgentInternals).addRequest.call(this, request, ...options) }
+    if (Object.keys(this.freeSockets).length === 0) add()
+    else setImmediate(add)
+  }
+
   override createConnection (options: ClientRequestArgs, callback?: (error: Error | null, stream: Socket) => void): Socket {
     const create = Agent.prototype as unknown as { createConnection (options: ClientRequestArgs, callback?: unknown): Socket }
     const socket = create.createConnection.call(this, options, callback)
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -168,21 +168,31 @@
   }
 })
 
-test('upstream call: unsolicited bytes after an answer close the persistent connection', async t => {
-  let connections = 0
-  const { address, close } = await listen(socket => {
-    connections += 1
-    const answer = `HTTP/1.1 200 OK\r\n${signed}Content-Length: 2\r\n\r\nok`
-    socket.write(answer)
-    setTimeout(() => { socket.write(answer) }, 20)
+for (const { name, blockMilliseconds } of [{ name: '', blockMilliseconds: 0 }, { name: ' of a process that was delayed', blockMilliseconds: 150 }]) {
+  test(`upstream call: unsolicited bytes after an answer close the persistent connection${name}`, async t => {
+    let connections = 0
+    const { address, close } = await listen(socket => {
+      connections += 1
+      const answer = `HTTP/1.1 200 OK\r\n${signed}Content-Length: 2\r\n\r\nok`
+      socket.write(answer)
+      setTimeout(() => { socket.write(answer) }, 20)
+    })
+    const agents = new UpstreamConnections()
+    t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
+    const waiting = new Promise(resolve => { setTimeout(resolve, 60) })
+    block(blockMilliseconds)
+    await waiting
+    t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
+    t.equal(connections, 2)
+    close()
   })
-  const agents = new UpstreamConnections()
-  t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
-  await new Promise(resolve => { setTimeout(resolve, 60) })
-  t.match(await callOnce(address, false, false, new SeenStream(), agents), { kind: 'answer' })
-  t.equal(connections, 2)
-  close()
-})
+}
+
+/** Keeps the event loop from running. */
+function block (milliseconds: number): void {
+  const until = performance.now() + milliseconds
+  while (performance.now() < until);
+}
 
 async function listen (answer: (socket: Socket) => void, received: () => void = () => {}): Promise<{ readonly address: string, readonly close: () => void }> {
   const sockets = new Set<Socket>()
