--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -1,5 +1,7 @@
 /** Placement: chooses the upstream that takes a request, or none. */
 
+import { sample } from '../fleet/gossip-plan.js'
+
 /** An upstream that may take a request, as one entry sees it. */
 export interface Candidate {
   readonly id: string
@@ -39,20 +41,35 @@
  * learn of each other's requests one report late. If every entry chose the least loaded upstream, a newly started one
  * would get all requests until the next report, and their callers would wait until all those prompts are read.
  */
-export function placeRequest (candidates: readonly Candidate[], random: () => number): Candidate | undefined {
+export function placeRequest<Placed extends Candidate> (candidates: readonly Placed[], random: () => number): Placed | undefined {
   const open = candidates.filter(({ freeSlots }) => freeSlots >= 1)
   const local = pickTwo(open.filter(({ isSameDataCentre }) => isSameDataCentre), random)
   const remote = pickTwo(open.filter(({ isSameDataCentre }) => !isSameDataCentre), random)
-  return [...local, ...remote].reduce<Candidate | undefined>((best, candidate) => best === undefined || costOf(candidate) < costOf(best) ? candidate : best, undefined)
+  return [...local, ...remote].reduce<Placed | undefined>((best, candidate) => best === undefined || costOf(candidate) < costOf(best) ? candidate : best, undefined)
 }
 
-function pickTwo (candidates: readonly Candidate[], random: () => number): readonly Candidate[] {
+function pickTwo<Placed extends Candidate> (candidates: readonly Placed[], random: () => number): readonly Placed[] {
   if (candidates.length <= 2) return candidates
   const first = Math.floor(random() * candidates.length)
   const second = (first + 1 + Math.floor(random() * (candidates.length - 1))) % candidates.length
   return candidates.filter((_, index) => index === first || index === second)
 }
 
+/** Agents that one request asks for a slot in a round: two in the entry's data centre, since traffic between regions has a price, and one elsewhere. */
+const askedAgents = { sameDataCentre: 2, elsewhere: 1 } as const
+
+/**
+ * Engines whose agents are asked for a slot: at random among those that have not just had none. Loads are not compared:
+ * entries that have the same reports would all ask the same agents.
+ */
+export function enginesToAsk<Asked extends Pick<Candidate, 'id' | 'isSameDataCentre'>> (candidates: readonly Asked[], isFull: (id: string) => boolean, random: () => number): readonly Asked[] {
+  const open = candidates.filter(({ id }) => !isFull(id))
+  const from = open.length > 0 ? open : candidates
+  const local = sample(from.filter(({ isSameDataCentre }) => isSameDataCentre), askedAgents.sameDataCentre, random)
+  const rest = from.filter(candidate => !local.includes(candidate))
+  return [...local, ...sample(rest, askedAgents.sameDataCentre + askedAgents.elsewhere - local.length, random)]
+}
+
 function costOf (candidate: Candidate): number {
   return candidate.load + candidate.unstarted * unstartedPenalty + candidate.penalty + (candidate.isSameDataCentre ? 0 : otherDataCentrePenalty)
 }
--- a/src/core/dispatch/queueing.ts
+++ b/src/core/dispatch/queueing.ts
@@ -2,10 +2,10 @@
 
 /**
  * Why no upstream takes a request now: all are at capacity (`full`), all have asked for rest (`resting`), all have named
- * limits that are used up (`limited`), first events take too long (`waits`), none serves the weights (`no-weights`), or none may serve the
+ * limits that are used up (`limited`), agents were asked for a slot and have not all answered (`asked`), first events take too long (`waits`), none serves the weights (`no-weights`), or none may serve the
  * request (`no-upstream`).
  */
-export type PlacementFailure = 'full' | 'resting' | 'limited' | 'waits' | 'no-weights' | 'no-upstream'
+export type PlacementFailure = 'full' | 'asked' | 'resting' | 'limited' | 'waits' | 'no-weights' | 'no-upstream'
 
 /** What the queue deadline depends on; times in milliseconds of the monotonic clock. */
 export interface QueueingContext {
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -3,6 +3,7 @@
 import { admissionFor } from '../../core/dispatch/admission.js'
 import { permitDeadline, queueDeadline, repeatDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
 import { refusedShare } from '../../core/dispatch/first-event-waits.js'
+import { SlotSearch } from '../../core/dispatch/slot-requests.js'
 import { nextStep, type RequestProgress } from '../../core/dispatch/next-step.js'
 import { mayTakeOver, stepAfterEnd, type CallYield } from '../../core/dispatch/takeover.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
@@ -16,7 +17,7 @@
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { RequestCalls, type EndedAttempt } from './request-calls.js'
 import type { CallResult, NotRunReason } from './upstream-call.js'
-import type { SelectionFailure } from './upstream-pool.js'
+import type { SelectionFailure } from './upstream-selection.js'
 import type { UpstreamView } from './upstream-view.js'
 
 const log = logFor('requests')
@@ -43,6 +44,7 @@
   private withdrawn = 0
   /** Calls whose upstream certainly did not run it. */
   private refused = 0
+  private search = new SlotSearch()
   private takeoverTimer: NodeJS.Timeout | undefined
   /** Whether the final answer was delivered. */
   private isOver = false
@@ -103,7 +105,7 @@
     clearTimeout(this.takeoverTimer)
     if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open) || context.suspects.isSuspect(request.traits)) return
     const [service, entries, now] = [request.service.name, context.entryCount(), monotonicNow()]
-    const view = context.budget.hasRetry(service, entries, now) ? this.chooseUpstream() : 'full'
+    const view = context.budget.hasRetry(service, entries, now) ? this.chooseUpstream(undefined) : 'full'
     if (typeof view === 'string') {
       this.takeoverTimer = setTimeout(() => { this.considerTakeover() }, takeoverIntervalMilliseconds)
       return
@@ -135,6 +137,7 @@
 
   /** Takes a slot at an upstream, behind requests that are queued already; undefined when the request is over. */
   private async acquireSlot (): Promise<UpstreamView | undefined> {
+    this.search = new SlotSearch()
     const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     const hasLeft = this.callerDisconnect.signal.aborted
@@ -153,7 +156,7 @@
 
   /** Takes a slot at an upstream; without a free one it sets `noSlotReason` and returns undefined. */
   private tryAcquireSlot (): UpstreamView | undefined {
-    const view = this.isRefusedForOverload() ? 'waits' : this.chooseUpstream()
+    const view = this.isRefusedForOverload() ? 'waits' : this.chooseUpstream(this.search)
     if (typeof view === 'string') {
       this.noSlotReason = view
       return undefined
@@ -187,7 +190,7 @@
   private deadlineOfRepeat (): number | undefined {
     const { deadline, route } = this.request
     const now = monotonicNow()
-    if (this.noSlotReason === 'limited') return permitDeadline(now, deadline)
+    if (this.noSlotReason === 'limited' || this.noSlotReason === 'asked') return permitDeadline(now, deadline)
     if (this.calls.hasForeignAnswer) return repeatDeadline(now, deadline, route.latencyGoalMilliseconds)
     return undefined
   }
@@ -201,7 +204,7 @@
     return request.isLate ? share > lateRefusalThreshold : this.refusalSample < share
   }
 
-  private chooseUpstream (): UpstreamView | SelectionFailure {
+  private chooseUpstream (search: SlotSearch | undefined): UpstreamView | SelectionFailure {
     const { request, context } = this
     const { engine } = request.service
     return context.pool.choose({
@@ -210,7 +213,8 @@
       admission: admissionFor({ route: request.route, engine, isLate: request.isLate && !this.answer.hasBegun, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
       tried: this.calls.tried,
       minimumVersion: this.minimumVersion(),
-      streamVersion: this.calls.startedBy?.weights?.version
+      streamVersion: this.calls.startedBy?.weights?.version,
+      search
     })
   }
 
--- /dev/null
+++ b/src/roles/gateway/engine-slots.ts
@@ -0,0 +1,88 @@
+/** Slots of engines as one entry gets them: their agents grant each one. */
+import { concurrencyLimit, enginesToAsk, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { SlotRequests, type HeldSlot, type SlotSearch } from '../../core/dispatch/slot-requests.js'
+import type { SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
+import { monotonicNow } from '../../utils/clock.js'
+import { ipOf, type UpstreamView } from './upstream-view.js'
+
+/** How agents are reached, and what an answer of theirs is for. */
+export interface EngineSlotsContext {
+  /** Sends a message to the agent at `ip`, without a guarantee of delivery. */
+  send (message: SlotRequest | SlotRelease, ip: string): void
+  /** Called when a search has all its answers: requests that wait may use the slots that are held. */
+  answered (): void
+}
+
+/** A candidate with its upstream. */
+export interface ViewedCandidate extends Candidate {
+  readonly view: UpstreamView
+}
+
+/** Asks agents for slots, and holds those that were granted. */
+export class EngineSlots {
+  private readonly requests = new SlotRequests()
+
+  constructor (private readonly context: EngineSlotsContext, private readonly random: () => number = Math.random) {}
+
+  /** Whether the slots of an upstream are granted by its agent: it has reported, and answers. */
+  isGranting ({ upstream, reportedVersion }: UpstreamView, now: number): boolean {
+    return upstream.isEngine && reportedVersion !== undefined && !this.requests.isSilent(upstream.id, now)
+  }
+
+  /** The candidate with the load that its agent stated, if a slot is held there; otherwise without a free slot. */
+  withHeldSlot (candidate: ViewedCandidate, admission: AdmissionLimits, now: number): ViewedCandidate {
+    const held = this.heldAt(candidate.view, admission, now)
+    return held === undefined ? { ...candidate, freeSlots: 0 } : { ...candidate, freeSlots: 1, load: held.load - 1 }
+  }
+
+  /** Whether a search may ask now. */
+  mayAsk (search: SlotSearch, now: number): boolean {
+    return this.requests.mayAsk(search, now)
+  }
+
+  /** Asks some of the candidates' agents for a slot. */
+  ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number): void {
+    for (const { view: { upstream } } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
+      const number = this.requests.ask(search, upstream.id, now)
+      this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission) }, ipOf(upstream.address))
+    }
+  }
+
+  /** Whether a search waits for an answer. */
+  awaitsAnswer (search: SlotSearch): boolean {
+    return this.requests.awaitsAnswer(search)
+  }
+
+  /** Uses the slot that is held at an upstream, if any. */
+  take (view: UpstreamView, admission: AdmissionLimits, now: number): void {
+    const held = this.heldAt(view, admission, now)
+    if (held !== undefined) this.requests.take(held)
+  }
+
+  /** The upstream whose agent replies; undefined if the reply comes too late. */
+  upstreamOf ({ number }: SlotReply): string | undefined {
+    return this.requests.upstreamOf(number)
+  }
+
+  /** Applies an agent's reply. */
+  receive ({ number, load, isGranted }: SlotReply): void {
+    if (this.requests.receive(number, { load, isGranted }, monotonicNow())) this.context.answered()
+  }
+
+  /** Gives back the slots that no request waits for; `ipOf` finds the agent of an upstream. */
+  releaseAll (addressOf: (upstreamId: string) => string | undefined): void {
+    for (const { upstreamId, number } of this.requests.releaseAll()) {
+      const address = addressOf(upstreamId)
+      if (address !== undefined) this.context.send({ kind: 'slot-release', number }, ipOf(address))
+    }
+  }
+
+  /** Deletes what is known of an upstream that was removed. */
+  forget (id: string): void {
+    this.requests.forget(id)
+  }
+
+  private heldAt ({ upstream }: UpstreamView, admission: AdmissionLimits, now: number): HeldSlot | undefined {
+    return this.requests.heldAt(upstream.id, concurrencyLimit(upstream.slots, admission), now)
+  }
+}
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -23,6 +23,8 @@
 import { createCrashSuspects } from './crash-gossip.js'
 import { FleetRecords } from './fleet-records.js'
 import { FleetState } from './fleet-state.js'
+import { renderMetrics } from './gateway-metrics.js'
+import { EngineSlots } from './engine-slots.js'
 import { InstanceRecords, staleCheckMilliseconds } from './instance-records.js'
 import { EntryGossip } from './gossip.js'
 import { RequestServer } from './serve-request.js'
@@ -66,6 +68,7 @@
   private readonly state: FleetState
   private readonly pool: UpstreamPool
   private readonly limits: UpstreamLimits
+  private readonly slots: EngineSlots
   private readonly connections = new UpstreamConnections()
   private readonly suspects = createCrashSuspects()
   private readonly unprovedRuns = new UnprovedRuns(this.suspects)
@@ -110,12 +113,17 @@
       },
       startOf: id => this.pool.find(id)?.upstream.startedAt
     })
+    this.slots = new EngineSlots({
+      send: (message, ip) => { this.datagrams.send(message, ip) },
+      answered: () => { this.useSlots() }
+    })
     this.pool = new UpstreamPool({
       instance: settings.instance,
       dataCentre: settings.dataCentre,
       regionOf: settings.regionByDataCentre,
       cold: { factor: settings.coldFactor, slack: settings.coldSlack },
       limits: this.limits,
+      slots: this.slots,
       entries: () => this.livingEntries(),
       knownEntries: () => this.members.knownEntries(monotonicNow()),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre),
@@ -253,6 +261,13 @@
     return entriesFor(this.members.living(monotonicNow()), caller, routes.flatMap(({ regions }) => regions))
   }
 
+  /** Has queued requests use the slots that agents have granted, and gives back those that none needs. */
+  private useSlots (): void {
+    const queues = [...this.queues.values()]
+    for (const queue of queues) queue.poll()
+    if (queues.every(({ isEmpty }) => isEmpty)) this.slots.releaseAll(id => this.pool.find(id)?.upstream.address)
+  }
+
   private removeStale (): void {
     this.pool.deleteExpired()
     this.connections.retainOnly(new Set(this.pool.all().map(({ upstream }) => upstream.id)))
@@ -260,25 +275,9 @@
 
   private serveInternal (incoming: IncomingMessage, response: ServerResponse): void {
     if (incoming.url?.startsWith('/records?') === true) this.records.serve(incoming.url, response)
-    else if (incoming.url === '/metrics') response.end(this.renderMetrics())
+    else if (incoming.url === '/metrics') response.end(renderMetrics(this.metrics, { active: this.active, livingEntries: this.livingEntries().length, state: this.state, suspects: this.suspects, records: this.records, pool: this.pool, limits: this.limits }))
     else response.writeHead(404).end()
   }
-
-  private renderMetrics (): string {
-    const now = monotonicNow()
-    this.metrics.set('active_requests', {}, this.active)
-    this.metrics.set('living_entries', {}, this.livingEntries().length)
-    this.metrics.set('configuration_version', {}, this.state.table?.configuration.version ?? 0)
-    this.metrics.set('crashing_traits', {}, this.suspects.refusedCount)
-    this.metrics.set('log_connected', {}, this.records.operators.state.isConnected ? 1 : 0)
-    for (const view of this.pool.all()) {
-      this.metrics.set('upstream_requests', { upstream: view.upstream.id }, view.inFlight)
-      this.metrics.set('upstream_ejected', { upstream: view.upstream.id }, view.health.ejectedUntil > now ? 1 : 0)
-      this.metrics.set('upstream_resting', { upstream: view.upstream.id }, this.pool.availability.isResting(view.upstream) ? 1 : 0)
-      this.metrics.set('upstream_limit', { upstream: view.upstream.id }, this.limits.perSecond(view.upstream) ?? -1)
-    }
-    return this.metrics.render()
-  }
 }
 
 function getOrCreate<Value> (values: Map<string, Value>, key: string, make: () => Value): Value {
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -130,6 +130,7 @@
     else if (message.kind === 'permit-request') this.answerPermitRequest(message, ip)
     else if (message.kind === 'permit-answer') this.context.limits.receive(message, ip)
     else if (message.kind === 'load') this.context.pool.applyLoadReport(message, ip)
+    else if (message.kind === 'slot-reply') this.context.pool.receiveSlotReply(message)
     else if (message.kind === 'introduction') this.subscriptions.answerIntroduction(message.service, ip)
   }
 
--- a/src/roles/gateway/request-queue.ts
+++ b/src/roles/gateway/request-queue.ts
@@ -42,10 +42,18 @@
       signal.addEventListener('abort', () => { finish(undefined) }, { once: true })
       this.items = [...this.items, { number, isLate, until, takeSlot, finish }]
       this.timer ??= setInterval(() => { this.poll() }, pollIntervalMilliseconds)
+      // A request that arrives behind others has not looked for a slot yet.
+      if (this.items.length > 1) this.poll()
     })
   }
 
-  private poll (): void {
+  /** Whether no request is queued. */
+  get isEmpty (): boolean {
+    return this.items.length === 0
+  }
+
+  /** Has each queued request look for a slot. */
+  poll (): void {
     const now = monotonicNow()
     for (const item of orderQueue(this.items)) {
       const view = item.takeSlot()
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -1,66 +1,23 @@
 /** The upstreams as one entry knows them, from their records, the reports of their agents and its own calls. */
-import { ColdRateLimiter, type ColdBounds } from '../../core/dispatch/cold-rate.js'
-import { updateHealth, excludeEjected, penaltyOf, initialHealth, type CallOutcome } from '../../core/dispatch/upstream-health.js'
-import { concurrencyLimit, placeRequest, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { updateHealth, initialHealth, type CallOutcome } from '../../core/dispatch/upstream-health.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
-import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
-import { sample } from '../../core/fleet/gossip-plan.js'
 import type { Service, Upstream } from '../../types/fleet.js'
 import type { AnswerHead } from '../../types/ports.js'
-import type { LoadReport } from '../../types/node-messages.js'
+import type { LoadReport, SlotReply } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { UpstreamAvailability } from './upstream-availability.js'
 import { expectedAt } from './expected-at.js'
 import { Responsiveness } from './responsiveness.js'
-import type { UpstreamLimits } from './upstream-limits.js'
-import { engineIdsByIp, isLoadRecent, estimateLoad, hasWeights, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
+import { coldBoundsOf, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
+import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
 
 /** Time for which an upstream that refused a request counts as at capacity, milliseconds. */
 const shedBackoffMilliseconds = 150
 
-/** Permits of limited upstreams that one request asks for: with more, most would not be used. */
-const permitRequestsPerChoice = 2
-
-/** What a request requires of its upstream. */
-export interface UpstreamRequirements {
-  readonly service: Service
-  /** Regions that may serve it; undefined for all. */
-  readonly regions: readonly string[] | undefined
-  readonly admission: AdmissionLimits
-  /** Ids of upstreams that were called for it and are not called again. */
-  readonly tried: ReadonlySet<string>
-  /** Lowest version of the weights that may serve it; undefined for a service without weights. */
-  readonly minimumVersion: number | undefined
-  /** Version on which its stream started, preferred while an upstream serves it; undefined before the start. */
-  readonly streamVersion: number | undefined
-}
-
-/** The entry that a pool belongs to, and what the pool needs to know of it. */
-export interface PoolContext {
-  readonly instance: string
-  readonly dataCentre: string
-  /** Region of each data centre. */
-  readonly regionOf: ReadonlyMap<string, string>
-  /** A cold upstream may get its rate times `factor`, plus `slack` requests, in one second from all entries. */
-  readonly cold: { readonly factor: number, readonly slack: number }
-  readonly limits: UpstreamLimits
-  /** Instances of the living entries, including this one. */
-  entries (): readonly string[]
-  /** Instances among which the rate of a cold upstream is divided, see `Membership.knownEntries`. */
-  knownEntries (): readonly string[]
-  isEvacuated (dataCentre: string): boolean
-  /** Called when an incarnation of an upstream is gone: its record was removed, or it has started again. */
-  upstreamGone (upstream: Upstream): void
-  /** Called when a record says that an upstream leaves of which that was not known. */
-  upstreamLeaves (): void
-}
-
-/** Why no upstream was selected: no listed one may serve the request, none of these serves its weights, all of them rest, all are at capacity, or all have named limits, which are used up. */
-export type SelectionFailure = Exclude<PlacementFailure, 'waits'>
-
 /** All upstreams of one entry; times are milliseconds of the monotonic clock. */
 export class UpstreamPool {
   private readonly views = new Map<string, UpstreamView>()
@@ -70,9 +27,11 @@
   private readonly responsiveness = new Responsiveness()
   /** Which upstreams leave, rest or are withdrawn. */
   readonly availability: UpstreamAvailability
+  private readonly selection: UpstreamSelection
 
   constructor (private readonly context: PoolContext, private readonly serviceOf: (name: string) => Service | undefined, private readonly random: () => number = Math.random) {
     this.availability = new UpstreamAvailability(dataCentre => context.isEvacuated(dataCentre))
+    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate }, random)
   }
 
   /** Applies a record of the instance list. `isFirst` marks records that were found at the start. */
@@ -148,28 +107,16 @@
 
   /** Chooses an upstream for a request, or tells why there is none. */
   choose (requirements: UpstreamRequirements): UpstreamView | SelectionFailure {
-    const now = monotonicNow()
-    const [entries, knownEntries] = [this.context.entries(), this.context.knownEntries()]
-    const listed = [...this.views.values()].filter(view => this.mayServe(view, requirements))
-    if (listed.length === 0) return 'no-upstream'
-    const withWeights = listed.filter(view => hasWeights(view, requirements.minimumVersion))
-    if (withWeights.length === 0) return 'no-weights'
-    const available = withWeights.filter(({ upstream }) => !this.availability.isResting(upstream))
-    if (available.length === 0) return 'resting'
-    const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
-    const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
-    const open = this.responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && this.availability.allowsRequest(view) && this.isWithinColdRate(view, requirements.service, knownEntries, now))
-    const chosen = placeRequest(this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now)), this.random)
-    const view = chosen === undefined ? undefined : this.views.get(chosen.id)
-    return view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
+    return this.selection.choose([...this.views.values()], requirements)
   }
 
-  /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
-  private withPermit (open: readonly UpstreamView[]): readonly UpstreamView[] {
-    const { limits } = this.context
-    const others = open.filter(({ upstream }) => !limits.mayTake(upstream))
-    for (const { upstream } of sample(others, permitRequestsPerChoice, this.random)) limits.requestPermit(upstream)
-    return others.length === 0 ? open : open.filter(({ upstream }) => limits.mayTake(upstream))
+  /** Applies an agent's reply to a request for a slot. */
+  receiveSlotReply (reply: SlotReply): void {
+    const id = this.context.slots.upstreamOf(reply)
+    const view = id === undefined ? undefined : this.views.get(id)
+    if (id === undefined || view === undefined) return
+    this.views.set(id, { ...view, observedLoad: this.observeLoad(view, reply.load) })
+    this.context.slots.receive(reply)
   }
 
   /** State of an upstream; undefined for one that is not listed. */
@@ -181,7 +128,7 @@
     if (view === undefined) return
     const now = monotonicNow()
     const service = this.serviceOf(view.upstream.service)
-    if (service !== undefined && view.coldUntil > now) this.coldRate.take(id, this.context.knownEntries(), this.coldBounds(service), now)
+    if (service !== undefined && view.coldUntil > now) this.coldRate.take(id, this.context.knownEntries(), coldBoundsOf(service, this.context), now)
     this.context.limits.take(view.upstream)
     this.availability.recordSent(view.upstream)
     const observedLoad = { ...view.observedLoad, sent: view.observedLoad.sent + 1 }
@@ -220,12 +167,6 @@
   /** State of every upstream. */
   all (): readonly UpstreamView[] { return [...this.views.values()] }
 
-  /** Slots that this entry may use now. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
-  private freeSlotsAt (view: UpstreamView, limit: number, entries: number, now: number): number {
-    if (!view.upstream.isEngine || this.context.limits.isLimited(view.upstream)) return limit - estimateLoad(view, now)
-    return isLoadRecent(view, now) ? freeSlotsByReport(limit, view.observedLoad, entries) : freeSlotsWithoutReport(limit, view.inFlight, entries)
-  }
-
   private withReport (view: UpstreamView, report: LoadReport): UpstreamView {
     const isRestart = report.startedAt !== view.upstream.startedAt && report.startedAt > view.upstream.startedAt
     const now = monotonicNow()
@@ -249,6 +190,7 @@
     if (view !== undefined) this.context.upstreamGone(view.upstream)
     this.coldRate.forget(id)
     this.context.limits.forget(id)
+    this.context.slots.forget(id)
     this.availability.forget(id)
     this.responsiveness.forget(id)
   }
@@ -268,32 +210,8 @@
     return view === undefined || this.availability.isWithdrawn(view) || this.availability.isResting(view.upstream)
   }
 
-  private mayServe (view: UpstreamView, requirements: UpstreamRequirements): boolean {
-    const { upstream } = view
-    if (upstream.service !== requirements.service.name || requirements.tried.has(upstream.id) || this.availability.isWithdrawn(view)) return false
-    const region = this.context.regionOf.get(upstream.dataCentre)
-    return requirements.regions === undefined || (region !== undefined && requirements.regions.includes(region))
-  }
-
-  private isWithinColdRate (view: UpstreamView, service: Service, entries: readonly string[], now: number): boolean {
-    return view.coldUntil <= now || this.coldRate.mayTake(view.upstream.id, this.context.instance, entries, this.coldBounds(service), now)
-  }
-
-  private coldBounds (service: Service): ColdBounds { return { perSecond: service.coldRequestsPerSecond, ...this.context.cold } }
-
   /** Load of an upstream observed now, with `total` requests of all entries. */
   private observeLoad (view: UpstreamView, total: number): ObservedLoad {
     return { total, local: view.inFlight, roundingOffset: this.random(), sent: 0, ended: 0, at: monotonicNow() }
   }
-
-  private candidateOf (view: UpstreamView, admission: AdmissionLimits, entries: number, now: number): Candidate {
-    return {
-      id: view.upstream.id,
-      load: estimateLoad(view, now),
-      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), entries, now),
-      unstarted: view.unstarted,
-      isSameDataCentre: view.upstream.dataCentre === this.context.dataCentre,
-      penalty: penaltyOf(view.health)
-    }
-  }
 }
--- /dev/null
+++ b/src/roles/gateway/upstream-selection.ts
@@ -0,0 +1,153 @@
+/** Selection of the upstream that takes a request, among those that one entry knows. */
+import type { ColdBounds, ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
+import { concurrencyLimit, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
+import type { PlacementFailure } from '../../core/dispatch/queueing.js'
+import type { SlotSearch } from '../../core/dispatch/slot-requests.js'
+import { excludeEjected, penaltyOf } from '../../core/dispatch/upstream-health.js'
+import { sample } from '../../core/fleet/gossip-plan.js'
+import type { Service, Upstream } from '../../types/fleet.js'
+import { monotonicNow } from '../../utils/clock.js'
+import type { EngineSlots, ViewedCandidate } from './engine-slots.js'
+import type { Responsiveness } from './responsiveness.js'
+import type { UpstreamAvailability } from './upstream-availability.js'
+import type { UpstreamLimits } from './upstream-limits.js'
+import { estimateLoad, hasWeights, isLoadRecent, type UpstreamView } from './upstream-view.js'
+
+/** Permits of limited upstreams that one request asks for: with more, most would not be used. */
+const permitRequestsPerChoice = 2
+
+/** What a request requires of its upstream. */
+export interface UpstreamRequirements {
+  readonly service: Service
+  /** Regions that may serve it; undefined for all. */
+  readonly regions: readonly string[] | undefined
+  readonly admission: AdmissionLimits
+  /** Ids of upstreams that were called for it and are not called again. */
+  readonly tried: ReadonlySet<string>
+  /** Lowest version of the weights that may serve it; undefined for a service without weights. */
+  readonly minimumVersion: number | undefined
+  /** Version on which its stream started, preferred while an upstream serves it; undefined before the start. */
+  readonly streamVersion: number | undefined
+  /** Its search for a slot of an engine whose agent grants them; undefined to use this entry's share of the slots. */
+  readonly search: SlotSearch | undefined
+}
+
+/** The entry that a pool belongs to, and what the pool needs to know of it. */
+export interface PoolContext {
+  readonly instance: string
+  readonly dataCentre: string
+  /** Region of each data centre. */
+  readonly regionOf: ReadonlyMap<string, string>
+  /** A cold upstream may get its rate times `factor`, plus `slack` requests, in one second from all entries. */
+  readonly cold: { readonly factor: number, readonly slack: number }
+  readonly limits: UpstreamLimits
+  readonly slots: EngineSlots
+  /** Instances of the living entries, including this one. */
+  entries (): readonly string[]
+  /** Instances among which the rate of a cold upstream is divided, see `Membership.knownEntries`. */
+  knownEntries (): readonly string[]
+  isEvacuated (dataCentre: string): boolean
+  /** Called when an incarnation of an upstream is gone: its record was removed, or it has started again. */
+  upstreamGone (upstream: Upstream): void
+  /** Called when a record says that an upstream leaves of which that was not known. */
+  upstreamLeaves (): void
+}
+
+/** Why no upstream was selected: no listed one may serve the request, none of these serves its weights, all of them rest, all are at capacity, all have named limits, which are used up, or their agents have not answered yet. */
+export type SelectionFailure = Exclude<PlacementFailure, 'waits'>
+
+/** What a selection knows besides the upstreams themselves. */
+export interface SelectionState {
+  readonly pool: PoolContext
+  readonly availability: UpstreamAvailability
+  readonly responsiveness: Responsiveness
+  readonly coldRate: ColdRateLimiter
+}
+
+/** Selects upstreams for the requests of one entry; times are milliseconds of the monotonic clock. */
+export class UpstreamSelection {
+  private readonly context: PoolContext
+
+  constructor (private readonly state: SelectionState, private readonly random: () => number) {
+    this.context = state.pool
+  }
+
+  /** Chooses an upstream for a request, or tells why there is none. */
+  choose (views: readonly UpstreamView[], requirements: UpstreamRequirements): UpstreamView | SelectionFailure {
+    const now = monotonicNow()
+    const { availability, responsiveness } = this.state
+    const [entries, knownEntries] = [this.context.entries(), this.context.knownEntries()]
+    const listed = views.filter(view => this.mayServe(view, requirements))
+    if (listed.length === 0) return 'no-upstream'
+    const withWeights = listed.filter(view => hasWeights(view, requirements.minimumVersion))
+    if (withWeights.length === 0) return 'no-weights'
+    const available = withWeights.filter(({ upstream }) => !availability.isResting(upstream))
+    if (available.length === 0) return 'resting'
+    const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
+    const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
+    const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements.service, knownEntries, now))
+    const candidates = this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now))
+    const placed = requirements.search === undefined ? placeRequest(candidates, this.random) : this.place(candidates, requirements.search, requirements.admission, now)
+    if (placed === 'asked') return 'asked'
+    return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
+  }
+
+  /** Places a request where a slot is held for it or this entry's share of the slots leaves one; asks agents for slots first, and where there is none. */
+  private place (candidates: readonly ViewedCandidate[], search: SlotSearch, admission: AdmissionLimits, now: number): ViewedCandidate | 'asked' | undefined {
+    const { slots, limits } = this.context
+    const granting = candidates.filter(({ view }) => slots.isGranting(view, now) && !limits.isLimited(view.upstream))
+    const others = candidates.filter(candidate => !granting.includes(candidate))
+    const isFirst = search.nextAskAt === undefined && granting.length > 0
+    const chosen = placeRequest([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], this.random)
+    if (chosen !== undefined) {
+      slots.take(chosen.view, admission, now)
+      return chosen
+    }
+    if (granting.length === 0) return undefined
+    if (slots.mayAsk(search, now)) slots.ask(search, granting, admission, now)
+    return slots.awaitsAnswer(search) ? 'asked' : undefined
+  }
+
+  /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
+  private withPermit (open: readonly UpstreamView[]): readonly UpstreamView[] {
+    const { limits } = this.context
+    const others = open.filter(({ upstream }) => !limits.mayTake(upstream))
+    for (const { upstream } of sample(others, permitRequestsPerChoice, this.random)) limits.requestPermit(upstream)
+    return others.length === 0 ? open : open.filter(({ upstream }) => limits.mayTake(upstream))
+  }
+
+  /** Slots that this entry may use now. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
+  private freeSlotsAt (view: UpstreamView, limit: number, entries: number, now: number): number {
+    if (!view.upstream.isEngine || this.context.limits.isLimited(view.upstream)) return limit - estimateLoad(view, now)
+    return isLoadRecent(view, now) ? freeSlotsByReport(limit, view.observedLoad, entries) : freeSlotsWithoutReport(limit, view.inFlight, entries)
+  }
+
+  private mayServe (view: UpstreamView, requirements: UpstreamRequirements): boolean {
+    const { upstream } = view
+    if (upstream.service !== requirements.service.name || requirements.tried.has(upstream.id) || this.state.availability.isWithdrawn(view)) return false
+    const region = this.context.regionOf.get(upstream.dataCentre)
+    return requirements.regions === undefined || (region !== undefined && requirements.regions.includes(region))
+  }
+
+  private isWithinColdRate (view: UpstreamView, service: Service, entries: readonly string[], now: number): boolean {
+    return view.coldUntil <= now || this.state.coldRate.mayTake(view.upstream.id, this.context.instance, entries, coldBoundsOf(service, this.context), now)
+  }
+
+  private candidateOf (view: UpstreamView, admission: AdmissionLimits, entries: number, now: number): ViewedCandidate {
+    return {
+      view,
+      id: view.upstream.id,
+      load: estimateLoad(view, now),
+      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), entries, now),
+      unstarted: view.unstarted,
+      isSameDataCentre: view.upstream.dataCentre === this.context.dataCentre,
+      penalty: penaltyOf(view.health)
+    }
+  }
+}
+
+/** Bounds of the rate at which a service's cold upstreams may get requests. */
+export function coldBoundsOf (service: Service, { cold }: PoolContext): ColdBounds {
+  return { perSecond: service.coldRequestsPerSecond, ...cold }
+}
--- a/src/roles/gateway/upstream-view.ts
+++ b/src/roles/gateway/upstream-view.ts
@@ -70,12 +70,17 @@
   return recorded.version >= known.version ? recorded : known
 }
 
+/** IP of an address, `ip:port`. */
+export function ipOf (address: string): string {
+  return address.split(':')[0] ?? ''
+}
+
 /** Ids of the engines by the IP of their machine. */
 export function engineIdsByIp (views: readonly UpstreamView[]): ReadonlyMap<string, readonly string[]> {
   const ids = new Map<string, string[]>()
   for (const { upstream } of views) {
     if (!upstream.isEngine) continue
-    const ip = upstream.address.split(':')[0] ?? ''
+    const ip = ipOf(upstream.address)
     const known = ids.get(ip)
     if (known === undefined) ids.set(ip, [upstream.id])
     else known.push(upstream.id)
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -22,6 +22,7 @@
 import { NamedVersions } from './named-versions.js'
 import { PeerTable } from './peer-table.js'
 import { RolloutSource } from './rollout-source.js'
+import { SlotGranter } from './slot-granter.js'
 import { Staging } from './staging.js'
 import { VersionCache } from './version-cache.js'
 
@@ -62,6 +63,7 @@
   private readonly swapper: EngineSwapper
   private readonly versions: VersionCache
   private readonly loadReporter: LoadReporter
+  private readonly slots: SlotGranter
   private readonly announcer: Announcer
   private readonly httpAgent = new Agent({ keepAlive: true, maxSockets: 2 })
   private readonly named: NamedVersions
@@ -83,6 +85,7 @@
     this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
+    this.slots = new SlotGranter(this.datagrams)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
     this.versions = new VersionCache({
       ip: settings.ip,
@@ -137,6 +140,8 @@
 
   private receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'subscription') this.subscribe(message, ip)
+    else if (message.kind === 'slot-request') this.slots.answer(message, ip)
+    else if (message.kind === 'slot-release') this.slots.release(message, ip)
     else if (message.kind === 'holdings') {
       const isNew = this.peers.receiveHoldings(message, ip)
       if (isNew) this.announcer.sendTo([ip])
@@ -178,6 +183,7 @@
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
+    this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
     this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
     if (previous !== undefined && previous.startedAt !== report.startedAt) {
       this.staging.reset()
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -3,7 +3,7 @@
 import { isIPv4 } from 'node:net'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
-import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, Subscription } from '../types/node-messages.js'
+import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, SlotRelease, SlotReply, SlotRequest, Subscription } from '../types/node-messages.js'
 import { logFor } from '../utils/log.js'
 
 const log = logFor('members')
@@ -71,6 +71,9 @@
     case 'crash-evidence': return [message.suspicions.map(({ trait, ends, refusedAgeMilliseconds, isBlocked }) => [trait, ends, refusedAgeMilliseconds, isBlocked]), message.healthy]
     case 'permit-request': return [message.number, encodeLimit(message.limit)]
     case 'permit-answer': return [message.number, encodeLimit(message.limit), message.retryInMilliseconds]
+    case 'slot-request': return [message.number, message.limit]
+    case 'slot-reply': return [message.number, message.load, message.isGranted]
+    case 'slot-release': return [message.number]
     case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout)]
     case 'introduction': return [message.service]
     case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds]
@@ -195,6 +198,21 @@
     const [number, limit] = fields as [number, Fields]
     return { kind: 'permit-request', number, limit: decodeLimit(limit) } satisfies PermitRequest
   },
+  'slot-request': fields => {
+    checkTypes(fields, ['number', 'number'])
+    const [number, limit] = fields as [number, number]
+    return { kind: 'slot-request', number, limit } satisfies SlotRequest
+  },
+  'slot-reply': fields => {
+    checkTypes(fields, ['number', 'number', 'boolean'])
+    const [number, load, isGranted] = fields as [number, number, boolean]
+    return { kind: 'slot-reply', number, load, isGranted } satisfies SlotReply
+  },
+  'slot-release': fields => {
+    checkTypes(fields, ['number'])
+    const [number] = fields as [number]
+    return { kind: 'slot-release', number } satisfies SlotRelease
+  },
   'permit-answer': fields => {
     checkTypes(fields, ['number', 'list', 'number'])
     const [number, limit, retryInMilliseconds] = fields as [number, Fields, number]
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -57,6 +57,32 @@
   readonly retryInMilliseconds: number
 }
 
+/** Sent by an entry to an agent: asks for a slot of its engine. */
+export interface SlotRequest {
+  readonly kind: 'slot-request'
+  /** Number of the request at its sender. */
+  readonly number: number
+  /** Requests that may be at the engine, with the one that the slot is for. */
+  readonly limit: number
+}
+
+/** Answer to a `SlotRequest`. */
+export interface SlotReply {
+  readonly kind: 'slot-reply'
+  /** Number of the request that it answers. */
+  readonly number: number
+  /** Requests at the engine; with a grant, the one that it is for included. */
+  readonly load: number
+  readonly isGranted: boolean
+}
+
+/** Sent by an entry to an agent: a granted slot is not used. */
+export interface SlotRelease {
+  readonly kind: 'slot-release'
+  /** Number of the request for it. */
+  readonly number: number
+}
+
 /** Facts for the agents of one service with the time since the sender put their configuration in force, milliseconds. */
 export interface ReportedFacts extends RolloutFacts {
   readonly ageMilliseconds: number
@@ -114,4 +140,4 @@
 }
 
 /** A message between nodes, distinguished by `kind`. */
-export type NodeMessage = Gossip | GossipedEvidence | PermitRequest | PermitAnswer | Subscription | Introduction | LoadReport | Holdings
+export type NodeMessage = Gossip | GossipedEvidence | PermitRequest | PermitAnswer | SlotRequest | SlotReply | SlotRelease | Subscription | Introduction | LoadReport | Holdings
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -4,11 +4,14 @@
  */
 import { admissionFor } from '../../src/core/dispatch/admission.js'
 import { FirstEventWaits, refusedShare } from '../../src/core/dispatch/first-event-waits.js'
-import { concurrencyLimit, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
+import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
 import { chooseRetryAt } from '../../src/core/dispatch/caller-retry.js'
 import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
-import { orderQueue, queueDeadline, type QueuedRequest } from '../../src/core/dispatch/queueing.js'
+import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
+import { SlotRequests, SlotSearch } from '../../src/core/dispatch/slot-requests.js'
+import { orderQueue, queueDeadline } from '../../src/core/dispatch/queueing.js'
 import type { EngineFacts, Route } from '../../src/types/fleet.js'
+import { ReplayEngine, replayEngine, type SimulatedRequest } from './replay-engine.js'
 import { seededRandom } from '../../src/utils/random.js'
 
 /** Load of a replay. */
@@ -19,6 +22,12 @@
   readonly arrivalsPerSecond: number
   /** Time in which requests arrive. */
   readonly milliseconds: number
+  /** Slots of each engine. */
+  readonly slots?: number
+  /** Time between two load reports to an entry; agents count their engine's requests more often. */
+  readonly reportMilliseconds?: number
+  /** Whether entries ask agents for each slot, or use their share of the slots that were free at the last report. */
+  readonly placement?: 'grants' | 'shares'
 }
 
 /** Numbers of requests by what their callers got. */
@@ -31,6 +40,10 @@
   readonly late: number
   /** Refused, and refused again on the retry. */
   readonly refusedTwice: number
+  /** First attempts refused for want of a slot while over a tenth of all slots were free. */
+  readonly refusedBesideFreeSlots: number
+  /** Messages between entries and agents for slots. */
+  readonly messages: number
 }
 
 /** Decisions that a test can replace to compare them with others. */
@@ -43,86 +56,30 @@
 /** Decisions of real entries. */
 export const entryPolicy: ReplayPolicy = { admit: (isLate, waitMilliseconds) => admissionFor({ route: replayRoute, engine: replayEngine, isLate, waitMilliseconds }), freeSlots: freeSlotsByReport }
 
-/** Engine of every replay; about ten completions a second at full load. */
-export const replayEngine: EngineFacts = { slots: 16, layers: 16, chunkCount: 96, chunkBytes: 24_576, models: ['weights-a'], stepMilliseconds: 9.27, promptTokensPerSecond: 20_700, stepsPerPass: 5, typicalPromptTokens: 979, typicalAnswerTokens: 92 }
 /** Route of every replay; latency goal of 400 ms. */
 export const replayRoute: Route = { name: 'r-1', host: 'one.example', pathPrefix: '/a/', kind: 'stream', isResumable: true, timeoutMilliseconds: 6000, latencyGoalMilliseconds: 400, eventGapGoalMilliseconds: 400, priority: 1, targets: [], maximumUpstreams: 2, isPublic: false, regions: [] }
 
 const dataCentres = 3
-/** Time between two load reports. */
-const reportMilliseconds = 100
+/** Time between two counts of an engine's requests, and between two load reports unless a load names another one. */
+const countMilliseconds = 100
+/** Time that a message between an entry and an agent takes. */
+const messageMilliseconds = 2
 /** Time between two checks of an entry's queue. */
 const pollMilliseconds = 20
 /** Delay of a first event between engine and caller. */
 const networkMilliseconds = 5
-/** Prompt tokens that an engine reads in one pass. */
-const promptTokensPerPass = 2048
 const callerTimeoutMilliseconds = 6000
 
-interface SimulatedRequest extends QueuedRequest {
-  readonly arrivedAt: number
-  readonly deadline: number
-  readonly promptTokens: number
-  readonly answerTokens: number
-  /** Random number in [0, 1), compared with the refused share. */
-  readonly refusalDraw: number
-  readonly entry: number
-  /** Time until which it may stay queued. */
-  until: number
-}
-
-interface EngineRequest { readonly request: SimulatedRequest, readonly sentNumber: number, promptTokensLeft: number, answerTokensLeft: number }
-
-/** An engine that runs up to `slots` requests in passes, each of which reads prompts and generates tokens. */
-class ReplayEngine {
-  private readonly waiting: EngineRequest[] = []
-  private running: EngineRequest[] = []
-  private passEndsAt = 0
-  private started: EngineRequest[] = []
-
-  constructor (private readonly facts: EngineFacts) {}
-
-  get load (): number {
-    return this.waiting.length + this.running.length
-  }
-
-  add (request: EngineRequest): void {
-    this.waiting.push(request)
-    this.waiting.sort((left, right) => Number(left.request.isLate) - Number(right.request.isLate))
-  }
-
-  /** Advances to `now`; returns the requests whose first token was generated, and those that ended. */
-  advance (now: number): { readonly started: readonly EngineRequest[], readonly ended: readonly EngineRequest[] } {
-    if (now < this.passEndsAt) return { started: [], ended: [] }
-    const { started } = this
-    this.started = []
-    const ended = this.running.filter(({ promptTokensLeft, answerTokensLeft }) => promptTokensLeft <= 0 && answerTokensLeft <= 0)
-    this.running = this.running.filter(request => !ended.includes(request))
-    while (this.running.length < this.facts.slots && this.waiting.length > 0) this.running.push(...this.waiting.splice(0, 1))
-    this.passEndsAt = now + this.runPass()
-    return { started, ended }
-  }
-
-  /** Runs a pass; returns its duration. */
-  private runPass (): number {
-    let tokensLeft = promptTokensPerPass
-    const generating = this.running.filter(({ promptTokensLeft }) => promptTokensLeft <= 0)
-    for (const request of this.running) {
-      if (request.promptTokensLeft <= 0) continue
-      const read = Math.min(tokensLeft, request.promptTokensLeft)
-      tokensLeft -= read
-      request.promptTokensLeft -= read
-      if (request.promptTokensLeft <= 0) this.started.push(request)
-    }
-    for (const request of generating) request.answerTokensLeft -= this.facts.stepsPerPass
-    const readMilliseconds = (promptTokensPerPass - tokensLeft) / this.facts.promptTokensPerSecond * 1000
-    return readMilliseconds + (generating.length === 0 ? 0 : this.facts.stepsPerPass * this.facts.stepMilliseconds)
-  }
+/** A message on its way. */
+interface Message {
+  readonly at: number
+  readonly arrive: () => void
 }
 
 /** One entry: what it knows of the engines, and its queue. */
 class ReplayEntry {
   readonly waits = new FirstEventWaits()
+  readonly slots = new SlotRequests()
   readonly inFlight: number[]
   readonly unstarted: number[]
   reported: ReportedLoad[]
@@ -149,6 +106,10 @@
   private readonly random: () => number
   private readonly engines: readonly ReplayEngine[]
   private readonly entries: readonly ReplayEntry[]
+  /** What the agent of each engine grants. */
+  private readonly ledgers: readonly SlotLedger[]
+  private readonly facts: EngineFacts
+  private messages: readonly Message[] = []
   private readonly retries: { readonly at: number, readonly request: SimulatedRequest }[] = []
   private nextNumber = 0
   private now = 0
@@ -156,10 +117,14 @@
   private onTime = 0
   private late = 0
   private refusedTwice = 0
+  private refusedBesideFreeSlots = 0
+  private messageCount = 0
 
   constructor (private readonly load: ReplayLoad, private readonly policy: ReplayPolicy) {
     this.random = seededRandom(load.seed)
-    this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(replayEngine))
+    this.facts = { ...replayEngine, slots: load.slots ?? replayEngine.slots }
+    this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(this.facts))
+    this.ledgers = this.engines.map(() => new SlotLedger())
     this.entries = Array.from({ length: load.entries }, () => new ReplayEntry(load.engines))
   }
 
@@ -175,16 +140,18 @@
         this.retries.splice(this.retries.indexOf(due), 1)
         this.dispatch(due.request)
       }
-      if (this.now % reportMilliseconds === 0) this.report()
+      if (this.now % countMilliseconds === 0) this.count()
+      if (this.now % (this.load.reportMilliseconds ?? countMilliseconds) === 0) this.report()
+      this.deliverMessages()
       if (this.now % pollMilliseconds === 0) for (const entry of this.entries) this.pollQueue(entry)
       this.engines.forEach((engine, index) => { this.advance(engine, index) })
     }
-    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedTwice: this.refusedTwice }
+    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedTwice: this.refusedTwice, refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
   }
 
   private createRequest (at: number): SimulatedRequest {
     const spread = (mean: number): number => mean * (0.3 + 1.4 * this.random())
-    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), until: 0 }
+    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0 }
   }
 
   private pickEntry (): number {
@@ -201,6 +168,46 @@
     else entry.queue.push({ ...request, until })
   }
 
+  private send (arrive: () => void): void {
+    this.messageCount += 1
+    this.messages = [...this.messages, { at: this.now + messageMilliseconds, arrive }]
+  }
+
+  private deliverMessages (): void {
+    const due = this.messages.filter(({ at }) => at <= this.now)
+    if (due.length === 0) return
+    this.messages = this.messages.filter(({ at }) => at > this.now)
+    for (const { arrive } of due) arrive()
+  }
+
+  /** Asks agents for a slot if the search may ask now. */
+  private askForSlots (request: SimulatedRequest, entry: ReplayEntry, limit: number): void {
+    if (!entry.slots.mayAsk(request.search, this.now)) return
+    for (const { id } of enginesToAsk(this.candidates(request.entry, entry, limit), engine => entry.slots.isFull(engine, this.now), this.random)) {
+      const number = entry.slots.ask(request.search, id, this.now)
+      this.send(() => { this.answerSlotRequest(request.entry, entry, id, number, limit) })
+    }
+  }
+
+  private answerSlotRequest (entryIndex: number, entry: ReplayEntry, id: string, number: number, limit: number): void {
+    const answer = this.ledgers[Number(id)]?.answer(`${entryIndex} ${number}`, limit, this.now)
+    if (answer === undefined) return
+    this.send(() => {
+      entry.updateReport(Number(id), () => ({ total: answer.load, local: entry.inFlight[Number(id)] ?? 0, sent: 0, ended: 0 }))
+      if (!entry.slots.receive(number, answer, this.now)) return
+      this.pollQueue(entry)
+      if (entry.queue.length === 0) this.releaseSlots(entryIndex, entry)
+    })
+  }
+
+  private releaseSlots (entryIndex: number, entry: ReplayEntry): void {
+    for (const { upstreamId, number } of entry.slots.releaseAll()) this.send(() => { this.ledgers[Number(upstreamId)]?.release(`${entryIndex} ${number}`) })
+  }
+
+  private count (): void {
+    this.engines.forEach((engine, index) => { this.ledgers[index]?.recordCount(engine.load, this.now) })
+  }
+
   private pollQueue (entry: ReplayEntry): void {
     for (const request of orderQueue(entry.queue)) {
       const isPlaced = this.place(request, entry)
@@ -210,16 +217,22 @@
     }
   }
 
-  private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry): boolean {
+  private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
+    if (entry === undefined) return false
     const share = refusedShare(entry.waits.medianMilliseconds(this.now), replayRoute.latencyGoalMilliseconds, request.isLate)
     return request.isLate ? share > 0.2 : request.refusalDraw < share
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
     if (this.isRefusedForWaits(request, entry)) return false
-    const limit = concurrencyLimit(replayEngine.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
-    const chosen = placeRequest(this.candidates(request.entry, entry, limit), this.random)
-    if (chosen === undefined) return false
+    const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
+    const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
+    if (chosen === undefined) {
+      if (this.load.placement === 'grants') this.askForSlots(request, entry, limit)
+      return false
+    }
+    const held = entry.slots.heldAt(chosen.id, limit, this.now)
+    if (held !== undefined) entry.slots.take(held)
     const index = Number(chosen.id)
     entry.updateReport(index, ({ sent }) => ({ sent: sent + 1 }))
     entry.inFlight[index] = (entry.inFlight[index] ?? 0) + 1
@@ -228,6 +241,16 @@
     return true
   }
 
+  /** Candidates with the slots that the entry may use now. */
+  private placeable (entryIndex: number, entry: ReplayEntry, limit: number): readonly Candidate[] {
+    const candidates = this.candidates(entryIndex, entry, limit)
+    if (this.load.placement !== 'grants') return candidates
+    return candidates.map(candidate => {
+      const held = entry.slots.heldAt(candidate.id, limit, this.now)
+      return held === undefined ? { ...candidate, freeSlots: 0 } : { ...candidate, freeSlots: 1, load: held.load - 1 }
+    })
+  }
+
   private candidates (entryIndex: number, entry: ReplayEntry, limit: number): readonly Candidate[] {
     return entry.reported.map((reported, index) => ({
       id: String(index),
@@ -244,8 +267,10 @@
       this.refusedTwice += 1
       return
     }
+    const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
+    if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
     const at = chooseRetryAt(this.now, request.deadline, undefined, this.random)
-    this.retries.push({ at, request: { ...request, isLate: true, entry: this.pickEntry() } })
+    this.retries.push({ at, request: { ...request, isLate: true, entry: this.pickEntry(), search: new SlotSearch() } })
   }
 
   private report (): void {
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -1,7 +1,9 @@
 /** Which upstream an entry chooses after records, load reports, restarts, evacuations and its own calls. */
 import { test } from 'tap'
+import { EngineSlots } from '../src/roles/gateway/engine-slots.js'
 import { UpstreamLimits } from '../src/roles/gateway/upstream-limits.js'
-import { UpstreamPool, type UpstreamRequirements, type SelectionFailure } from '../src/roles/gateway/upstream-pool.js'
+import { UpstreamPool } from '../src/roles/gateway/upstream-pool.js'
+import type { UpstreamRequirements, SelectionFailure } from '../src/roles/gateway/upstream-selection.js'
 import type { UpstreamView } from '../src/roles/gateway/upstream-view.js'
 import type { Service, Upstream } from '../src/types/fleet.js'
 import type { AnswerHead } from '../src/types/ports.js'
@@ -9,7 +11,7 @@
 
 const service: Service = { name: 'model-a', maximumConnections: 0, coldMilliseconds: 3000, coldRequestsPerSecond: 36, engine: undefined, origin: undefined }
 const upstream: Upstream = { id: 'i-1', service: 'model-a', address: '10.0.0.9:8080', dataCentre: 'zone-a', slots: 16, isDraining: false, coldMilliseconds: 0, startedAt: 1000, weights: { model: 'weights-a', version: 1 }, isEngine: true }
-const requirements: UpstreamRequirements = { service, regions: undefined, admission: { requestsPerSlot: 1, waiting: 0 }, tried: new Set(), minimumVersion: 1, streamVersion: undefined }
+const requirements: UpstreamRequirements = { service, regions: undefined, admission: { requestsPerSlot: 1, waiting: 0 }, tried: new Set(), minimumVersion: 1, streamVersion: undefined, search: undefined }
 const report = { kind: 'load', startedAt: 1000, running: 0, waiting: 0, model: 'weights-a', version: 1, isSwapping: false, readyInMilliseconds: 0 } as const
 
 const answered: AnswerHead = { status: 200, requestId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, isEncoded: false, load: undefined, limit: { kind: 'none' }, rest: { kind: 'none' }, isLeaving: false }
@@ -24,6 +26,7 @@
     regionOf: new Map([['zone-a', 'north'], ['zone-b', 'south']]),
     cold: { factor: 1.5, slack: 5 },
     limits: unlimited,
+    slots: new EngineSlots({ send: () => {}, answered: () => {} }),
     entries: () => ['entry-1'],
     knownEntries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre),
@@ -115,6 +118,7 @@
     regionOf: new Map([['zone-a', 'north']]),
     cold: { factor: 1.5, slack: 5 },
     limits: unlimited,
+    slots: new EngineSlots({ send: () => {}, answered: () => {} }),
     entries: () => {
       reads += 1
       return ['entry-1', 'entry-2']
