Load reports and subscriptions no longer grow with entries times engines

Cause: each agent told each entry of every change of its load, up to 120 datagrams a second, and each entry renewed its subscription at each agent once a second: with 99 entries and 63 engines some 14,000 datagrams a second at rest.

Change: entries ask agents for each slot, so a changed load alone is no longer reported at once; it goes out each 500 ms, at most 50 reports a second for all entries together.

--- a/src/core/fleet/report-schedule.ts
+++ b/src/core/fleet/report-schedule.ts
@@ -7,22 +7,26 @@
   readonly isSameDataCentre: boolean
   /** Time of the last report to it, milliseconds of the monotonic clock; 0 before the first. */
   readonly reportedAt: number
-  /** Text of that report. */
+  /** What that report said, its load left out. */
   readonly lastReport: string
 }
 
 /** Shortest time between two different reports, milliseconds: most requests of an engine come from entries in its data centre. */
 const changedReportMilliseconds = { sameDataCentre: 100, otherDataCentre: 300 } as const
-/** Shortest time between two equal reports, milliseconds. */
+/** Shortest time between two reports that differ in their load at most, milliseconds. */
 const unchangedReportMilliseconds = 500
+/** Reports a second to all subscribers together while only the load changes. */
+const refreshesPerSecond = 50
 
 /**
- * Subscribers to send the report `text` to at `now`, at most `maximumCount`, so that the traffic does not grow with the
- * number of entries. Those that are most overdue relative to their interval come first.
+ * Subscribers to send the report `text` to at `now`, at most `maximumCount`. Those that are most overdue relative to their
+ * interval come first. A changed load alone is no change: entries ask for each slot, and use the reported load only where
+ * an agent does not answer. Reports of it become rarer with more subscribers, so that the traffic does not grow with them.
  */
 export function dueSubscribers (subscribers: readonly Subscriber[], text: string, maximumCount: number, now: number): readonly Subscriber[] {
+  const refreshMilliseconds = Math.max(unchangedReportMilliseconds, subscribers.length / refreshesPerSecond * 1000)
   const intervalsSinceReport = ({ isSameDataCentre, lastReport, reportedAt }: Subscriber): number => {
-    const interval = lastReport === text ? unchangedReportMilliseconds : changedReportMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']
+    const interval = lastReport === text ? refreshMilliseconds : changedReportMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']
     return (now - reportedAt) / interval
   }
   return subscribers
@@ -32,3 +36,13 @@
     .slice(0, maximumCount)
     .map(({ subscriber }) => subscriber)
 }
+
+/** Shortest time between two renewals of a subscription, milliseconds. */
+const renewalMilliseconds = 1000
+/** Renewals a second that one agent receives from all entries together. */
+const renewalsPerSecond = 33
+
+/** Time after which each of `entries` renews its subscription at an agent, milliseconds: longer with more entries, so that what an agent receives does not grow with them. */
+export function subscriptionRenewalMilliseconds (entries: number): number {
+  return Math.max(renewalMilliseconds, entries / renewalsPerSecond * 1000)
+}
--- a/src/roles/gateway/agent-subscriptions.ts
+++ b/src/roles/gateway/agent-subscriptions.ts
@@ -1,12 +1,11 @@
 /** Subscriptions of one entry to the load reports of agents; they also tell the agents what to roll out. */
+import { subscriptionRenewalMilliseconds } from '../../core/fleet/report-schedule.js'
 import { areSameFacts } from '../../core/weights/rollout-facts.js'
 import type { RolloutFacts, Upstream } from '../../types/fleet.js'
 import type { GossipedWeights, Subscription } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { FleetState } from './fleet-state.js'
 
-/** Interval at which subscriptions are renewed, milliseconds: agents drop a subscription after about three of them. */
-const renewalIntervalMilliseconds = 1000
 /** One in this many renewals lists the other agents of the service, and another one carries the facts; both change seldom. */
 const renewalsPerList = 4
 /** Position of the renewal that carries the facts: not the one with the list of agents, which fills a packet by itself. */
@@ -18,6 +17,8 @@
 export interface SubscriptionContext {
   readonly dataCentre: string
   readonly state: Pick<FleetState, 'weights' | 'rolloutFacts'>
+  /** Living entries, which all subscribe. */
+  entryCount (): number
   /** Listed upstreams that are engines. */
   engines (): readonly Upstream[]
   send (message: Subscription, ip: string): void
@@ -55,7 +56,7 @@
       this.subscribe(undefined)
       return
     }
-    this.nextRenewalAt = now + renewalIntervalMilliseconds
+    this.nextRenewalAt = now + subscriptionRenewalMilliseconds(this.context.entryCount())
     this.renewals = (this.renewals + 1) % renewalsPerList
     this.subscribe({ hasAgents: this.renewals === 0, hasFacts: this.renewals === factsRenewal })
   }
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -69,6 +69,7 @@
     this.subscriptions = new AgentSubscriptions({
       dataCentre: members.self.dataCentre,
       state,
+      entryCount: () => members.living(monotonicNow()).length,
       engines: () => pool.all().flatMap(({ upstream }) => upstream.isEngine ? [upstream] : []),
       send: (message, ip) => { datagrams().send(message, ip) }
     })
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -15,12 +15,15 @@
 /** An entry with some engines and a state that tests change. */
 class Entry {
   readonly sent: { readonly message: Subscription, readonly ip: string, readonly at: number }[] = []
+  /** Living entries. */
+  entries = 1
   weights: readonly GossipedWeights[] = []
   configuration: FleetConfiguration | undefined
   readonly engines: Upstream[] = []
   readonly subscriptions = new AgentSubscriptions({
     dataCentre: 'zone-a',
     state: this,
+    entryCount: () => this.entries,
     engines: () => this.engines,
     send: (message, ip) => { this.sent.push({ message, ip, at: monotonicNow() }) }
   })
@@ -171,3 +174,17 @@
     t.equal(changes, expectedChanges)
   })
 }
+
+for (const { entries, renewals } of [{ entries: 8, renewals: 3 }, { entries: 99, renewals: 1 }]) {
+  test(`subscriptions: ${entries} entries renew ${renewals} times in 2.6 s at an agent`, async t => {
+    const entry = new Entry(1)
+    t.teardown(() => { entry.subscriptions.stop() })
+    entry.entries = entries
+    const until = monotonicNow() + 2600
+    while (monotonicNow() < until) {
+      entry.subscriptions.renew()
+      await sleepUntil(monotonicNow() + 100)
+    }
+    t.equal(entry.sent.length, renewals)
+  })
+}
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -8,6 +8,8 @@
 import { deadAfterMilliseconds, gossipTargets, membersPerMessage, roundMilliseconds, sample } from '../src/core/fleet/gossip-plan.js'
 import { buildRouteTable, chooseService, matchRoute, regionsFor } from '../src/core/fleet/match-route.js'
 import { Membership, type Member } from '../src/core/fleet/members.js'
+import { LoadReporter } from '../src/roles/weights/load-reporter.js'
+import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { dueSubscribers, type Subscriber } from '../src/core/fleet/report-schedule.js'
 import { decodeMessage, encodeMessage } from '../src/transports/datagrams.js'
 import type { FleetConfiguration, Organisation, Route } from '../src/types/fleet.js'
@@ -139,6 +141,24 @@
   test(`load reports: ${name}`, async t => { t.same(dueSubscribers(subscribers, 'now', 2, now).map(({ ip }) => ip), expected) })
 }
 
+for (const { entries, maximumPerSecond } of [{ entries: 8, maximumPerSecond: 16 }, { entries: 99, maximumPerSecond: 50 }, { entries: 300, maximumPerSecond: 50 }]) {
+  test(`load reports: an agent sends ${entries} entries at most ${maximumPerSecond} a second while only its load changes`, async t => {
+    let sent = 0
+    const reporter = new LoadReporter({ sendToAll: (_message, ips) => { sent += ips.length } })
+    for (let entry = 0; entry < entries; entry += 1) reporter.subscribe(`10.0.0.${entry}`, entry % 5 === 0)
+    const report = { startedAt: 1, running: 0, waiting: 0, weights: { model: 'weights-a', version: 1 }, isSwapping: false, orders: 1 }
+    for (let round = 0; round < entries; round += 1) reporter.send(report, false, 0)
+    t.equal(sent, entries, 'each has the first report')
+    const began = monotonicNow()
+    sent = 0
+    for (let running = 0; monotonicNow() < began + 2000; running += 1) {
+      reporter.send({ ...report, running }, false, 0)
+      await sleepUntil(monotonicNow() + 20)
+    }
+    t.ok(sent <= maximumPerSecond * 2.1, `${sent} in two seconds`)
+  })
+}
+
 const streamRoute: Route = { ...route, kind: 'stream', isResumable: true }
 const onceRoute: Route = { ...route, kind: 'once', maximumUpstreams: 1 }
 const progress: RequestProgress = { route, ran: 0, withdrawn: 0, refused: 0, hasBegun: false, isPastDeadline: false, hasBudget: true }
