--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -44,6 +44,7 @@
   private withdrawn = 0
   /** Calls whose upstream certainly did not run it. */
   private refused = 0
+  /** Search for the slot of the next call. */
   private search = new SlotSearch()
   private takeoverTimer: NodeJS.Timeout | undefined
   /** Whether the final answer was delivered. */
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -69,7 +69,7 @@
     if (this.requests.receive(number, { load, isGranted }, monotonicNow())) this.context.answered()
   }
 
-  /** Gives back the slots that no request waits for; `ipOf` finds the agent of an upstream. */
+  /** Gives back all slots that are held, as no request waits; `addressOf` gives the address of an upstream, undefined if it is gone. */
   releaseAll (addressOf: (upstreamId: string) => string | undefined): void {
     for (const { upstreamId, number } of this.requests.releaseAll()) {
       const address = addressOf(upstreamId)
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -117,7 +117,7 @@
     return others.length === 0 ? open : open.filter(({ upstream }) => limits.mayTake(upstream))
   }
 
-  /** Slots that this entry may use now. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
+  /** Slots that this entry may use now without asking an agent. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
   private freeSlotsAt (view: UpstreamView, limit: number, entries: number, now: number): number {
     if (!view.upstream.isEngine || this.context.limits.isLimited(view.upstream)) return limit - estimateLoad(view, now)
     return isLoadRecent(view, now) ? freeSlotsByReport(limit, view.observedLoad, entries) : freeSlotsWithoutReport(limit, view.inFlight, entries)
