--- a/review/stand-in/caller.mjs
+++ b/review/stand-in/caller.mjs
@@ -6,11 +6,11 @@
 /** The host, key and tenant that the configurations of the cases use. */
 export const host = 'jepu9.example'
 export const key = 'jnbanfqasnmgkcuyj8pj'
-const tenant = { name: 'bozi300', 'api-keys': [key], priority: 1, 'allowed-regions': [] }
 const limits = { 'max-header-bytes': 16384, 'max-body-bytes': 4194304, 'header-timeout-ms': 3000, 'idle-timeout-ms': 15000 }
 
 /** A configuration with these routes and services; each route gets the fields that it leaves out. */
 export function configurationOf (version, routes, services) {
+  const tenant = { name: 'bozi300', 'api-keys': [key], priority: 1, 'allowed-regions': [] }
   const complete = routes.map(route => ({ host, priority: 1, 'max-attempts': 2, public: false, sticky: false, resumable: false, 'allowed-regions': [], ...route }))
   return { version, routes: complete, services, limits, tenants: [tenant] }
 }
--- a/review/stand-in/plain-deployment.mjs
+++ b/review/stand-in/plain-deployment.mjs
@@ -47,13 +47,21 @@
     return server
   }
 
-  async start () {
-    await this.store.listen()
+  /** Writes a configuration with these keys besides the usual one. */
+  configure (version, furtherKeys = []) {
     const route = { 'timeout-ms': this.timeoutMilliseconds, 'latency-goal-ms': 144, service: 'wuno96b' }
-    this.store.put('keyed.op', 'config', configurationOf(7, [
+    const configuration = configurationOf(version, [
       { ...route, name: 'r-safe', 'path-prefix': '/safe/', 'route-type': 'safe' },
       { ...route, name: 'r-unsafe', 'path-prefix': '/unsafe/', 'route-type': 'unsafe', 'max-attempts': 1 }
-    ], [{ name: 'wuno96b', 'health-path': '/healthz', 'max-conns': 110, protocol: 'h1', tls: false, 'cold-start-s': 0, 'cold-per-s': 0 }]))
+    ], [{ name: 'wuno96b', 'health-path': '/healthz', 'max-conns': 110, protocol: 'h1', tls: false, 'cold-start-s': 0, 'cold-per-s': 0 }])
+    for (const tenant of configuration.tenants) tenant['api-keys'] = [...tenant['api-keys'], ...furtherKeys]
+    const offset = this.store.put('keyed.op', 'config', configuration)
+    this.deployment.record('operator writes a configuration', { version, offset, furtherKeys })
+  }
+
+  async start (furtherKeys) {
+    await this.store.listen()
+    this.configure(7, furtherKeys)
     for (const server of this.servers) {
       await new Promise((resolve, reject) => {
         server.http.once('error', reject)
--- a/review/stand-in/store.mjs
+++ b/review/stand-in/store.mjs
@@ -14,10 +14,12 @@
   return Buffer.concat([length, content])
 }
 
-/** The store, at one address. */
+/** The store, at one address. In a drill it is away for a moment and comes back from an older copy, with a higher `Store-Era`. */
 export class Store {
   topics = new Map()
   waiting = new Set()
+  era = 1
+  isAway = false
 
   constructor (ip) {
     this.ip = ip
@@ -45,12 +47,34 @@
   /** Appends a record; without a value the key is dropped. */
   put (topic, key, value) {
     const records = this.recordsOf(topic)
-    records.push({ key, value: value === undefined ? undefined : Buffer.from(JSON.stringify(value)) })
+    records.push({ key, value: value === undefined ? undefined : Buffer.from(JSON.stringify(value)), at: performance.now() })
     for (const wake of [...this.waiting]) wake()
     return records.length - 1
   }
 
+  /** Answers nothing from now on, and closes all connections. */
+  goAway () {
+    this.isAway = true
+    for (const wake of [...this.waiting]) wake()
+    this.server.closeAllConnections()
+  }
+
+  /** Answers again, from a copy that was made at `copiedAt`: what was written since is gone, and its offsets are given out again. */
+  comeBack (copiedAt) {
+    for (const records of this.topics.values()) {
+      const end = records.findIndex(({ at }) => at > copiedAt)
+      if (end !== -1) records.splice(end)
+    }
+    this.era += 1
+    this.isAway = false
+  }
+
   answer (incoming, response) {
+    if (this.isAway) {
+      response.destroy()
+      return
+    }
+    response.setHeader('store-era', String(this.era))
     const url = new URL(incoming.url, 'http://store')
     const topic = url.searchParams.get('topic') ?? ''
     if (url.pathname === '/log-read') this.read(topic, url.searchParams, response)
@@ -75,7 +99,7 @@
         const content = bytes.subarray(at + 4, at + 4 + length)
         const keyLength = content.readUInt8(0)
         const value = content.subarray(1 + keyLength)
-        records.push({ key: content.toString('utf8', 1, 1 + keyLength), value: value.length === 0 ? undefined : Buffer.from(value) })
+        records.push({ key: content.toString('utf8', 1, 1 + keyLength), value: value.length === 0 ? undefined : Buffer.from(value), at: performance.now() })
         at += 4 + length
       }
       for (const wake of [...this.waiting]) wake()
@@ -86,10 +110,18 @@
   read (topic, query, response) {
     const records = this.recordsOf(topic)
     const from = Number(query.get('from'))
+    if (from > records.length) {
+      sendJson(response, { 'first-offset': 0 }, 410)
+      return
+    }
     const limit = Number(query.get('fetch-limit') ?? defaultFetchLimit)
     const finish = () => {
       clearTimeout(timer)
       this.waiting.delete(finish)
+      if (this.isAway) {
+        response.destroy()
+        return
+      }
       const head = Buffer.alloc(16)
       head.writeBigUInt64BE(BigInt(records.length), 0)
       const body = Buffer.concat([head, ...records.slice(from, from + limit).map(({ key, value }) => frame(key, value))])
