--- a/src/nodes/fed-record-log.ts
+++ b/src/nodes/fed-record-log.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import { promisify } from 'node:util'
 import { gunzip } from 'node:zlib'
+import { beforeLog, isBefore, isInLog, type LogPosition } from '../core/log-position.js'
 import { callHttp, deadlinesByProgress, maximumAnswerBytes } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type RecordSource } from '../types/ports.js'
 import { monotonicNow } from '../utils/clock.js'
@@ -21,10 +22,10 @@
   }
 }
 
-/** Thrown when a node may not know all removals since the requested offset; everything has to be read. */
+/** Thrown when a node may not know all removals since the requested position; everything has to be read. */
 export class UnknownRemovalsError extends Error {
   constructor (address: string) {
-    super(`${address} may not know all removals since the offset`)
+    super(`${address} may not know all removals since the position`)
   }
 }
 
@@ -34,24 +35,28 @@
     super()
   }
 
-  async newest (): Promise<NewestRecords> {
+  async newest (_stream: string, minimumEra = 0): Promise<NewestRecords> {
     for (;;) {
-      const read = await this.poll(-1, pollMilliseconds)
+      const read = await this.poll(beforeLog, pollMilliseconds)
       this.checkCurrent(read)
-      if (read.next >= 0) return read
+      if (isInLog(read.next) && read.next.era < minimumEra) throw new StaleRecordsError(this.address, read)
+      if (isInLog(read.next)) return read
     }
   }
 
-  async read (_stream: string, from: number, waitUntil: number): Promise<RecordPage> {
+  async read (_stream: string, from: LogPosition, waitUntil: number): Promise<RecordPage> {
     const wait = Math.max(0, Math.min(pollMilliseconds, Math.round(waitUntil - monotonicNow())))
     const read = await this.poll(from, wait).catch(ignoreUnknownRemovals)
     if (read === undefined) return { kind: 'expired' }
     if (read.records.length === 0) this.checkCurrent(read)
-    if (read.next < 0) throw new StaleRecordsError(this.address, read)
-    const next = Math.max(from, read.next)
+    // What a node of an earlier era confirms says nothing about the log as it is now.
+    if (!isInLog(read.next) || read.next.era < from.era) throw new StaleRecordsError(this.address, read)
+    if (read.next.era > from.era) return { kind: 'expired' }
+    const hasReadLess = isBefore(read.next, from)
+    const next = hasReadLess ? from : read.next
     // A node that has read less than the caller cannot confirm the caller's records.
-    const ageMilliseconds = read.next < from ? Infinity : read.ageMilliseconds
-    return { kind: 'records', ...read, next, end: next, ageMilliseconds }
+    const ageMilliseconds = hasReadLess ? Infinity : read.ageMilliseconds
+    return { kind: 'records', ...read, next, end: next.offset, ageMilliseconds }
   }
 
   async write (): Promise<void> {
@@ -62,7 +67,7 @@
     if (!areCurrent(read)) throw new StaleRecordsError(this.address, read)
   }
 
-  private poll (from: number, waitMilliseconds: number): Promise<PolledRecords> {
+  private poll (from: LogPosition, waitMilliseconds: number): Promise<PolledRecords> {
     return pollFeed(this.address, this.stream, this.agent, this.source, { from, waitMilliseconds, reader: this.reader })
   }
 }
@@ -71,8 +76,8 @@
   if (!(error instanceof UnknownRemovalsError)) throw error
 }
 
-/** Fetches what a node has read from an offset on, without waiting; rejects when it does not answer in time, and with `UnknownRemovalsError`. */
-export async function fetchRecords (address: string, stream: FedStream, from: number, agent: Agent, source: PeerSource, reader: string): Promise<ReadRecords> {
+/** Fetches what a node has read from a position on, without waiting; rejects when it does not answer in time, and with `UnknownRemovalsError`. */
+export async function fetchRecords (address: string, stream: FedStream, from: LogPosition, agent: Agent, source: PeerSource, reader: string): Promise<ReadRecords> {
   return await pollFeed(address, stream, agent, source, { from, waitMilliseconds: 0, reader })
 }
 
@@ -81,7 +86,7 @@
 
 type PolledRecords = ReadRecords & FedRecords
 
-interface Poll { readonly from: number, readonly waitMilliseconds: number, readonly reader: string }
+interface Poll { readonly from: LogPosition, readonly waitMilliseconds: number, readonly reader: string }
 
 async function pollFeed (address: string, stream: FedStream, agent: Agent, source: PeerSource, { from, waitMilliseconds, reader }: Poll): Promise<PolledRecords> {
   const path = feedPath(stream, from, waitMilliseconds, reader)
--- a/src/nodes/read-metrics.ts
+++ b/src/nodes/read-metrics.ts
@@ -28,6 +28,11 @@
     this.metrics.count('records_reads_total', { stream: this.stream, source: 'log', result: 'expired' })
   }
 
+  /** Counts that the log came back from an older copy. */
+  countNewEra (): void {
+    this.metrics.count('records_new_eras_total', { stream: this.stream })
+  }
+
   /** Counts a read without a complete answer, and what had arrived of it. */
   countFailure (source: RecordSource, error: unknown): void {
     const { stream } = this
--- a/src/nodes/record-attempt.ts
+++ b/src/nodes/record-attempt.ts
@@ -1,4 +1,5 @@
 /** A read of records that is tried at several sources, and the calls that it makes outside the data centre. */
+import { isBefore, isSamePosition, type LogPosition } from '../core/log-position.js'
 import type { PreferredSource } from '../core/fleet/record-sources.js'
 import type { NewestRecords, RecordPage } from '../types/ports.js'
 
@@ -15,8 +16,8 @@
   /** Whether an attempt has taken the result. */
   isAdopted = false
 
-  /** `from`: first offset that it asks for, -1 for all keys; `slowAt`: when it counts as slow, milliseconds of the monotonic clock. */
-  constructor (readonly kind: ReadKind, readonly from: number, readonly slowAt: number) {}
+  /** `from`: first position that it asks for, `beforeLog` for all keys; `slowAt`: when it counts as slow, milliseconds of the monotonic clock. */
+  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly slowAt: number) {}
 }
 
 /** One read, tried at one source after another. */
@@ -32,8 +33,8 @@
   readonly answered = new Promise<void>(resolve => { this.resolveAnswered = resolve })
   private found: Result | undefined
 
-  /** `from`: first offset that it asks for, -1 for all keys. */
-  constructor (readonly kind: ReadKind, readonly from: number, readonly call: (source: PreferredSource) => Promise<Result>) {}
+  /** `from`: first position that it asks for, `beforeLog` for all keys. */
+  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly call: (source: PreferredSource) => Promise<Result>) {}
 
   get result (): Result | undefined {
     return this.found
@@ -46,8 +47,8 @@
 
   /** Takes the result of a call if it answers this read, which may ask for fewer records than the call did. */
   adopt (call: PendingCall): void {
-    if (this.isEnded || this.found !== undefined || call.isAdopted || call.result === undefined || call.kind !== this.kind || call.from > this.from) return
-    if (call.from !== this.from && 'kind' in call.result && call.result.kind === 'expired') return
+    if (this.isEnded || this.found !== undefined || call.isAdopted || call.result === undefined || call.kind !== this.kind || isBefore(this.from, call.from)) return
+    if (!isSamePosition(call.from, this.from) && 'kind' in call.result && call.result.kind === 'expired') return
     call.isAdopted = true
     // Calls of one kind have results of one type.
     this.result = call.result as Result
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -2,6 +2,7 @@
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http'
 import { promisify } from 'node:util'
 import { gzip } from 'node:zlib'
+import { beforeLog, formatPosition, isBefore, isInLog, isValidPosition, type LogPosition } from '../core/log-position.js'
 import type { KeyedRecord } from '../types/ports.js'
 import { monotonicNow } from '../utils/clock.js'
 import type { RecordFollower } from './record-follower.js'
@@ -22,21 +23,25 @@
 /** Streams that nodes serve to each other. */
 export type FedStream = 'operators' | 'instances'
 
-interface EncodedRecord { readonly key: string, readonly value: string | null, readonly offset: number }
+/** `era` is left out in the records of the era of the whole answer. */
+interface EncodedRecord { readonly key: string, readonly value: string | null, readonly offset: number, readonly era?: number }
+
+/** Body of an answer. */
+interface EncodedRecords { readonly records: readonly EncodedRecord[], readonly next: number, readonly era?: number }
 
 interface CachedAnswer { readonly key: string, readonly body: Promise<Buffer> }
 
-/** Path of a poll by the instance `reader` for the records of a stream from an offset on. */
-export function feedPath (stream: FedStream, from: number, waitMilliseconds: number, reader: string): string {
-  return `/records?stream=${stream}&from=${from}&wait=${waitMilliseconds}&reader=${encodeURIComponent(reader)}`
+/** Path of a poll by the instance `reader` for the records of a stream from a position on. */
+export function feedPath (stream: FedStream, from: LogPosition, waitMilliseconds: number, reader: string): string {
+  return `/records?stream=${stream}&from=${from.offset}&era=${from.era}&wait=${waitMilliseconds}&reader=${encodeURIComponent(reader)}`
 }
 
 /** What an answer of the feed holds. */
 export interface FedRecords {
-  /** Newest record of each key from the requested offset on. */
+  /** Newest record of each key from the requested position on. */
   readonly records: readonly KeyedRecord[]
-  /** Offset after the last record that the sender has read; -1 before its first read. */
-  readonly next: number
+  /** Position after the last record that the sender has read; `beforeLog` before its first read. */
+  readonly next: LogPosition
   /** Time since the log confirmed that the sender had read everything, milliseconds; since the sender's start before its first read. */
   readonly ageMilliseconds: number
   /** Whether the sender's last read of any source succeeded, or its first one is in progress; false if that source is the reader itself. */
@@ -50,12 +55,14 @@
   return isConnected && ageMilliseconds <= maximumAgeMilliseconds
 }
 
-/** Decodes an answer of the feed; throws for invalid JSON, and for offsets from which no read could continue. */
+/** Decodes an answer of the feed; throws for invalid JSON, and for positions from which no read could continue. */
 export function decodeFedRecords (body: Buffer, headers: IncomingHttpHeaders): FedRecords {
-  const { records, next } = JSON.parse(body.toString()) as { readonly records: readonly EncodedRecord[], readonly next: number }
-  if (![next, ...records.map(({ offset }) => offset)].every(offset => Number.isSafeInteger(offset))) throw new Error('an answer with records has an offset that is no whole number')
+  const { records: encoded, next: offset, era = 0 } = JSON.parse(body.toString()) as EncodedRecords
+  const next = { era, offset }
+  const records = encoded.map(record => decodeRecord(record, era))
+  if (![next, ...records].every(isValidPosition)) throw new Error('an answer with records has a position that is no whole number')
   return {
-    records: records.map(decodeRecord),
+    records,
     next,
     ageMilliseconds: Number(headers[feedHeaders.age] ?? Infinity),
     isConnected: headers[feedHeaders.connected] === 'yes',
@@ -79,17 +86,19 @@
     private readonly readingSinceOf: (stream: FedStream) => number | undefined = () => undefined
   ) {}
 
-  /** Answers a poll: at once if there are records from the offset on or this node's are not current, otherwise when the log has been read again or the wait is over; 410 if removals since the offset may be unknown here, 404 for an unknown stream. */
+  /** Answers a poll: at once if there are records from the position on or this node's are not current, otherwise when the log has been read again or the wait is over; 410 if removals since the position may be unknown here, 404 for an unknown stream. */
   async serve (target: string, response: ServerResponse): Promise<void> {
     const query = new URLSearchParams(target.split('?')[1] ?? '')
     const stream = query.get('stream')
-    const from = Number(query.get('from') ?? -1)
     const wait = Math.min(maximumWaitMilliseconds, Number(query.get('wait') ?? 0))
-    if ((stream !== 'operators' && stream !== 'instances') || !Number.isFinite(from) || !Number.isFinite(wait)) {
+    const offset = Number(query.get('from') ?? beforeLog.offset)
+    if ((stream !== 'operators' && stream !== 'instances') || !Number.isFinite(offset) || !Number.isFinite(wait)) {
       response.writeHead(404).end()
       return
     }
     const follower = this.followers[stream]
+    // A reader of an earlier version names no era: its offsets count as of this one.
+    const from = { era: Number(query.get('era') ?? follower.state.next.era), offset }
     // Two nodes that read from each other would both take their records for current while neither reads the log.
     const isReadFromReader = (): boolean => this.sourceOf(stream) === query.get('reader')
     const freshness = freshnessOf(follower)
@@ -111,14 +120,15 @@
     response.end(body.bytes)
   }
 
-  private async encode (stream: FedStream, from: number, follower: RecordFollower): Promise<{ readonly bytes: Buffer, readonly isCompressed: boolean }> {
+  private async encode (stream: FedStream, from: LogPosition, follower: RecordFollower): Promise<{ readonly bytes: Buffer, readonly isCompressed: boolean }> {
     const { next } = follower.state
-    const records = follower.newest.filter(({ offset }) => offset >= from)
-    if (records.length === 0) return { bytes: Buffer.from(JSON.stringify({ records, next })), isCompressed: false }
-    const key = `${stream}/${from}/${next}/${records.length}/${records.reduce((highest, { offset }) => Math.max(highest, offset), 0)}`
+    const records = follower.newest.filter(record => !isInLog(from) || !isBefore(record, from))
+    const encode = (): string => JSON.stringify({ records: records.map(record => encodeRecord(record, next.era)), next: next.offset, era: next.era } satisfies EncodedRecords)
+    if (records.length === 0) return { bytes: Buffer.from(encode()), isCompressed: false }
+    const key = `${stream}/${formatPosition(from)}/${formatPosition(next)}/${records.length}/${formatPosition(follower.newestPosition)}`
     const known = this.cached.find(answer => answer.key === key)
     if (known !== undefined) return { bytes: await known.body, isCompressed: true }
-    const text = JSON.stringify({ records: records.map(encodeRecord), next })
+    const text = encode()
     if (text.length < compressedFromBytes) return { bytes: Buffer.from(text), isCompressed: false }
     const answer = { key, body: compress(text, { level: 1 }) }
     this.cached.push(answer)
@@ -131,10 +141,10 @@
   return { ageMilliseconds: monotonicNow() - state.confirmedAt, isConnected: state.isConnected }
 }
 
-function encodeRecord (record: KeyedRecord): EncodedRecord {
-  return { key: record.key, value: record.value?.toString('utf8') ?? null, offset: record.offset }
+function encodeRecord ({ key, value, offset, era }: KeyedRecord, commonEra: number): EncodedRecord {
+  return { key, value: value?.toString('utf8') ?? null, offset, ...era === commonEra ? {} : { era } }
 }
 
-function decodeRecord (record: EncodedRecord): KeyedRecord {
-  return { key: record.key, value: record.value === null ? undefined : Buffer.from(record.value), offset: record.offset }
+function decodeRecord ({ key, value, offset, era }: EncodedRecord, commonEra: number): KeyedRecord {
+  return { key, value: value === null ? undefined : Buffer.from(value), offset, era: era ?? commonEra }
 }
--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -1,4 +1,7 @@
 /** Follows a stream of keyed records in the log, and accepts records from peers while the log cannot be read. */
+import { lapseGraceMilliseconds } from '../core/fleet/record-lapse.js'
+import { beforeLog, formatPosition, isBefore, isInLog, laterOf, type LogPosition } from '../core/log-position.js'
+import { isSameInCopy, RecordHistory } from '../core/record-history.js'
 import { nextRead, readAfterNewest, type NextRead } from '../core/record-reads.js'
 import { Metrics } from '../plugins/metrics.js'
 import type { KeyedRecord, ReadRecords, RecordLog, RecordRead, StreamName } from '../types/ports.js'
@@ -18,26 +21,31 @@
 /** Base and maximum pause after failed reads, milliseconds; the base is doubled for each consecutive failure. */
 const retryMilliseconds = { first: 200, maximum: 1000 } as const
 
+/** Time for which the newest record of a key stays in force that the log lost when it came back from an older copy, milliseconds: its writer writes it again. */
+const lostRetentionMilliseconds: Readonly<Record<StreamName, number>> = { operators: 10_000, instances: lapseGraceMilliseconds, entries: lapseGraceMilliseconds }
+
 /** Receives each record that is newer than the last one of its key. */
 export interface RecordListener {
   /** `isFirst` marks records that were found by the first read, whose age is unknown; `read` is the read that it came with. */
   record (record: KeyedRecord, isFirst: boolean, read: RecordRead): void
   /** A read was answered, by the log or by a node to which the log confirmed `at` (milliseconds of the monotonic clock) that it had read everything; called before the records of that read. */
   confirmed (at: number): void
+  /** The log has come back from an older copy: what this node wrote last may be lost. */
+  eraChanged? (): void
 }
 
 /** Time within which a connected follower must have read the records that another one has read; longer counts as lagging. */
 const readLagMilliseconds = 700
 
 /** Whether a follower lacks records before `next` that another has read and does not get them from the log; `now` in milliseconds of the monotonic clock. */
-export function isLagging (state: FollowerState, next: number, now: number): boolean {
-  return next > state.next && (!state.isConnected || now - state.confirmedAt > readLagMilliseconds)
+export function isLagging (state: FollowerState, next: LogPosition, now: number): boolean {
+  return isBefore(state.next, next) && (!state.isConnected || now - state.confirmedAt > readLagMilliseconds)
 }
 
 /** State of a follower, for logs and peers. */
 export interface FollowerState {
-  /** Offset of the next record to read; -1 before the first read. */
-  readonly next: number
+  /** Position of the next record to read; `beforeLog` before the first read. */
+  readonly next: LogPosition
   readonly isConnected: boolean
   /** Time at which the log last confirmed that all its records had been read, milliseconds of the monotonic clock; the follower's start before that. */
   readonly confirmedAt: number
@@ -46,8 +54,11 @@
 /** Reader of one stream that holds the newest record of each key. */
 export class RecordFollower {
   private readonly newestByKey = new Map<string, KeyedRecord>()
-  private next = -1
-  private highestOffset = -1
+  private next = beforeLog
+  private highest = beforeLog
+  private readonly history = new RecordHistory()
+  /** Until when keys stay in force that the log lost, milliseconds of the monotonic clock. */
+  private readonly lostUntil = new Map<string, number>()
   private readonly removals = new RemovalCoverage()
   private planned: NextRead = { kind: 'newest', isDue: true }
   private unreachableSince: number | undefined
@@ -76,6 +87,11 @@
     return [...this.newestByKey.values()]
   }
 
+  /** Position of the latest record that was applied. */
+  get newestPosition (): LogPosition {
+    return this.highest
+  }
+
   /** Reads the stream until `stop`; failed reads are retried. */
   async run (): Promise<void> {
     while (!this.isStopped) {
@@ -95,14 +111,15 @@
     this.isStopped = true
   }
 
-  /** Whether the follower has a record at or after an offset; any record will do for -1, before which nothing was read. */
-  hasRecordsFrom (offset: number): boolean {
-    return this.next >= 0 && (offset < 0 || this.highestOffset >= offset)
+  /** Whether the follower has a record at or after a position; any record will do for `beforeLog`. */
+  hasRecordsFrom (position: LogPosition): boolean {
+    return isInLog(this.next) && (!isInLog(position) || !isBefore(this.highest, position))
   }
 
-  /** Whether a node that has read up to an offset (-1 for nothing) learns of all removals since from this one. */
-  knowsRemovalsFrom (offset: number): boolean {
-    return offset < 0 || this.removals.isComplete(offset)
+  /** Whether a node that has read up to a position learns of all removals since from this one: not across eras. */
+  knowsRemovalsFrom (position: LogPosition): boolean {
+    if (!isInLog(position) || position.era > this.next.era) return true
+    return position.era === this.next.era && this.removals.isComplete(position.offset)
   }
 
   /** Resolves after the next read, whether or not it brought records, or at `deadline`, milliseconds of the monotonic clock. */
@@ -119,15 +136,19 @@
   }
 
   /**
-   * Applies what a peer has read from the offset `from` on, -1 for everything: the newest record of each key. Older records than
-   * those known are ignored.
+   * Applies what a peer has read from the position `from` on, `beforeLog` for everything: the newest record of each key. Older
+   * records than those known are ignored, and so is what was read in an earlier era.
    */
-  receiveRecords (read: ReadRecords, from: number): void {
+  receiveRecords (read: ReadRecords, from: LogPosition): void {
     this.metrics.countRead(read.source ?? 'peer', 'newest', read.cost)
+    const isEverything = !isInLog(from)
+    if (read.next.era < this.next.era || (!isEverything && read.next.era !== this.next.era)) return
     if (read.ageMilliseconds !== undefined) this.reportConfirmed(read)
-    this.applyAll(read, this.newestByKey.size === 0)
-    if (from < 0) this.removeMissing(read)
-    if (from <= this.next) this.advanceAsNewest(read.next)
+    if (isEverything) this.applyEverything(read)
+    else {
+      this.applyAll(read, this.newestByKey.size === 0)
+      if (!isBefore(this.next, from)) this.advanceAsNewest(read.next)
+    }
     this.wakeWaiting()
   }
 
@@ -138,15 +159,15 @@
 
   /** Reads the newest record of each key; returns the age of what was read, milliseconds. */
   private async readAll (): Promise<number> {
-    const read = await this.records.newest(this.stream)
+    const read = await this.records.newest(this.stream, this.next.era)
     const { records, next, cost, source = 'log' } = read
     this.metrics.countRead(source, 'newest', cost)
+    // A peer may have taken this follower to a later era meanwhile.
+    if (next.era < this.next.era) throw new Error(`the records were read in era ${next.era}, before era ${this.next.era}`)
     this.reportConfirmed(read)
-    this.applyAll(read, this.newestByKey.size === 0)
-    this.removeMissing(read)
-    this.advanceAsNewest(next)
+    this.applyEverything(read)
     this.planned = readAfterNewest(this.largestHeld)
-    log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
+    log.info('read the newest record of each key', { stream: this.stream, source, records: records.length, next: next.offset, era: next.era, bytes: cost.bytes, readMilliseconds: Math.round(transferMilliseconds(cost)) })
     return read.ageMilliseconds ?? 0
   }
 
@@ -158,43 +179,73 @@
     for (const record of records) this.apply(record, isFirst, { source, cost })
   }
 
-  /** Removes the keys that are not among the newest records of all keys. */
+  /** Applies the newest record of each key, and advances to the end of that read. */
+  private applyEverything (read: ReadRecords): void {
+    const isNewEra = this.newestByKey.size > 0 && read.next.era > this.next.era
+    if (isNewEra) this.reportNewEra(read.next)
+    this.applyAll(read, this.newestByKey.size === 0)
+    this.removeMissing(read)
+    this.advanceAsNewest(read.next)
+    if (isNewEra) this.listener.eraChanged?.()
+  }
+
+  private reportNewEra (next: LogPosition): void {
+    this.metrics.countNewEra()
+    log.warn('the log came back from an older copy: what was read stays in force until it is written again', { stream: this.stream, before: formatPosition(this.next), next: formatPosition(next) })
+  }
+
+  /** Removes the keys that are not among the newest records of all keys; those that the log lost stay in force for some time. */
   private removeMissing ({ records, next, cost, source = 'log' }: ReadRecords): void {
     const present = new Set(records.map(record => record.key))
-    for (const key of [...this.newestByKey.keys()].filter(key => !present.has(key))) this.applyRemoval(key, next, { source, cost })
+    for (const [key, known] of [...this.newestByKey].filter(([key]) => !present.has(key))) {
+      if (known.era === next.era) this.applyRemoval(key, next, { source, cost })
+      else if (known.value !== undefined && !this.lostUntil.has(key)) this.lostUntil.set(key, monotonicNow() + lostRetentionMilliseconds[this.stream])
+    }
+  }
+
+  /** Removes the keys that the log lost and that were not written again in time. */
+  private removeLost (read: RecordRead): void {
+    for (const [key, until] of this.lostUntil) {
+      if (until > monotonicNow()) continue
+      log.info('a record that the log lost was not written again; its key counts as removed', { stream: this.stream, key })
+      this.lostUntil.delete(key)
+      this.applyRemoval(key, this.next, read)
+    }
   }
 
   /** Advances to `next` after a read that left out superseded records. */
-  private advanceAsNewest (next: number): void {
-    if (next <= this.next) return
-    this.removals.recordNewest(this.next, next)
+  private advanceAsNewest (next: LogPosition): void {
+    if (!isBefore(this.next, next)) return
+    if (next.era === this.next.era) this.removals.recordNewest(this.next.offset, next.offset)
+    else this.removals.startEra(next.offset)
     this.next = next
   }
 
-  /** Reports a key that the log no longer holds as removed at the offset before `next`. */
-  private applyRemoval (key: string, next: number, read: RecordRead): void {
+  /** Reports a key that the log no longer holds as removed at the position before `next`. */
+  private applyRemoval (key: string, next: LogPosition, read: RecordRead): void {
     const record = this.newestByKey.get(key)
-    if (record !== undefined && record.value !== undefined && record.offset < next) this.apply({ key, value: undefined, offset: next - 1 }, false, read)
+    if (record !== undefined && record.value !== undefined && isBefore(record, next)) this.apply({ key, value: undefined, era: next.era, offset: next.offset - 1 }, false, read)
   }
 
   private async readNext (limit: number): Promise<number> {
     const page = await this.records.read(this.stream, this.next, monotonicNow() + this.pace.wait, limit)
     if (page.kind === 'expired') {
       this.metrics.countExpired()
-      log.warn('records expired before they were read; reading the newest record of each key', { stream: this.stream, next: this.next })
-      this.next = -1
+      log.warn('the log no longer has the records that follow; reading the newest record of each key', { stream: this.stream, next: this.next.offset, era: this.next.era })
+      this.next = { era: this.next.era, offset: beforeLog.offset }
       this.planned = { kind: 'newest', isDue: true }
       return await this.readAll()
     }
     this.metrics.countRead(page.source ?? 'log', page.records.length === 0 ? 'empty' : 'records', page.cost)
     this.reportConfirmed(page)
     this.applyAll(page, false)
-    if ((page.source ?? 'log') === 'log') this.next = Math.max(this.next, page.next)
+    if ((page.source ?? 'log') === 'log') this.next = laterOf(this.next, page.next)
     else this.advanceAsNewest(page.next)
+    this.removeLost({ source: page.source ?? 'log', cost: page.cost })
     // Records that follow a page without any cannot be read now.
-    const unread = page.records.length === 0 ? 0 : Math.max(0, page.end - this.next)
+    const unread = page.records.length === 0 ? 0 : Math.max(0, page.end - this.next.offset)
     this.planned = nextRead({ unread, limit, largestRead: largestValue(page.records), largestHeld: this.largestHeld })
-    if (this.planned.kind === 'newest') log.info('behind large records; reading the newest record of each key instead', { stream: this.stream, next: this.next, unread })
+    if (this.planned.kind === 'newest') log.info('behind large records; reading the newest record of each key instead', { stream: this.stream, next: this.next.offset, era: this.next.era, unread })
     return page.ageMilliseconds ?? 0
   }
 
@@ -204,9 +255,15 @@
 
   private apply (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const known = this.newestByKey.get(record.key)
-    if (known !== undefined && known.offset >= record.offset) return
+    if (known !== undefined && !isBefore(known, record)) return
+    const isInCopy = known !== undefined && known.era < record.era && this.history.has(record)
+    // A copy of the log may hold an older record than the one in force, whose writer writes it again.
+    if (isInCopy && !isSameInCopy(known, record)) return
     this.newestByKey.set(record.key, record)
-    this.highestOffset = Math.max(this.highestOffset, record.offset)
+    this.highest = laterOf(this.highest, record)
+    this.lostUntil.delete(record.key)
+    if (isInCopy) return
+    this.history.add(record)
     this.listener.record(record, isFirst, read)
   }
 
@@ -215,7 +272,7 @@
     this.confirmedAt = Math.max(this.confirmedAt, monotonicNow() - ageMilliseconds)
     this.wakeWaiting()
     if (this.unreachableSince === undefined) return
-    log.info('the log answers again', { stream: this.stream, lostMilliseconds: Math.round(monotonicNow() - this.unreachableSince), next: this.next })
+    log.info('the log answers again', { stream: this.stream, lostMilliseconds: Math.round(monotonicNow() - this.unreachableSince), next: this.next.offset, era: this.next.era })
     this.unreachableSince = undefined
   }
 
@@ -228,7 +285,7 @@
     this.metrics.countFailure('log', error)
     if (this.unreachableSince !== undefined) return
     this.unreachableSince = monotonicNow()
-    log.warn('the log does not answer; continuing with the records read so far', { stream: this.stream, next: this.next, reason: String(error) })
+    log.warn('the log does not answer; continuing with the records read so far', { stream: this.stream, next: this.next.offset, era: this.next.era, reason: String(error) })
   }
 }
 
--- a/src/nodes/removal-coverage.ts
+++ b/src/nodes/removal-coverage.ts
@@ -9,7 +9,7 @@
 /** Gaps that are remembered one by one; older ones count as one up to the end of the latest of them. */
 const maximumGaps = 64
 
-/** Removals that one node knows of one stream. */
+/** Removals that one node knows of one era of a stream; numbers are offsets. */
 export class RemovalCoverage {
   private completeFrom = 0
   private gaps: readonly Gap[] = []
@@ -27,6 +27,12 @@
     this.gaps = this.gaps.slice(1)
   }
 
+  /** Forgets what was known of the era before; everything up to `next` of the new one was read as the newest record of each key. */
+  startEra (next: number): void {
+    this.completeFrom = next
+    this.gaps = []
+  }
+
   /** Whether a node that has read up to the offset `from` learns of all removals since from this one. */
   isComplete (from: number): boolean {
     return from >= this.completeFrom && this.gaps.every(({ after, before }) => from <= after || from >= before)
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,7 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
 import { isEarlierRead, isOutside, nameOfSource, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { beforeLog, type LogPosition } from '../core/log-position.js'
 import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
@@ -38,8 +39,8 @@
   readonly metrics: ReadMetrics
   /** Sources in the order of preference. */
   sources (): readonly PreferredSource[]
-  /** Receives what was read from the offset `from` on, -1 for everything, by a call that another source had answered before. */
-  readLate (read: ReadRecords, from: number): void
+  /** Receives what was read from the position `from` on, `beforeLog` for everything, by a call that another source had answered before. */
+  readLate (read: ReadRecords, from: LogPosition): void
 }
 
 /** The log's records by way of the preferred source; calls throw the log's error if it was tried, otherwise that of the first source. */
@@ -74,11 +75,11 @@
     return this.outsideSince
   }
 
-  async newest (stream: StreamName): Promise<NewestRecords> {
-    return await this.tryInOrder(new Attempt('newest', -1, source => this.reach(source).newest(stream)))
+  async newest (stream: StreamName, minimumEra = 0): Promise<NewestRecords> {
+    return await this.tryInOrder(new Attempt('newest', beforeLog, source => this.reach(source).newest(stream, minimumEra)))
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
+  async read (stream: StreamName, from: LogPosition, waitUntil: number, limit: number): Promise<RecordPage> {
     return await this.tryInOrder(new Attempt('records', from, source => {
       const until = source.kind === 'log' ? Math.min(waitUntil, monotonicNow() + this.options.logWaitMilliseconds) : waitUntil
       return this.reach(source).read(stream, from, until, limit)
--- a/src/roles/gateway/fleet-records.ts
+++ b/src/roles/gateway/fleet-records.ts
@@ -1,6 +1,7 @@
 /** Records of the log as an entry follows them: the operators', the instance list, and the entries that announced themselves. */
 import type { ServerResponse } from 'node:http'
 import { isIPv4 } from 'node:net'
+import { isInLog, type LogPosition } from '../../core/log-position.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { orderSources, type PreferredSource } from '../../core/fleet/record-sources.js'
 import { RecordFeed, type FedStream } from '../../nodes/record-feed.js'
@@ -27,6 +28,8 @@
 /** Time for the first look at the entries' records before the followers start without it, milliseconds. */
 const announcementTimeoutMilliseconds = 1500
 const announcementRetryMilliseconds = 1000
+/** Time over which entries write their records again after the log came back from an older copy, milliseconds. */
+const announcedAgainMilliseconds = 2000
 /** Round trips to the log that are measured at the start. */
 const measuredRoundTrips = 3
 
@@ -54,7 +57,11 @@
   private isStopped = false
 
   constructor (private readonly context: FleetRecordsContext) {
-    this.operators = this.follow('operators', context.operators)
+    this.operators = this.follow('operators', {
+      record: (record, isFirst, read) => { context.operators.record(record, isFirst, read) },
+      confirmed: at => { context.operators.confirmed(at) },
+      eraChanged: () => { runInBackground(this.announceAgain(), log, 'announce this entry again') }
+    })
     this.instances = this.follow('instances', context.instances)
     this.feed = new RecordFeed({ operators: this.operators, instances: this.instances }, stream => this.selected.get(stream)?.source ?? '', stream => this.selected.get(stream)?.readingSince)
   }
@@ -107,7 +114,7 @@
     const known = new Set(others.map(({ instance }) => instance))
     const announced = now < this.announcedUntil ? this.announced.filter(({ instance }) => !known.has(instance)) : []
     // An entry that stops goes on reading for those that have not yet turned to another one.
-    const hasRecords = this.operators.state.next >= 0 && this.instances.state.next >= 0
+    const hasRecords = isInLog(this.operators.state.next) && isInLog(this.instances.state.next)
     return orderSources({ ...members.self, isReady: hasRecords }, [...others, ...announced])
   }
 
@@ -129,8 +136,8 @@
     }
   }
 
-  private async writeAndMeasure (next: number): Promise<void> {
-    const { log: records, members, settings } = this.context
+  private async writeAndMeasure (next: LogPosition): Promise<void> {
+    const { log: records, members } = this.context
     let isWritten = false
     while (!this.isStopped && !isWritten) {
       try {
@@ -139,7 +146,7 @@
           await records.read('entries', next, startedAt, 1)
           members.recordLogDelay(monotonicNow() - startedAt)
         }
-        await records.write('entries', `entry/${settings.instance}`, Buffer.from(JSON.stringify(members.self)))
+        await this.writeOwnRecord()
         isWritten = true
       } catch (error) {
         log.warn('announcing this entry in the log failed; retrying', { reason: String(error) })
@@ -147,6 +154,26 @@
       }
     }
   }
+
+  /** Writes this entry's record once more, at a random time so that the entries do not all write at once. */
+  private async announceAgain (): Promise<void> {
+    await sleepUntil(monotonicNow() + Math.random() * announcedAgainMilliseconds)
+    while (!this.isStopped) {
+      try {
+        await this.writeOwnRecord()
+        log.info('announced this entry again, since the log came back from an older copy')
+        return
+      } catch (error) {
+        log.warn('announcing this entry again failed; retrying', { reason: String(error) })
+        await sleepUntil(monotonicNow() + announcementRetryMilliseconds)
+      }
+    }
+  }
+
+  private async writeOwnRecord (): Promise<void> {
+    const { log: records, members, settings } = this.context
+    await records.write('entries', `entry/${settings.instance}`, Buffer.from(JSON.stringify(members.self)))
+  }
 }
 
 /** Decodes an entry's record; undefined when it is malformed. */
--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -3,6 +3,7 @@
 import { rolloutFactsOf } from '../../core/weights/rollout-facts.js'
 import { firstVersion, minimumVersionAt, withdrawalAt } from '../../core/weights/start-cutoffs.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
+import type { LogPosition } from '../../core/log-position.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
 import { transferMilliseconds } from '../../nodes/read-metrics.js'
 import type { RolloutFacts, Service } from '../../types/fleet.js'
@@ -52,10 +53,10 @@
   /** Applies an operator's record. `isFirst` marks one read at the start: its age is unknown, so named weights are required at once. */
   put (record: KeyedRecord, isFirst: boolean, read: RecordRead): void {
     const decoded = this.codec.operatorRecord(record.key, record.value)
-    if (decoded.kind === 'evacuation') this.putEvacuation(decoded.dataCentre, record.value !== undefined, record.offset)
-    else if (decoded.kind === 'configuration') this.putConfiguration(decoded.configuration, record.offset, read)
+    if (decoded.kind === 'evacuation') this.putEvacuation(decoded.dataCentre, record.value !== undefined, record)
+    else if (decoded.kind === 'configuration') this.putConfiguration(decoded.configuration, record, read)
     else if (decoded.kind === 'weights') this.recordNamedVersion(decoded.weights.model, decoded.weights.version, isFirst ? undefined : 0)
-    else log.warn('operator record ignored', { key: record.key, offset: record.offset, reason: decoded.reason })
+    else log.warn('operator record ignored', { key: record.key, offset: record.offset, era: record.era, reason: decoded.reason })
   }
 
   /** Merges named weights that another entry knows. */
@@ -101,10 +102,10 @@
     log.info('age of a named weights version corrected', { model, version, ageMilliseconds, previousMilliseconds })
   }
 
-  private putConfiguration (configuration: RouteTable['configuration'], offset: number, { source, cost }: RecordRead): void {
+  private putConfiguration (configuration: RouteTable['configuration'], position: LogPosition, { source, cost }: RecordRead): void {
     const inForce = this.routeTable?.configuration.version
     if (inForce !== undefined && configuration.version <= inForce) {
-      log.warn('configuration ignored: its version is not newer than the one in force', { version: configuration.version, inForce, offset })
+      log.warn('configuration ignored: its version is not newer than the one in force', { version: configuration.version, inForce, offset: position.offset, era: position.era })
       return
     }
     this.routeTable = buildRouteTable(configuration)
@@ -113,7 +114,8 @@
     log.info('new configuration in force', {
       version: configuration.version,
       previousVersion: inForce ?? 0,
-      offset,
+      offset: position.offset,
+      era: position.era,
       routes: configuration.routes.length,
       organisations: configuration.organisations.length,
       source,
@@ -123,10 +125,10 @@
     this.changed()
   }
 
-  private putEvacuation (dataCentre: string, isOut: boolean, offset: number): void {
+  private putEvacuation (dataCentre: string, isOut: boolean, position: LogPosition): void {
     if (isOut) this.evacuated.add(dataCentre)
     else this.evacuated.delete(dataCentre)
-    log.info(isOut ? 'data centre evacuated: its upstreams get no new requests' : 'evacuation of a data centre ended: its upstreams get requests again', { dataCentre, offset })
+    log.info(isOut ? 'data centre evacuated: its upstreams get no new requests' : 'evacuation of a data centre ended: its upstreams get requests again', { dataCentre, offset: position.offset, era: position.era })
     this.changed()
   }
 }
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -3,6 +3,7 @@
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import { KnownLag } from '../../core/fleet/known-lag.js'
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
+import { beforeLog, formatPosition, isBefore, isInLog, type LogPosition } from '../../core/log-position.js'
 import type { Member, Membership } from '../../core/fleet/members.js'
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
 import { fetchRecords, UnknownRemovalsError } from '../../nodes/fed-record-log.js'
@@ -100,7 +101,7 @@
   /** Tells the entries of this data centre at once what this one has read since the last call, as while it stops: they have turned to another one, which may not read yet. */
   announceRead (): void {
     const { members, operators, instances, datagrams } = this.context
-    const read = `${operators.state.next}/${instances.state.next}`
+    const read = `${formatPosition(operators.state.next)} ${formatPosition(instances.state.next)}`
     if (read === this.lastAnnouncedRead) return
     this.lastAnnouncedRead = read
     const message = this.message()
@@ -188,14 +189,14 @@
   }
 
   /** Fetches a stream from a member that has read further while this entry's own sources do not deliver; from another data centre only if this one's entries have not helped for a while. */
-  private fetchIfLagging (stream: FedStream, next: number, sender: Member, now: number): void {
+  private fetchIfLagging (stream: FedStream, next: LogPosition, sender: Member, now: number): void {
     const { members } = this.context
     const follower = this.context[stream]
     const isNear = sender.dataCentre === members.self.dataCentre
     // One that stops announces what the entry that takes its place may not have read yet.
-    const isHandedOver = isNear && !sender.isReady && next > follower.state.next
+    const isHandedOver = isNear && !sender.isReady && isBefore(follower.state.next, next)
     if ((!isHandedOver && !isLagging(follower.state, next, now)) || members.self.instance === sender.instance || this.fetching.has(stream)) return
-    if (!isNear && now - follower.state.confirmedAt < remoteFetchMilliseconds && follower.state.next >= 0) return
+    if (!isNear && now - follower.state.confirmedAt < remoteFetchMilliseconds && isInLog(follower.state.next)) return
     if (now < (this.nextFetchAt.get(stream) ?? 0)) return
     const { first, maximum } = fetchIntervalMilliseconds
     this.nextFetchAt.set(stream, now + Math.min(maximum, first * 2 ** (this.fetchFailures.get(stream) ?? 0)))
@@ -214,15 +215,15 @@
     this.fetching.add(stream)
     try {
       const isNear = member.dataCentre === this.context.members.self.dataCentre
-      const fetchFrom = async (from: number): Promise<{ readonly read: ReadRecords, readonly from: number }> =>
+      const fetchFrom = async (from: LogPosition): Promise<{ readonly read: ReadRecords, readonly from: LogPosition }> =>
         ({ read: await fetchRecords(`${member.ip}:${this.context.internalPort}`, stream, from, this.agent, isNear ? 'peer' : 'remote-peer', this.context.members.self.instance), from })
       const { read, from } = await fetchFrom(follower.state.next).catch((error: unknown) => {
-        if (error instanceof UnknownRemovalsError) return fetchFrom(-1)
+        if (error instanceof UnknownRemovalsError) return fetchFrom(beforeLog)
         throw error
       })
       this.fetchFailures.delete(stream)
       follower.receiveRecords(read, from)
-      log.info('records fetched from another entry', { instance: member.instance, stream, records: read.records.length, from, next: read.next, bytes: read.cost.bytes })
+      log.info('records fetched from another entry', { instance: member.instance, stream, records: read.records.length, from: from.offset, next: read.next.offset, era: read.next.era, bytes: read.cost.bytes })
     } catch (error) {
       this.fetchFailures.set(stream, (this.fetchFailures.get(stream) ?? 0) + 1)
       follower.countPeerFailure(error)
--- a/src/roles/gateway/instance-records.ts
+++ b/src/roles/gateway/instance-records.ts
@@ -21,14 +21,15 @@
     this.availability = recordConfirmation(this.availability, at, this.heartbeatMilliseconds)
   }
 
-  record ({ key, value, offset }: KeyedRecord, isFirst: boolean): void {
+  record (record: KeyedRecord, isFirst: boolean): void {
+    const { key, value } = record
     if (value === undefined) {
       this.pool.dropRecord(key, retainUntil(this.availability, monotonicNow(), this.heartbeatMilliseconds))
       return
     }
     const upstream = this.codec.upstream(key, value)
     if ('reason' in upstream) {
-      log.warn('instance record ignored; its upstream is removed', { key, offset, reason: upstream.reason })
+      log.warn('instance record ignored; its upstream is removed', { key, offset: record.offset, era: record.era, reason: upstream.reason })
       this.pool.dropRecord(key, 0)
     } else this.pool.putRecord(upstream, isFirst)
   }
--- a/src/roles/weights/rollout-source.ts
+++ b/src/roles/weights/rollout-source.ts
@@ -1,5 +1,6 @@
 /** What an agent knows of the rollout: from the subscriptions of entries, or from the log while no entry subscribes. */
 import { areSameFacts, newerFacts, rolloutFactsOf } from '../../core/weights/rollout-facts.js'
+import type { LogPosition } from '../../core/log-position.js'
 import { nextLogReadAt } from '../../core/weights/log-fallback.js'
 import type { Metrics } from '../../plugins/metrics.js'
 import type { RolloutFacts, Upstream } from '../../types/fleet.js'
@@ -43,8 +44,8 @@
   private logReadAt = nextLogReadAt(monotonicNow(), 0, Math.random())
   /** Reads of the log since the last subscription. */
   private reads = 0
-  /** Offset of the first operators' record that was not read; undefined when the last read of all of them failed. */
-  private operatorsNext: number | undefined
+  /** Position of the first operators' record that was not read; undefined when the last read of all of them failed. */
+  private operatorsNext: LogPosition | undefined
   /** Whether this process knew of the rollout before: versions that it learns of later were named since then. */
   private hasLearned = false
   private isStopped = false
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -67,7 +67,7 @@
 
 function encodeFields (message: NodeMessage): Fields {
   switch (message.kind) {
-    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext, message.instancesNext, encodeWeights(message.weights), [], message.limits.map(encodeLimit), message.leaving.map(({ upstreamId, startedAt }) => [upstreamId, startedAt])]
+    case 'gossip': return [encodeMember(message.sender), message.others.map(encodeMember), message.operatorsNext.offset, message.instancesNext.offset, encodeWeights(message.weights), [], message.limits.map(encodeLimit), message.leaving.map(({ upstreamId, startedAt }) => [upstreamId, startedAt]), [message.operatorsNext.era, message.instancesNext.era]]
     case 'crash-evidence': return [message.suspicions.map(({ trait, ends, refusedAgeMilliseconds, isBlocked }) => [trait, ends, refusedAgeMilliseconds, isBlocked]), message.healthy]
     case 'permit-request': return [message.number, encodeLimit(message.limit)]
     case 'permit-answer': return [message.number, encodeLimit(message.limit), message.retryInMilliseconds]
@@ -175,14 +175,16 @@
 const decoders: Readonly<Record<NodeMessage['kind'], (fields: Fields) => NodeMessage>> = {
   gossip: fields => {
     checkTypes(fields, ['list', 'list', 'number', 'number', 'list', 'list'])
-    // The sixth field was used by earlier versions, which send no limits; of them and of later ones, some do not say which upstreams leave.
-    const [sender, others, operatorsNext, instancesNext, weights, , limits = [], leaving = []] = fields as [Fields, readonly Fields[], number, number, Fields, Fields, Fields?, (readonly (readonly [string, number])[])?]
+    // The sixth field was used by earlier versions, which send no limits; of them and of later ones, some do not say which upstreams leave, or the eras of their offsets.
+    const [sender, others, operatorsOffset, instancesOffset, weights, , limits = [], leaving = [], eras = [0, 0]] = fields as [Fields, readonly Fields[], number, number, Fields, Fields, Fields?, (readonly (readonly [string, number])[])?, (readonly number[])?]
+    checkTypes(eras, ['number', 'number'])
+    const [operatorsEra = 0, instancesEra = 0] = eras
     return {
       kind: 'gossip',
       sender: decodeMember(sender),
       others: others.map(decodeMember),
-      operatorsNext,
-      instancesNext,
+      operatorsNext: { era: operatorsEra, offset: operatorsOffset },
+      instancesNext: { era: instancesEra, offset: instancesOffset },
       weights: decodeWeights(weights),
       limits: limits.map(decodeLimit),
       leaving: leaving.map(([upstreamId, startedAt]) => ({ upstreamId, startedAt }))
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between the nodes of a deployment whose upstreams are called directly. */
 import type { CrashEvidence } from '../core/dispatch/crash-suspects.js'
+import type { LogPosition } from '../core/log-position.js'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
 import type { RolloutFacts } from './fleet.js'
@@ -24,9 +25,9 @@
   readonly sender: Member
   /** Some of the other members that the sender knows. */
   readonly others: readonly Member[]
-  /** Offsets after the last operators' and instances' records that the sender has read. */
-  readonly operatorsNext: number
-  readonly instancesNext: number
+  /** Positions after the last operators' and instances' records that the sender has read. */
+  readonly operatorsNext: LogPosition
+  readonly instancesNext: LogPosition
   readonly weights: readonly GossipedWeights[]
   /** Some of the limits that upstreams have named, and of those lifted lately. */
   readonly limits: readonly GossipedLimit[]
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -1,16 +1,16 @@
 /** Interfaces through which the roles use the platform; an adapter implements them. */
 import type { IncomingHttpHeaders, IncomingMessage } from 'node:http'
+import type { LogPosition } from '../core/log-position.js'
 import type { DrainMode } from '../core/weights/swap-schedule.js'
 import type { EngineReport, OperatorRecord, Upstream } from './fleet.js'
 
 /** Streams of records in the platform's log. */
 export type StreamName = 'operators' | 'instances' | 'entries'
 
-/** One record. A record without a value deletes its key. */
-export interface KeyedRecord {
+/** One record and its position. A record without a value deletes its key. */
+export interface KeyedRecord extends LogPosition {
   readonly key: string
   readonly value: Buffer | undefined
-  readonly offset: number
 }
 
 /** Where a node reads records: in the platform's log, or from another node, in its own data centre or elsewhere. */
@@ -36,10 +36,10 @@
   readonly cost: ReadCost
 }
 
-/** Records that were read at once; `next` is the offset from which to continue with `read`. */
+/** Records that were read at once; `next` is the position from which to continue with `read`. */
 export interface ReadRecords {
   readonly records: readonly KeyedRecord[]
-  readonly next: number
+  readonly next: LogPosition
   readonly cost: ReadCost
   /** The log if not set. */
   readonly source?: RecordSource
@@ -47,7 +47,7 @@
   readonly ageMilliseconds?: number
 }
 
-/** Records from some offset on, and the offset `end` after the last record of the log; `expired` if the log no longer retains them. */
+/** Records from some position on, and the offset `end` after the last record of the log; `expired` if the log no longer has them, as in another era. */
 export type RecordPage = ReadRecords & { readonly kind: 'records', readonly end: number } | { readonly kind: 'expired' }
 
 /** The newest record of each key. */
@@ -55,10 +55,13 @@
 
 /** The platform's log of keyed records. */
 export abstract class RecordLog {
-  /** Reads the newest record of each key, and the offset from which to continue with `read`; not a snapshot: some may be newer than those before it. */
-  abstract newest (stream: StreamName): Promise<NewestRecords>
+  /**
+   * Reads the newest record of each key, and the position from which to continue with `read`; not a snapshot: some may be newer
+   * than those before it. Rejects an answer of an era before `minimumEra`.
+   */
+  abstract newest (stream: StreamName, minimumEra?: number): Promise<NewestRecords>
   /** Reads at most `limit` records from `from` on; waits for one until `waitUntil`, milliseconds of the monotonic clock. */
-  abstract read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage>
+  abstract read (stream: StreamName, from: LogPosition, waitUntil: number, limit: number): Promise<RecordPage>
   /** Writes the newest value of a key. */
   abstract write (stream: StreamName, key: string, value: Buffer): Promise<void>
   /** Ends the calls in progress, as the node stops; they reject. */
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -165,7 +165,7 @@
     let changes = 0
     const state = new FleetState(new FakeCodec(), 8000, () => { changes += 1 })
     for (const [offset, [key, version]] of records.entries()) {
-      state.put({ key, value: Buffer.from(String(version)), offset }, false, { source: 'log', cost: noCost })
+      state.put({ key, value: Buffer.from(String(version)), offset, era: 0 }, false, { source: 'log', cost: noCost })
       state.rolloutFacts(service)
     }
     state.mergeWeights(received)
--- a/test/denied-by-old-configuration.test.ts
+++ b/test/denied-by-old-configuration.test.ts
@@ -8,6 +8,7 @@
 import { freshIp, internalPort, startEntries, versionInForce } from './fakes/entry-group.js'
 import { SharedLog } from './fakes/shared-log.js'
 import { eventually } from './fakes/test-cluster.js'
+import { at } from './fakes/positions.js'
 
 const lagCases: readonly { readonly name: string, readonly observed: readonly (readonly [number, number])[], readonly next: number, readonly now: number, readonly expected: boolean }[] = [
   { name: 'nothing heard', observed: [], next: 5, now: 0, expected: false },
@@ -22,8 +23,8 @@
 for (const { name, observed, next, now, expected } of lagCases) {
   test(`known lag: ${name}`, async t => {
     const lag = new KnownLag()
-    for (const [reported, at] of observed) lag.observe(reported, at)
-    t.equal(lag.isBehind(next, now), expected)
+    for (const [reported, time] of observed) lag.observe(at(reported), time)
+    t.equal(lag.isBehind(at(next), now), expected)
   })
 }
 
@@ -49,7 +50,7 @@
 
 function gossipOf (ip: string, operatorsNext: number): Gossip {
   const sender = { instance: 'other', ip, callers: `${ip}:8005`, dataCentre: 'home', region: 'home', incarnation: 1, beat: 1, isReady: true, logDelayMilliseconds: -1 }
-  return { kind: 'gossip', sender, others: [], operatorsNext, instancesNext: 0, weights: [], limits: [], leaving: [] }
+  return { kind: 'gossip', sender, others: [], operatorsNext: at(operatorsNext), instancesNext: at(0), weights: [], limits: [], leaving: [] }
 }
 
 function ask (address: string): Promise<{ readonly status: number | undefined, readonly hasRetryAfter: boolean }> {
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -17,6 +17,7 @@
 import { LinkLimiter } from '../src/utils/link-limiter.js'
 import { answerCompletely, Fleet } from './fakes/plain-fleet.js'
 import { startFlood, type Flood } from './fakes/flood.js'
+import { at } from './fakes/positions.js'
 
 const mebibyte = 1 << 20
 /** What sockets, the kernel and the allocator hold besides, bytes. */
@@ -107,8 +108,8 @@
   { name: 'call: bytes that are no HTTP', flood: floods.noHttp, limit: mebibyte, read: address => callOf(address, mebibyte), failure: /Parse/ },
   { name: 'store: newest records', flood: floods.body('200 OK'), limit: maximumAnswerBytes.records, read: address => store(address).newest('operators'), failure: /exceeds/ },
   { name: 'store: a write', flood: floods.body('200 OK'), limit: maximumAnswerBytes.control, read: address => store(address).write('entries', 'k', Buffer.from('v')), failure: /exceeds/ },
-  { name: 'records of another node', flood: floods.body('200 OK'), limit: maximumAnswerBytes.records, read: address => fetchRecords(address, 'operators', 0, new Agent(), 'peer', 'node-1'), failure: /exceeds/ },
-  { name: 'records of another node that expand', flood: floods.gzip, limit: maximumAnswerBytes.records, read: address => fetchRecords(address, 'operators', 0, new Agent(), 'peer', 'node-1'), failure: /larger than 33554432 bytes/ },
+  { name: 'records of another node', flood: floods.body('200 OK'), limit: maximumAnswerBytes.records, read: address => fetchRecords(address, 'operators', at(0), new Agent(), 'peer', 'node-1'), failure: /exceeds/ },
+  { name: 'records of another node that expand', flood: floods.gzip, limit: maximumAnswerBytes.records, read: address => fetchRecords(address, 'operators', at(0), new Agent(), 'peer', 'node-1'), failure: /larger than 33554432 bytes/ },
   { name: 'engine: a report', flood: floods.body('200 OK'), limit: maximumAnswerBytes.control, read: address => engine(address).report(), failure: /exceeds/ },
   { name: 'engine: staged chunks', flood: floods.body('200 OK'), limit: maximumAnswerBytes.control, read: address => engine(address).staged('m'), failure: /exceeds/ },
   { name: 'engine: a staged chunk', flood: floods.body('200 OK'), limit: maximumAnswerBytes.chunk, read: address => engine(address).stagedChunk('m', 0), failure: /exceeds/ },
@@ -155,7 +156,7 @@
 test('endless bytes: the store, a read of records: the newest ones are read instead', async t => {
   const server = await startFlood(floods.body('200 OK'))
   t.teardown(server.close)
-  t.same(await store(server.address).read('operators', 0, monotonicNow(), 10), { kind: 'expired' })
+  t.same(await store(server.address).read('operators', at(0), monotonicNow(), 10), { kind: 'expired' })
 })
 
 const callers: readonly { readonly name: string, readonly head: string, readonly status: RegExp }[] = [
--- a/test/fakes/platform-store.ts
+++ b/test/fakes/platform-store.ts
@@ -42,6 +42,8 @@
   entriesPerPage = maximumEntries
   /** Called before each page of `log-newest`, with the number of pages sent so far. */
   beforePage: (page: number) => void = () => {}
+  /** Text of the header with the era; undefined to leave it out. */
+  era: string | undefined
   private pages = 0
   private readonly topics = new Map<string, Topic>()
   private readonly waiting = new Set<() => void>()
@@ -87,6 +89,14 @@
     stored.first = offset
   }
 
+  /** Comes back from a copy that holds the records of a topic before the offset `end`, in a new era: connections end, and later offsets are given out again. */
+  comeBackFromCopy (topic: string, end: number): void {
+    const { records, first } = this.topicOf(topic)
+    records.splice(end - first)
+    this.era = String(Number(this.era ?? 0) + 1)
+    for (const socket of this.sockets) socket.destroy()
+  }
+
   close (): void {
     for (const wake of [...this.waiting]) wake()
     for (const socket of this.sockets) socket.destroy()
@@ -103,6 +113,7 @@
     const url = new URL(incoming.url ?? '/', 'http://store')
     const topic = url.searchParams.get('topic') ?? ''
     this.calls.push(incoming.url ?? '')
+    if (this.era !== undefined) response.setHeader('store-era', this.era)
     if (this.faults.get(topic)?.kind === 'silent') return
     if (url.pathname === '/log-read') this.read(topic, url.searchParams, response)
     else if (url.pathname === '/log-newest') this.send(topic, this.newest(topic, url.searchParams), response)
@@ -124,7 +135,7 @@
   private read (topic: string, query: URLSearchParams, response: ServerResponse): void {
     const from = Number(query.get('from'))
     const { records, first } = this.topicOf(topic)
-    if (from < first) {
+    if (from < first || from > first + records.length) {
       response.writeHead(410).end(JSON.stringify({ 'first-offset': first }))
       return
     }
--- a/test/fakes/shared-log.ts
+++ b/test/fakes/shared-log.ts
@@ -1,4 +1,5 @@
 /** Log of keyed records in memory, which the nodes of other data centres read over a narrow link that they share. */
+import type { LogPosition } from '../../src/core/log-position.js'
 import { RecordLog, type KeyedRecord, type NewestRecords, type ReadCost, type RecordPage, type StreamName } from '../../src/types/ports.js'
 import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
 
@@ -24,6 +25,8 @@
 export class SharedLog {
   /** Nodes whose reads and writes fail. */
   readonly unreachableFrom = new Set<string>()
+  /** Rises when the log comes back from an older copy. */
+  era = 0
   /** Whether the log fails for every node. */
   isUnavailable = false
   /** Number of reads of the newest records of each key to fail. */
@@ -38,7 +41,15 @@
 
   append (stream: StreamName, key: string, value: Buffer | undefined): void {
     const records = this.stream(stream)
-    records.push({ key, value, offset: records.length })
+    records.push({ key, value, offset: records.length, era: this.era })
+    for (const wake of [...this.wakeReaders]) wake()
+  }
+
+  /** Comes back from a copy that holds the records of a stream before the offset `end`: those after it are lost, and their offsets are given out again. */
+  comeBackFromCopy (stream: StreamName, end: number): void {
+    this.stream(stream).splice(end)
+    this.era += 1
+    for (const name of this.records.keys()) this.records.set(name, this.stream(name).map(record => ({ ...record, era: this.era })))
     for (const wake of [...this.wakeReaders]) wake()
   }
 
@@ -48,9 +59,9 @@
     for (const wake of [...this.wakeReaders]) wake()
   }
 
-  /** Whether the records from an offset on are no longer all retained. */
-  isExpired (stream: StreamName, from: number): boolean {
-    return from < (this.firstOffsets.get(stream) ?? 0)
+  /** Whether the log does not have all records from a position on, as it has none of another era. */
+  isExpired (stream: StreamName, { era, offset }: LogPosition): boolean {
+    return era !== this.era || offset < (this.firstOffsets.get(stream) ?? 0)
   }
 
   /** The log as a node reads it. */
@@ -113,16 +124,17 @@
     const all = this.log.stream(stream)
     const next = all.length
     const records = [...new Map(all.map(record => [record.key, record])).values()].filter(({ value }) => value !== undefined)
-    return { records, next, cost: await this.log.deliver(this.dataCentre, records) }
+    return { records, next: { era: this.log.era, offset: next }, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
+  async read (stream: StreamName, position: LogPosition, waitUntil: number, limit: number): Promise<RecordPage> {
+    const { offset: from } = position
     this.checkReachable()
-    while (!this.log.isExpired(stream, from) && this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
+    while (!this.log.isExpired(stream, position) && this.log.stream(stream).length <= from && monotonicNow() < waitUntil) await this.log.nextAppend(waitUntil)
     this.checkReachable()
-    if (this.log.isExpired(stream, from)) return { kind: 'expired' }
+    if (this.log.isExpired(stream, position)) return { kind: 'expired' }
     const records = this.log.stream(stream).slice(from, from + limit)
-    return { kind: 'records', records, next: from + records.length, end: this.log.stream(stream).length, cost: await this.log.deliver(this.dataCentre, records) }
+    return { kind: 'records', records, next: { era: this.log.era, offset: from + records.length }, end: this.log.stream(stream).length, cost: await this.log.deliver(this.dataCentre, records) }
   }
 
   async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -1,4 +1,5 @@
 /** A started weights agent with fakes of the log, the engine and the origin, and an entry that subscribes to it. */
+import type { LogPosition } from '../../src/core/log-position.js'
 import { rolloutFactsOf } from '../../src/core/weights/rollout-facts.js'
 import { startWeightsAgent } from '../../src/roles/weights/weights-agent.js'
 import { DatagramSocket } from '../../src/transports/datagrams.js'
@@ -7,6 +8,7 @@
 import type { WeightsSettings } from '../../src/types/node-settings.js'
 import { EnginePort, OriginPort, RecordCodec, RecordLog, type KeyedRecord, type ReadCost, type ReadRecords, type OrderResult, type RecordPage, type StreamName } from '../../src/types/ports.js'
 import { sleepUntil, monotonicNow } from '../../src/utils/clock.js'
+import { at } from './positions.js'
 
 export const model = 'badge'
 export const service = 'engines'
@@ -75,28 +77,28 @@
     const records = this.recordsOf(stream)
     const keys = [...new Set(records.map(({ key }) => key))]
     if (stream === 'operators') this.sentRecords += keys.length
-    return { records: keys.flatMap(key => records.findLast(record => record.key === key) ?? []), next: records.length, cost: noCost }
+    return { records: keys.flatMap(key => records.findLast(record => record.key === key) ?? []), next: at(records.length), cost: noCost }
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number): Promise<RecordPage> {
+  async read (stream: StreamName, { offset: from }: LogPosition, waitUntil: number): Promise<RecordPage> {
     this.count(stream)
     const records = this.recordsOf(stream)
     if (from >= records.length) await sleepUntil(waitUntil)
     const following = records.slice(from)
     if (stream === 'operators') this.sentRecords += following.length
-    return { kind: 'records', records: following, next: records.length, end: records.length, cost: noCost }
+    return { kind: 'records', records: following, next: at(records.length), end: records.length, cost: noCost }
   }
 
   async write (): Promise<void> {}
 
   /** Appends an operators' record. */
   append (key: string, number: number): void {
-    this.operators = [...this.operators, { key, value: Buffer.from(String(number)), offset: this.operators.length }]
+    this.operators = [...this.operators, { key, value: Buffer.from(String(number)), ...at(this.operators.length) }]
   }
 
   /** Lists an agent of the service. */
   addInstance (ip: string): void {
-    this.instances = [...this.instances, { key: ip, value: Buffer.from(ip), offset: this.instances.length }]
+    this.instances = [...this.instances, { key: ip, value: Buffer.from(ip), ...at(this.instances.length) }]
   }
 
   private recordsOf (stream: StreamName): readonly KeyedRecord[] {
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -15,6 +15,7 @@
 import type { FleetConfiguration, Organisation, Route } from '../src/types/fleet.js'
 import type { NodeMessage } from '../src/types/node-messages.js'
 import { seededRandom } from '../src/utils/random.js'
+import { at } from './fakes/positions.js'
 
 const route: Route = { name: 'short', host: 'one.example', pathPrefix: '/a/', kind: 'idempotent', isResumable: false, timeoutMilliseconds: 800, latencyGoalMilliseconds: 100, eventGapGoalMilliseconds: 0, priority: 1, targets: [{ service: 'ledger', weight: 1 }], maximumUpstreams: 2, isPublic: false, regions: [] }
 const organisation: Organisation = { name: 'organisation-a', keys: ['key-a', 'key-b'], priority: undefined, regions: ['north', 'south'] }
@@ -218,7 +219,7 @@
 }
 
 const datagramCases: readonly NodeMessage[] = [
-  { kind: 'gossip', sender: member('a'), others: [member('b', otherRegion)], operatorsNext: 3, instancesNext: 9, weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], limits: [{ upstreamId: 'i-1', startedAt: 1000, perSecond: 1.5, ageMilliseconds: 20 }, { upstreamId: 'i-2', startedAt: 0, perSecond: undefined, ageMilliseconds: 0 }], leaving: [{ upstreamId: 'i-1', startedAt: 5 }] },
+  { kind: 'gossip', sender: member('a'), others: [member('b', otherRegion)], operatorsNext: at(3, 2), instancesNext: at(9, 1), weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], limits: [{ upstreamId: 'i-1', startedAt: 1000, perSecond: 1.5, ageMilliseconds: 20 }, { upstreamId: 'i-2', startedAt: 0, perSecond: undefined, ageMilliseconds: 0 }], leaving: [{ upstreamId: 'i-1', startedAt: 5 }] },
   { kind: 'crash-evidence', suspicions: [{ trait: 'f', ends: [['i-1/1', 20], ['i-2/1', 0]], refusedAgeMilliseconds: -1, isBlocked: false }, { trait: 'part:service/a', ends: [], refusedAgeMilliseconds: 7, isBlocked: true }], healthy: [['upstream:i-1/1', 3]] },
   { kind: 'permit-request', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: 2, ageMilliseconds: 7 } },
   { kind: 'permit-answer', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: undefined, ageMilliseconds: 7 }, retryInMilliseconds: -1 },
--- a/test/http-call.test.ts
+++ b/test/http-call.test.ts
@@ -5,6 +5,7 @@
 import { fetchRecords } from '../src/nodes/fed-record-log.js'
 import { callHttp, HttpCallError, type HttpCall } from '../src/transports/http-call.js'
 import { monotonicNow } from '../src/utils/clock.js'
+import { at } from './fakes/positions.js'
 
 const sliceMilliseconds = 50
 
@@ -84,7 +85,7 @@
   const server = await startServer()
   t.teardown(() => { server.close() })
   const agent = new Agent()
-  const fetched = await fetchRecords(server.address, 'operators', 0, agent, 'peer', 'node-1')
-  t.same(fetched.records, [{ ...record, value: Buffer.from(record.value) }])
-  t.match(fetched, { next: 4, source: 'peer', cost: { records: 1, bytes: fed.length } })
+  const fetched = await fetchRecords(server.address, 'operators', at(0), agent, 'peer', 'node-1')
+  t.same(fetched.records, [{ ...record, era: 0, value: Buffer.from(record.value) }])
+  t.match(fetched, { next: at(4), source: 'peer', cost: { records: 1, bytes: fed.length } })
 })
--- a/test/named-version-age.test.ts
+++ b/test/named-version-age.test.ts
@@ -8,7 +8,7 @@
 const model = 'weights-a'
 const rolloutMilliseconds = 8000
 const read = { source: 'log', cost: { bytes: 0, firstByteMilliseconds: 0, milliseconds: 0, records: 1, superseded: 0 } } as const
-const record = { key: `version/${model}`, value: Buffer.from(JSON.stringify({ 'model-id': model, version: 2 })), offset: 0 }
+const record = { key: `version/${model}`, value: Buffer.from(JSON.stringify({ 'model-id': model, version: 2 })), offset: 0, era: 0 }
 
 /** An entry that tells what it knows as datagrams do. */
 class Entry {
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -9,6 +9,8 @@
 import { versionInForce } from './fakes/entry-group.js'
 import { Fleet, answerCompletely, dataCentre, isServed } from './fakes/plain-fleet.js'
 import { eventually } from './fakes/test-cluster.js'
+import { formatPosition, isValidPosition } from '../src/core/log-position.js'
+import { at } from './fakes/positions.js'
 
 const levels = 200_000
 const nested = '['.repeat(levels) + ']'.repeat(levels)
@@ -76,10 +78,10 @@
     await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
     const store = new PlatformStore(`127.0.0.1:${(server.address() as AddressInfo).port}`)
     const newest = await store.newest('instances').catch(() => undefined)
-    t.ok(newest === undefined || Number.isSafeInteger(newest.next), `it is refused, or continues at a whole number: ${newest?.next ?? 'refused'}`)
+    t.ok(newest === undefined || isValidPosition(newest.next), `it is refused, or continues at a whole number: ${newest === undefined ? 'refused' : formatPosition(newest.next)}`)
     t.ok(pages <= 100, `${pages} pages were read`)
-    const page = await store.read('instances', 0, monotonicNow(), 10).catch(() => undefined)
-    t.ok(page === undefined || page.kind === 'expired' || Number.isSafeInteger(page.next))
+    const page = await store.read('instances', at(0), monotonicNow(), 10).catch(() => undefined)
+    t.ok(page === undefined || page.kind === 'expired' || isValidPosition(page.next))
     store.close()
     server.close()
     server.closeAllConnections()
@@ -90,6 +92,8 @@
   { name: 'continues beyond all whole numbers', body: '{"records":[],"next":1e300}' },
   { name: 'continues nowhere', body: '{"records":[],"next":null}' },
   { name: 'holds a record beyond all whole numbers', body: '{"records":[{"key":"a","value":"","offset":1e300}],"next":7}' },
+  { name: 'is of an era that is no whole number', body: '{"records":[],"next":7,"era":"2"}' },
+  { name: 'is of an era below zero', body: '{"records":[],"next":7,"era":-1}' },
   { name: 'is nested deeply', body: nested }
 ]
 
--- a/test/platform-store.test.ts
+++ b/test/platform-store.test.ts
@@ -7,6 +7,7 @@
 import type { KeyedRecord } from '../src/types/ports.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { PlatformStoreStandIn, type StoreFault } from './fakes/platform-store.js'
+import { at } from './fakes/positions.js'
 
 const headerBytes = 16
 /** Length and key length of a record. */
@@ -19,9 +20,9 @@
   server.append(topics.operators, 'config', Buffer.alloc(200))
   server.append(topics.operators, 'config', Buffer.alloc(300))
   server.append(topics.operators, 'evacuate/a', Buffer.from('{}'))
-  const page = await new PlatformStore(server.address).read('operators', 0, monotonicNow(), 1024)
+  const page = await new PlatformStore(server.address).read('operators', at(0), monotonicNow(), 1024)
   const bytes = headerBytes + 4 * frameBytes + 3 * 'config'.length + 'evacuate/a'.length + 602
-  t.match(page, { kind: 'records', next: 4, cost: { bytes, records: 4, superseded: 2, firstByteMilliseconds: Number, milliseconds: Number } })
+  t.match(page, { kind: 'records', next: at(4), cost: { bytes, records: 4, superseded: 2, firstByteMilliseconds: Number, milliseconds: Number } })
 })
 
 test('platform store: a read of the newest records reports the bytes of all pages', async t => {
@@ -30,7 +31,7 @@
   server.entriesPerPage = 1
   for (const key of ['config', 'config', 'evacuate/a']) server.append(topics.operators, key, Buffer.alloc(500))
   const newest = await new PlatformStore(server.address).newest('operators')
-  t.match(newest, { next: 3, cost: { bytes: server.sentBytes.get(topics.operators), records: 2, superseded: 0 } })
+  t.match(newest, { next: at(3), cost: { bytes: server.sentBytes.get(topics.operators), records: 2, superseded: 0 } })
   t.equal(server.calls.length, 2)
 })
 
@@ -42,16 +43,16 @@
   server.append(topics.instances, 'i-1', Buffer.from('{}'))
   server.faults.set(topics.instances, { kind: 'silent' })
   server.faults.set(topics.operators, { kind: 'slow', bytesPerSecond: 50_000 })
-  const failed = store.read('instances', 0, monotonicNow(), 1024).then(() => 'answered', (error: unknown) => String(error))
+  const failed = store.read('instances', at(0), monotonicNow(), 1024).then(() => 'answered', (error: unknown) => String(error))
   await sleepUntil(monotonicNow() + 700)
-  t.match(await store.read('operators', 0, monotonicNow(), 1024), { kind: 'records', next: 1 }, 'the answer that was half read is complete')
+  t.match(await store.read('operators', at(0), monotonicNow(), 1024), { kind: 'records', next: at(1) }, 'the answer that was half read is complete')
   t.match(await failed, 'in time')
 
   server.faults.clear()
   const before = server.connections
-  await store.read('operators', 0, monotonicNow(), 1024)
+  await store.read('operators', at(0), monotonicNow(), 1024)
   t.equal(server.connections, before, 'the other stream keeps its connection')
-  t.match(await store.read('instances', 0, monotonicNow(), 1024), { kind: 'records', next: 1 })
+  t.match(await store.read('instances', at(0), monotonicNow(), 1024), { kind: 'records', next: at(1) })
   t.equal(server.connections, before + 1, 'the next try after a time-out opens a new connection')
 })
 
@@ -60,7 +61,7 @@
   t.teardown(() => { server.close() })
   const store = new PlatformStore(server.address)
   server.faults.set(topics.operators, { kind: 'silent' })
-  const read = store.read('operators', 0, monotonicNow() + 5000, 1024)
+  const read = store.read('operators', at(0), monotonicNow() + 5000, 1024)
   setTimeout(() => { store.close() }, 100)
   await t.rejects(read, /hang up/)
 })
@@ -71,8 +72,8 @@
   server.append(topics.operators, 'config', Buffer.alloc(250_000))
   server.faults.set(topics.operators, { kind: 'slow', bytesPerSecond: 120_000 })
   const store = new PlatformStore(server.address)
-  t.match(await store.read('operators', 0, monotonicNow(), 1024), { kind: 'records', next: 1, records: [{ key: 'config' }] })
-  t.match(await store.newest('operators'), { next: 1, records: [{ key: 'config' }] })
+  t.match(await store.read('operators', at(0), monotonicNow(), 1024), { kind: 'records', next: at(1), records: [{ key: 'config' }] })
+  t.match(await store.newest('operators'), { next: at(1), records: [{ key: 'config' }] })
 })
 
 const failures: readonly { readonly name: string, readonly fault: StoreFault, readonly expected: { readonly message: RegExp, readonly receivedBytes: number } }[] = [
@@ -87,7 +88,7 @@
     t.teardown(() => { server.close() })
     server.append(topics.operators, 'config', Buffer.alloc(1000))
     server.faults.set(topics.operators, fault)
-    await t.rejects(new PlatformStore(server.address).read('operators', 0, monotonicNow(), 1024), expected)
+    await t.rejects(new PlatformStore(server.address).read('operators', at(0), monotonicNow(), 1024), expected)
   })
 }
 
@@ -102,8 +103,8 @@
 /** Resolves once the follower has read up to `next`; rejects after 20 s. */
 async function untilRead (follower: RecordFollower, next: number): Promise<void> {
   const deadline = monotonicNow() + 20_000
-  while (follower.state.next < next) {
-    if (monotonicNow() > deadline) throw new Error(`read up to ${follower.state.next} of ${next}`)
+  while (follower.state.next.offset < next) {
+    if (monotonicNow() > deadline) throw new Error(`read up to ${follower.state.next.offset} of ${next}`)
     await sleepUntil(monotonicNow() + 10)
   }
 }
--- a/test/record-gaps.test.ts
+++ b/test/record-gaps.test.ts
@@ -1,6 +1,7 @@
 /** Removals reach an entry although the entry that it reads from started after them and never read them. */
 import { createServer } from 'node:http'
 import { test, type Test } from 'tap'
+import { beforeLog, type LogPosition } from '../src/core/log-position.js'
 import { FedRecordLog, fetchRecords, UnknownRemovalsError } from '../src/nodes/fed-record-log.js'
 import { RecordFeed } from '../src/nodes/record-feed.js'
 import { RecordFollower, type RecordListener } from '../src/nodes/record-follower.js'
@@ -32,10 +33,10 @@
 
 const fetchByGossip: Case['read'] = async (entry, address, stream) => {
   const { next } = entry.state
-  const fetchFrom = async (from: number): Promise<void> => { entry.receiveRecords(await fetchRecords(address, stream, from, agent, 'peer', 'entry'), from) }
+  const fetchFrom = async (from: LogPosition): Promise<void> => { entry.receiveRecords(await fetchRecords(address, stream, from, agent, 'peer', 'entry'), from) }
   await fetchFrom(next).catch(async (error: unknown) => {
     if (!(error instanceof UnknownRemovalsError)) throw error
-    await fetchFrom(-1)
+    await fetchFrom(beforeLog)
   })
 }
 
@@ -51,18 +52,18 @@
     log.append(stream, key, Buffer.from('{}'))
     log.append(stream, 'other', Buffer.from('{}'))
     const entry = follow(t, log.readerIn('home', 'entry'), stream)
-    await eventually(async () => entry.state.next === 2)
+    await eventually(async () => entry.state.next.offset === 2)
     entry.stop()
     log.unreachableFrom.add('entry')
     log.append(stream, key, undefined)
     log.append(stream, 'later', Buffer.from('{}'))
     const source = follow(t, log.readerIn('home', 'source'), stream)
-    await eventually(async () => source.state.next === 4)
+    await eventually(async () => source.state.next.offset === 4)
     await read(entry, await serve(t, source), stream)
     const known = entry.newest.filter(({ value }) => value !== undefined).map(record => record.key).sort()
     // An entry that has advanced past the removal never reads it anywhere else.
-    if (entry.state.next >= 4) t.same(known, ['later', 'other'])
-    else t.ok(entry.state.next <= 2, 'the entry still reads the removal later')
+    if (entry.state.next.offset >= 4) t.same(known, ['later', 'other'])
+    else t.ok(entry.state.next.offset <= 2, 'the entry still reads the removal later')
   })
 }
 
--- a/test/record-reader-cut.test.ts
+++ b/test/record-reader-cut.test.ts
@@ -1,4 +1,5 @@
 /** Entries that still reach the log have a configuration in force in time although the entry that reads for them is cut off from it without a refusal. */
+import type { LogPosition } from '../src/core/log-position.js'
 import { test } from 'tap'
 import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../src/types/ports.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
@@ -32,7 +33,7 @@
     return await this.answer(this.inner.newest(stream), monotonicNow())
   }
 
-  async read (stream: StreamName, from: number, waitUntil: number, limit: number): Promise<RecordPage> {
+  async read (stream: StreamName, from: LogPosition, waitUntil: number, limit: number): Promise<RecordPage> {
     return await this.answer(this.inner.read(stream, from, waitUntil, limit), waitUntil)
   }
 
--- a/test/record-reader-delay.test.ts
+++ b/test/record-reader-delay.test.ts
@@ -8,6 +8,7 @@
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { freshAddress } from '../script/launch.js'
 import { SharedLog } from './fakes/shared-log.js'
+import { at } from './fakes/positions.js'
 
 const internalPort = 7700
 /** Time for which a poll is open, milliseconds: the source has nothing new. */
@@ -61,7 +62,7 @@
       sources: () => sources
     })
     const startedAt = monotonicNow()
-    const read = selected.read('operators', 1, startedAt + 1000, 1024)
+    const read = selected.read('operators', at(1), startedAt + 1000, 1024)
     for (const [from, to] of blocked) {
       await sleepUntil(startedAt + from)
       // Timers that become due in the block run before the answer is received.
--- a/test/record-source-faults.test.ts
+++ b/test/record-source-faults.test.ts
@@ -13,6 +13,7 @@
 import { monotonicNow } from '../src/utils/clock.js'
 import { freshAddress } from '../script/launch.js'
 import { SharedLog } from './fakes/shared-log.js'
+import { at } from './fakes/positions.js'
 
 const internalPort = 7700
 /** Time from an acknowledgement until a configuration must be in force on a small deployment, milliseconds. */
@@ -69,7 +70,7 @@
     })
     const startedAt = monotonicNow()
     if (call === 'newest') await selected.newest('operators')
-    else await selected.read('operators', 0, monotonicNow() + readWaitMilliseconds, 1024)
+    else await selected.read('operators', at(0), monotonicNow() + readWaitMilliseconds, 1024)
     const milliseconds = Math.round(monotonicNow() - startedAt)
     t.equal(selected.source, expected)
     t.ok(milliseconds <= maximumMilliseconds, `answered after ${milliseconds} ms`)
@@ -90,7 +91,7 @@
     readLate: () => {},
     sources: () => [{ kind: 'entry', instance: 'first', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
   })
-  const read = selected.read('operators', 0, monotonicNow() + readWaitMilliseconds, 1024)
+  const read = selected.read('operators', at(0), monotonicNow() + readWaitMilliseconds, 1024)
   setTimeout(() => { selected.close() }, 100)
   await t.rejects(read)
   t.equal(log.bytesReadIn('east'), 0)
@@ -108,13 +109,13 @@
   t.teardown(() => { follower.stop() })
   const feed = new RecordFeed({ operators: follower, instances: follower }, () => '')
   const ip = await listen(t, (incoming, response) => { feed.serve(incoming.url ?? '', response).catch(error => { t.error(error) }) })
-  await t.rejects(new FedRecordLog(`${ip}:${internalPort}`, 'instances', new Agent(), 'peer', 'self').read('instances', 5, monotonicNow() + 100))
+  await t.rejects(new FedRecordLog(`${ip}:${internalPort}`, 'instances', new Agent(), 'peer', 'self').read('instances', at(5), monotonicNow() + 100))
 })
 
 test('record source faults: an entry that has read less than its poller does not confirm the poller\'s records', async t => {
   const ip = await listen(t, (_request, response) => { response.setHeader('x-record-age', '0').setHeader('x-record-source-connected', 'yes').end('{"records":[],"next":3}') })
-  const page = await new FedRecordLog(`${ip}:${internalPort}`, 'instances', new Agent(), 'peer', 'self').read('instances', 5, monotonicNow() + 100)
-  t.match(page, { kind: 'records', next: 5, ageMilliseconds: Infinity })
+  const page = await new FedRecordLog(`${ip}:${internalPort}`, 'instances', new Agent(), 'peer', 'self').read('instances', at(5), monotonicNow() + 100)
+  t.match(page, { kind: 'records', next: at(5), ageMilliseconds: Infinity })
 })
 
 /** IP of a server with the given handler. */
--- a/test/record-sources.test.ts
+++ b/test/record-sources.test.ts
@@ -13,6 +13,7 @@
 import { startEntries, versionInForce, type GroupedEntry } from './fakes/entry-group.js'
 import { SharedLog } from './fakes/shared-log.js'
 import { eventually } from './fakes/test-cluster.js'
+import { at } from './fakes/positions.js'
 
 const names = (dataCentre: string, count = 3): readonly string[] => rankMembers(`records/${dataCentre}`, Array.from({ length: count }, (_, index) => `${dataCentre}-${index}`))
 const [a0 = '', a1 = '', a2 = ''] = names('a')
@@ -131,8 +132,8 @@
       sources: () => [{ kind: 'entry', instance: 'reader', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
     })
     const startedAt = monotonicNow()
-    const page = await selected.read('operators', 0, monotonicNow() + 1000, 10)
-    t.match(page, { kind: 'records', next: 1 })
+    const page = await selected.read('operators', at(0), monotonicNow() + 1000, 10)
+    t.match(page, { kind: 'records', next: at(1) })
     t.ok(monotonicNow() - startedAt < maximumMilliseconds + schedulingMilliseconds, `the log was read after ${Math.round(monotonicNow() - startedAt)} ms`)
     t.equal(selected.source, 'log')
   })
