Weights: a manifest is checked before it is used, whoever sent it

Cause: a missing list of digests was read as an empty one, and a version without chunks counts as complete: the engine was ordered to load what lay there of the version before. Other agents took the list from the first one. Ruled out: chunks, which are compared with their digests.

A busy agent's retry-after that is no number no longer keeps it out for good.

--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -39,6 +39,12 @@
   onChunkStored (position: number, isFromOrigin: boolean): void
 }
 
+/** Time for which a busy peer asks to be left alone, milliseconds: what cannot be read counts as none, and none is longer than the longest backoff. */
+function busyMilliseconds (retryAfter: string | undefined): number {
+  const milliseconds = Number(retryAfter ?? 0) * 1000
+  return milliseconds > 0 ? Math.min(peerBackoffMilliseconds.maximum, milliseconds) : 0
+}
+
 /** Thrown when a peer has no free upload slot. */
 class PeerBusyError extends Error {
   /** `retryAt` in milliseconds of the monotonic clock. */
@@ -242,7 +248,7 @@
     const path = `/chunks/${model}/${version}/${position}`
     const timeoutMilliseconds = peerTimeoutMilliseconds[this.context.peers.isSameDataCentre(ip) ? 'sameDataCentre' : 'otherDataCentre']
     const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.chunk, agent: this.agent })
-    if (answer.status === 503) throw new PeerBusyError(monotonicNow() + Number(answer.headers['retry-after'] ?? 0) * 1000)
+    if (answer.status === 503) throw new PeerBusyError(monotonicNow() + busyMilliseconds(answer.headers['retry-after']))
     if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
     return answer.body
   }
--- a/src/roles/weights/chunk-store.ts
+++ b/src/roles/weights/chunk-store.ts
@@ -23,7 +23,7 @@
   }
 
   get isComplete (): boolean {
-    return this.chunks.size === this.digests.length
+    return this.digests.length > 0 && this.chunks.size === this.digests.length
   }
 
   get (position: number): Buffer | undefined {
--- a/src/roles/weights/staging.ts
+++ b/src/roles/weights/staging.ts
@@ -31,14 +31,15 @@
     }
   }
 
-  /** Stages chunks again that are missing at the engine, are corrupt or belong to another version. */
+  /** Stages chunks again that are missing at the engine, are corrupt or belong to another version; throws if one of them is not held. */
   async repair (chunks: VersionChunks): Promise<void> {
     for (let position = 0; position < chunks.digests.length; position += 1) {
       const staged = await this.engine.stagedChunk(chunks.model, position)
       if (staged !== undefined && chunks.isValid(position, staged)) continue
       log.warn('a staged chunk is missing or corrupt', { model: chunks.model, version: chunks.version, position })
       const bytes = chunks.get(position)
-      if (bytes !== undefined) await this.engine.stage(chunks.model, position, bytes)
+      if (bytes === undefined) throw new Error(`chunk ${position} of version ${chunks.version} is not held`)
+      await this.engine.stage(chunks.model, position, bytes)
     }
   }
 
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -1,5 +1,6 @@
 /** Versions of a model's weights in an agent's memory, and the fetch of the current one. */
 import type { Agent } from 'node:http'
+import { checkManifest } from '../../core/weights/manifest.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
@@ -32,7 +33,8 @@
   readonly httpAgent: Agent
   /** Origin in the current configuration; undefined when it has none. */
   originFacts (): OriginFacts | undefined
-  /** Size of one chunk, bytes; 0 while unknown. */
+  /** Number of chunks of a version, and size of one, bytes; 0 while unknown. */
+  chunkCount (): number
   chunkBytes (): number
   /** Called when a fetch starts and after each stored chunk. */
   onChunksChanged (): void
@@ -162,7 +164,7 @@
       if (ips.length > 0) await sleepUntil(monotonicNow() + manifestTimeoutMilliseconds.sameDataCentre)
       const facts = this.context.originFacts()
       if (isFetched || facts === undefined) throw new Error('the configuration has no origin of weights')
-      return await this.context.origin.digests(facts.address, model, version)
+      return this.check(await this.context.origin.digests(facts.address, model, version))
     }
     try {
       return await Promise.any([...fetches, fetchFromOrigin()])
@@ -177,6 +179,10 @@
     const { internalPort, httpAgent } = this.context
     const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.manifest, agent: httpAgent })
     if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
-    return JSON.parse(answer.body.toString()) as readonly string[]
+    return this.check(JSON.parse(answer.body.toString()))
+  }
+
+  private check (digests: unknown): readonly string[] {
+    return checkManifest(digests, this.context.chunkCount())
   }
 }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -95,6 +95,7 @@
       peers: this.peers,
       httpAgent: this.httpAgent,
       originFacts: () => this.rollout.facts?.origin,
+      chunkCount: () => this.rollout.facts?.chunkCount ?? 0,
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
       onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) }
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -168,7 +168,7 @@
 
 /** The origin of weights; `address` is `ip:port`. */
 export abstract class OriginPort {
-  /** SHA-256 digests of the chunks, in hexadecimal. */
-  abstract digests (address: string, model: string, version: number): Promise<readonly string[]>
+  /** SHA-256 digests of the chunks, in hexadecimal, as the origin sent them: not checked. Throws when it sent no list. */
+  abstract digests (address: string, model: string, version: number): Promise<readonly unknown[]>
   abstract chunk (address: string, model: string, version: number, position: number): Promise<Buffer>
 }
--- a/test/weights-staging.test.ts
+++ b/test/weights-staging.test.ts
@@ -54,6 +54,7 @@
     peers: new PeerTable('127.0.0.1', 'zone-a'),
     httpAgent: new Agent(),
     originFacts: () => ({ address: '127.0.0.1:1', bytesPerSecond: 0 }),
+    chunkCount: () => allPositions.length,
     chunkBytes: () => 20,
     onChunksChanged: () => {},
     onOriginChunk: () => {}
