Records: a read waits once for sources that are dark, not once for each

Cause: a dark entry refuses nothing, and each of two was waited for 1.7 s before the log. Behind a large record the read of all records that follows at once began with the third dark entry, with a time limit of its own. Ruled out: the way to the log (8 ms once it is asked), gossip.

Change: one patience for a read (SourcePatience): the first source is late 0.3 s after the slowest recent answer, further ones are asked 0.2 s later each; recent answers make it longer, up to 1.7 s as before, so that a full link carries no read twice. After two late entries the others near the log are left out for a second.

--- a/src/nodes/record-attempt.ts
+++ b/src/nodes/record-attempt.ts
@@ -16,8 +16,8 @@
   /** Whether an attempt has taken the result. */
   isAdopted = false
 
-  /** `from`: first position that it asks for, `beforeLog` for all keys; `slowAt`: when it counts as slow, milliseconds of the monotonic clock. */
-  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly slowAt: number) {}
+  /** `from`: first position that it asks for, `beforeLog` for all keys; `startedAt`, and `slowAt`, when it counts as slow: milliseconds of the monotonic clock. */
+  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly startedAt: number, readonly slowAt: number) {}
 }
 
 /** One read, tried at one source after another. */
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,6 +1,7 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
 import { Agent } from 'node:http'
 import { isEarlierRead, isOutside, nameOfSource, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
+import { SourcePatience } from '../core/fleet/source-patience.js'
 import { beforeLog, type LogPosition } from '../core/log-position.js'
 import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type StreamName } from '../types/ports.js'
@@ -19,8 +20,6 @@
 const maximumUnanswered = 2
 /** Time within which a failure costs too little to count as no answer, milliseconds. */
 const quickFailureMilliseconds = 300
-/** Time after which another source is asked beside an entry of another data centre, milliseconds: a read that waits for a record is answered after half a second. */
-const slowReadMilliseconds = 1700
 /** Time after which the other entries are asked again while they are left the link, milliseconds. */
 const askAgainMilliseconds = 100
 /** Age from which this node's own records no longer count as current, milliseconds. */
@@ -59,6 +58,7 @@
   private outsideSince: number | undefined
   /** Calls outside the data centre that have not ended, by name of the source. */
   private readonly pending = new Map<string, PendingCall>()
+  private readonly patience = new SourcePatience()
   private isStopped = false
 
   constructor (private readonly options: SelectionOptions) {
@@ -161,6 +161,7 @@
     this.outsideSince ??= monotonicNow()
     try {
       for (const source of outside) {
+        if (source.kind === 'log' && attempt.unanswered >= maximumUnanswered) this.avoidAll(outside)
         await this.tryBeside(attempt, source)
         if (attempt.result !== undefined) return
       }
@@ -183,16 +184,19 @@
     if (call.isEnded || attempt.result !== undefined) return
     attempt.unanswered += 1
     this.avoid(source)
-    log.warn('an entry in another data centre is slow to deliver records; asking the next source beside it', { stream: this.options.stream, source: nameOfSource(source), milliseconds: slowReadMilliseconds })
+    log.warn('an entry in another data centre is slow to deliver records; asking the next source beside it', { stream: this.options.stream, source: nameOfSource(source), milliseconds: Math.round(monotonicNow() - call.startedAt) })
   }
 
   private startBeside<Result extends NewestRecords | RecordPage> (attempt: Attempt<Result>, source: PreferredSource): PendingCall {
     const name = nameOfSource(source)
     const startedAt = monotonicNow()
-    const call = new PendingCall(attempt.kind, attempt.from, startedAt + slowReadMilliseconds)
+    const hasLate = attempt.unanswered > 0 || this.failures.has(name)
+    const milliseconds = attempt.kind === 'newest' ? this.patience.copyMilliseconds(hasLate) : this.patience.pollMilliseconds(hasLate)
+    const call = new PendingCall(attempt.kind, attempt.from, startedAt, startedAt + milliseconds)
     this.pending.set(name, call)
     call.end = attempt.call(source).then(result => {
       call.result = result
+      if (source.kind === 'entry' && attempt.kind === 'records') this.patience.recordAnswer(monotonicNow() - startedAt)
       this.recordSuccess(source, result)
     }, (error: unknown) => { this.recordAttemptFailure(attempt, source, error, startedAt) }).then(() => {
       call.isEnded = true
@@ -260,6 +264,14 @@
     if (this.current === name) log.warn('an entry does not deliver records; trying the next source', { stream: this.options.stream, source: name, reason: String(error) })
   }
 
+  /** Leaves out the entries near the log that were not asked, since the others there are late: their data centre may be dark, and a read that follows at once must not find them first. */
+  private avoidAll (outside: readonly PreferredSource[]): void {
+    const until = monotonicNow() + avoidedMilliseconds.entry
+    for (const source of outside) {
+      if (source.kind === 'entry' && !this.failures.has(nameOfSource(source))) this.avoidedUntil.set(nameOfSource(source), until)
+    }
+  }
+
   /** Leaves a source out for some time, longer after each consecutive failure of an entry. */
   private avoid (source: PreferredSource): void {
     const name = nameOfSource(source)
