Weights: a digest is fetched again when the same bytes do not match it twice

Cause: the list of digests was never fetched again; each source of the whole chunk counted as failed. Ruled out: the check of a list, which a wrong digit passes.

Change: the same bytes arriving twice put the digest in doubt; the list is fetched again, the origin first, and a digest is corrected where the other list has that of the bytes.

--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -2,10 +2,12 @@
 import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import { maximumFetches, nextDistributionFetch, fetchRanks, originPlaces, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
+import { DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
+import { digestBytes } from '../../utils/digest.js'
 import { logFor } from '../../utils/log.js'
 import type { VersionChunks } from './chunk-store.js'
 import type { Holder, PeerTable } from './peer-table.js'
@@ -37,6 +39,8 @@
   chunkBytes (): number
   /** Called after a valid chunk was stored. */
   onChunkStored (position: number, isFromOrigin: boolean): void
+  /** Called when the same bytes have arrived again that do not match their digest: it may be wrong. */
+  onDigestDoubted (doubts: DigestDoubts): void
 }
 
 /** Time for which a busy peer asks to be left alone, milliseconds: what cannot be read counts as none, and none is longer than the longest backoff. */
@@ -74,6 +78,7 @@
   private ranks: FetchRanks | undefined
   /** Membership of the peer table for which `ranks` were computed. */
   private rankedMembership = -1
+  private readonly doubts = new DigestDoubts()
   private isStopped = false
   private nextProgressLogAt = 0
   /** Number of busy answers from peers, for the log. */
@@ -207,6 +212,7 @@
     if (!this.chunks.put(chunkFetch.position, chunk)) {
       this.chunkCounts.corrupt += 1
       this.recordFailure(chunkFetch, 'the digest does not match')
+      if (this.doubts.recordMismatch(chunkFetch.position, digestBytes(chunk), chunk)) this.context.onDigestDoubted(this.doubts)
       return
     }
     if (chunkFetch.peer !== undefined) this.peerFailures.delete(chunkFetch.peer)
--- a/src/roles/weights/chunk-store.ts
+++ b/src/roles/weights/chunk-store.ts
@@ -1,5 +1,6 @@
 /** Chunks of weights in an agent's memory, verified against their digests. */
 import { countBits, emptyBitmap, hasBit, withBit, type Bitmap } from '../../core/weights/bitmap.js'
+import type { DoubtfulDigest } from '../../core/weights/digest-doubt.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { digestBytes } from '../../utils/digest.js'
 
@@ -34,6 +35,15 @@
     return hasBit(this.bitmap, position)
   }
 
+  /** The same chunks under a list of digests in which some are corrected. */
+  withDigests (corrected: readonly DoubtfulDigest[]): VersionChunks {
+    const digestAt = new Map(corrected.map(({ position, digest }) => [position, digest]))
+    const chunks = new VersionChunks(this.model, this.version, this.digests.map((digest, position) => digestAt.get(position) ?? digest))
+    for (const [position, bytes] of this.chunks) chunks.put(position, bytes)
+    for (const { position, bytes } of corrected) chunks.put(position, bytes)
+    return chunks
+  }
+
   /** Whether the digest of `bytes` is the one of the chunk at `position`. */
   isValid (position: number, bytes: Buffer): boolean {
     return digestBytes(bytes) === this.digests[position]
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -1,5 +1,6 @@
 /** Versions of a model's weights in an agent's memory, and the fetch of the current one. */
 import type { Agent } from 'node:http'
+import type { DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
@@ -20,6 +21,8 @@
 const maximumManifestSources = 2
 /** Minimum time between two attempts to start a fetch, milliseconds. */
 const openIntervalMilliseconds = 300
+/** Minimum time between two attempts to confirm a digest that is in doubt, milliseconds. */
+const confirmIntervalMilliseconds = 1000
 /** Maximum number of cached versions: the one that is being fetched, and the one before, which peers may still fetch. */
 const maximumVersions = 2
 
@@ -49,6 +52,8 @@
   /** Milliseconds of the monotonic clock before which no other attempt to start a fetch is made. */
   private openRetryAt = 0
   private isOpening = false
+  /** Milliseconds of the monotonic clock before which no other attempt is made to confirm a digest that is in doubt. */
+  private confirmRetryAt = 0
   /** Whether this process has read the chunks that an earlier one staged. */
   private hasLoadedStaged = false
 
@@ -108,12 +113,54 @@
   private async open (model: string, version: number, since: number): Promise<void> {
     const chunks = this.get(model, version) ?? await this.load(model, version)
     this.fetcher?.stop()
-    this.fetcher = new ChunkFetcher({ ...this.context, onChunkStored: (position, isFromOrigin) => { this.handleStoredChunk(position, isFromOrigin) } }, chunks, monotonicNow())
+    this.fetcher = this.createFetcher(chunks, monotonicNow())
     log.info('fetching weights', { model, version, chunks: chunks.digests.length, held: chunks.heldCount, peers: this.context.peers.all().length, sinceMilliseconds: Math.round(monotonicNow() - since) })
     this.context.onChunksChanged()
     this.fetcher.startFetches()
   }
 
+  private createFetcher (chunks: VersionChunks, wantedAt: number): ChunkFetcher {
+    return new ChunkFetcher({
+      ...this.context,
+      onChunkStored: (position, isFromOrigin) => { this.handleStoredChunk(position, isFromOrigin) },
+      onDigestDoubted: doubts => { this.handleDoubt(chunks, doubts) }
+    }, chunks, wantedAt)
+  }
+
+  private handleDoubt (chunks: VersionChunks, doubts: DigestDoubts): void {
+    const now = monotonicNow()
+    if (now < this.confirmRetryAt) return
+    this.confirmRetryAt = now + confirmIntervalMilliseconds
+    runInBackground(this.correct(chunks, doubts), log, 'confirm a digest that is in doubt')
+  }
+
+  /** Asks for the digests again, the origin first, since agents may have the same list; goes on with a corrected list if another one has the digests of what arrived. */
+  private async correct (chunks: VersionChunks, doubts: DigestDoubts): Promise<void> {
+    const { model, version } = chunks
+    const { peers } = this.context
+    const holders = peers.all().filter(({ ip }) => peers.hasManifest(ip, model, version)).slice(0, maximumManifestSources)
+    const sources = [() => this.fetchFromOrigin(model, version), ...holders.map(({ ip, isSameDataCentre }) => () => this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']))]
+    for (const fetchDigests of sources) {
+      const digests = await fetchDigests().catch((error: unknown) => { log.warn('could not fetch a manifest again', { model, version, reason: String(error) }) })
+      if (this.current !== chunks) return
+      const wrong = doubts.confirmedBy(digests ?? [])
+      if (wrong.length === 0) continue
+      log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, positions: wrong.map(({ position }) => position).join() })
+      this.replace(chunks, chunks.withDigests(wrong))
+      return
+    }
+  }
+
+  /** Continues the fetch of a version with another list of its digests. */
+  private replace (chunks: VersionChunks, corrected: VersionChunks): void {
+    const { fetchStartedAt } = this
+    this.versions.splice(this.versions.indexOf(chunks), 1, corrected)
+    this.fetcher?.stop()
+    this.fetcher = this.createFetcher(corrected, fetchStartedAt)
+    this.context.onChunksChanged()
+    this.fetcher.startFetches()
+  }
+
   private handleStoredChunk (position: number, isFromOrigin: boolean): void {
     this.context.onChunksChanged()
     if (isFromOrigin) this.context.onOriginChunk(position)
@@ -162,9 +209,8 @@
     const fetches = ips.map(async ip => await this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds.otherDataCentre))
     const fetchFromOrigin = async (): Promise<readonly string[]> => {
       if (ips.length > 0) await sleepUntil(monotonicNow() + manifestTimeoutMilliseconds.sameDataCentre)
-      const facts = this.context.originFacts()
-      if (isFetched || facts === undefined) throw new Error('the configuration has no origin of weights')
-      return this.check(await this.context.origin.digests(facts.address, model, version))
+      if (isFetched) throw new Error('an agent has answered')
+      return await this.fetchFromOrigin(model, version)
     }
     try {
       return await Promise.any([...fetches, fetchFromOrigin()])
@@ -175,6 +221,12 @@
     }
   }
 
+  private async fetchFromOrigin (model: string, version: number): Promise<readonly string[]> {
+    const facts = this.context.originFacts()
+    if (facts === undefined) throw new Error('the configuration has no origin of weights')
+    return this.check(await this.context.origin.digests(facts.address, model, version))
+  }
+
   private async fetchFromAgent (ip: string, model: string, version: number, timeoutMilliseconds: number): Promise<readonly string[]> {
     const { internalPort, httpAgent } = this.context
     const answer = await callHttp({ address: `${ip}:${internalPort}`, method: 'GET', path: `/manifest/${model}/${version}`, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.manifest, agent: httpAgent })
--- a/test/weights-manifest.test.ts
+++ b/test/weights-manifest.test.ts
@@ -4,6 +4,7 @@
 import { test, type Test } from 'tap'
 import { PlatformOrigin } from '../platform/engine.js'
 import { emptyBitmap, formatBitmap } from '../src/core/weights/bitmap.js'
+import { DigestDoubts } from '../src/core/weights/digest-doubt.js'
 import { VersionChunks } from '../src/roles/weights/chunk-store.js'
 import { PeerTable } from '../src/roles/weights/peer-table.js'
 import { Staging } from '../src/roles/weights/staging.js'
@@ -114,6 +115,38 @@
   })
 }
 
+/** A list with one wrong digit in a digest, as a wrong byte mostly leaves it. */
+const withWrongDigit = digests.map((digest, position) => position === 2 ? `${digest[0] === '0' ? '1' : '0'}${digest.slice(1)}` : digest)
+
+for (const source of ['the origin', 'another agent'] as const) {
+  test(`manifest: one of ${source} with a wrong digit in a digest is fetched again`, async t => {
+    const peers = new PeerTable('127.0.0.1', 'east')
+    const ip = freshIp()
+    const server = createServer((incoming, response) => { incoming.url?.startsWith('/manifest') === true ? response.end(JSON.stringify(withWrongDigit)) : response.writeHead(404).end() })
+    await listenOn(server, `${ip}:${internalPort}`)
+    t.teardown(() => {
+      server.close()
+      server.closeAllConnections()
+    })
+    const isAgent = source === 'another agent'
+    if (isAgent) peers.addPeers([['east', ip]])
+    const announce = (): void => { if (isAgent) peers.receiveHoldings({ kind: 'holdings', dataCentre: 'east', model, version, held: formatBitmap(emptyBitmap(chunkCount)), heldInDataCentre: '', served: 1, isSwapping: false }, ip) }
+    const { cache, hadIncomplete } = await fetchAll(t, new SpoilingOrigin(isAgent ? digests : withWrongDigit, true), peers, announce)
+    t.equal(hadIncomplete, false, 'no incomplete copy counts as complete')
+    t.same(cache.newestComplete(model)?.digests, digests, 'all chunks are held under the digests of the version')
+  })
+}
+
+test('manifest: a chunk that is spoilt in another way each time does not put its digest in doubt', async t => {
+  const doubts = new DigestDoubts()
+  const spoilt = ['a', 'b', 'a', 'c'].map((digest, index) => doubts.recordMismatch(0, digest, Buffer.from([index])))
+  t.same(spoilt, [false, false, false, false])
+  t.same(doubts.confirmedBy(['a']), [])
+  t.equal(doubts.recordMismatch(0, 'c', Buffer.from([4])), true)
+  t.same(doubts.confirmedBy(['b']), [], 'only another list that has this digest confirms it')
+  t.equal(doubts.confirmedBy(['c']).length, 1)
+})
+
 const manifest = { 'model-id': model, version, 'chunk-bytes': 64, digests }
 const bodies: readonly { readonly name: string, readonly body: string }[] = [
   { name: 'with a wrong byte in the name of the list', body: JSON.stringify(manifest).replace('digests', 'digusts') },
--- a/test/weights-remote.test.ts
+++ b/test/weights-remote.test.ts
@@ -51,7 +51,8 @@
         peers,
         originFacts: () => undefined,
         chunkBytes: () => 1024,
-        onChunkStored: () => {}
+        onChunkStored: () => {},
+        onDigestDoubted: () => {}
       }, new VersionChunks('model', 2, Array.from({ length: total }, () => 'digest')), monotonicNow() - wantedMilliseconds)
     })
     for (const fetcher of fetchers) fetcher.startFetches()
