Weights: an engine that serves what it was ordered to load is open again

Cause: the agent opened the engine after the answer to the order only. Ruled out: reports, which named the right version.

Change: a report that shows the version served ends the closing.

--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -38,6 +38,13 @@
     return this.closed !== undefined
   }
 
+  /** Accepts requests again once the engine serves the version for which it was closed: the answer to the order may have been lost. */
+  observe (report: EngineReport): void {
+    if (this.closed === undefined || report.isSwapping || (report.weights?.version ?? 0) < this.closed.version) return
+    log.info('the engine serves the weights for which it was closed', { version: this.closed.version })
+    this.closed = undefined
+  }
+
   /** Accepts requests again, after the engine was restarted. */
   reopen (): void {
     this.closed = undefined
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -184,6 +184,7 @@
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
+    this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
     this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
     if (previous !== undefined && previous.startedAt !== report.startedAt) {
--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -162,9 +162,10 @@
   readonly received: NodeMessage[] = []
   private readonly stops: (() => unknown)[] = []
 
-  async start (): Promise<void> {
+  /** Starts the entry's socket and the agent, by default beside an engine that has no weights. */
+  async start (engine: EnginePort = new FakeEngine(), origin: OriginPort = this.origin): Promise<void> {
     await this.entry.open('127.0.0.2')
-    const node = await startWeightsAgent({ ...settings, internalPort: this.port }, { records: this.log, codec: new FakeCodec(), engine: new FakeEngine(), origin: this.origin })
+    const node = await startWeightsAgent({ ...settings, internalPort: this.port }, { records: this.log, codec: new FakeCodec(), engine, origin })
     this.stops.push(() => node.stop(), () => { this.entry.close() })
   }
 
