Entries: answers that arrive together share one limit of memory

Report of other operators: bytes without end from a faulty server used up the memory of the instance that called it.

Cause: each call may hold 8 MiB, and nothing limited the sum.

Change: AnswerMemory, 32 MiB for all answers of a process that are held or wait for a caller; the first 64 KiB of each are free.

Streams to callers that do not read: by a test only.

--- a/src/roles/gateway/caller-answer.ts
+++ b/src/roles/gateway/caller-answer.ts
@@ -4,7 +4,7 @@
 import type { Failure } from '../../errors.js'
 import type { RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
-import type { EventSink } from './upstream-call.js'
+import type { EventSink } from './event-sink.js'
 
 /** One caller's answer; several upstreams may supply parts of a stream one after another. */
 export class CallerAnswer implements EventSink {
@@ -17,6 +17,10 @@
 
   constructor (private readonly response: ServerResponse, private readonly codec: RequestCodec, private readonly isStopping: () => boolean) {}
 
+  get waitingBytes (): number {
+    return this.response.writableLength
+  }
+
   /** Whether the head was sent, after which no other status can be. */
   get hasBegun (): boolean {
     return this.response.headersSent
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -9,8 +9,9 @@
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult, type EventSink, type LostReason } from './upstream-call.js'
+import { CallInProgress, type CallResult, type LostReason } from './upstream-call.js'
 import type { UpstreamView } from './upstream-view.js'
+import type { EventSink } from './event-sink.js'
 
 /** Timeout of opening a connection, milliseconds: about a hundred round trips between regions. */
 const connectTimeoutMilliseconds = 400
@@ -141,17 +142,19 @@
     const goOn = (): void => {
       for (const other of this.inProgress) if (other !== call()) other.cancel()
     }
+    const { answer } = this
     return {
       begin: headers => {
         goOn()
         this.startedBy ??= view
         begun()
-        this.answer.begin(headers)
+        answer.begin(headers)
       },
       event: event => {
         goOn()
-        this.answer.event(event)
-      }
+        answer.event(event)
+      },
+      get waitingBytes () { return answer.waitingBytes }
     }
   }
 
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,11 +1,13 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import { AnswerMemory } from '../../core/answer-memory.js'
 import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { isAnswerTo, isFramed, isPersistent, watchForEnd } from './answer-framing.js'
 import { socketStateOf } from './upstream-connections.js'
+import type { EventSink } from './event-sink.js'
 
 /** How a call ended. */
 export type CallResult =
@@ -64,17 +66,12 @@
   readonly started: (isAnswer: boolean) => void
 }
 
-/** Receives a stream event by event. */
-export interface EventSink {
-  /** Called with the stream's head before its first event. */
-  begin (headers: IncomingHttpHeaders): void
-  event (event: StreamEvent): void
-}
-
 /** Timers may fire up to this much early, milliseconds. */
 const timerToleranceMilliseconds = 5
 /** Largest answer or stream, bytes; a caller that reads slowly has this much waiting at most. */
 const maximumAnswerBytes = 8 << 20
+/** Largest answers of all calls together while they arrive, bytes: a small instance has little more memory beside its own needs. */
+const answerMemory = new AnswerMemory(4 * maximumAnswerBytes)
 /** Largest event of a stream, bytes. */
 const maximumEventBytes = 1 << 20
 /** Largest number of interim answers (status 1xx); an upstream could send them until the deadline. */
@@ -166,14 +163,18 @@
   private readAnswer (answer: IncomingMessage, head: AnswerHead): void {
     const { socket } = answer
     const parts: Buffer[] = []
+    const room = answerMemory.open()
     let bytes = 0
     this.hasPaused = false
     this.watch(this.call.finishBy, () => { this.handleSilence() })
     answer.on('data', (part: Buffer) => {
       parts.push(part)
       bytes += part.length
-      if (bytes > maximumAnswerBytes) this.abandon({ kind: 'lost', reason: 'too-large' })
+      if (bytes <= maximumAnswerBytes && room.hold(bytes)) return
+      parts.length = 0
+      this.abandon({ kind: 'lost', reason: 'too-large' })
     })
+    answer.on('close', () => { room.close() })
     this.whenComplete(answer, () => {
       if (head.status >= 500 && isPersistent(answer, this.outgoing)) watchForEnd(socket, this.call.lostAfterError)
       this.finish({ kind: 'answer', head, headers: answer.headers, body: Buffer.concat(parts), isFramed: isFramed(answer) })
@@ -192,6 +193,7 @@
 
   private readStream (answer: IncomingMessage, sink: EventSink): void {
     const splitter = new EventSplitter()
+    const room = answerMemory.open()
     let hasBegun = false
     let bytes = 0
     answer.on('data', (part: Buffer) => {
@@ -214,10 +216,15 @@
         sink.begin(answer.headers)
       }
       for (const event of events) sink.event(event)
+      if (!room.hold(sink.waitingBytes)) {
+        this.abandon({ kind: 'lost', reason: 'too-large' })
+        return
+      }
       const nextEventBy = Math.min(this.call.finishBy, monotonicNow() + this.call.inactivityTimeoutMilliseconds)
       this.hasPaused = false
       this.watch(nextEventBy, () => { this.handleSilence() })
     })
+    answer.on('close', () => { room.close() })
     this.whenComplete(answer, () => {
       if (splitter.bufferedBytes > 0 || (!hasBegun && this.call.resumedAfter === undefined)) {
         this.finish({ kind: 'lost', reason: 'incomplete' })
--- a/test/endless-bytes.test.ts
+++ b/test/endless-bytes.test.ts
@@ -7,6 +7,7 @@
 import { PlatformEngine, PlatformOrigin } from '../platform/engine.js'
 import { PlatformRequests } from '../platform/requests.js'
 import { PlatformStore } from '../platform/store.js'
+import { AnswerMemory } from '../src/core/answer-memory.js'
 import { fetchRecords } from '../src/nodes/fed-record-log.js'
 import { downloadChunk } from '../src/roles/agent/exchange/chunk-download.js'
 import { CallInProgress } from '../src/roles/gateway/upstream-call.js'
@@ -18,6 +19,7 @@
 import { answerCompletely, Fleet } from './fakes/plain-fleet.js'
 import { startFlood, type Flood } from './fakes/flood.js'
 import { at } from './fakes/positions.js'
+import type { EventSink } from '../src/roles/gateway/event-sink.js'
 
 const mebibyte = 1 << 20
 /** What sockets, the kernel and the allocator hold besides, bytes. */
@@ -55,7 +57,7 @@
 const json = (address: string): Promise<unknown> => requestJson({ url: `http://${address}/`, method: 'GET', deadline: Date.now() + 2000, agent: new Agent() })
 
 /** Calls an upstream; rejects with the result of a call that gave no answer, and resolves with one that did. */
-async function callUpstream (address: string, isStream: boolean): Promise<unknown> {
+async function callUpstream (address: string, isStream: boolean, sink: EventSink = { begin: () => {}, event: () => {}, waitingBytes: 0 }): Promise<unknown> {
   const call = new CallInProgress({
     address,
     method: 'GET',
@@ -75,7 +77,7 @@
     silent: () => {},
     lostAfterError: () => {},
     started: () => {}
-  }, new PlatformRequests(), isStream ? { begin: () => {}, event: () => {} } : undefined)
+  }, new PlatformRequests(), isStream ? sink : undefined)
   const result = await call.result
   if (result.kind === 'answer' || result.kind === 'stream-ended') return result
   throw new Error(`${result.kind}: ${result.reason}`)
@@ -188,3 +190,53 @@
     await fleet.stop()
   })
 }
+
+test('endless bytes: many upstreams at once, the answers together stay within a limit', async t => {
+  const calls = 40
+  const flood = await startFlood(floods.body('200 OK', signed))
+  t.teardown(flood.close)
+  const before = process.memoryUsage().arrayBuffers
+  let mostBytes = 0
+  const watch = setInterval(() => { mostBytes = Math.max(mostBytes, process.memoryUsage().arrayBuffers - before) }, 5)
+  const results = await Promise.all(Array.from({ length: calls }, () => callUpstream(flood.address, false).then(() => 'answer', (error: unknown) => String(error))))
+  clearInterval(watch)
+  t.ok(results.every(result => /too-large|timeout/.test(result)), results.join())
+  const limit = 32 * mebibyte
+  t.ok(mostBytes <= 2 * limit + besidesBytes, `at most twice the limit of ${limit} bytes is held: ${mostBytes}`)
+})
+
+/** A caller that does not read, until its connection is closed. */
+class UnreadAnswer implements EventSink {
+  waitingBytes = 0
+
+  constructor (private readonly waits: () => void) {}
+  begin (): void {}
+
+  event ({ bytes }: { readonly bytes: Buffer }): void {
+    this.waitingBytes += bytes.length
+    this.waits()
+  }
+
+  close (): void { this.waitingBytes = 0 }
+}
+
+test('endless bytes: streams of many upstreams to callers that do not read stay within a limit', async t => {
+  const flood = await startFlood(floods.events)
+  t.teardown(flood.close)
+  let most = 0
+  const sinks: readonly UnreadAnswer[] = Array.from({ length: 40 }, () => new UnreadAnswer(() => { most = Math.max(most, sinks.reduce((sum, { waitingBytes }) => sum + waitingBytes, 0)) }))
+  await Promise.all(sinks.map(sink => callUpstream(flood.address, true, sink).catch(() => {}).finally(() => { sink.close() })))
+  t.ok(most <= 32 * mebibyte + sinks.length * 2 * 65_536, `${most} bytes wait for callers`)
+})
+
+test('memory of answers: small ones need no room, large ones share it', async t => {
+  const memory = new AnswerMemory(mebibyte)
+  const [large, other, small] = [memory.open(), memory.open(), memory.open()]
+  t.equal(large.hold(mebibyte), true)
+  t.equal(other.hold(mebibyte), false, 'there is no room for a second large answer')
+  t.equal(small.hold(65_536), true, 'a small one is received all the same')
+  t.equal(small.hold(mebibyte), false)
+  large.close()
+  t.equal(memory.heldBytes, 0)
+  t.equal(memory.open().hold(mebibyte), true)
+})
--- a/test/gateway-call.test.ts
+++ b/test/gateway-call.test.ts
@@ -3,9 +3,10 @@
 import type { AddressInfo } from 'node:net'
 import { test } from 'tap'
 import { PlatformRequests } from '../platform/requests.js'
-import { CallInProgress, type CallResult, type EventSink, type UpstreamCall } from '../src/roles/gateway/upstream-call.js'
+import { CallInProgress, type CallResult, type UpstreamCall } from '../src/roles/gateway/upstream-call.js'
 import { UpstreamConnections } from '../src/roles/gateway/upstream-connections.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
+import type { EventSink } from '../src/roles/gateway/event-sink.js'
 
 const requestId = 'id-1'
 const signed = `X-Server-Stamp: s\r\nX-Attempt-Id: ${requestId}\r\n`
@@ -219,6 +220,7 @@
 
   begin (): void { this.heads += 1 }
   event (): void { this.events += 1 }
+  readonly waitingBytes = 0
 }
 
 function callOnce (address: string, isStream: boolean, isResumed: boolean, seen: SeenStream, connections?: UpstreamConnections, overrides?: Partial<UpstreamCall>): Promise<CallResult> {
