Records: what an older copy of the log lost is removed at readers of other nodes too

Found while reading the diff; callers would have had an upstream or an evacuation that nobody wrote again in use, or in force, for good at entries that read from another entry.

Cause: a key that the log lost was listed by the entry that others read from until it gave up, and its removal had a position that they had passed. The feed could also answer from its cache, whose key did not change with a removal.

Change: a full read counts a key of an earlier era as lost, so that each node removes it on its own; a record in force that the copy has an older one of takes its place in the new era; the feed's cache is keyed by a number of changes.

Measured: the new test of test/log-older-copy failed before (two of four readers kept the key), passes now with the others of records, feeds and store.

--- a/src/core/record-history.ts
+++ b/src/core/record-history.ts
@@ -9,7 +9,7 @@
 const maximumPerKey = 32
 
 /** A record as far as the history needs it. */
-export interface SeenRecord extends LogPosition {
+interface SeenRecord extends LogPosition {
   readonly key: string
   readonly value: Buffer | undefined
 }
@@ -36,8 +36,3 @@
 function digestOf (value: Buffer | undefined): string {
   return value === undefined ? '' : digestBytes(value)
 }
-
-/** Whether a record of a copy of the log is the known one of an earlier era. */
-export function isSameInCopy (known: SeenRecord, record: SeenRecord): boolean {
-  return known.offset === record.offset && (known.value === undefined || record.value === undefined ? known.value === record.value : known.value.equals(record.value))
-}
--- a/src/nodes/record-feed.ts
+++ b/src/nodes/record-feed.ts
@@ -125,7 +125,7 @@
     const records = follower.newest.filter(record => !isInLog(from) || !isBefore(record, from))
     const encode = (): string => JSON.stringify({ records: records.map(record => encodeRecord(record, next.era)), next: next.offset, era: next.era } satisfies EncodedRecords)
     if (records.length === 0) return { bytes: Buffer.from(encode()), isCompressed: false }
-    const key = `${stream}/${formatPosition(from)}/${formatPosition(next)}/${records.length}/${formatPosition(follower.newestPosition)}`
+    const key = `${stream}/${formatPosition(from)}/${formatPosition(next)}/${records.length}/${follower.revision}`
     const known = this.cached.find(answer => answer.key === key)
     if (known !== undefined) return { bytes: await known.body, isCompressed: true }
     const text = encode()
--- a/src/nodes/record-follower.ts
+++ b/src/nodes/record-follower.ts
@@ -1,7 +1,7 @@
 /** Follows a stream of keyed records in the log, and accepts records from peers while the log cannot be read. */
 import { lapseGraceMilliseconds } from '../core/fleet/record-lapse.js'
 import { beforeLog, formatPosition, isBefore, isInLog, laterOf, type LogPosition } from '../core/log-position.js'
-import { isSameInCopy, RecordHistory } from '../core/record-history.js'
+import { RecordHistory } from '../core/record-history.js'
 import { nextRead, readAfterNewest, type NextRead } from '../core/record-reads.js'
 import { Metrics } from '../plugins/metrics.js'
 import type { KeyedRecord, ReadRecords, RecordLog, RecordRead, StreamName } from '../types/ports.js'
@@ -56,6 +56,7 @@
   private readonly newestByKey = new Map<string, KeyedRecord>()
   private next = beforeLog
   private highest = beforeLog
+  private changes = 0
   private readonly history = new RecordHistory()
   /** Until when keys stay in force that the log lost, milliseconds of the monotonic clock. */
   private readonly lostUntil = new Map<string, number>()
@@ -87,9 +88,9 @@
     return [...this.newestByKey.values()]
   }
 
-  /** Position of the latest record that was applied. */
-  get newestPosition (): LogPosition {
-    return this.highest
+  /** Number of changes of `newest` so far. */
+  get revision (): number {
+    return this.changes
   }
 
   /** Reads the stream until `stop`; failed reads are retried. */
@@ -196,7 +197,8 @@
 
   /** Removes the keys that are not among the newest records of all keys; those that the log lost stay in force for some time. */
   private removeMissing ({ records, next, cost, source = 'log' }: ReadRecords): void {
-    const present = new Set(records.map(record => record.key))
+    // Another node passes on what the log lost with its earlier era.
+    const present = new Set(records.flatMap(({ key, era }) => era === next.era ? [key] : []))
     for (const [key, known] of [...this.newestByKey].filter(([key]) => !present.has(key))) {
       if (known.era === next.era) this.applyRemoval(key, next, { source, cost })
       else if (known.value !== undefined && !this.lostUntil.has(key)) this.lostUntil.set(key, monotonicNow() + lostRetentionMilliseconds[this.stream])
@@ -257,9 +259,9 @@
     const known = this.newestByKey.get(record.key)
     if (known !== undefined && !isBefore(known, record)) return
     const isInCopy = known !== undefined && known.era < record.era && this.history.has(record)
-    // A copy of the log may hold an older record than the one in force, whose writer writes it again.
-    if (isInCopy && !isSameInCopy(known, record)) return
-    this.newestByKey.set(record.key, record)
+    // A copy of the log may hold an older record than the one in force, which stays in its place until its writer writes it again.
+    this.newestByKey.set(record.key, isInCopy ? { ...record, value: known.value } : record)
+    this.changes += 1
     this.highest = laterOf(this.highest, record)
     this.lostUntil.delete(record.key)
     if (isInCopy) return
--- a/test/log-older-copy.test.ts
+++ b/test/log-older-copy.test.ts
@@ -6,7 +6,7 @@
 import { freshAddress } from '../script/launch.js'
 import { FedRecordLog } from '../src/nodes/fed-record-log.js'
 import { LogEra } from '../src/nodes/log-era.js'
-import { RecordFeed } from '../src/nodes/record-feed.js'
+import { RecordFeed, type FedStream } from '../src/nodes/record-feed.js'
 import { RecordFollower } from '../src/nodes/record-follower.js'
 import { listenOn } from '../src/transports/http-listen.js'
 import type { RecordLog } from '../src/types/ports.js'
@@ -73,13 +73,13 @@
   }
 ]
 
-/** A follower of the operators' records, and the text of each key that is in force. */
+/** A follower of a stream, and the text of each key that is in force. */
 class Reader {
   readonly inForce = new Map<string, string>()
   readonly follower: RecordFollower
 
-  constructor (t: Test, log: RecordLog) {
-    this.follower = new RecordFollower(log, 'operators', { pause: 1, wait: 100 }, {
+  constructor (t: Test, readonly log: RecordLog, stream: FedStream = 'operators') {
+    this.follower = new RecordFollower(log, stream, { pause: 1, wait: 100 }, {
       record: ({ key, value }) => {
         if (value === undefined) this.inForce.delete(key)
         else this.inForce.set(key, value.toString())
@@ -103,8 +103,8 @@
 }
 
 /** A reader of the log itself, and one that reads from it as from another entry. */
-async function startReaders (t: Test, store: PlatformStoreStandIn): Promise<readonly Reader[]> {
-  const first = new Reader(t, new PlatformStore(store.address))
+async function startReaders (t: Test, store: PlatformStoreStandIn, stream: FedStream = 'operators'): Promise<readonly [Reader, Reader]> {
+  const first = new Reader(t, new PlatformStore(store.address), stream)
   const feed = new RecordFeed({ operators: first.follower, instances: first.follower }, () => 'log')
   const server = createServer((incoming, response) => { feed.serve(incoming.url ?? '', response).catch(error => { t.error(error) }) })
   const address = freshAddress()
@@ -113,7 +113,7 @@
     server.close()
     server.closeAllConnections()
   })
-  return [first, new Reader(t, new FedRecordLog(address, 'operators', new Agent(), 'peer', 'second'))]
+  return [first, new Reader(t, new FedRecordLog(address, stream, new Agent(), 'peer', 'second'), stream)]
 }
 
 async function startStore (t: Test): Promise<PlatformStoreStandIn> {
@@ -165,6 +165,21 @@
   for (const reader of [...readers, late]) t.same(await reader.until({ config: '5' }), { config: '5' })
 })
 
+test('older copy of the log: a key that was lost and not written again is removed, also for readers of other nodes', async t => {
+  const store = await startStore(t)
+  const [first, second] = await startReaders(t, store, 'instances')
+  const lost = { 'i-1': 'ready', 'i-2': 'ready' }
+  for (const key of Object.keys(lost)) store.append(topics.instances, key, Buffer.from('ready'))
+  for (const reader of [first, second]) t.same(await reader.until(lost), lost)
+  store.comeBackFromCopy(topics.instances, 1)
+  await sleepUntil(monotonicNow() + 1000)
+  const early = new Reader(t, second.log, 'instances')
+  t.same(await early.until(lost), lost, 'a node that starts meanwhile learns of it')
+  await sleepUntil(monotonicNow() + 1500)
+  const late = new Reader(t, second.log, 'instances')
+  for (const reader of [first, second, early, late]) t.same(await reader.until({ 'i-1': 'ready' }), { 'i-1': 'ready' })
+})
+
 /** What an answer tells, when its call was sent and when it was received, and the era that it counts as. */
 type Told = readonly [told: number | undefined, sentAt: number, receivedAt: number, expected: number | 'refused']
 
