Entries: large answers wait for room in place of failing, and count until their callers have taken them

With the limit of a burst of large answers lost those without room.

Cause: an answer counted only while it arrived.

--- a/src/roles/gateway/caller-answer.ts
+++ b/src/roles/gateway/caller-answer.ts
@@ -5,6 +5,7 @@
 import type { RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { EventSink } from './event-sink.js'
+import { heldAnswers } from './held-answers.js'
 
 /** One caller's answer; several upstreams may supply parts of a stream one after another. */
 export class CallerAnswer implements EventSink {
@@ -65,9 +66,18 @@
     // The length of an answer without a body, to HEAD or with status 304, is that of the body which it stands for.
     const length = body.length > 0 ? String(body.length) : headers['content-length']
     this.response.writeHead(status, isFramed && length !== undefined ? { 'content-length': length } : {})
+    this.holdUntilTaken(body)
     this.response.end(body)
   }
 
+  /** Counts an answer until the caller's connection has taken it. */
+  private holdUntilTaken (body: Buffer): void {
+    const room = heldAnswers.open()
+    this.response.once('finish', () => { room.close() })
+    this.response.once('close', () => { room.close() })
+    room.wait(body.length, monotonicNow(), () => { this.abort() })
+  }
+
   /** Sends a failure that the entry itself reports; `retryAfterMilliseconds` for a caller that should retry. Aborts if a stream was begun. */
   fail (failure: Failure, retryAfterMilliseconds?: number): void {
     if (this.hasBegun) {
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,6 +1,5 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
-import { AnswerMemory } from '../../core/answer-memory.js'
 import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
@@ -8,6 +7,7 @@
 import { isAnswerTo, isFramed, isPersistent, watchForEnd } from './answer-framing.js'
 import { socketStateOf } from './upstream-connections.js'
 import type { EventSink } from './event-sink.js'
+import { heldAnswers } from './held-answers.js'
 
 /** How a call ended. */
 export type CallResult =
@@ -70,8 +70,6 @@
 const timerToleranceMilliseconds = 5
 /** Largest answer or stream, bytes; a caller that reads slowly has this much waiting at most. */
 const maximumAnswerBytes = 8 << 20
-/** Largest answers of all calls together while they arrive, bytes: a small instance has little more memory beside its own needs. */
-const answerMemory = new AnswerMemory(4 * maximumAnswerBytes)
 /** Largest event of a stream, bytes. */
 const maximumEventBytes = 1 << 20
 /** Largest number of interim answers (status 1xx); an upstream could send them until the deadline. */
@@ -163,16 +161,17 @@
   private readAnswer (answer: IncomingMessage, head: AnswerHead): void {
     const { socket } = answer
     const parts: Buffer[] = []
-    const room = answerMemory.open()
+    const room = heldAnswers.open()
     let bytes = 0
     this.hasPaused = false
     this.watch(this.call.finishBy, () => { this.handleSilence() })
     answer.on('data', (part: Buffer) => {
       parts.push(part)
       bytes += part.length
-      if (bytes <= maximumAnswerBytes && room.hold(bytes)) return
-      parts.length = 0
-      this.abandon({ kind: 'lost', reason: 'too-large' })
+      if (bytes > maximumAnswerBytes) {
+        parts.length = 0
+        this.abandon({ kind: 'lost', reason: 'too-large' })
+      } else if (!room.receive(bytes, monotonicNow(), () => { answer.resume() })) answer.pause()
     })
     answer.on('close', () => { room.close() })
     this.whenComplete(answer, () => {
@@ -193,7 +192,7 @@
 
   private readStream (answer: IncomingMessage, sink: EventSink): void {
     const splitter = new EventSplitter()
-    const room = answerMemory.open()
+    const room = heldAnswers.open()
     let hasBegun = false
     let bytes = 0
     answer.on('data', (part: Buffer) => {
