Store: the pages of the newest records share one limit

Report of other operators, on a path of its own: a store that always says that more follow was read for 100 pages of up to 32 MiB, all of which were kept.

--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -18,7 +18,7 @@
   /** Digests of all chunks of a version. */
   manifest: 4 << 20,
   chunk: 8 << 20,
-  /** A read of records: at most 1,024 small ones, or one page of the newest. */
+  /** A read of records: at most 1,024 small ones, or all pages of the newest. */
   records: 32 << 20
 } as const
 
--- a/test/odd-entries.test.ts
+++ b/test/odd-entries.test.ts
@@ -5,6 +5,7 @@
 import { PlatformRecords } from '../platform/records.js'
 import { PlatformStore } from '../platform/store.js'
 import { decodeFedRecords } from '../src/nodes/record-feed.js'
+import { maximumAnswerBytes } from '../src/transports/http-call.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { versionInForce } from './fakes/entry-group.js'
 import { Fleet, answerCompletely, dataCentre, isServed } from './fakes/plain-fleet.js'
@@ -88,6 +89,23 @@
   })
 }
 
+test('odd page of the log: pages without end are given up before they take the memory of the process', async t => {
+  const value = Buffer.alloc(3 << 20).toString('base64')
+  let sentBytes = 0
+  const server: Server = createServer((_incoming, response) => {
+    const body = JSON.stringify({ entries: [{ key: `key-${sentBytes}`, value, offset: 1 }], 'has-more': true, 'end-offset': 7 })
+    sentBytes += body.length
+    response.end(body)
+  })
+  await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+  const store = new PlatformStore(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  await t.rejects(store.newest('instances'), /exceed 33554432 bytes/)
+  t.ok(sentBytes <= 2 * maximumAnswerBytes.records, `${sentBytes} bytes were read`)
+  store.close()
+  server.close()
+  server.closeAllConnections()
+})
+
 const oddFeeds: readonly { readonly name: string, readonly body: string }[] = [
   { name: 'continues beyond all whole numbers', body: '{"records":[],"next":1e300}' },
   { name: 'continues nowhere', body: '{"records":[],"next":null}' },
