--- a/test/weights-order-lost.test.ts
+++ b/test/weights-order-lost.test.ts
@@ -5,7 +5,7 @@
 import { digestBytes } from '../src/utils/digest.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { writeLogs } from '../src/utils/log.js'
-import type { LoadReport } from '../src/types/node-messages.js'
+import type { LoadReport, Subscription } from '../src/types/node-messages.js'
 import { model, service, WeightsNode } from './fakes/weights-node.js'
 
 writeLogs('silent')
@@ -18,8 +18,8 @@
   async chunk (_address: string, _model: string, _version: number, position: number): Promise<Buffer> { return chunkOf(position) }
 }
 
-/** What becomes of the first order. */
-type FirstOrder = 'answered' | 'begun, answer lost' | 'lost'
+/** What becomes of the first order; `unchecked`: what is staged cannot be read before any order. */
+type FirstOrder = 'answered' | 'begun, answer lost' | 'lost' | 'unchecked'
 
 /** Serves version 1, or nothing, until it has loaded another version. */
 class OrderedEngine extends EnginePort {
@@ -40,7 +40,11 @@
   }
 
   async staged (): Promise<readonly number[]> { return [...this.stagedChunks.keys()] }
-  async stagedChunk (_model: string, position: number): Promise<Buffer | undefined> { return this.stagedChunks.get(position) }
+  async stagedChunk (_model: string, position: number): Promise<Buffer | undefined> {
+    if (this.first === 'unchecked') throw new Error('no answer')
+    return this.stagedChunks.get(position)
+  }
+
   async stage (_model: string, position: number, chunk: Buffer): Promise<void> { this.stagedChunks.set(position, chunk) }
 
   async load (_model: string, version: number, ordersBefore: number): Promise<OrderResult> {
@@ -62,19 +66,31 @@
   { name: `a rollout, its first order is ${first}`, served: 1, first }
 ])
 
+const subscription: Subscription = {
+  kind: 'subscription',
+  dataCentre: 'zone-a',
+  service,
+  weights: [{ model, version: 2, ageMilliseconds: 0 }],
+  agents: [],
+  rollout: { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount, chunkBytes: 64, origin: { address: '127.0.0.1:1', bytesPerSecond: 1_000_000 }, isResumable: false }
+}
+
+test('order to an engine: one that cannot be given does not keep the engine closed', async t => {
+  const node = new WeightsNode()
+  t.teardown(() => node.stop())
+  await node.start(new OrderedEngine(1, 'unchecked'), new MemoryOrigin())
+  await node.sendFor(6000, subscription)
+  const isClosed = node.received.flatMap(message => message.kind === 'load' ? [message.isSwapping] : [])
+  t.ok(isClosed.includes(true), 'the engine was closed for its swap')
+  t.equal(isClosed.includes(false, isClosed.indexOf(true)), true, 'it is open again, with the version that it has')
+})
+
 for (const { name, served, first } of cases) {
   test(`order to an engine: ${name}`, async t => {
     const node = new WeightsNode()
     t.teardown(() => node.stop())
     await node.start(new OrderedEngine(served, first), new MemoryOrigin())
-    await node.sendFor(3000, {
-      kind: 'subscription',
-      dataCentre: 'zone-a',
-      service,
-      weights: [{ model, version: 2, ageMilliseconds: 0 }],
-      agents: [],
-      rollout: { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount, chunkBytes: 64, origin: { address: '127.0.0.1:1', bytesPerSecond: 1_000_000 }, isResumable: false }
-    })
+    await node.sendFor(3000, subscription)
     await sleepUntil(monotonicNow() + 200)
     const last = node.received.filter((message): message is LoadReport => message.kind === 'load').at(-1)
     t.match(last, { version: 2, isSwapping: false }, 'entries may send requests to the engine')
