Weights: an engine that was closed early and cannot be staged to is opened again

What callers saw: an engine that serves the version before stays closed to requests for as long as nothing can be staged to it, although it could serve them. Cause: only failed orders were counted; an engine that was closed while its last chunks arrived never came to an order if staging failed before it. Change: any attempt that fails, to stage or to order, counts (EngineSwapper.recordFailure).

--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -2,7 +2,7 @@
 import { drainModeOf, swapStartAt, type SwapScheduleView, type DrainMode } from '../../core/weights/swap-schedule.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { EngineReport } from '../../types/fleet.js'
-import type { EnginePort, OrderResult } from '../../types/ports.js'
+import type { EnginePort } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { VersionChunks } from './chunk-store.js'
@@ -23,8 +23,8 @@
 
 /** Longest time for which the engine is closed for an incomplete copy, and shortest time open afterwards, milliseconds. */
 const closedTimeoutMilliseconds = 1500
-/** Consecutive orders that fail before the engine is opened again. */
-const maximumFailedOrders = 3
+/** Consecutive attempts to stage and order that fail before the engine is opened again. */
+const maximumFailedSwaps = 3
 
 /** Swaps one engine to the versions of which its agent holds a complete copy. */
 export class EngineSwapper {
@@ -32,8 +32,8 @@
   private closed: { readonly version: number, readonly at: number } | undefined
   /** Milliseconds of the monotonic clock before which the engine is not closed again. */
   private stayOpenUntil = 0
-  /** Consecutive orders that failed. */
-  private failedOrders = 0
+  /** Consecutive attempts that failed. */
+  private failedSwaps = 0
 
   constructor (private readonly ip: string, private readonly engine: EnginePort, private readonly staging: Staging, private readonly peers: PeerTable) {}
 
@@ -78,6 +78,15 @@
 
   /** Stages complete weights, and orders the engine to load them once it is closed and few requests still run. */
   async swap (chunks: VersionChunks, request: SwapRequest, completeAt: number): Promise<void> {
+    try {
+      await this.trySwap(chunks, request, completeAt)
+    } catch (error) {
+      this.recordFailure(chunks.version)
+      throw error
+    }
+  }
+
+  private async trySwap (chunks: VersionChunks, request: SwapRequest, completeAt: number): Promise<void> {
     if (!this.staging.isComplete(chunks)) await this.stage(chunks, request.target)
     this.closeWhenDue(request, completeAt, true)
     const { report, target } = request
@@ -94,28 +103,22 @@
 
   private async order (chunks: VersionChunks, request: SwapRequest, served: number, ending: DrainMode): Promise<void> {
     const { report, target, isResumable } = request
-    const result = await this.tryOrder(chunks, report.orders, isResumable ? ending : 'wait')
-    this.failedOrders = 0
+    await this.staging.repair(chunks)
+    const result = await this.engine.load(chunks.model, chunks.version, report.orders, isResumable ? ending : 'wait')
     this.closed = undefined
+    this.failedSwaps = 0
     log.info('the engine was ordered to load weights', { model: chunks.model, version: chunks.version, result, ending, orders: report.orders, served, running: report.running, sinceMilliseconds: Math.round(monotonicNow() - target.since) })
   }
 
-  /** Checks what is staged, and orders the engine to load it; an engine that cannot be ordered for some time serves what it has. */
-  private async tryOrder (chunks: VersionChunks, ordersBefore: number, ending: DrainMode): Promise<OrderResult> {
-    try {
-      await this.staging.repair(chunks)
-      return await this.engine.load(chunks.model, chunks.version, ordersBefore, ending)
-    } catch (error) {
-      this.failedOrders += 1
-      const now = monotonicNow()
-      if (this.closed !== undefined && this.failedOrders >= maximumFailedOrders && now - this.closed.at >= closedTimeoutMilliseconds) {
-        log.warn('the engine accepts requests again: it could not be ordered to load its weights', { version: chunks.version, failures: this.failedOrders })
-        this.closed = undefined
-        this.stayOpenUntil = now + closedTimeoutMilliseconds
-        this.failedOrders = 0
-      }
-      throw error
-    }
+  /** Opens an engine again that cannot be swapped for some time: it serves what it has. */
+  private recordFailure (version: number): void {
+    this.failedSwaps += 1
+    const now = monotonicNow()
+    if (this.closed === undefined || this.failedSwaps < maximumFailedSwaps || now - this.closed.at < closedTimeoutMilliseconds) return
+    log.warn('the engine accepts requests again: it could not be ordered to load its weights', { version, failures: this.failedSwaps })
+    this.closed = undefined
+    this.stayOpenUntil = now + closedTimeoutMilliseconds
+    this.failedSwaps = 0
   }
 
   private async stage (chunks: VersionChunks, target: NamedVersion): Promise<void> {
--- a/test/weights-order-lost.test.ts
+++ b/test/weights-order-lost.test.ts
@@ -14,12 +14,20 @@
 const chunkOf = (position: number): Buffer => Buffer.alloc(64, position + 1)
 
 class MemoryOrigin extends OriginPort {
+  /** `lastDelayMilliseconds`: time by which the last chunk is late. */
+  constructor (private readonly lastDelayMilliseconds = 0) {
+    super()
+  }
+
   async digests (): Promise<readonly string[]> { return Array.from({ length: chunkCount }, (_, position) => digestBytes(chunkOf(position))) }
-  async chunk (_address: string, _model: string, _version: number, position: number): Promise<Buffer> { return chunkOf(position) }
+  async chunk (_address: string, _model: string, _version: number, position: number): Promise<Buffer> {
+    if (position === chunkCount - 1) await sleepUntil(monotonicNow() + this.lastDelayMilliseconds)
+    return chunkOf(position)
+  }
 }
 
-/** What becomes of the first order; `unchecked`: what is staged cannot be read before any order. */
-type FirstOrder = 'answered' | 'begun, answer lost' | 'lost' | 'unchecked'
+/** What becomes of the first order; `unchecked`: what is staged cannot be read before any order; `unstaged`: nothing can be staged. */
+type FirstOrder = 'answered' | 'begun, answer lost' | 'lost' | 'unchecked' | 'unstaged'
 
 /** Serves version 1, or nothing, until it has loaded another version. */
 class OrderedEngine extends EnginePort {
@@ -45,7 +53,10 @@
     return this.stagedChunks.get(position)
   }
 
-  async stage (_model: string, position: number, chunk: Buffer): Promise<void> { this.stagedChunks.set(position, chunk) }
+  async stage (_model: string, position: number, chunk: Buffer): Promise<void> {
+    if (this.first === 'unstaged') throw new Error('no answer')
+    this.stagedChunks.set(position, chunk)
+  }
 
   async load (_model: string, version: number, ordersBefore: number): Promise<OrderResult> {
     this.received += 1
@@ -75,15 +86,22 @@
   rollout: { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount, chunkBytes: 64, origin: { address: '127.0.0.1:1', bytesPerSecond: 1_000_000 }, isResumable: false }
 }
 
-test('order to an engine: one that cannot be given does not keep the engine closed', async t => {
-  const node = new WeightsNode()
-  t.teardown(() => node.stop())
-  await node.start(new OrderedEngine(1, 'unchecked'), new MemoryOrigin())
-  await node.sendFor(6000, subscription)
-  const isClosed = node.received.flatMap(message => message.kind === 'load' ? [message.isSwapping] : [])
-  t.ok(isClosed.includes(true), 'the engine was closed for its swap')
-  t.equal(isClosed.includes(false, isClosed.indexOf(true)), true, 'it is open again, with the version that it has')
-})
+const impossible: readonly { readonly name: string, readonly first: FirstOrder, readonly lastDelayMilliseconds: number }[] = [
+  { name: 'what is staged cannot be read', first: 'unchecked', lastDelayMilliseconds: 0 },
+  { name: 'nothing can be staged at an engine that was closed early', first: 'unstaged', lastDelayMilliseconds: 800 }
+]
+
+for (const { name, first, lastDelayMilliseconds } of impossible) {
+  test(`order to an engine: one that cannot be given does not keep the engine closed: ${name}`, async t => {
+    const node = new WeightsNode()
+    t.teardown(() => node.stop())
+    await node.start(new OrderedEngine(1, first), new MemoryOrigin(lastDelayMilliseconds))
+    await node.sendFor(6000, subscription)
+    const isClosed = node.received.flatMap(message => message.kind === 'load' ? [message.isSwapping] : [])
+    t.ok(isClosed.includes(true), 'the engine was closed for its swap')
+    t.equal(isClosed.includes(false, isClosed.indexOf(true)), true, 'it is open again, with the version that it has')
+  })
+}
 
 for (const { name, served, first } of cases) {
   test(`order to an engine: ${name}`, async t => {
