--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -103,11 +103,17 @@
 
   private async order (chunks: VersionChunks, request: SwapRequest, served: number, ending: DrainMode): Promise<void> {
     const { report, target, isResumable } = request
+    const checkedAt = monotonicNow()
     await this.staging.repair(chunks)
-    const result = await this.engine.load(chunks.model, chunks.version, report.orders, isResumable ? ending : 'wait')
+    const sentAt = monotonicNow()
+    const checkAgeMilliseconds = Math.round(sentAt - checkedAt)
+    const result = await this.engine.load(chunks.model, chunks.version, report.orders, isResumable ? ending : 'wait').catch((error: unknown) => {
+      log.warn('no answer to an order to load weights: the engine may still accept it', { model: chunks.model, version: chunks.version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
+      throw error
+    })
     this.closed = undefined
     this.failedSwaps = 0
-    log.info('the engine was ordered to load weights', { model: chunks.model, version: chunks.version, result, ending, orders: report.orders, served, running: report.running, sinceMilliseconds: Math.round(monotonicNow() - target.since) })
+    log.info('the engine was ordered to load weights', { model: chunks.model, version: chunks.version, result, ending, orders: report.orders, served, running: report.running, checkAgeMilliseconds, answerMilliseconds: Math.round(monotonicNow() - sentAt), sinceMilliseconds: Math.round(monotonicNow() - target.since) })
   }
 
   /** Opens an engine again that cannot be swapped for some time: it serves what it has. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -192,8 +192,8 @@
       this.swapper.reopen()
     }
     const previouslyServed = previous?.weights?.version ?? 0
-    if (previouslyServed === this.served && previous?.startedAt === report.startedAt) return
-    log.info('the engine reports its weights', { version: this.served, before: previouslyServed, startedAt: report.startedAt })
+    if (previouslyServed === this.served && previous?.startedAt === report.startedAt && previous.orders === report.orders) return
+    log.info('the engine reports its weights', { version: this.served, before: previouslyServed, startedAt: report.startedAt, orders: report.orders, ordersBefore: previous?.orders ?? 0, isSwapping: report.isSwapping })
   }
 
   private estimateReadyMilliseconds (report: EngineReport): number {
