Weights: an order rests on checks that are recent when it is sent

Cause: the staged chunks were read one after another before an order, and nothing kept how old each check was. On a slow engine, or after a pause of the agent, the order used checks of any age. Change: each check has the time at which it began. Chunks are read side by side, three at a time, and more in the next pass if the engine is slow; what is older than 1.5 s when the order is due is read again, and an order that cannot get recent checks is not given. The bound is the 3 s for which a chunk may have been wrong, less the time limit of the order and a margin. A chunk that was staged anew is read back before it counts. Why it works: a chunk that was right 1.5 s before the order was sent cannot have been wrong for 3 s when the order is accepted in time.

--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -103,10 +103,9 @@
 
   private async order (chunks: VersionChunks, request: SwapRequest, served: number, ending: DrainMode): Promise<void> {
     const { report, target, isResumable } = request
-    const checkedAt = monotonicNow()
-    await this.staging.repair(chunks)
+    await this.staging.verify(chunks)
     const sentAt = monotonicNow()
-    const checkAgeMilliseconds = Math.round(sentAt - checkedAt)
+    const checkAgeMilliseconds = Math.round(sentAt - this.staging.oldestCheckAt(chunks))
     const result = await this.engine.load(chunks.model, chunks.version, report.orders, isResumable ? ending : 'wait').catch((error: unknown) => {
       log.warn('no answer to an order to load weights: the engine may still accept it', { model: chunks.model, version: chunks.version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
       throw error
--- a/src/roles/weights/staging.ts
+++ b/src/roles/weights/staging.ts
@@ -1,20 +1,33 @@
-/** Keeps track of the chunks that are staged on the engine's machine. */
+/** Keeps track of the chunks that are staged on the engine's machine, and of when each was last checked. */
+import { isRecentForOrder, maximumCheckAgeMilliseconds } from '../../core/weights/load-trust.js'
 import type { EnginePort } from '../../types/ports.js'
+import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { VersionChunks } from './chunk-store.js'
 
 const log = logFor('orders')
 
+/** Reads at the same time in each pass over the chunks; a slow engine needs more of them for checks that are recent enough. */
+const concurrentReads = [3, 6, 12, 24, 24] as const
+/** Age from which a check is renewed, milliseconds. */
+const renewalAgeMilliseconds = maximumCheckAgeMilliseconds / 2
+
 /** Stages the chunks of one version at a time; the engine stores one copy of a model and does not verify it. */
 export class Staging {
   private chunks: VersionChunks | undefined
-  private positions = new Set<number>()
+  /** When the last check that found the staged chunk right began, by position, milliseconds of the monotonic clock; 0 before the first. */
+  private checkedAt = new Map<number, number>()
 
   constructor (private readonly engine: EnginePort) {}
 
   /** Whether every chunk of a version was staged since the last reset. */
   isComplete (chunks: VersionChunks): boolean {
-    return this.chunks === chunks && this.positions.size === chunks.digests.length
+    return this.chunks === chunks && this.checkedAt.size === chunks.digests.length
+  }
+
+  /** When the oldest of the last checks of a version's chunks began, milliseconds of the monotonic clock; 0 if one is not checked. */
+  oldestCheckAt (chunks: VersionChunks): number {
+    return this.isComplete(chunks) ? Math.min(...this.checkedAt.values()) : 0
   }
 
   /** Stages the held chunks that are not staged yet, so that a restarted agent finds them. Throws when the engine fails. */
@@ -24,28 +37,72 @@
       this.chunks = chunks
     }
     for (let position = 0; position < chunks.digests.length; position += 1) {
-      const bytes = this.positions.has(position) ? undefined : chunks.get(position)
+      const bytes = this.checkedAt.has(position) ? undefined : chunks.get(position)
       if (bytes === undefined) continue
-      await this.engine.stage(chunks.model, position, bytes)
-      this.positions.add(position)
+      await this.stage(chunks, position, bytes)
     }
   }
 
-  /** Stages chunks again that are missing at the engine, are corrupt or belong to another version; throws if one of them is not held. */
-  async repair (chunks: VersionChunks): Promise<void> {
-    for (let position = 0; position < chunks.digests.length; position += 1) {
-      const staged = await this.engine.stagedChunk(chunks.model, position)
-      if (staged !== undefined && chunks.isValid(position, staged)) continue
-      log.warn('a staged chunk is missing or corrupt', { model: chunks.model, version: chunks.version, position })
-      const bytes = chunks.get(position)
-      if (bytes === undefined) throw new Error(`chunk ${position} of version ${chunks.version} is not held`)
-      await this.engine.stage(chunks.model, position, bytes)
+  /**
+   * Checks the staged chunks of a complete version, and stages anew those that are missing, corrupt or of another version,
+   * until all checks are recent enough for an order. Throws if the engine fails or is too slow, or if a chunk is not held.
+   */
+  async verify (chunks: VersionChunks): Promise<void> {
+    for (const reads of concurrentReads) {
+      await this.renewChecks(chunks, reads)
+      if (isRecentForOrder(this.oldestCheckAt(chunks), monotonicNow())) return
     }
+    throw new Error(`the checks of the chunks of version ${chunks.version} take too long`)
+  }
+
+  /** Checks the staged chunks again whose last check is no longer recent, and stages wrong ones anew. Throws as `verify` does. */
+  async renewChecks (chunks: VersionChunks, reads: number = concurrentReads[0]): Promise<void> {
+    if (this.chunks !== chunks) throw new Error(`version ${chunks.version} is not staged`)
+    const renewBefore = monotonicNow() - renewalAgeMilliseconds
+    const due = chunks.digests.map((_, position) => position).filter(position => (this.checkedAt.get(position) ?? 0) < renewBefore)
+    await this.forEachConcurrently(due, reads, position => this.checkOrRepair(chunks, position))
   }
 
   /** Clears the record of what is staged, after a restart of the engine or for another version. */
   reset (): void {
     this.chunks = undefined
-    this.positions = new Set()
+    this.checkedAt = new Map()
+  }
+
+  private async checkOrRepair (chunks: VersionChunks, position: number): Promise<void> {
+    const startedAt = monotonicNow()
+    const staged = await this.engine.stagedChunk(chunks.model, position)
+    if (this.chunks !== chunks) throw new Error(`version ${chunks.version} is staged no more`)
+    if (staged !== undefined && chunks.isValid(position, staged)) {
+      this.checkedAt.set(position, startedAt)
+      return
+    }
+    log.warn('a staged chunk is missing or corrupt', { model: chunks.model, version: chunks.version, position })
+    const bytes = chunks.get(position)
+    if (bytes === undefined) throw new Error(`chunk ${position} of version ${chunks.version} is not held`)
+    await this.stage(chunks, position, bytes)
+  }
+
+  private async stage (chunks: VersionChunks, position: number, bytes: Buffer): Promise<void> {
+    await this.engine.stage(chunks.model, position, bytes)
+    if (this.chunks === chunks) this.checkedAt.set(position, 0)
+  }
+
+  /** Calls `work` for each position, `count` at the same time; after a failure no further call begins, and those in progress are awaited. */
+  private async forEachConcurrently (positions: readonly number[], count: number, work: (position: number) => Promise<void>): Promise<void> {
+    const pending = [...positions]
+    const workOff = async (): Promise<void> => {
+      try {
+        for (let position = pending.shift(); position !== undefined; position = pending.shift()) {
+          await work(position)
+        }
+      } catch (error) {
+        pending.length = 0
+        throw error
+      }
+    }
+    const results = await Promise.allSettled(Array.from({ length: count }, workOff))
+    const failed = results.find(({ status }) => status === 'rejected')
+    if (failed?.status === 'rejected') throw failed.reason
   }
 }
--- a/test/weights-manifest.test.ts
+++ b/test/weights-manifest.test.ts
@@ -167,8 +167,10 @@
   })
 }
 
-test('manifest: a repair does not end while a chunk is neither staged nor held', async t => {
+test('manifest: a check of what is staged does not end while a chunk is neither staged nor held', async t => {
   const chunks = new VersionChunks(model, version, digests)
   for (const position of positions.slice(1)) chunks.put(position, chunkOf(position))
-  await t.rejects(new Staging(new StagedEngine()).repair(chunks), /chunk 0 of version 2 is not held/)
+  const staging = new Staging(new StagedEngine())
+  await staging.add(chunks)
+  await t.rejects(staging.verify(chunks), /chunk 0 of version 2 is not held/)
 })
--- a/test/weights-staging.test.ts
+++ b/test/weights-staging.test.ts
@@ -99,7 +99,7 @@
   t.equal(staging.isComplete(versionTwo), false)
 })
 
-test('staging: a repair leaves only valid chunks of the version', async t => {
+test('staging: a check leaves only valid chunks of the version', async t => {
   const engine = new StagedEngine()
   const staging = new Staging(engine)
   const versionTwo = heldChunks(2, allPositions)
@@ -107,6 +107,6 @@
   engine.chunks.set(1, Buffer.from('rotten'))
   engine.chunks.set(3, chunkOf(1, 3))
   engine.chunks.delete(0)
-  await staging.repair(versionTwo)
+  await staging.verify(versionTwo)
   t.same(allPositions.map(position => engine.chunks.get(position)), allPositions.map(position => chunkOf(2, position)))
 })
