Weights: an order without an answer stays open, and what it will take stays staged

Cause: an order whose answer did not come within a second counted as not given. It could still be accepted; meanwhile the agent went over to the next version and staged it over what the order took. The order's precondition does not help, since no other order was accepted in between. Change: LoadOrders keeps an order open until the engine's own count of orders, a restart, or an answer to a repetition settles it. Meanwhile no other version is staged, the same order is repeated, and what is staged is checked and kept whole, also while the engine is open to requests. Why it works: any order that is accepted takes the version that it names, and once one is accepted the precondition refuses all others.

--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -2,10 +2,10 @@
 import { drainModeOf, swapStartAt, type SwapScheduleView, type DrainMode } from '../../core/weights/swap-schedule.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { EngineReport } from '../../types/fleet.js'
-import type { EnginePort } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { VersionChunks } from './chunk-store.js'
+import type { LoadOrders } from './load-orders.js'
 import type { PeerTable } from './peer-table.js'
 import type { Staging } from './staging.js'
 
@@ -35,7 +35,7 @@
   /** Consecutive attempts that failed. */
   private failedSwaps = 0
 
-  constructor (private readonly ip: string, private readonly engine: EnginePort, private readonly staging: Staging, private readonly peers: PeerTable) {}
+  constructor (private readonly ip: string, private readonly orders: LoadOrders, private readonly staging: Staging, private readonly peers: PeerTable) {}
 
   /** Whether entries should send no requests here because a swap is about to begin. */
   get isClosed (): boolean {
@@ -91,9 +91,10 @@
     this.closeWhenDue(request, completeAt, true)
     const { report, target } = request
     const served = report.weights?.version ?? 0
-    if (report.isSwapping || served >= target.version || this.closed === undefined) return
-    const ending = drainModeOf(this.swapView(request, completeAt), report.running + report.waiting, this.closed.at, monotonicNow())
-    if (ending !== undefined) await this.order(chunks, request, served, ending)
+    const isDue = !report.isSwapping && served < target.version && this.closed !== undefined
+    const ending = isDue ? drainModeOf(this.swapView(request, completeAt), report.running + report.waiting, this.closed?.at ?? 0, monotonicNow()) : undefined
+    if (ending === undefined) await this.orders.keepWhole()
+    else await this.order(chunks, request, ending)
   }
 
   private swapView (request: SwapRequest, completeAt: number): SwapScheduleView {
@@ -101,18 +102,10 @@
     return { self: this.ip, served: report.weights?.version ?? 0, wanted: target.version, peers: this.peers.engines(), completeAt, cutoffAt: rolloutDeadline }
   }
 
-  private async order (chunks: VersionChunks, request: SwapRequest, served: number, ending: DrainMode): Promise<void> {
-    const { report, target, isResumable } = request
-    await this.staging.verify(chunks)
-    const sentAt = monotonicNow()
-    const checkAgeMilliseconds = Math.round(sentAt - this.staging.oldestCheckAt(chunks))
-    const result = await this.engine.load(chunks.model, chunks.version, report.orders, isResumable ? ending : 'wait').catch((error: unknown) => {
-      log.warn('no answer to an order to load weights: the engine may still accept it', { model: chunks.model, version: chunks.version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
-      throw error
-    })
+  private async order (chunks: VersionChunks, { report, target, isResumable }: SwapRequest, ending: DrainMode): Promise<void> {
+    await this.orders.order(chunks, report, isResumable ? ending : 'wait', target.since)
     this.closed = undefined
     this.failedSwaps = 0
-    log.info('the engine was ordered to load weights', { model: chunks.model, version: chunks.version, result, ending, orders: report.orders, served, running: report.running, checkAgeMilliseconds, answerMilliseconds: Math.round(monotonicNow() - sentAt), sinceMilliseconds: Math.round(monotonicNow() - target.since) })
   }
 
   /** Opens an engine again that cannot be swapped for some time: it serves what it has. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -18,6 +18,7 @@
 import type { VersionChunks } from './chunk-store.js'
 import { ChunkUploads } from './chunk-uploads.js'
 import { EngineSwapper, type SwapRequest } from './engine-swapper.js'
+import { LoadOrders } from './load-orders.js'
 import { LoadReporter } from './load-reporter.js'
 import { NamedVersions } from './named-versions.js'
 import { PeerTable } from './peer-table.js'
@@ -60,6 +61,7 @@
   private readonly server: Server
   private readonly uploads: ChunkUploads
   private readonly staging: Staging
+  private readonly orders: LoadOrders
   private readonly swapper: EngineSwapper
   private readonly versions: VersionCache
   private readonly loadReporter: LoadReporter
@@ -79,7 +81,8 @@
     this.uploads = new ChunkUploads(settings.linkBytesPerSecond)
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
-    this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
+    this.orders = new LoadOrders(ports.engine, this.staging)
+    this.swapper = new EngineSwapper(settings.ip, this.orders, this.staging, this.peers)
     const { service } = settings
     const { records, codec } = ports
     this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
@@ -184,6 +187,7 @@
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
+    this.orders.observe(report)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
     this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
@@ -213,9 +217,9 @@
     const wanted = this.versionToFetch(model)
     this.versions.fetchVersion(model, wanted.version, wanted.since)
     this.announcer.announce()
-    const chunks = this.versions.newestComplete(model)
+    const chunks = this.orders.openChunks ?? this.versions.newestComplete(model)
     if (this.report === undefined) return
-    this.closeEarly(model, wanted, this.report)
+    if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
     if (this.hasEngineTask) return
     if (chunks === undefined || this.served >= chunks.version) {
       this.stageHeldChunks(model, wanted.version)
@@ -228,7 +232,7 @@
   /** Stages fetched chunks as they arrive, so that they survive a restart of this process. */
   private stageHeldChunks (model: string, version: number): void {
     const chunks = this.versions.get(model, version)
-    if (chunks === undefined || this.served >= version) return
+    if (chunks === undefined || this.served >= version || !this.orders.mayStage(chunks)) return
     this.runEngineTask('stage chunks', this.staging.add(chunks))
   }
 
