Weights: a load that no check vouches for is not served, but read again or replaced

What callers may see: tokens of wrong weights after a pause of an agent, or of its machine, between the check and the moment in which the engine accepts the order; a pause there cannot be prevented. Cause: whatever an engine had accepted counted as whole. Otherwise the engine is closed to requests and what is staged is read again: chunks that are right after the order was accepted were right then. If they are not, the engine is ordered to give the version up (it refuses to load a version that it serves) and to load it again. The same holds for an order that this agent did not send, such as one of the process before it, and for a version that it did not order. An agent that stops stages and orders no more while its process ends.

--- a/src/core/weights/load-trust.ts
+++ b/src/core/weights/load-trust.ts
@@ -19,12 +19,40 @@
   readonly ordersBefore: number
 }
 
+/** When an engine accepted an order: after `after` and not later than `by`, milliseconds of the monotonic clock. */
+export interface AcceptanceTime {
+  readonly after: number
+  readonly by: number
+}
+
+/** Checks of staged chunks; all times in milliseconds of the monotonic clock. */
+export interface ChunkChecks {
+  /** When the oldest of the chunks' last checks began; 0 if a chunk was not checked. */
+  readonly oldestAt: number
+  /** End of the last time in which a chunk may have been wrong for longer than allowed; 0 for none. */
+  readonly lapsedUntil: number
+}
+
 /** Whether checks that began at `checkedAt` or later are recent enough for an order that is sent now. */
 export function isRecentForOrder (checkedAt: number, now: number): boolean {
   return now - checkedAt <= maximumCheckAgeMilliseconds
 }
 
+/** Whether a chunk that was right at `checkedAt` cannot have been wrong for longer than allowed at `time`. */
+export function isRightUntil (checkedAt: number, time: number): boolean {
+  return time - checkedAt <= corruptionToleranceMilliseconds
+}
+
 /** Whether an order is accepted, or can be no more, by what the engine reports. */
 export function isSettledBy ({ startedAt, ordersBefore }: LoadOrder, report: EngineReport): boolean {
   return report.startedAt !== startedAt || report.orders > ordersBefore
 }
+
+/**
+ * Whether checks vouch for a load: `whole`; or the chunks have to be read again, since chunks that are right now were
+ * right when they were taken: `unchecked`; or not even that tells: `doubtful`.
+ */
+export function judgeLoad ({ oldestAt, lapsedUntil }: ChunkChecks, accepted: AcceptanceTime): 'whole' | 'unchecked' | 'doubtful' {
+  if (lapsedUntil > accepted.after) return 'doubtful'
+  return isRightUntil(oldestAt, accepted.by) ? 'whole' : 'unchecked'
+}
--- a/src/roles/weights/engine-swapper.ts
+++ b/src/roles/weights/engine-swapper.ts
@@ -37,9 +37,9 @@
 
   constructor (private readonly ip: string, private readonly orders: LoadOrders, private readonly staging: Staging, private readonly peers: PeerTable) {}
 
-  /** Whether entries should send no requests here because a swap is about to begin. */
+  /** Whether entries should send no requests here: a swap is about to begin, or what the engine has loaded may be wrong. */
   get isClosed (): boolean {
-    return this.closed !== undefined
+    return this.closed !== undefined || this.orders.isUntrusted
   }
 
   /** Accepts requests again once the engine serves the version for which it was closed: the answer to the order may have been lost. */
--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -1,5 +1,5 @@
-/** Orders an engine to load what is staged, and knows which orders it may still accept. */
-import { isSettledBy, type LoadOrder } from '../../core/weights/load-trust.js'
+/** Orders an engine to load what is staged, and tells whether what it has loaded is whole. */
+import { isSettledBy, judgeLoad, type AcceptanceTime, type LoadOrder } from '../../core/weights/load-trust.js'
 import type { DrainMode } from '../../core/weights/swap-schedule.js'
 import type { EngineReport } from '../../types/fleet.js'
 import type { EnginePort, OrderResult } from '../../types/ports.js'
@@ -10,9 +10,12 @@
 
 const log = logFor('orders')
 
-/** Longest time for which an order without an answer holds up other versions, milliseconds. */
+/** Longest time for which an order without an answer holds up other versions, milliseconds; a load that it begins later is not trusted. */
 const maximumOpenMilliseconds = 15_000
 
+/** Time between two orders to give up a wrong load, milliseconds. */
+const unloadIntervalMilliseconds = 1000
+
 /** An order of this agent that may still be accepted, with the chunks that the engine will take. */
 interface OpenOrder extends LoadOrder {
   readonly chunks: VersionChunks
@@ -22,11 +25,26 @@
   readonly openUntil: number
 }
 
+/** A load for which no check vouches: `unchecked` until the staged chunks are read again, `wrong` until the engine loads anew or restarts. */
+interface UntrustedLoad {
+  readonly state: 'unchecked' | 'wrong'
+  /** What was ordered; undefined if this agent did not order it. */
+  readonly chunks: VersionChunks | undefined
+}
+
 /** Orders to one engine. */
 export class LoadOrders {
   private open: OpenOrder | undefined
+  private untrusted: UntrustedLoad | undefined
+  /** Version of the last load that was accepted by an order of this agent; undefined before the first, or after a restart of the engine. */
+  private loaded: number | undefined
   /** What the engine last told of its orders. */
   private known: { readonly startedAt: number, readonly orders: number } | undefined
+  /** When the last report was asked for that knew no other order, milliseconds of the monotonic clock. */
+  private unchangedAt = 0
+  /** Milliseconds of the monotonic clock before which no other order to give up a load is sent. */
+  private unloadRetryAt = 0
+  private isStopped = false
 
   constructor (private readonly engine: EnginePort, private readonly staging: Staging) {}
 
@@ -35,23 +53,46 @@
     return this.open?.chunks
   }
 
+  /** Whether the engine has loaded, or loads, what nothing vouches for: it must not serve that. */
+  get isUntrusted (): boolean {
+    return this.untrusted !== undefined
+  }
+
+  /** Whether what is staged must be read again, and must stay as it is until then: of which version is known if this agent ordered it. */
+  get unchecked (): { readonly isOwn: boolean } | undefined {
+    return this.untrusted?.state === 'unchecked' ? { isOwn: this.untrusted.chunks !== undefined } : undefined
+  }
+
+  /** Whether the engine should give up what it has loaded, so that it can be ordered to load the same version again. */
+  shouldUnload (report: EngineReport): boolean {
+    return this.untrusted?.state === 'wrong' && !report.isSwapping && report.weights !== undefined && monotonicNow() >= this.unloadRetryAt
+  }
+
   /** Whether chunks of a version may be staged: the engine takes no others any more. */
   mayStage (chunks: VersionChunks): boolean {
-    return this.open === undefined || this.open.chunks === chunks
+    return this.unchecked === undefined && (this.open === undefined || this.open.chunks === chunks)
   }
 
-  /** Takes what the engine reports. */
-  observe (report: EngineReport): void {
+  /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
+  observe (report: EngineReport, askedAt: number): void {
     const { startedAt, orders } = report
     if (this.open !== undefined && monotonicNow() >= this.open.openUntil) {
       log.warn('an order was neither answered nor accepted for long; going on with other versions', { version: this.open.version })
       this.open = undefined
     }
-    if (this.open !== undefined && isSettledBy(this.open, report)) {
-      log.info('an open order is settled', { version: this.open.version, orders, milliseconds: Math.round(monotonicNow() - this.open.sentAt) })
-      this.open = undefined
+    if (this.known?.startedAt !== startedAt) this.forget()
+    else if (orders > this.known.orders) this.settle(report)
+    if (this.known === undefined || orders >= this.known.orders) {
+      this.known = { startedAt, orders }
+      this.unchangedAt = askedAt
+    }
+    const served = report.weights?.version
+    if (!report.isSwapping && served === undefined) this.untrusted = undefined
+    if (!report.isSwapping && this.loaded !== undefined && served !== undefined && orders === this.known.orders && served !== this.loaded) {
+      log.warn('the engine has loaded another version than this agent ordered', { version: served, ordered: this.loaded, orders })
+      this.loaded = served
+      this.untrusted = { state: 'unchecked', chunks: undefined }
     }
-    if (this.known?.startedAt !== startedAt || orders > this.known.orders) this.known = { startedAt, orders }
   }
 
   /**
@@ -60,13 +101,14 @@
    */
   async order (chunks: VersionChunks, report: EngineReport, ending: DrainMode, namedAt: number): Promise<OrderResult> {
     await this.staging.verify(chunks)
+    if (this.isStopped) throw new Error('the agent stops')
     const { model, version } = chunks
     if (this.known?.startedAt !== report.startedAt || this.known.orders !== report.orders) return 'conflict'
     const order = { model, version, startedAt: report.startedAt, ordersBefore: report.orders }
     const isRepeated = this.open !== undefined
     const sentAt = monotonicNow()
     this.open ??= { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds }
-    const checkAgeMilliseconds = Math.round(sentAt - this.staging.oldestCheckAt(chunks))
+    const checkAgeMilliseconds = Math.round(sentAt - this.staging.checksOf(chunks).oldestAt)
     const result = await this.engine.load(model, version, report.orders, ending).catch((error: unknown) => {
       log.warn('no answer to an order to load weights: the engine may still accept it', { model, version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
       throw error
@@ -84,7 +126,8 @@
       answerMilliseconds: Math.round(answeredAt - sentAt),
       sinceMilliseconds: Math.round(answeredAt - namedAt)
     })
-    if (result === 'begun' || !isRepeated) this.open = undefined
+    if (result === 'begun') this.recordBegun(order, chunks, { after: sentAt, by: answeredAt })
+    else if (!isRepeated) this.open = undefined
     return result
   }
 
@@ -92,4 +135,82 @@
   async keepWhole (): Promise<void> {
     if (this.open !== undefined) await this.staging.renewChecks(this.open.chunks)
   }
+
+  /**
+   * Reads again what the engine took, before it serves it. `loaded`: the chunks of the version that the engine reports, for a
+   * load that this agent did not order; undefined if they cannot be known. Throws when the engine fails.
+   */
+  async checkLoad (loaded: VersionChunks | undefined): Promise<void> {
+    const { untrusted } = this
+    if (untrusted?.state !== 'unchecked') return
+    const chunks = untrusted.chunks ?? loaded
+    const isWhole = chunks !== undefined && await this.staging.isStaged(chunks)
+    if (this.untrusted !== untrusted) return
+    if (!isWhole) {
+      this.distrust(chunks, 'wrong')
+      return
+    }
+    this.untrusted = undefined
+    log.info('the load is whole: what is staged was read again', { version: chunks.version })
+  }
+
+  /** Orders the engine to give up a wrong load: it refuses to load a version that it serves. Throws if the engine does not answer. */
+  async unload (report: EngineReport): Promise<void> {
+    if (report.weights === undefined || this.isStopped) return
+    const { model, version } = report.weights
+    this.unloadRetryAt = monotonicNow() + unloadIntervalMilliseconds
+    const result = await this.engine.unload(model, version, report.orders)
+    log.warn('the engine was ordered to give up a load that may be wrong', { model, version, result, orders: report.orders })
+    if (result === 'begun' && this.known?.startedAt === report.startedAt) this.known = { startedAt: report.startedAt, orders: Math.max(this.known.orders, report.orders + 1) }
+    if (result === 'begun') this.loaded = undefined
+  }
+
+  /** Sends no further orders. */
+  stop (): void {
+    this.isStopped = true
+  }
+
+  private forget (): void {
+    this.open = undefined
+    this.untrusted = undefined
+    this.loaded = undefined
+  }
+
+  /** The answer may come after a report that has already told of the order. */
+  private recordBegun (order: LoadOrder, chunks: VersionChunks, accepted: AcceptanceTime): void {
+    const orders = order.ordersBefore + 1
+    if (this.known === undefined || this.known.startedAt !== order.startedAt || this.known.orders >= orders) return
+    this.known = { startedAt: order.startedAt, orders }
+    this.accept(chunks, accepted)
+  }
+
+  /** The engine has accepted an order since its last report. */
+  private settle (report: EngineReport): void {
+    const { open } = this
+    const isOwn = open !== undefined && isSettledBy(open, report) && report.orders === open.ordersBefore + 1
+    if (isOwn) {
+      log.info('an open order was accepted', { version: open.version, orders: report.orders, milliseconds: Math.round(monotonicNow() - open.sentAt) })
+      this.accept(open.chunks, { after: Math.max(this.unchangedAt, open.sentAt), by: monotonicNow() })
+      return
+    }
+    log.warn('the engine has accepted an order that this agent did not send', { orders: report.orders, before: this.known?.orders ?? 0 })
+    this.open = undefined
+    this.loaded = undefined
+    this.untrusted = { state: 'unchecked', chunks: undefined }
+  }
+
+  private accept (chunks: VersionChunks, accepted: AcceptanceTime): void {
+    this.open = undefined
+    this.loaded = chunks.version
+    const checks = this.staging.checksOf(chunks)
+    const verdict = judgeLoad(checks, accepted)
+    if (verdict === 'whole') this.untrusted = undefined
+    else this.distrust(chunks, verdict === 'unchecked' ? 'unchecked' : 'wrong')
+  }
+
+  private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state']): void {
+    this.untrusted = { state, chunks }
+    const message = state === 'wrong' ? 'the engine has taken chunks that may be wrong: it is closed until it loads others' : 'the checks of what the engine has taken are too old: it is read again'
+    log.warn(message, { version: chunks?.version ?? 0 })
+  }
 }
--- a/src/roles/weights/staging.ts
+++ b/src/roles/weights/staging.ts
@@ -1,5 +1,5 @@
 /** Keeps track of the chunks that are staged on the engine's machine, and of when each was last checked. */
-import { isRecentForOrder, maximumCheckAgeMilliseconds } from '../../core/weights/load-trust.js'
+import { isRecentForOrder, isRightUntil, maximumCheckAgeMilliseconds, type ChunkChecks } from '../../core/weights/load-trust.js'
 import type { EnginePort } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -17,6 +17,8 @@
   private chunks: VersionChunks | undefined
   /** When the last check that found the staged chunk right began, by position, milliseconds of the monotonic clock; 0 before the first. */
   private checkedAt = new Map<number, number>()
+  private lapsedUntil = 0
+  private isStopped = false
 
   constructor (private readonly engine: EnginePort) {}
 
@@ -25,9 +27,9 @@
     return this.chunks === chunks && this.checkedAt.size === chunks.digests.length
   }
 
-  /** When the oldest of the last checks of a version's chunks began, milliseconds of the monotonic clock; 0 if one is not checked. */
-  oldestCheckAt (chunks: VersionChunks): number {
-    return this.isComplete(chunks) ? Math.min(...this.checkedAt.values()) : 0
+  /** The checks of a version's staged chunks. */
+  checksOf (chunks: VersionChunks): ChunkChecks {
+    return { oldestAt: this.isComplete(chunks) ? Math.min(...this.checkedAt.values()) : 0, lapsedUntil: this.lapsedUntil }
   }
 
   /** Stages the held chunks that are not staged yet, so that a restarted agent finds them. Throws when the engine fails. */
@@ -50,7 +52,7 @@
   async verify (chunks: VersionChunks): Promise<void> {
     for (const reads of concurrentReads) {
       await this.renewChecks(chunks, reads)
-      if (isRecentForOrder(this.oldestCheckAt(chunks), monotonicNow())) return
+      if (isRecentForOrder(this.checksOf(chunks).oldestAt, monotonicNow())) return
     }
     throw new Error(`the checks of the chunks of version ${chunks.version} take too long`)
   }
@@ -63,10 +65,26 @@
     await this.forEachConcurrently(due, reads, position => this.checkOrRepair(chunks, position))
   }
 
+  /** Whether all staged chunks are those of a version; stages nothing. Throws when the engine fails. */
+  async isStaged (chunks: VersionChunks): Promise<boolean> {
+    let areRight = true
+    await this.forEachConcurrently(chunks.digests.map((_, position) => position), concurrentReads[0], async position => {
+      const staged = areRight ? await this.engine.stagedChunk(chunks.model, position) : undefined
+      if (staged === undefined || !chunks.isValid(position, staged)) areRight = false
+    })
+    return areRight
+  }
+
   /** Clears the record of what is staged, after a restart of the engine or for another version. */
   reset (): void {
     this.chunks = undefined
     this.checkedAt = new Map()
+    this.lapsedUntil = 0
+  }
+
+  /** Ends what is in progress before its next call; another process of this agent may follow. */
+  stop (): void {
+    this.isStopped = true
   }
 
   private async checkOrRepair (chunks: VersionChunks, position: number): Promise<void> {
@@ -80,10 +98,14 @@
     log.warn('a staged chunk is missing or corrupt', { model: chunks.model, version: chunks.version, position })
     const bytes = chunks.get(position)
     if (bytes === undefined) throw new Error(`chunk ${position} of version ${chunks.version} is not held`)
+    const rightAt = this.checkedAt.get(position) ?? 0
     await this.stage(chunks, position, bytes)
+    const now = monotonicNow()
+    if (!isRightUntil(rightAt, now)) this.lapsedUntil = now
   }
 
   private async stage (chunks: VersionChunks, position: number, bytes: Buffer): Promise<void> {
+    this.throwIfStopped()
     await this.engine.stage(chunks.model, position, bytes)
     if (this.chunks === chunks) this.checkedAt.set(position, 0)
   }
@@ -94,6 +116,7 @@
     const workOff = async (): Promise<void> => {
       try {
         for (let position = pending.shift(); position !== undefined; position = pending.shift()) {
+          this.throwIfStopped()
           await work(position)
         }
       } catch (error) {
@@ -105,4 +128,8 @@
     const failed = results.find(({ status }) => status === 'rejected')
     if (failed?.status === 'rejected') throw failed.reason
   }
+
+  private throwIfStopped (): void {
+    if (this.isStopped) throw new Error('the agent stops')
+  }
 }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -116,6 +116,8 @@
 
   async stop (): Promise<void> {
     this.isStopped = true
+    this.orders.stop()
+    this.staging.stop()
     this.rollout.stop()
     this.versions.stop()
     this.datagrams.close()
@@ -166,12 +168,13 @@
   private async watch (): Promise<void> {
     let isUnreachable = false
     while (!this.isStopped) {
-      const nextAt = monotonicNow() + reportIntervalMilliseconds
+      const askedAt = monotonicNow()
+      const nextAt = askedAt + reportIntervalMilliseconds
       try {
         const report = await this.ports.engine.report()
         if (isUnreachable) log.info('the engine answers again', { startedAt: report.startedAt })
         isUnreachable = false
-        this.handleReport(report)
+        this.handleReport(report, askedAt)
       } catch (error) {
         if (!isUnreachable) log.warn('the engine does not answer', { reason: String(error) })
         isUnreachable = true
@@ -183,11 +186,11 @@
   }
 
   /** Stores a report and sends it to entries; after a restart of the engine, staging and swap start over. */
-  private handleReport (report: EngineReport): void {
+  private handleReport (report: EngineReport, askedAt: number): void {
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
-    this.orders.observe(report)
+    this.orders.observe(report, askedAt)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
     this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
@@ -221,6 +224,14 @@
     if (this.report === undefined) return
     if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
     if (this.hasEngineTask) return
+    if (this.orders.unchecked !== undefined) {
+      this.checkLoad(model, wanted.version, this.orders.unchecked.isOwn, this.report)
+      return
+    }
+    if (this.orders.shouldUnload(this.report) && (chunks === undefined || this.served >= chunks.version)) {
+      this.runEngineTask('give up a wrong load', this.orders.unload(this.report))
+      return
+    }
     if (chunks === undefined || this.served >= chunks.version) {
       this.stageHeldChunks(model, wanted.version)
       return
@@ -229,6 +240,13 @@
     this.runEngineTask('swap the weights', this.swapper.swap(chunks, this.swapRequest(target, this.report), chunks.completedAt))
   }
 
+  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its manifest is, unless a newer version follows anyway. */
+  private checkLoad (model: string, wanted: number, isOwn: boolean, report: EngineReport): void {
+    const loaded = this.versions.get(model, this.served)
+    const isKnown = isOwn || (!report.isSwapping && this.served > 0 && (loaded !== undefined || this.served < wanted))
+    if (isKnown) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
+  }
+
   /** Stages fetched chunks as they arrive, so that they survive a restart of this process. */
   private stageHeldChunks (model: string, version: number): void {
     const chunks = this.versions.get(model, version)
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -164,6 +164,10 @@
   abstract stage (model: string, position: number, chunk: Buffer): Promise<void>
   /** Orders the engine to load the staged chunks. The engine refuses unless it has accepted exactly `ordersBefore` orders so far. */
   abstract load (model: string, version: number, ordersBefore: number, drainMode: DrainMode): Promise<OrderResult>
+  /** Orders the engine to give up the version that it serves, under the same condition; refused where an engine cannot. */
+  async unload (_model: string, _version: number, _ordersBefore: number): Promise<OrderResult> {
+    return 'refused'
+  }
 }
 
 /** The origin of weights; `address` is `ip:port`. */
--- a/test/fakes/staged-engine.ts
+++ b/test/fakes/staged-engine.ts
@@ -61,9 +61,13 @@
   readonly onRead: (position: number) => void
   /** Called when an order arrives, before it is accepted. */
   readonly onOrder: (version: number) => void
+  /** Called when an order was accepted, before the answer. */
+  readonly onAccepted: (version: number) => void
+  /** Called when a chunk is to be staged. */
+  readonly onStage: (position: number) => void
 }
 
-const noFaults: StagedEngineFaults = { readMilliseconds: 0, acceptMilliseconds: [], loadMilliseconds: 200, onRead: () => {}, onOrder: () => {} }
+const noFaults: StagedEngineFaults = { readMilliseconds: 0, acceptMilliseconds: [], loadMilliseconds: 200, onRead: () => {}, onOrder: () => {}, onAccepted: () => {}, onStage: () => {} }
 
 /** An engine that serves version 1, which is also staged. */
 export class StagedEngine extends EnginePort {
@@ -76,6 +80,7 @@
   /** Since when a position has held bytes that turned bad, milliseconds of the monotonic clock. */
   private readonly corruptSince = new Map<number, number>()
   private orders = 0
+  /** Version that is served; 0 for none. */
   private served = 1
   private loading: { readonly version: number, readonly until: number } | undefined
 
@@ -99,7 +104,7 @@
 
   async report (): Promise<EngineReport> {
     const served = this.loadedVersion
-    return { startedAt: 1, orders: this.orders, isSwapping: this.loading !== undefined, running: 0, waiting: 0, weights: { model, version: served } }
+    return { startedAt: 1, orders: this.orders, isSwapping: this.loading !== undefined, running: 0, waiting: 0, weights: served === 0 ? undefined : { model, version: served } }
   }
 
   async staged (): Promise<readonly number[]> { return [...this.chunks.keys()] }
@@ -112,6 +117,7 @@
   }
 
   async stage (_model: string, position: number, chunk: Buffer): Promise<void> {
+    this.faults.onStage(position)
     this.chunks.set(position, chunk)
     this.corruptSince.delete(position)
   }
@@ -126,6 +132,13 @@
     throw new Error('no answer')
   }
 
+  override async unload (_model: string, version: number, ordersBefore: number): Promise<OrderResult> {
+    if (this.loading !== undefined || ordersBefore !== this.orders || this.loadedVersion !== version) return 'conflict'
+    this.orders += 1
+    this.served = 0
+    return 'begun'
+  }
+
   private get loadedVersion (): number {
     if (this.loading !== undefined && monotonicNow() >= this.loading.until) {
       this.served = this.loading.version
@@ -141,6 +154,7 @@
     this.orders += 1
     this.accepted.push({ version, wrong: this.wrongPositions(version) })
     this.loading = { version, until: monotonicNow() + this.faults.loadMilliseconds }
+    this.faults.onAccepted(version)
     return 'begun'
   }
 
