Entries: a request that ended two upstreams and waits for a silent third is not sent to a fourth

Seen: in crashing-request-dark the request ends 6 to 9 upstreams (8 are the goal). A traced run that ended 9: its third call was silent from 0.9 s on, two records were gone at 2.1 and 2.2 s, and at 2.3 s it was sent to another upstream, which it ended as well. The record of the third was gone at 2.5 s.

Cause: whether another upstream may be called beside a silent one is decided from ends that are proved. A connection that is reset counts before that decision; an upstream that goes dark counts only once its record is gone, so the one that the request is waiting for did not count.

Change: CrashSuspects.isSuspect also counts the upstreams that are silent on the request, for the request as a whole and only if another end counts against it. A silent upstream alone, or any number of them, holds nothing back, and new requests are refused from proved ends only.

This does not mend the two entries of crashing-request-dark.

--- a/src/core/dispatch/crash-suspects.ts
+++ b/src/core/dispatch/crash-suspects.ts
@@ -117,9 +117,12 @@
     return false
   }
 
-  /** Whether a request with these traits must not be sent again after it was lost: one of them may have crashed several upstreams. */
-  isSuspect (traits: readonly string[]): boolean {
-    return traits.some(trait => this.endCount(trait) >= policyOf(trait).heldBackEnds)
+  /**
+   * Whether a request with these traits must not be sent again: one of them may have crashed several upstreams. Upstreams that
+   * are `silent` on this request count as crashed by the request as a whole if others were; most of them only pause.
+   */
+  isSuspect (traits: readonly string[], silent: readonly string[] = []): boolean {
+    return traits.some(trait => this.endCount(trait) + this.possibleEndCount(trait, silent) >= policyOf(trait).heldBackEnds)
   }
 
   /** Number of traits that are refused. */
@@ -226,6 +229,12 @@
     return known === undefined ? 0 : countMoments([...known.ends.values()], policyOf(trait).momentMilliseconds)
   }
 
+  /** Number of silent upstreams whose ends do not count against the request yet; 0 if no end does, and for parts. */
+  private possibleEndCount (trait: string, silent: readonly string[]): number {
+    const ends = this.suspected.get(trait)?.ends
+    return ends === undefined || isPart(trait) ? 0 : silent.filter(upstream => !ends.has(upstream)).length
+  }
+
   private isLapsed (trait: string, known: SuspectedTrait, now: number): boolean {
     return this.lastAt(known) + policyOf(trait).retentionMilliseconds <= now
   }
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -43,7 +43,8 @@
   readonly tried = new Set<string>()
   /** The upstream whose stream the caller's answer began with. */
   startedBy: UpstreamView | undefined
-  private readonly inProgress = new Set<CallInProgress>()
+  /** Calls in progress, with the incarnation of their upstream. */
+  private readonly inProgress = new Map<CallInProgress, string>()
   private receivedForeignAnswer = false
   private readonly ended: EndedAttempt[] = []
   private wake: () => void = () => {}
@@ -63,7 +64,12 @@
 
   /** Calls in progress. */
   get open (): readonly OpenCall[] {
-    return [...this.inProgress]
+    return [...this.inProgress.keys()]
+  }
+
+  /** Incarnations of the upstreams of the calls in progress. */
+  get openUpstreams (): readonly string[] {
+    return [...this.inProgress.values()]
   }
 
   /** The next call that ends. */
@@ -77,7 +83,7 @@
 
   /** Cancels all calls. */
   cancel (): void {
-    for (const call of this.inProgress) call.cancel()
+    for (const call of this.inProgress.keys()) call.cancel()
   }
 
   /** Calls an upstream of which a slot was taken; `ran` others may have run the request. */
@@ -130,7 +136,7 @@
     const evidence = new RunEvidence(context.suspects, context.unprovedRuns, request.traits, incarnationOf(upstream), now)
     const waitNumber = waits.recordSent(now)
     const stopWatching = isStream ? context.unstartedCalls.add(request.model, view, call) : undefined
-    this.inProgress.add(call)
+    this.inProgress.set(call, incarnationOf(upstream))
     call.result.then(result => {
       recordCallEnd(evidence, result)
       this.handleEnd(call, { view, sentAt: now, result })
@@ -140,7 +146,7 @@
   /** Passes on the events of a call once the others are cancelled: they would repeat them. */
   private sinkFor (view: UpstreamView, call: () => CallInProgress, begun: () => void): EventSink {
     const goOn = (): void => {
-      for (const other of this.inProgress) if (other !== call()) other.cancel()
+      for (const other of this.inProgress.keys()) if (other !== call()) other.cancel()
     }
     const { answer } = this
     return {
--- a/test/fakes/stream-fleet.ts
+++ b/test/fakes/stream-fleet.ts
@@ -153,6 +153,11 @@
     this.calls.clear()
   }
 
+  /** Removes the record of an upstream, which has not said that it leaves. */
+  removeRecord (upstream: number): void {
+    this.log.append('instances', `i-${upstream}`, undefined)
+  }
+
   async stop (): Promise<void> {
     await this.entry.node.stop()
     for (const server of this.servers) {
