Tests: fake weights agents have addresses of their own

Seen: "listen EADDRINUSE 127.0.0.1:39048" beside a second run, after which the file waited until 300 s, and "bind EADDRINUSE 127.0.0.2:28132" in one of three runs at once.

Cause: the agent and the entry of the fake were at 127.0.0.1 and 127.0.0.2, on ports that follow from the process id. Processes with neighbouring ids have overlapping ranges of ports there, and those from 32768 on belong to the range of which the kernel takes ports of outgoing connections. A start that fails left the entry's socket open, so that the file did not end.

Change: both have an address of their own (freshIp), like the other fakes, and the socket is closed after a start that fails too.

--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -8,6 +8,7 @@
 import type { WeightsSettings } from '../../src/types/node-settings.js'
 import { EnginePort, OriginPort, RecordCodec, RecordLog, type KeyedRecord, type ReadCost, type ReadRecords, type OrderResult, type RecordPage, type StreamName } from '../../src/types/ports.js'
 import { sleepUntil, monotonicNow } from '../../src/utils/clock.js'
+import { freshIp, internalPort } from './entry-group.js'
 import { at } from './positions.js'
 
 export const model = 'badge'
@@ -150,13 +151,14 @@
   async chunk (): Promise<Buffer> { throw new Error('the origin is down') }
 }
 
-let lastPort = 20_000 + process.pid % 20_000
-
-/** A running agent, and the socket of an entry at another loopback address. */
+/** A running agent, and the socket of an entry at another loopback address with the same port. */
 export class WeightsNode {
   readonly log = new FakeLog()
   readonly origin = new FakeOrigin()
-  private readonly port = lastPort += 1
+  private readonly ip = freshIp()
+  private readonly entryIp = freshIp()
+  /** Port of both, which other processes have at other addresses. */
+  readonly port = internalPort
   private readonly entry = new DatagramSocket(this.port, message => { this.received.push(message) })
   /** Messages that the entry received. */
   readonly received: NodeMessage[] = []
@@ -164,9 +166,10 @@
 
   /** Starts the entry's socket and the agent, by default beside an engine that has no weights. */
   async start (engine: EnginePort = new FakeEngine(), origin: OriginPort = this.origin): Promise<void> {
-    await this.entry.open('127.0.0.2')
-    const node = await startWeightsAgent({ ...settings, internalPort: this.port }, { records: this.log, codec: new FakeCodec(), engine, origin })
-    this.stops.push(() => node.stop(), () => { this.entry.close() })
+    this.stops.push(() => { this.entry.close() })
+    await this.entry.open(this.entryIp)
+    const node = await startWeightsAgent({ ...settings, ip: this.ip, seeds: [this.entryIp], internalPort: this.port }, { records: this.log, codec: new FakeCodec(), engine, origin })
+    this.stops.unshift(() => node.stop())
   }
 
   async stop (): Promise<void> {
@@ -175,12 +178,12 @@
 
   /** Sends a message from the entry. */
   send (message: NodeMessage): void {
-    this.entry.send(message, settings.ip)
+    this.entry.send(message, this.ip)
   }
 
   /** Text of the agent's metrics page. */
   async metrics (): Promise<string> {
-    return await (await fetch(`http://${settings.ip}:${this.port}/metrics`)).text()
+    return await (await fetch(`http://${this.ip}:${this.port}/metrics`)).text()
   }
 
   /** Repeats `send` each 200 ms for `milliseconds`. */
