Weights: an agent's list does not outvote the origin's, nor confirm its own chunks

Bytes in doubt keep their sources; an agent's list confirms only bytes that came from elsewhere as well, and none at which the origin's last list repeated the known digest. The origin's list counts as before.

--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -2,7 +2,7 @@
 import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import { maximumFetches, nextDistributionFetch, fetchRanks, originPlaces, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
-import { DigestDoubts } from '../../core/weights/digest-doubt.js'
+import { DigestDoubts, originSource } from '../../core/weights/digest-doubt.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
@@ -212,7 +212,7 @@
     if (!this.chunks.put(chunkFetch.position, chunk)) {
       this.chunkCounts.corrupt += 1
       this.recordFailure(chunkFetch, 'the digest does not match')
-      if (this.doubts.recordMismatch(chunkFetch.position, digestBytes(chunk), chunk)) this.context.onDigestDoubted(this.doubts)
+      if (this.doubts.recordMismatch(chunkFetch.position, digestBytes(chunk), chunk, chunkFetch.peer ?? originSource)) this.context.onDigestDoubted(this.doubts)
       return
     }
     if (chunkFetch.peer !== undefined) this.peerFailures.delete(chunkFetch.peer)
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -1,6 +1,6 @@
 /** Versions of a model's weights in an agent's memory, and the fetch of the current one. */
 import type { Agent } from 'node:http'
-import type { DigestDoubts } from '../../core/weights/digest-doubt.js'
+import { originSource, type DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
@@ -139,13 +139,16 @@
     const { model, version } = chunks
     const { peers } = this.context
     const holders = peers.all().filter(({ ip }) => peers.hasManifest(ip, model, version)).slice(0, maximumManifestSources)
-    const sources = [() => this.fetchFromOrigin(model, version), ...holders.map(({ ip, isSameDataCentre }) => () => this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']))]
-    for (const fetchDigests of sources) {
-      const digests = await fetchDigests().catch((error: unknown) => { log.warn('could not fetch a manifest again', { model, version, reason: String(error) }) })
+    const fromAgents = holders.map(({ ip, isSameDataCentre }) => ({ source: ip, fetch: () => this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']) }))
+    for (const { source, fetch } of [{ source: originSource, fetch: () => this.fetchFromOrigin(model, version) }, ...fromAgents]) {
+      const digests = await fetch().catch((error: unknown) => { log.warn('could not fetch a manifest again', { model, version, source, reason: String(error) }) })
       if (this.current !== chunks) return
-      const wrong = doubts.confirmedBy(digests ?? [])
+      if (digests === undefined) continue
+      const agreed = source === originSource ? doubts.recordOriginList(digests, chunks.digests) : []
+      if (agreed.length > 0) log.warn('chunks arrive that the origin does not list; their digests stay', { model, version, positions: agreed.join() })
+      const wrong = doubts.confirmedBy(digests, source)
       if (wrong.length === 0) continue
-      log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, positions: wrong.map(({ position }) => position).join() })
+      log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, source, positions: wrong.map(({ position }) => position).join() })
       this.replace(chunks, chunks.withDigests(wrong))
       return
     }
--- a/test/weights-manifest.test.ts
+++ b/test/weights-manifest.test.ts
@@ -4,7 +4,7 @@
 import { test, type Test } from 'tap'
 import { PlatformOrigin } from '../platform/engine.js'
 import { emptyBitmap, formatBitmap } from '../src/core/weights/bitmap.js'
-import { DigestDoubts } from '../src/core/weights/digest-doubt.js'
+import { DigestDoubts, originSource } from '../src/core/weights/digest-doubt.js'
 import { VersionChunks } from '../src/roles/weights/chunk-store.js'
 import { PeerTable } from '../src/roles/weights/peer-table.js'
 import { Staging } from '../src/roles/weights/staging.js'
@@ -139,12 +139,12 @@
 
 test('manifest: a chunk that is spoilt in another way each time does not put its digest in doubt', async t => {
   const doubts = new DigestDoubts()
-  const spoilt = ['a', 'b', 'a', 'c'].map((digest, index) => doubts.recordMismatch(0, digest, Buffer.from([index])))
+  const spoilt = ['a', 'b', 'a', 'c'].map((digest, index) => doubts.recordMismatch(0, digest, Buffer.from([index]), originSource))
   t.same(spoilt, [false, false, false, false])
-  t.same(doubts.confirmedBy(['a']), [])
-  t.equal(doubts.recordMismatch(0, 'c', Buffer.from([4])), true)
-  t.same(doubts.confirmedBy(['b']), [], 'only another list that has this digest confirms it')
-  t.equal(doubts.confirmedBy(['c']).length, 1)
+  t.same(doubts.confirmedBy(['a'], originSource), [])
+  t.equal(doubts.recordMismatch(0, 'c', Buffer.from([4]), originSource), true)
+  t.same(doubts.confirmedBy(['b'], originSource), [], 'only another list that has this digest confirms it')
+  t.equal(doubts.confirmedBy(['c'], originSource).length, 1)
 })
 
 const manifest = { 'model-id': model, version, 'chunk-bytes': 64, digests }
