Entry: a call whose connection comes too late is not sent

What callers and upstreams saw: after a pause of an entry a request reached its upstream with the deadline, the expected weights, the slot and the permit of before the pause. The connection is reported before the timer of its deadline fires, so that the call went on; and a queued request that took a slot after its deadline was sent on a kept connection with a deadline of 1 ms.

The deadline of the connection is now checked beside the check whether the upstream still gets requests, just before anything is sent.

--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -20,7 +20,7 @@
   /** The upstream may have run the request. */
   | { readonly kind: 'lost', readonly reason: LostReason }
 
-/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests or the call was cancelled before it had a connection (`withdrawn`). */
+/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests, the connection came too late or the call was cancelled before it had one (`withdrawn`). */
 export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), `finishBy` passed (`timeout`), an answer to another request, or one that is unsigned or
@@ -45,6 +45,7 @@
   readonly resumedAfter: string | undefined
   /** Id that the answer must carry; the first one on a connection may carry none. */
   readonly requestId: string
+  /** When there must be a connection; past it nothing is sent, since the upstream, the headers and the slot were chosen too long ago. */
   readonly connectBy: number
   /** Whether the upstream gets no more requests; checked when there is a connection, before anything is sent. */
   readonly isWithdrawn: () => boolean
@@ -127,7 +128,8 @@
 
   private handleConnected (): void {
     if (this.isFinished) return
-    if (this.call.isWithdrawn()) {
+    // After a pause of this process a connection is reported before the timer of its deadline.
+    if (this.call.isWithdrawn() || monotonicNow() > this.call.connectBy) {
       this.abandon({ kind: 'not-run', reason: 'withdrawn' })
       return
     }
