Entry: a granted slot is not used after its agent has ceased to count it

What upstreams saw: requests beyond their limit after a slow way, a pause of the entry or one of the agent. An agent counts a grant for 40 ms; the entry held it for 20 ms from the arrival of the answer, however long that took, and an answer that came after its time limit still counted unless another look had noted the limit before.

A slot is held at most until the time limit of its question, so that it is never held longer than the agent counts it. A grant that is not used lapses at the agent with the next report after 40 ms.

--- a/src/core/dispatch/slot-requests.ts
+++ b/src/core/dispatch/slot-requests.ts
@@ -29,7 +29,7 @@
 const answerTimeoutMilliseconds = 40
 /** Time between two rounds of one search, milliseconds. */
 const askIntervalMilliseconds = 15
-/** Time for which a granted slot may be used, milliseconds; within it the request still arrives while the agent counts the grant. */
+/** Time for which a granted slot may be used, milliseconds; within it, and within the time for an answer, the request still arrives while the agent counts the grant. */
 const validityMilliseconds = 20
 /** Time for which an agent that had no slot counts as full, milliseconds: about as long as an engine at full load takes to end a request. */
 const fullMilliseconds = 100
@@ -57,14 +57,14 @@
     return this.lastNumber
   }
 
-  /** Applies an agent's answer; whether the search has no more answers to wait for. */
+  /** Applies an agent's answer; a grant whose age is not known, since it comes too late, is not held. Whether the search has no more answers to wait for. */
   receive (number: number, answer: SlotAnswer, now: number): boolean {
     const request = this.pending.get(number)
     if (request === undefined) return false
     this.pending.delete(number)
     this.silentUntil.delete(request.upstreamId)
     if (!answer.isGranted) this.fullUntil.set(request.upstreamId, now + fullMilliseconds)
-    else this.held = [...this.held, { upstreamId: request.upstreamId, number, load: answer.load, until: now + validityMilliseconds }]
+    else this.held = [...this.held, { upstreamId: request.upstreamId, number, load: answer.load, until: Math.min(request.until, now + validityMilliseconds) }]
     return !this.awaitsAnswer(request.search)
   }
 
