Agent: an order that is no longer due once the running requests have ended is not sent

What was seen: while requests still ran, chunks were evicted, the engine started again with the wanted weights, or loaded them already; the order was sent in each of these, and the engine gave up the weights that it served to load again, or found no chunks. No wrong weights come of it: the engine fetches chunks by their digests, and each line of an answer tells its weights.

isComplete and the engine's state were read before the wait for running requests and used after it; only the wanted manifest and the fencing token were read again. All of them are now.

--- a/src/roles/agent/engine-orders.ts
+++ b/src/roles/agent/engine-orders.ts
@@ -68,6 +68,11 @@
     return { wanted: this.host.wanted, engine: this.engine, isOrdering: this.isSwapping }
   }
 
+  /** Whether the engine still needs the order: while requests ran, weights may have been wanted, evicted or loaded. */
+  private isStillDue (manifest: string): boolean {
+    return this.host.wanted === manifest && needsLoadOrder({ ...this.view, isOrdering: false }, this.host.isComplete)
+  }
+
   private async watch (): Promise<void> {
     while (!this.stopping.signal.aborted) {
       await this.host.probe()
@@ -83,7 +88,8 @@
     this.host.changed()
     try {
       await this.drain()
-      if (this.host.wanted === manifest && this.lease.fence !== undefined) await this.order(manifest, this.lease.fence)
+      if (this.isStillDue(manifest) && this.lease.fence !== undefined) await this.order(manifest, this.lease.fence)
+      else log.info('the load order is no longer due', { manifest, wanted: this.host.wanted, weights: this.engine?.weights ?? '' })
     } catch (error) {
       log.warn('the load order was not confirmed; reading the engine state', { reason: String(error) })
     }
