Weights: a chunk that arrives while its digest is in doubt ends the doubt

Callers would have got tokens of another version (WHOLE) where the origin's list, asked for again because of a doubt, was that of another version: the answer took 1.5 s, the right chunks had arrived meanwhile, and the complete copy was replaced by one with chunks of the other version. The doubt was raised before the call and used after it.

A digest under which a chunk is held is not corrected.

Before: the case 'one that confirms a doubt arrives after the chunk that ends the doubt' of weights-wrong-list failed.

--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -146,7 +146,8 @@
       if (digests === undefined) continue
       const agreed = source === originSource ? doubts.recordOriginList(digests, chunks.digests) : []
       if (agreed.length > 0) log.warn('chunks arrive that the origin does not list; their digests stay', { model, version, positions: agreed.join() })
-      const wrong = doubts.confirmedBy(digests, source)
+      // A chunk that has arrived meanwhile shows that its digest is right.
+      const wrong = doubts.confirmedBy(digests, source).filter(({ position }) => !chunks.has(position))
       if (wrong.length === 0) continue
       log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, source, positions: wrong.map(({ position }) => position).join() })
       this.replace(chunks, chunks.withDigests(wrong))
--- a/test/weights-wrong-list.test.ts
+++ b/test/weights-wrong-list.test.ts
@@ -129,6 +129,43 @@
   })
 }
 
+/** Has no chunks until it is asked for the manifest again; answers that, 1.5 s later, with the list of another version. */
+class LateOrigin extends OriginPort {
+  private asked = 0
+
+  async digests (): Promise<readonly string[]> {
+    this.asked += 1
+    if (this.asked === 1) return whole
+    await sleepUntil(monotonicNow() + 1500)
+    return digestsOf(2)
+  }
+
+  async chunk (_address: string, _model: string, ofVersion: number, position: number): Promise<Buffer> {
+    if (this.asked === 1) throw new Error('the origin is down')
+    return chunkOf(position, ofVersion)
+  }
+}
+
+test('wrong list: one that confirms a doubt arrives after the chunk that ends the doubt', async t => {
+  const peers = new PeerTable('127.0.0.1', 'east')
+  const cache = createCache(t, new LateOrigin(), peers)
+  while (cache.get(model, version) === undefined) {
+    cache.fetchVersion(model, version, monotonicNow())
+    await sleepUntil(monotonicNow() + 10)
+  }
+  const ip = await startAgent(t, digestsOf(2), position => chunkOf(position, 2))
+  peers.addPeers([['east', ip]])
+  const deadline = monotonicNow() + 5000
+  while (monotonicNow() < deadline) {
+    peers.receiveHoldings({ kind: 'holdings', dataCentre: 'east', model, version, held: allHeld, heldInDataCentre: '', served: 1, isSwapping: false }, ip)
+    cache.fetchVersion(model, version, monotonicNow())
+    await sleepUntil(monotonicNow() + 20)
+  }
+  const held = cache.newestComplete(model)
+  t.ok(held, 'a copy is complete')
+  t.same(positions.filter(position => held?.get(position)?.equals(chunkOf(position, version)) !== true), [], 'it holds the chunks of the version')
+})
+
 test('wrong list: an agent that answers late for one version is asked for the next one', async t => {
   const ip = freshIp()
   const server = createServer((incoming, response) => {
