Agent: a lease that is appended late does not end the lease of a successor

What was seen: an agent appended its lease, got no answer and ended; its successor appended and read back its own; then the first append was executed. The successor took the record for a later holder: it served no weights and gave no orders for good, although no other agent lived.

An append without an answer counted as not given unless it had been read back; the record did not tell what its agent knew. It now carries the offset up to which its agent had read; a record has no effect if another lease of the instance that took effect lies from there on. All readers fold this alike, without clocks. Records without the field count as before, so agents of both builds go on beside each other.

--- a/src/core/engine-orders.ts
+++ b/src/core/engine-orders.ts
@@ -18,21 +18,33 @@
   readonly fence: number | undefined
   /** Whether a later record names another holder; never reset. */
   readonly isSuperseded: boolean
+  /** Offset of the latest record that took effect, of any holder; undefined before the first. */
+  readonly latest: number | undefined
   /** Ids of the latest records, so that a record that was appended twice counts once. */
   readonly seen: readonly string[]
 }
 
 /** Lease state before any record was read. */
-export const noLease: LeaseState = { fence: undefined, isSuperseded: false, seen: [] }
+export const noLease: LeaseState = { fence: undefined, isSuperseded: false, latest: undefined, seen: [] }
 
 const maximumSeenRecords = 32
 
-/** Folds the next record of the leases stream; `leaseId` is the id of this agent's record. */
+/**
+ * Folds the next record of the leases stream; `leaseId` is the id of this agent's record. An append without an answer may
+ * be executed when its agent has ended: a record whose agent had not read the latest lease has no effect.
+ */
 export function foldLease (lease: LeaseState, instance: string, leaseId: string, offset: number, record: LeaseRecord): LeaseState {
   if (record.instance !== instance || lease.seen.includes(record.id)) return lease
   const seen = [...lease.seen, record.id].slice(-maximumSeenRecords)
-  if (record.id === leaseId) return { ...lease, fence: offset, seen }
-  return { ...lease, isSuperseded: lease.isSuperseded || lease.fence !== undefined, seen }
+  const isOutdated = record.after !== undefined && lease.latest !== undefined && lease.latest >= record.after
+  if (isOutdated) return { ...lease, seen }
+  if (record.id === leaseId) return { ...lease, fence: offset, latest: offset, seen }
+  return { ...lease, isSuperseded: lease.isSuperseded || lease.fence !== undefined, latest: offset, seen }
+}
+
+/** Whether this agent's record was read back without an effect, so that it needs another one. */
+export function needsNewLease (lease: LeaseState, leaseId: string): boolean {
+  return lease.fence === undefined && lease.seen.includes(leaseId)
 }
 
 /** Manifest digest of the weights that requests may use; empty while an order is in progress or the engine serves none. */
--- a/src/types/configuration.ts
+++ b/src/types/configuration.ts
@@ -131,7 +131,9 @@
   type: z.literal('lease'),
   id: z.string().min(1).max(64),
   instance: name,
-  incarnation: z.string().min(1).max(64)
+  incarnation: z.string().min(1).max(64),
+  /** Offset of the first record that its agent had not read; without effect if another lease of the instance was written since. */
+  after: z.number().int().nonnegative().optional()
 }).readonly()
 
 /** `claim` reserves the single run of a non-idempotent request; `release` revokes the claim with the same id, whose request was never sent. */
--- a/test/claims.test.ts
+++ b/test/claims.test.ts
@@ -58,12 +58,20 @@
   { name: 'record superseded', ids: ['own', 'later'], isAllowed: false, fence: 0 },
   { name: 'record appended twice', ids: ['own', 'own'], isAllowed: true, fence: 0 },
   { name: 'older record appended again', ids: ['old', 'own', 'old'], isAllowed: true, fence: 1 },
-  { name: 'record superseded and appended again', ids: ['own', 'later', 'own'], isAllowed: false, fence: 0 }
+  { name: 'record superseded and appended again', ids: ['own', 'later', 'own'], isAllowed: false, fence: 0 },
+  { name: 'record of an agent that had not read this one', ids: ['own', 'ended@0'], isAllowed: true, fence: 0 },
+  { name: 'record of an agent that had read this one', ids: ['own', 'later@1'], isAllowed: false, fence: 0 },
+  { name: 'record of an agent that had not read an outdated one', ids: ['own@0', 'ended@0', 'later@1'], isAllowed: false, fence: 0 },
+  { name: 'own record that had not read another one', ids: ['later@0', 'own@0'], isAllowed: false, fence: undefined },
+  { name: 'own record that had read another one', ids: ['old@0', 'own@1'], isAllowed: true, fence: 1 }
 ] as const
 
 for (const { name, ids, isAllowed, fence } of leases) {
   test(`lease: ${name}`, async t => {
-    const folded = ids.map((id): LeaseRecord => ({ type: 'lease', id, instance: 'one', incarnation: id })).reduce((lease, record, offset) => foldLease(lease, 'one', 'own', offset, record), noLease)
+    const folded = ids.map((text): LeaseRecord => {
+      const [id = '', after] = text.split('@')
+      return { type: 'lease', id, instance: 'one', incarnation: id, ...after === undefined ? {} : { after: Number(after) } }
+    }).reduce((lease, record, offset) => foldLease(lease, 'one', 'own', offset, record), noLease)
     t.equal(mayOrder(folded), isAllowed)
     t.equal(folded.fence, fence)
   })
