Lines of a call tell what decides on another attempt

What a caller saw: nothing yet. The lines of a failed call gave its reason, but not how many calls had counted, been withdrawn or refused by then, of how many allowed, nor how old the call was; which decision sent a request to a third upstream could only be concluded from the order of the lines.

Added: attemptMilliseconds, ran, withdrawn, refused, inProgress, maximumUpstreams; withdrawn and refused on the line of a call beside a silent one.

--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -17,10 +17,19 @@
   readonly result: CallResult
   /** When it was sent, milliseconds of the monotonic clock. */
   readonly sentAt: number
+  readonly counts: CallCounts
+}
+
+/** Calls of a request that failed so far, by whether their upstreams may have run it (`ran`), it was withdrawn from them, or they certainly did not run it (`refused`), and its other calls that have not ended. */
+export interface CallCounts {
+  readonly ran: number
+  readonly withdrawn: number
+  readonly refused: number
+  readonly inProgress: number
 }
 
 /** Logs the result of a call and records the times of an answer; -1 stands for a time that is not known. */
-export function logCall (sentence: string, { request, answer, view, result, sentAt }: EndedCall, { metrics, state }: ServingContext): void {
+export function logCall (sentence: string, { request, answer, view, result, sentAt, counts }: EndedCall, { metrics, state }: ServingContext): void {
   const now = monotonicNow()
   const firstByteMilliseconds = answer.firstByteAt === undefined ? -1 : Math.round(answer.firstByteAt - request.arrivedAt)
   if (result.kind === 'answer' || result.kind === 'stream-ended') {
@@ -36,6 +45,9 @@
     version: view.weights?.version ?? 0,
     result: result.kind,
     reason: 'reason' in result ? result.reason : result.kind === 'answer' ? String(result.head.status) : '',
+    attemptMilliseconds: Math.round(now - sentAt),
+    ...counts,
+    maximumUpstreams: request.route.maximumUpstreams,
     end: 'isFramed' in result ? result.isFramed ? 'framed' : 'connection' : '',
     configuration: state.table?.configuration.version ?? 0,
     isLate: request.isLate,
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -113,7 +113,7 @@
     }
     context.budget.take(service, entries, now)
     context.pool.recordSent(view.upstream.id)
-    log.info('upstream silent; another one is called as well', { id: request.caller.id, route: request.route.name, upstream: view.upstream.id, inProgress: this.calls.count, events: this.answer.eventCount, ran: this.ran })
+    log.info('upstream silent; another one is called as well', { id: request.caller.id, route: request.route.name, upstream: view.upstream.id, inProgress: this.calls.count, events: this.answer.eventCount, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused })
     try {
       this.startCall(view)
     } catch (error) {
@@ -287,7 +287,7 @@
   }
 
   private log (sentence: string, attempt: EndedAttempt): void {
-    const { request, answer } = this
-    logCall(sentence, { request, answer, ...attempt }, this.context)
+    const { request, answer, ran, withdrawn, refused } = this
+    logCall(sentence, { request, answer, ...attempt, counts: { ran, withdrawn, refused, inProgress: this.calls.count } }, this.context)
   }
 }
