An upstream from which a request was withdrawn counts as one that may have run it

Cause: a withdrawn call was not counted as an attempt, since an upstream that had sent no event had most likely not run it. One that hangs, is slow or has just begun has, and the entry cannot tell: nothing says so before the first event. The decision looked at what was likely, not at what is possible.

Ruled out: swaps that cut a run (their calls end as reset or incomplete, which count), refusals and 421, calls beside a silent one (open calls are counted).

Change: attempts are ran and withdrawn together, in the bound, the takeover, the time until a call counts as silent and the last error. What an upstream refuses, and what was never sent, still does not count; nor does what is left below the bound change: one withdrawal of two attempts leaves the other.

--- a/src/core/dispatch/next-step.ts
+++ b/src/core/dispatch/next-step.ts
@@ -7,7 +7,7 @@
   readonly route: Route
   /** Upstreams that may have started to run it. */
   readonly ran: number
-  /** Upstreams from which it was withdrawn before its answer began. They most likely did not run it, so that they are not counted as attempts; to be certain, what may not run twice is not sent again. */
+  /** Upstreams from which it was withdrawn before its answer began. They may have run it: one that hangs or is slow has begun without an event. */
   readonly withdrawn: number
   /** Upstreams that certainly did not run it. */
   readonly refused: number
@@ -26,12 +26,18 @@
 /** Upstreams that may refuse a request before it fails. */
 const maximumRefusals = 3
 
+/** Upstreams that may have run the request, by which its attempts are bounded. */
+export function countAttempts ({ ran, withdrawn }: Pick<RequestProgress, 'ran' | 'withdrawn'>): number {
+  return ran + withdrawn
+}
+
 /** Step after a call that ended without a complete answer. */
 export function nextStep (progress: RequestProgress): NextStep {
-  const mayHaveRun = progress.ran + progress.withdrawn > 0
+  const attempts = countAttempts(progress)
+  const mayHaveRun = attempts > 0
   if (progress.isPastDeadline) return { kind: 'fail', tag: mayHaveRun ? 'deadline-passed' : 'out-of-time' }
   if (mayHaveRun && !isRepeatable(progress.route)) return { kind: 'fail', tag: 'upstream-lost' }
-  const isExhausted = progress.ran >= progress.route.maximumUpstreams || progress.refused >= maximumRefusals || !progress.hasBudget
+  const isExhausted = attempts >= progress.route.maximumUpstreams || progress.refused >= maximumRefusals || !progress.hasBudget
   if (isExhausted) return { kind: 'fail', tag: mayHaveRun ? 'upstream-lost' : 'busy' }
   return { kind: 'resend' }
 }
--- a/src/core/dispatch/takeover.ts
+++ b/src/core/dispatch/takeover.ts
@@ -1,5 +1,5 @@
 /** Decisions while several upstreams may answer one request: when to ask another one beside those that are silent, and which call answers. */
-import { isRepeatable, nextStep, type RequestProgress } from './next-step.js'
+import { countAttempts, isRepeatable, nextStep, type RequestProgress } from './next-step.js'
 
 /** A call in progress; a silent one has sent nothing for a while and may go on. */
 export interface OpenCall {
@@ -26,6 +26,6 @@
   if (yielded === 'usable') return 'deliver'
   if (others > 0) return 'await-others'
   if (yielded === 'none') return 'decide'
-  const isLast = !isRepeatable(progress.route) || progress.ran + 1 >= progress.route.maximumUpstreams || progress.isPastDeadline
+  const isLast = !isRepeatable(progress.route) || countAttempts(progress) + 1 >= progress.route.maximumUpstreams || progress.isPastDeadline
   return isLast ? 'deliver' : 'decide'
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -4,7 +4,7 @@
 import { permitDeadline, queueDeadline, repeatDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
 import { refusedShare } from '../../core/dispatch/first-event-waits.js'
 import { SlotSearch } from '../../core/dispatch/slot-requests.js'
-import { nextStep, type RequestProgress } from '../../core/dispatch/next-step.js'
+import { countAttempts, nextStep, type RequestProgress } from '../../core/dispatch/next-step.js'
 import { mayTakeOver, stepAfterEnd, type CallYield } from '../../core/dispatch/takeover.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { regionsFor } from '../../core/fleet/match-route.js'
@@ -40,7 +40,7 @@
   private noSlotReason: PlacementFailure = 'full'
   /** Calls whose upstream may have run the request. */
   private ran = 0
-  /** Calls that were withdrawn before their answer began: their upstream has most likely not run it. */
+  /** Calls that were withdrawn before their answer began; their upstream may have run it too. */
   private withdrawn = 0
   /** Calls whose upstream certainly did not run it. */
   private refused = 0
@@ -124,7 +124,7 @@
   /** Calls an upstream of which a slot was taken; throws, with the slot given back, if no call can be made of the request. */
   private startCall (view: UpstreamView): void {
     try {
-      this.calls.start(view, this.ran + this.calls.count)
+      this.calls.start(view, this.attempts + this.calls.count)
     } catch (error) {
       this.releaseSlot(view)
       throw error
@@ -142,7 +142,7 @@
     const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     const hasLeft = this.callerDisconnect.signal.aborted
-    const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.ran + this.withdrawn)
+    const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.attempts)
     if (view === undefined || (tag === undefined && !hasLeft)) return view
     this.releaseSlot(view)
     if (tag !== undefined && !hasLeft) this.fail(tag)
@@ -219,8 +219,14 @@
     })
   }
 
+  /** Upstreams of failed calls that may have run the request. */
+  private get attempts (): number {
+    const { ran, withdrawn } = this
+    return countAttempts({ ran, withdrawn })
+  }
+
   private get mayHaveRun (): boolean {
-    return this.ran + this.withdrawn > 0
+    return this.attempts > 0
   }
 
   private minimumVersion (): number | undefined {
--- a/test/fakes/engine-fleet.ts
+++ b/test/fakes/engine-fleet.ts
@@ -63,23 +63,34 @@
       response.writeHead(421, { 'x-not-executed': '1', 'x-attempt-id': id }).end()
       return
     }
+    this.run(id, Number(incoming.headers['last-event-id'] ?? 0), response)
+  }
+
+  /** Answers a request that it does not refuse; the caller has the events up to number `after`. */
+  protected run (id: string, after: number, response: ServerResponse): void {
+    this.sendAfter(this.firstEventMilliseconds, id, after, response)
+  }
+
+  /** Sends the stream after a wait: up to event number `last`, then the end of the stream or, before its last event, a reset. */
+  protected sendAfter (milliseconds: number, id: string, after: number, response: ServerResponse, last = eventCount): void {
     let isDropped = false
     response.on('close', () => { isDropped = true })
     setTimeout(() => {
       if (isDropped) return
       this.begun.set(id, monotonicNow())
       response.writeHead(200, { 'x-server-stamp': 'stamp', 'x-attempt-id': id, 'content-type': 'text/event-stream' })
-      this.sendEvents(response, Number(incoming.headers['last-event-id'] ?? 0))
-    }, this.firstEventMilliseconds)
+      this.sendEvents(response, after, last)
+    }, milliseconds)
   }
 
-  private sendEvents (response: ServerResponse, sent: number): void {
-    if (sent === eventCount) {
-      response.end()
+  private sendEvents (response: ServerResponse, sent: number, last: number): void {
+    if (sent >= last) {
+      if (last === eventCount) response.end()
+      else response.socket?.resetAndDestroy()
       return
     }
     response.write(`id: ${sent + 1}\ndata: token\n\n`)
-    setTimeout(() => { this.sendEvents(response, sent + 1) }, this.eventMilliseconds)
+    setTimeout(() => { this.sendEvents(response, sent + 1, last) }, this.eventMilliseconds)
   }
 }
 
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -20,6 +20,8 @@
   { name: 'a silent call beside one that may send', calls: [silent, active], expected: false },
   { name: 'all attempts in progress', calls: [silent, silent, silent], expected: false },
   { name: 'all attempts ended or in progress', progress: { ran: 2 }, calls: [silent], expected: false },
+  { name: 'withdrawn from two others', progress: { withdrawn: 2 }, calls: [silent], expected: false },
+  { name: 'withdrawn from another one', progress: { withdrawn: 1 }, calls: [silent], expected: true },
   { name: 'a refusal is no attempt', progress: { ran: 1, refused: 1 }, calls: [silent], expected: true },
   { name: 'three refusals', progress: { refused: 3 }, calls: [silent], expected: false },
   { name: 'one attempt', progress: withRoute({ maximumUpstreams: 1 }), calls: [silent], expected: false },
@@ -42,6 +44,7 @@
   { name: 'an error beside others on the last attempt', progress: { ran: 2 }, yielded: 'error', others: 1, expected: 'await-others' },
   { name: 'an error', yielded: 'error', others: 0, expected: 'decide' },
   { name: 'an error on the last attempt', progress: { ran: 2 }, yielded: 'error', others: 0, expected: 'deliver' },
+  { name: 'an error on the last attempt, after two withdrawals', progress: { withdrawn: 2 }, yielded: 'error', others: 0, expected: 'deliver' },
   { name: 'an error past the deadline', progress: { isPastDeadline: true }, yielded: 'error', others: 0, expected: 'deliver' },
   { name: 'an error of a request that runs once', progress: withRoute({ kind: 'once' }), yielded: 'error', others: 0, expected: 'deliver' }
 ]
--- a/test/wrong-version.test.ts
+++ b/test/wrong-version.test.ts
@@ -31,7 +31,7 @@
 }
 
 const cases: readonly Case[] = [
-  { name: 'one attempt', route: { isResumable: true, maximumUpstreams: 1 }, expected: 'whole', servedBy: 'named' },
+  { name: 'one attempt', route: { isResumable: true, maximumUpstreams: 1 }, expected: 502 },
   { name: 'two attempts', route: { isResumable: true, maximumUpstreams: 2 }, expected: 'whole', servedBy: 'named' },
   { name: 'an upstream that is listed with the named version but has older weights', route: { isResumable: true, maximumUpstreams: 2 }, listedVersion: namedVersion, requests: 1, hasNamed: false, expected: 503 },
   { name: 'an upstream whose record names the named version while requests wait there, but which keeps older weights', route: { isResumable: true, maximumUpstreams: 2 }, relistedVersion: namedVersion, expected: 'whole', servedBy: 'named' },
