Calls that end at once all count before another upstream is called beside a silent one

What upstreams see: with three attempts, one upstream silent and two others from which the request is withdrawn in the same check, a fourth is called.

Cause: the ends are counted one after another; after the first, the takeover was decided on from the counted ends and the calls in progress, and the second end was in neither.

--- a/src/core/dispatch/takeover.ts
+++ b/src/core/dispatch/takeover.ts
@@ -8,11 +8,12 @@
 
 /**
  * Whether another upstream may be asked now. Silent calls are left open, as a healthy upstream may pause: the first one
- * to go on answers. Each of them counts as one that may have run.
+ * to go on answers. Each of them counts as one that may have run, and so do the `ended` calls that `progress` does not
+ * count yet: several may end at once.
  */
-export function mayTakeOver (progress: RequestProgress, calls: readonly OpenCall[]): boolean {
+export function mayTakeOver (progress: RequestProgress, calls: readonly OpenCall[], ended: number): boolean {
   if (calls.length === 0 || !calls.every(({ isSilent }) => isSilent)) return false
-  return nextStep({ ...progress, ran: progress.ran + calls.length }).kind === 'resend'
+  return nextStep({ ...progress, ran: progress.ran + calls.length + ended }).kind === 'resend'
 }
 
 /** What a call left: an answer for the caller (`usable`), one that is an error or does not continue the caller's stream (`error`), or none. */
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -104,7 +104,7 @@
   private considerTakeover (): void {
     const { request, context } = this
     clearTimeout(this.takeoverTimer)
-    if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open) || context.suspects.isSuspect(request.traits)) return
+    if (this.isOver || this.callerDisconnect.signal.aborted || !mayTakeOver(this.progress(), this.calls.open, this.calls.endedCount) || context.suspects.isSuspect(request.traits)) return
     const [service, entries, now] = [request.service.name, context.entryCount(), monotonicNow()]
     const view = context.budget.hasRetry(service, entries, now) ? this.chooseUpstream(undefined) : 'full'
     if (typeof view === 'string') {
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -56,6 +56,11 @@
     return this.inProgress.size + this.ended.length
   }
 
+  /** Calls whose end `next` has not returned yet. */
+  get endedCount (): number {
+    return this.ended.length
+  }
+
   /** Whether a call received the answer to another request. */
   get hasForeignAnswer (): boolean {
     return this.receivedForeignAnswer
--- a/test/attempts-exceeded.test.ts
+++ b/test/attempts-exceeded.test.ts
@@ -56,6 +56,7 @@
   { name: 'the first hangs and it is withdrawn, the second is reset', maximumUpstreams: 2, sentBefore: 1500, steps: ['hang', 'reset', 20], engines: [older(), named(1), named(1)], runs: 2, expected: 'cut' },
   { name: 'withdrawn before the first counts as silent, and the second hangs', maximumUpstreams: 2, sentBefore: 1500, steps: ['hang', 'hang', 20], engines: [older(), named(1), named(1)], runs: 2, expected: 504 },
   { name: 'one attempt', maximumUpstreams: 1, sentBefore: 1500, steps: ['hang', 20], engines: [older(), named(1)], runs: 1, expected: 502 },
+  { name: 'withdrawn from two at once beside a silent one', maximumUpstreams: 3, sentBefore: 4800, steps: [4700, 'hang', 'hang', 20], engines: [named(0), older(1), older(1), named(3)], runs: 3, expected: 'whole' },
   { name: 'allowed: withdrawn from the first, and the second answers', maximumUpstreams: 2, sentBefore: 1500, steps: ['hang', 20], engines: [older(), named(1)], runs: 2, expected: 'whole' },
   { name: 'allowed: withdrawn from the first, refused, and another one answers', maximumUpstreams: 2, sentBefore: 1500, steps: ['hang', 20], engines: [older(), refusing(1), refusing(1), named(1)], runs: 2, expected: 'whole' },
   { name: 'allowed: withdrawn from two, and the third answers', maximumUpstreams: 3, sentBefore: 2800, steps: ['hang', 'hang', 20], engines: [older(), older(), named(2)], runs: 3, expected: 'whole' }
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -11,7 +11,7 @@
 const active: OpenCall = { isSilent: false }
 const withRoute = (changes: Partial<Route>): Partial<RequestProgress> => ({ route: { ...route, ...changes } })
 
-const takeoverCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly calls: readonly OpenCall[], readonly expected: boolean }[] = [
+const takeoverCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly calls: readonly OpenCall[], readonly ended?: number, readonly expected: boolean }[] = [
   { name: 'one silent call', calls: [silent], expected: true },
   { name: 'one silent call before the first event', progress: { hasBegun: false }, calls: [silent], expected: true },
   { name: 'two silent calls, a third attempt', calls: [silent, silent], expected: true },
@@ -22,6 +22,8 @@
   { name: 'all attempts ended or in progress', progress: { ran: 2 }, calls: [silent], expected: false },
   { name: 'withdrawn from two others', progress: { withdrawn: 2 }, calls: [silent], expected: false },
   { name: 'withdrawn from another one', progress: { withdrawn: 1 }, calls: [silent], expected: true },
+  { name: 'one that ended at the same time as a counted one', progress: { ran: 1 }, calls: [silent], ended: 1, expected: false },
+  { name: 'one that ended and is not counted, a third attempt', calls: [silent], ended: 1, expected: true },
   { name: 'a refusal is no attempt', progress: { ran: 1, refused: 1 }, calls: [silent], expected: true },
   { name: 'three refusals', progress: { refused: 3 }, calls: [silent], expected: false },
   { name: 'one attempt', progress: withRoute({ maximumUpstreams: 1 }), calls: [silent], expected: false },
@@ -31,8 +33,8 @@
   { name: 'past the deadline', progress: { isPastDeadline: true }, calls: [silent], expected: false }
 ]
 
-for (const { name, progress: changes, calls, expected } of takeoverCases) {
-  test(`takeover: ${name}`, async t => { t.equal(mayTakeOver({ ...progress, ...changes }, calls), expected) })
+for (const { name, progress: changes, calls, ended = 0, expected } of takeoverCases) {
+  test(`takeover: ${name}`, async t => { t.equal(mayTakeOver({ ...progress, ...changes }, calls, ended), expected) })
 }
 
 const endCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly yielded: CallYield, readonly others: number, readonly expected: EndStep }[] = [
