Weights: what an earlier process of the agent staged stays while its order may still be accepted

What callers saw: tokens of version 2 with chunks of version 3, after an agent was killed or stopped just after its order and replaced, while the engine accepted the order late. Cause: an order that is open is known to the process that sent it only; its successor staged another version over what the order took. Change: a process that finds a complete copy of another version staged keeps it for its first 6 s. An order that is accepted later is one that this agent did not send: the engine is not served until it has loaded what is known.

--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -13,6 +13,8 @@
 /** Longest time for which an order without an answer holds up other versions, milliseconds; a load that it begins later is not trusted. */
 const maximumOpenMilliseconds = 15_000
 
+/** Time from the start of a process until an order of an earlier one counts as lost, milliseconds; a load that it begins later is not trusted. */
+const maximumLateOrderMilliseconds = 6000
 /** Time between two orders to give up a wrong load, milliseconds. */
 const unloadIntervalMilliseconds = 1000
 
@@ -42,8 +44,11 @@
   private known: { readonly startedAt: number, readonly orders: number } | undefined
   /** When the last report was asked for that knew no other order, milliseconds of the monotonic clock. */
   private unchangedAt = 0
+  private readonly createdAt = monotonicNow()
   /** Milliseconds of the monotonic clock before which no other order to give up a load is sent. */
   private unloadRetryAt = 0
+  /** Milliseconds of the monotonic clock until which nothing may be staged over what an earlier process of this agent staged; 0 if it may. */
+  private retainUntil = 0
   private isStopped = false
 
   constructor (private readonly engine: EnginePort, private readonly staging: Staging) {}
@@ -70,7 +75,13 @@
 
   /** Whether chunks of a version may be staged: the engine takes no others any more. */
   mayStage (chunks: VersionChunks): boolean {
-    return this.unchecked === undefined && (this.open === undefined || this.open.chunks === chunks)
+    return monotonicNow() >= this.retainUntil && this.unchecked === undefined && (this.open === undefined || this.open.chunks === chunks)
+  }
+
+  /** An earlier process of this agent has staged a complete copy of another version: the engine may still accept its order. */
+  retainStaged (): void {
+    this.retainUntil = this.createdAt + maximumLateOrderMilliseconds
+    log.info('keeping what is staged: an order of an earlier process may still be accepted', { milliseconds: Math.round(this.retainUntil - monotonicNow()) })
   }
 
   /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -43,6 +43,8 @@
   onChunksChanged (): void
   /** Called after a chunk was fetched from the origin. */
   onOriginChunk (position: number): void
+  /** Called when an earlier process has staged a complete copy of another version. */
+  onOtherCopy (): void
 }
 
 /** Holds the latest versions and runs one fetch at a time. */
@@ -183,10 +185,12 @@
   /** Reads chunks of a version that an earlier process of this agent staged on the engine's machine. */
   private async loadStaged (chunks: VersionChunks): Promise<void> {
     try {
-      for (const position of await this.context.engine.staged(chunks.model)) {
+      const staged = await this.context.engine.staged(chunks.model)
+      for (const position of staged) {
         const bytes = await this.context.engine.stagedChunk(chunks.model, position)
         if (bytes !== undefined) chunks.put(position, bytes)
       }
+      if (staged.length >= chunks.digests.length && chunks.heldCount === 0) this.context.onOtherCopy()
     } catch (error) {
       log.warn('could not read staged chunks', { model: chunks.model, reason: String(error) })
     }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -101,7 +101,8 @@
       chunkCount: () => this.rollout.facts?.chunkCount ?? 0,
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
-      onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) }
+      onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) },
+      onOtherCopy: () => { this.orders.retainStaged() }
     })
     this.server = createServer((incoming, response) => { this.handleRequest(incoming, response) })
   }
@@ -228,11 +229,11 @@
       this.checkLoad(model, wanted.version, this.orders.unchecked.isOwn, this.report)
       return
     }
-    if (this.orders.shouldUnload(this.report) && (chunks === undefined || this.served >= chunks.version)) {
+    if (this.served >= wanted.version && this.orders.shouldUnload(this.report)) {
       this.runEngineTask('give up a wrong load', this.orders.unload(this.report))
       return
     }
-    if (chunks === undefined || this.served >= chunks.version) {
+    if (chunks === undefined || this.served >= chunks.version || !this.orders.mayStage(chunks)) {
       this.stageHeldChunks(model, wanted.version)
       return
     }
--- a/test/slow-link-weights.test.ts
+++ b/test/slow-link-weights.test.ts
@@ -58,7 +58,7 @@
       announcements.push(() => { table.receiveHoldings({ kind: 'holdings', dataCentre, model, version, held: isLast ? allHeld : '', heldInDataCentre: '', served: 1, isSwapping: false }, ip) })
     }
     const httpAgent = new Agent({ keepAlive: true, maxSockets: 2 })
-    const cache = new VersionCache({ ip: '127.0.0.1', internalPort, engine: new EmptyEngine(), origin: new AwayOrigin(), peers: table, httpAgent, originFacts: () => undefined, chunkCount: () => chunkCount, chunkBytes: () => 64, onChunksChanged: () => {}, onOriginChunk: () => {} })
+    const cache = new VersionCache({ ip: '127.0.0.1', internalPort, engine: new EmptyEngine(), origin: new AwayOrigin(), peers: table, httpAgent, originFacts: () => undefined, chunkCount: () => chunkCount, chunkBytes: () => 64, onChunksChanged: () => {}, onOriginChunk: () => {}, onOtherCopy: () => {} })
     const startedAt = monotonicNow()
     while (cache.newestComplete(model) === undefined && monotonicNow() < startedAt + limitMilliseconds) {
       for (const announce of announcements) announce()
--- a/test/weights-manifest.test.ts
+++ b/test/weights-manifest.test.ts
@@ -71,7 +71,8 @@
     chunkCount: () => chunkCount,
     chunkBytes: () => 64,
     onChunksChanged: () => {},
-    onOriginChunk: () => {}
+    onOriginChunk: () => {},
+    onOtherCopy: () => {}
   })
   t.teardown(() => {
     cache.stop()
--- a/test/weights-staging.test.ts
+++ b/test/weights-staging.test.ts
@@ -57,7 +57,8 @@
     chunkCount: () => allPositions.length,
     chunkBytes: () => 20,
     onChunksChanged: () => {},
-    onOriginChunk: () => {}
+    onOriginChunk: () => {},
+    onOtherCopy: () => {}
   })
   versions.fetchVersion(model, version, monotonicNow())
   await until(() => versions.current !== undefined)
--- a/test/weights-wrong-list.test.ts
+++ b/test/weights-wrong-list.test.ts
@@ -73,7 +73,8 @@
     chunkCount: () => chunkCount,
     chunkBytes: () => 64,
     onChunksChanged: () => {},
-    onOriginChunk: () => {}
+    onOriginChunk: () => {},
+    onOtherCopy: () => {}
   })
   t.teardown(() => {
     cache.stop()
