Weights: an order that may have come to a restarted engine stays open

What callers saw: tokens of version 2 with chunks of version 3, after the engine restarted as the order arrived and accepted it afterwards. Cause: a restart counted as the end of every order; one that is sent before the restart is known goes to the new process, whose count of orders may fit its precondition. Change: an order that was sent after the last report of the old process was asked for stays open.

--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -21,8 +21,9 @@
 /** An order of this agent that may still be accepted, with the chunks that the engine will take. */
 interface OpenOrder extends LoadOrder {
   readonly chunks: VersionChunks
-  /** When it was first sent, milliseconds of the monotonic clock. */
+  /** When it was first sent, and last repeated, milliseconds of the monotonic clock. */
   readonly sentAt: number
+  readonly repeatedAt: number
   /** Milliseconds of the monotonic clock. */
   readonly openUntil: number
 }
@@ -91,7 +92,7 @@
       log.warn('an order was neither answered nor accepted for long; going on with other versions', { version: this.open.version })
       this.open = undefined
     }
-    if (this.known?.startedAt !== startedAt) this.forget()
+    if (this.known?.startedAt !== startedAt) this.forget(startedAt)
     else if (orders > this.known.orders) this.settle(report)
     if (this.known === undefined || orders >= this.known.orders) {
       this.known = { startedAt, orders }
@@ -118,7 +119,7 @@
     const order = { model, version, startedAt: report.startedAt, ordersBefore: report.orders }
     const isRepeated = this.open !== undefined
     const sentAt = monotonicNow()
-    this.open ??= { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds }
+    this.open = { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds, ...this.open, repeatedAt: sentAt }
     const checkAgeMilliseconds = Math.round(sentAt - this.staging.checksOf(chunks).oldestAt)
     const result = await this.engine.load(model, version, report.orders, ending).catch((error: unknown) => {
       log.warn('no answer to an order to load weights: the engine may still accept it', { model, version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
@@ -181,8 +182,9 @@
     this.isStopped = true
   }
 
-  private forget (): void {
-    this.open = undefined
+  /** The engine holds nothing after a restart; only an order that was sent since the last report may have come to the new process. */
+  private forget (startedAt: number): void {
+    this.open = this.open !== undefined && this.open.repeatedAt >= this.unchangedAt ? { ...this.open, startedAt } : undefined
     this.untrusted = undefined
     this.loaded = undefined
   }
