--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -18,6 +18,7 @@
 import type { VersionChunks } from './chunk-store.js'
 import { ChunkUploads } from './chunk-uploads.js'
 import { EngineSwapper, type SwapRequest } from './engine-swapper.js'
+import { LoadOrders } from './load-orders.js'
 import { LoadReporter } from './load-reporter.js'
 import { NamedVersions } from './named-versions.js'
 import { PeerTable } from './peer-table.js'
@@ -60,6 +61,7 @@
   private readonly server: Server
   private readonly uploads: ChunkUploads
   private readonly staging: Staging
+  private readonly orders: LoadOrders
   private readonly swapper: EngineSwapper
   private readonly versions: VersionCache
   private readonly loadReporter: LoadReporter
@@ -79,7 +81,8 @@
     this.uploads = new ChunkUploads(settings.linkBytesPerSecond)
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
-    this.swapper = new EngineSwapper(settings.ip, ports.engine, this.staging, this.peers)
+    this.orders = new LoadOrders(ports.engine, this.staging)
+    this.swapper = new EngineSwapper(settings.ip, this.orders, this.staging, this.peers)
     const { service } = settings
     const { records, codec } = ports
     this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
@@ -113,6 +116,8 @@
 
   async stop (): Promise<void> {
     this.isStopped = true
+    this.orders.stop()
+    this.staging.stop()
     this.rollout.stop()
     this.versions.stop()
     this.datagrams.close()
@@ -163,12 +168,13 @@
   private async watch (): Promise<void> {
     let isUnreachable = false
     while (!this.isStopped) {
-      const nextAt = monotonicNow() + reportIntervalMilliseconds
+      const askedAt = monotonicNow()
+      const nextAt = askedAt + reportIntervalMilliseconds
       try {
         const report = await this.ports.engine.report()
         if (isUnreachable) log.info('the engine answers again', { startedAt: report.startedAt })
         isUnreachable = false
-        this.handleReport(report)
+        this.handleReport(report, askedAt)
       } catch (error) {
         if (!isUnreachable) log.warn('the engine does not answer', { reason: String(error) })
         isUnreachable = true
@@ -180,10 +186,11 @@
   }
 
   /** Stores a report and sends it to entries; after a restart of the engine, staging and swap start over. */
-  private handleReport (report: EngineReport): void {
+  private handleReport (report: EngineReport, askedAt: number): void {
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
+    this.orders.observe(report, askedAt)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
     this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
@@ -213,10 +220,18 @@
     const wanted = this.versionToFetch(model)
     this.versions.fetchVersion(model, wanted.version, wanted.since)
     this.announcer.announce()
-    const chunks = this.versions.newestComplete(model)
+    const chunks = this.orders.openChunks ?? this.versions.newestComplete(model)
     if (this.report === undefined) return
-    this.closeEarly(model, wanted, this.report)
+    if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
     if (this.hasEngineTask) return
+    if (this.orders.unchecked !== undefined) {
+      this.checkLoad(model, wanted.version, this.orders.unchecked.isOwn, this.report)
+      return
+    }
+    if (this.orders.shouldUnload(this.report) && (chunks === undefined || this.served >= chunks.version)) {
+      this.runEngineTask('give up a wrong load', this.orders.unload(this.report))
+      return
+    }
     if (chunks === undefined || this.served >= chunks.version) {
       this.stageHeldChunks(model, wanted.version)
       return
@@ -225,10 +240,17 @@
     this.runEngineTask('swap the weights', this.swapper.swap(chunks, this.swapRequest(target, this.report), chunks.completedAt))
   }
 
+  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its manifest is, unless a newer version follows anyway. */
+  private checkLoad (model: string, wanted: number, isOwn: boolean, report: EngineReport): void {
+    const loaded = this.versions.get(model, this.served)
+    const isKnown = isOwn || (!report.isSwapping && this.served > 0 && (loaded !== undefined || this.served < wanted))
+    if (isKnown) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
+  }
+
   /** Stages fetched chunks as they arrive, so that they survive a restart of this process. */
   private stageHeldChunks (model: string, version: number): void {
     const chunks = this.versions.get(model, version)
-    if (chunks === undefined || this.served >= version) return
+    if (chunks === undefined || this.served >= version || !this.orders.mayStage(chunks)) return
     this.runEngineTask('stage chunks', this.staging.add(chunks))
   }
 
--- a/test/weights-agent-process.test.ts
+++ b/test/weights-agent-process.test.ts
@@ -143,6 +143,21 @@
 const replacements: readonly Case[] = (['SIGKILL', 'SIGTERM'] as const).flatMap(signal => [2500, 5000].map(milliseconds => (
   { name: `${signal} after its order, which is accepted after ${milliseconds / 1000} s, and its successor learns of another version`, moment: atOrder, trouble: replaceAgent(signal), options: acceptedAfter(milliseconds), newest: 3 })))
 
+/** The successor starts once the order was accepted. */
+const lateSuccessor: Case = {
+  name: 'SIGKILL when its order arrives, a chunk turns bad, the order is accepted 4 s later, and its successor starts after 5 s',
+  moment: atOrder,
+  trouble: node => {
+    node.agent.signal('SIGKILL')
+    node.engine.corrupt(firstChunk)
+    setTimeout(() => { node.startAgent() }, pauseMilliseconds + 1000)
+    setTimeout(() => { node.name(3) }, 3 * pauseMilliseconds)
+  },
+  options: { acceptMilliseconds: version => version === 2 ? pauseMilliseconds : 0 },
+  newest: 3,
+  isTakenAnyway: true
+}
+
 const stops: readonly Case[] = [
   { name: 'SIGTERM while it stages, and its successor learns of another version', moment: atPut(middleChunk, 1), trouble: replaceAgent('SIGTERM'), answerMilliseconds: { put: 100 }, newest: 3 },
   {
@@ -236,7 +251,7 @@
 
 const queue = new PQueue({ concurrency })
 
-for (const tested of [...pauses, ...lateOrders, ...replacements, ...stops, ...engineRestarts]) {
+for (const tested of [...pauses, ...lateOrders, ...replacements, lateSuccessor, ...stops, ...engineRestarts]) {
   const running = queue.add(async () => await run(tested))
   test(`agent process: ${tested.name}`, async t => {
     const { troubles, accepted, wrongOffers, served, lines, endedAfterMilliseconds, lateCalls } = await running
