--- a/test/fakes/weights-process.ts
+++ b/test/fakes/weights-process.ts
@@ -169,7 +169,7 @@
   private receive (message: NodeMessage): void {
     this.isIntroduced = true
     const { loaded } = this.engine
-    if (loaded === undefined || loaded.wrong.length === 0) return
+    if (loaded === undefined || (loaded.wrong.length === 0 && loaded.otherVersion.length === 0)) return
     if (message.kind === 'load' && !message.isSwapping && message.version === loaded.version) this.wrongOffers.add(`report of version ${message.version} as open`)
     else if (message.kind === 'slot-reply' && message.isGranted) this.wrongOffers.add(`slot on version ${loaded.version}`)
   }
