--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -1,6 +1,7 @@
 /** Orders an engine to load what is staged, and tells whether what it has loaded is whole. */
 import { isSettledBy, judgeLoad, type AcceptanceTime, type LoadOrder } from '../../core/weights/load-trust.js'
 import type { DrainMode } from '../../core/weights/swap-schedule.js'
+import type { Metrics } from '../../plugins/metrics.js'
 import type { EngineReport } from '../../types/fleet.js'
 import type { EnginePort, OrderResult } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -52,7 +53,7 @@
   private retainUntil = 0
   private isStopped = false
 
-  constructor (private readonly engine: EnginePort, private readonly staging: Staging) {}
+  constructor (private readonly engine: EnginePort, private readonly staging: Staging, private readonly metrics: Metrics) {}
 
   /** The chunks that the engine may still take, since an order for them is not settled: nothing else may be staged. */
   get openChunks (): VersionChunks | undefined {
@@ -103,7 +104,7 @@
     if (!report.isSwapping && this.loaded !== undefined && served !== undefined && orders === this.known.orders && served !== this.loaded) {
       log.warn('the engine has loaded another version than this agent ordered', { version: served, ordered: this.loaded, orders })
       this.loaded = served
-      this.untrusted = { state: 'unchecked', chunks: undefined }
+      this.distrust(undefined, 'unchecked')
     }
   }
 
@@ -122,10 +123,12 @@
     this.open = { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds, ...this.open, repeatedAt: sentAt }
     const checkAgeMilliseconds = Math.round(sentAt - this.staging.checksOf(chunks).oldestAt)
     const result = await this.engine.load(model, version, report.orders, ending).catch((error: unknown) => {
+      this.metrics.count('load_orders_total', { result: 'unanswered' })
       log.warn('no answer to an order to load weights: the engine may still accept it', { model, version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
       throw error
     })
     const answeredAt = monotonicNow()
+    this.metrics.count('load_orders_total', { result })
     log.info('the engine was ordered to load weights', {
       model,
       version,
@@ -209,7 +212,7 @@
     log.warn('the engine has accepted an order that this agent did not send', { orders: report.orders, before: this.known?.orders ?? 0 })
     this.open = undefined
     this.loaded = undefined
-    this.untrusted = { state: 'unchecked', chunks: undefined }
+    this.distrust(undefined, 'unchecked')
   }
 
   private accept (chunks: VersionChunks, accepted: AcceptanceTime): void {
@@ -223,7 +226,8 @@
 
   private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state']): void {
     this.untrusted = { state, chunks }
-    const message = state === 'wrong' ? 'the engine has taken chunks that may be wrong: it is closed until it loads others' : 'the checks of what the engine has taken are too old: it is read again'
+    this.metrics.count('untrusted_loads_total', { state })
+    const message = state === 'wrong' ? 'the engine has taken chunks that may be wrong: it is closed until it loads others' : 'no check vouches for what the engine has taken: it is closed until that was read again'
     log.warn(message, { version: chunks?.version ?? 0 })
   }
 }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -81,7 +81,7 @@
     this.uploads = new ChunkUploads(settings.linkBytesPerSecond)
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
-    this.orders = new LoadOrders(ports.engine, this.staging)
+    this.orders = new LoadOrders(ports.engine, this.staging, this.metrics)
     this.swapper = new EngineSwapper(settings.ip, this.orders, this.staging, this.peers)
     const { service } = settings
     const { records, codec } = ports
