--- a/test/fakes/staged-engine.ts
+++ b/test/fakes/staged-engine.ts
@@ -96,6 +96,11 @@
     return last !== undefined && last.wrong.length > 0 && this.loadedVersion === last.version
   }
 
+  /** Whether all staged chunks are those of a version. */
+  isStaged (version: number): boolean {
+    return [...this.chunks].every(([position, chunk]) => chunk.equals(chunkOf(version, position)))
+  }
+
   /** The staged chunk at a position turns bad, now or since an earlier time in milliseconds of the monotonic clock. */
   corrupt (position: number, since = monotonicNow()): void {
     this.chunks.set(position, Buffer.from('corrupt'))
--- a/test/weights-stale-check.test.ts
+++ b/test/weights-stale-check.test.ts
@@ -15,19 +15,19 @@
 
 interface Case {
   readonly name: string
-  /** Faults of an engine, which `corrupt` chunks of. */
-  readonly faults: (corrupt: (position: number) => void) => Partial<StagedEngineFaults>
+  /** Faults of the engine from the moment at which version 2 is staged; `corrupt` lets a staged chunk turn bad. */
+  readonly faults: (corrupt: (position: number) => void, isStaged: () => boolean) => Partial<StagedEngineFaults>
 }
 
 const cases: readonly Case[] = [
   {
     name: 'the engine answers each read after 45 ms, and the first three turn bad once they are read',
-    faults: corrupt => {
+    faults: (corrupt, isStaged) => {
       const bad = new Set<number>()
       return {
         readMilliseconds: 45,
         onRead: position => {
-          if (position > 2 || bad.has(position)) return
+          if (position > 2 || bad.has(position) || !isStaged()) return
           bad.add(position)
           setTimeout(() => { corrupt(position) }, 50)
         }
@@ -36,11 +36,11 @@
   },
   {
     name: 'the agent is paused while it reads the last chunk, and another turns bad',
-    faults: corrupt => {
+    faults: (corrupt, isStaged) => {
       let isPaused = false
       return {
         onRead: position => {
-          if (position !== chunkCount - 1 || isPaused) return
+          if (position !== chunkCount - 1 || isPaused || !isStaged()) return
           isPaused = true
           corrupt(3)
           pause(4000)
@@ -52,7 +52,7 @@
 
 for (const { name, faults } of cases) {
   test(`stale check of staged chunks: ${name}`, async t => {
-    const engine: StagedEngine = new StagedEngine(chunkCount, faults(position => { engine.corrupt(position) }))
+    const engine: StagedEngine = new StagedEngine(chunkCount, faults(position => { engine.corrupt(position) }, () => engine.isStaged(2)))
     const node = new WeightsNode()
     t.teardown(() => node.stop())
     await node.start(engine, new EveryVersionOrigin(chunkCount))
