--- a/src/roles/gateway/responsiveness.ts
+++ b/src/roles/gateway/responsiveness.ts
@@ -21,16 +21,6 @@
     this.activity.recordReceived(id, now)
   }
 
-  /** Records the end of a call, which `view` still counts as in flight. */
-  recordEnded ({ upstream, inFlight }: UpstreamView, now: number): void {
-    this.activity.recordEnded(upstream.id, inFlight, now)
-  }
-
-  /** Records a report from the upstream's machine. */
-  recordReport (id: string): void {
-    this.activity.recordReport(id)
-  }
-
   /** Upstreams that are not unresponsive, or all where every one is. */
   prefer (views: readonly UpstreamView[], now: number): readonly UpstreamView[] {
     const responsive = views.filter(view => !this.isUnresponsive(view, now))
@@ -43,7 +33,7 @@
     this.unresponsive.delete(id)
   }
 
-  /** Whether an engine has sent nothing for too long while it has requests of this entry, or had when they ended; logs each change. */
+  /** Whether an engine has sent nothing for too long while it has requests of this entry; logs each change. */
   private isUnresponsive ({ upstream, inFlight }: UpstreamView, now: number): boolean {
     const isUnresponsive = upstream.isEngine && this.activity.isUnresponsive(upstream.id, inFlight, now)
     if (isUnresponsive === this.unresponsive.has(upstream.id)) return isUnresponsive
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -80,9 +80,7 @@
     this.engineIds ??= engineIdsByIp(this.all())
     for (const id of this.engineIds.get(ip) ?? []) {
       const view = this.views.get(id)
-      if (view === undefined) continue
-      this.responsiveness.recordReport(id)
-      this.views.set(id, this.withReport(view, report))
+      if (view !== undefined) this.views.set(id, this.withReport(view, report))
     }
   }
 
@@ -149,7 +147,6 @@
     const view = this.views.get(id)
     if (view === undefined) return
     const now = monotonicNow()
-    this.responsiveness.recordEnded(view, now)
     const ended = { ...view, inFlight: Math.max(0, view.inFlight - 1), observedLoad: { ...view.observedLoad, ended: view.observedLoad.ended + 1 } }
     if (evidence === 'none') this.views.set(id, ended)
     else if (evidence === 'shed') this.views.set(id, { ...ended, atCapacityUntil: now + shedBackoffMilliseconds })
