--- a/src/core/dispatch/takeover.ts
+++ b/src/core/dispatch/takeover.ts
@@ -1,5 +1,5 @@
 /** Decisions while several upstreams may answer one request: when to ask another one beside those that are silent, and which call answers. */
-import { isRepeatable, nextStep, type RequestProgress } from './next-step.js'
+import { countAttempts, isRepeatable, nextStep, type RequestProgress } from './next-step.js'
 
 /** A call in progress; a silent one has sent nothing for a while and may go on. */
 export interface OpenCall {
@@ -8,11 +8,12 @@
 
 /**
  * Whether another upstream may be asked now. Silent calls are left open, as a healthy upstream may pause: the first one
- * to go on answers. Each of them counts as one that may have run.
+ * to go on answers. Each of them counts as one that may have run, and so do the `ended` calls that `progress` does not
+ * count yet: several may end at once.
  */
-export function mayTakeOver (progress: RequestProgress, calls: readonly OpenCall[]): boolean {
+export function mayTakeOver (progress: RequestProgress, calls: readonly OpenCall[], ended: number): boolean {
   if (calls.length === 0 || !calls.every(({ isSilent }) => isSilent)) return false
-  return nextStep({ ...progress, ran: progress.ran + calls.length }).kind === 'resend'
+  return nextStep({ ...progress, ran: progress.ran + calls.length + ended }).kind === 'resend'
 }
 
 /** What a call left: an answer for the caller (`usable`), one that is an error or does not continue the caller's stream (`error`), or none. */
@@ -26,6 +27,6 @@
   if (yielded === 'usable') return 'deliver'
   if (others > 0) return 'await-others'
   if (yielded === 'none') return 'decide'
-  const isLast = !isRepeatable(progress.route) || progress.ran + 1 >= progress.route.maximumUpstreams || progress.isPastDeadline
+  const isLast = !isRepeatable(progress.route) || countAttempts(progress) + 1 >= progress.route.maximumUpstreams || progress.isPastDeadline
   return isLast ? 'deliver' : 'decide'
 }
--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -13,14 +13,17 @@
 /** Longest time for which an order without an answer holds up other versions, milliseconds; a load that it begins later is not trusted. */
 const maximumOpenMilliseconds = 15_000
 
+/** Time from the start of a process until an order of an earlier one counts as lost, milliseconds; a load that it begins later is not trusted. */
+const maximumLateOrderMilliseconds = 6000
 /** Time between two orders to give up a wrong load, milliseconds. */
 const unloadIntervalMilliseconds = 1000
 
 /** An order of this agent that may still be accepted, with the chunks that the engine will take. */
 interface OpenOrder extends LoadOrder {
   readonly chunks: VersionChunks
-  /** When it was first sent, milliseconds of the monotonic clock. */
+  /** When it was first sent, and last repeated, milliseconds of the monotonic clock. */
   readonly sentAt: number
+  readonly repeatedAt: number
   /** Milliseconds of the monotonic clock. */
   readonly openUntil: number
 }
@@ -42,8 +45,11 @@
   private known: { readonly startedAt: number, readonly orders: number } | undefined
   /** When the last report was asked for that knew no other order, milliseconds of the monotonic clock. */
   private unchangedAt = 0
+  private readonly createdAt = monotonicNow()
   /** Milliseconds of the monotonic clock before which no other order to give up a load is sent. */
   private unloadRetryAt = 0
+  /** Milliseconds of the monotonic clock until which nothing may be staged over what an earlier process of this agent staged; 0 if it may. */
+  private retainUntil = 0
   private isStopped = false
 
   constructor (private readonly engine: EnginePort, private readonly staging: Staging) {}
@@ -70,7 +76,13 @@
 
   /** Whether chunks of a version may be staged: the engine takes no others any more. */
   mayStage (chunks: VersionChunks): boolean {
-    return this.unchecked === undefined && (this.open === undefined || this.open.chunks === chunks)
+    return monotonicNow() >= this.retainUntil && this.unchecked === undefined && (this.open === undefined || this.open.chunks === chunks)
+  }
+
+  /** An earlier process of this agent has staged a complete copy of another version: the engine may still accept its order. */
+  retainStaged (): void {
+    this.retainUntil = this.createdAt + maximumLateOrderMilliseconds
+    log.info('keeping what is staged: an order of an earlier process may still be accepted', { milliseconds: Math.round(this.retainUntil - monotonicNow()) })
   }
 
   /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
@@ -80,7 +92,7 @@
       log.warn('an order was neither answered nor accepted for long; going on with other versions', { version: this.open.version })
       this.open = undefined
     }
-    if (this.known?.startedAt !== startedAt) this.forget()
+    if (this.known?.startedAt !== startedAt) this.forget(startedAt)
     else if (orders > this.known.orders) this.settle(report)
     if (this.known === undefined || orders >= this.known.orders) {
       this.known = { startedAt, orders }
@@ -107,7 +119,7 @@
     const order = { model, version, startedAt: report.startedAt, ordersBefore: report.orders }
     const isRepeated = this.open !== undefined
     const sentAt = monotonicNow()
-    this.open ??= { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds }
+    this.open = { ...order, chunks, sentAt, openUntil: sentAt + maximumOpenMilliseconds, ...this.open, repeatedAt: sentAt }
     const checkAgeMilliseconds = Math.round(sentAt - this.staging.checksOf(chunks).oldestAt)
     const result = await this.engine.load(model, version, report.orders, ending).catch((error: unknown) => {
       log.warn('no answer to an order to load weights: the engine may still accept it', { model, version, orders: report.orders, checkAgeMilliseconds, reason: String(error) })
@@ -170,8 +182,9 @@
     this.isStopped = true
   }
 
-  private forget (): void {
-    this.open = undefined
+  /** The engine holds nothing after a restart; only an order that was sent since the last report may have come to the new process. */
+  private forget (startedAt: number): void {
+    this.open = this.open !== undefined && this.open.repeatedAt >= this.unchangedAt ? { ...this.open, startedAt } : undefined
     this.untrusted = undefined
     this.loaded = undefined
   }
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -1,6 +1,6 @@
 /** Versions of a model's weights in an agent's memory, and the fetch of the current one. */
 import type { Agent } from 'node:http'
-import type { DigestDoubts } from '../../core/weights/digest-doubt.js'
+import { originSource, type DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
@@ -43,6 +43,8 @@
   onChunksChanged (): void
   /** Called after a chunk was fetched from the origin. */
   onOriginChunk (position: number): void
+  /** Called when an earlier process has staged a complete copy of another version. */
+  onOtherCopy (): void
 }
 
 /** Holds the latest versions and runs one fetch at a time. */
@@ -139,13 +141,17 @@
     const { model, version } = chunks
     const { peers } = this.context
     const holders = peers.all().filter(({ ip }) => peers.hasManifest(ip, model, version)).slice(0, maximumManifestSources)
-    const sources = [() => this.fetchFromOrigin(model, version), ...holders.map(({ ip, isSameDataCentre }) => () => this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']))]
-    for (const fetchDigests of sources) {
-      const digests = await fetchDigests().catch((error: unknown) => { log.warn('could not fetch a manifest again', { model, version, reason: String(error) }) })
+    const fromAgents = holders.map(({ ip, isSameDataCentre }) => ({ source: ip, fetch: () => this.fetchFromAgent(ip, model, version, manifestTimeoutMilliseconds[isSameDataCentre ? 'sameDataCentre' : 'otherDataCentre']) }))
+    for (const { source, fetch } of [{ source: originSource, fetch: () => this.fetchFromOrigin(model, version) }, ...fromAgents]) {
+      const digests = await fetch().catch((error: unknown) => { log.warn('could not fetch a manifest again', { model, version, source, reason: String(error) }) })
       if (this.current !== chunks) return
-      const wrong = doubts.confirmedBy(digests ?? [])
+      if (digests === undefined) continue
+      const agreed = source === originSource ? doubts.recordOriginList(digests, chunks.digests) : []
+      if (agreed.length > 0) log.warn('chunks arrive that the origin does not list; their digests stay', { model, version, positions: agreed.join() })
+      // A chunk that has arrived meanwhile shows that its digest is right.
+      const wrong = doubts.confirmedBy(digests, source).filter(({ position }) => !chunks.has(position))
       if (wrong.length === 0) continue
-      log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, positions: wrong.map(({ position }) => position).join() })
+      log.warn('the manifest had wrong digests; continuing with those of another copy', { model, version, source, positions: wrong.map(({ position }) => position).join() })
       this.replace(chunks, chunks.withDigests(wrong))
       return
     }
@@ -179,10 +185,12 @@
   /** Reads chunks of a version that an earlier process of this agent staged on the engine's machine. */
   private async loadStaged (chunks: VersionChunks): Promise<void> {
     try {
-      for (const position of await this.context.engine.staged(chunks.model)) {
+      const staged = await this.context.engine.staged(chunks.model)
+      for (const position of staged) {
         const bytes = await this.context.engine.stagedChunk(chunks.model, position)
         if (bytes !== undefined) chunks.put(position, bytes)
       }
+      if (staged.length >= chunks.digests.length && chunks.heldCount === 0) this.context.onOtherCopy()
     } catch (error) {
       log.warn('could not read staged chunks', { model: chunks.model, reason: String(error) })
     }
--- a/test/takeover.test.ts
+++ b/test/takeover.test.ts
@@ -11,7 +11,7 @@
 const active: OpenCall = { isSilent: false }
 const withRoute = (changes: Partial<Route>): Partial<RequestProgress> => ({ route: { ...route, ...changes } })
 
-const takeoverCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly calls: readonly OpenCall[], readonly expected: boolean }[] = [
+const takeoverCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly calls: readonly OpenCall[], readonly ended?: number, readonly expected: boolean }[] = [
   { name: 'one silent call', calls: [silent], expected: true },
   { name: 'one silent call before the first event', progress: { hasBegun: false }, calls: [silent], expected: true },
   { name: 'two silent calls, a third attempt', calls: [silent, silent], expected: true },
@@ -20,6 +20,10 @@
   { name: 'a silent call beside one that may send', calls: [silent, active], expected: false },
   { name: 'all attempts in progress', calls: [silent, silent, silent], expected: false },
   { name: 'all attempts ended or in progress', progress: { ran: 2 }, calls: [silent], expected: false },
+  { name: 'withdrawn from two others', progress: { withdrawn: 2 }, calls: [silent], expected: false },
+  { name: 'withdrawn from another one', progress: { withdrawn: 1 }, calls: [silent], expected: true },
+  { name: 'one that ended at the same time as a counted one', progress: { ran: 1 }, calls: [silent], ended: 1, expected: false },
+  { name: 'one that ended and is not counted, a third attempt', calls: [silent], ended: 1, expected: true },
   { name: 'a refusal is no attempt', progress: { ran: 1, refused: 1 }, calls: [silent], expected: true },
   { name: 'three refusals', progress: { refused: 3 }, calls: [silent], expected: false },
   { name: 'one attempt', progress: withRoute({ maximumUpstreams: 1 }), calls: [silent], expected: false },
@@ -29,8 +33,8 @@
   { name: 'past the deadline', progress: { isPastDeadline: true }, calls: [silent], expected: false }
 ]
 
-for (const { name, progress: changes, calls, expected } of takeoverCases) {
-  test(`takeover: ${name}`, async t => { t.equal(mayTakeOver({ ...progress, ...changes }, calls), expected) })
+for (const { name, progress: changes, calls, ended = 0, expected } of takeoverCases) {
+  test(`takeover: ${name}`, async t => { t.equal(mayTakeOver({ ...progress, ...changes }, calls, ended), expected) })
 }
 
 const endCases: readonly { readonly name: string, readonly progress?: Partial<RequestProgress>, readonly yielded: CallYield, readonly others: number, readonly expected: EndStep }[] = [
@@ -42,6 +46,7 @@
   { name: 'an error beside others on the last attempt', progress: { ran: 2 }, yielded: 'error', others: 1, expected: 'await-others' },
   { name: 'an error', yielded: 'error', others: 0, expected: 'decide' },
   { name: 'an error on the last attempt', progress: { ran: 2 }, yielded: 'error', others: 0, expected: 'deliver' },
+  { name: 'an error on the last attempt, after two withdrawals', progress: { withdrawn: 2 }, yielded: 'error', others: 0, expected: 'deliver' },
   { name: 'an error past the deadline', progress: { isPastDeadline: true }, yielded: 'error', others: 0, expected: 'deliver' },
   { name: 'an error of a request that runs once', progress: withRoute({ kind: 'once' }), yielded: 'error', others: 0, expected: 'deliver' }
 ]
