--- a/test/weights-agent-process.test.ts
+++ b/test/weights-agent-process.test.ts
@@ -13,7 +13,7 @@
 const maximumRunMilliseconds = 25_000
 const settleMilliseconds = 1500
 /** Cases that run at the same time. */
-const concurrency = 8
+const concurrency = 11
 
 /** Whether a call is the one at which the trouble begins. */
 type Moment = (call: EngineCall, node: WeightsProcesses, calls: Calls) => boolean
