Weights: an agent that starts keeps no copy of the version that its engine serves

What was seen: after a restart of an agent a version that is named meanwhile was fetched but not staged for the first 6 s, also where the staged copy is that of the version served: an order for it would begin nothing. The stale-check test found it: no order within 10 s. Cause: any complete copy of another version than the wanted one was kept for a late order. Change: the digests of the copy are compared with the manifest of the version that is served, and the copy is kept only if most of them differ. A few chunks that match the wanted version no longer switch the rule off.

--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -86,6 +86,11 @@
     log.info('keeping what is staged: an order of an earlier process may still be accepted', { milliseconds: Math.round(this.retainUntil - monotonicNow()) })
   }
 
+  /** What is staged is a copy of the version that the engine serves, so that an order for it would begin nothing. */
+  releaseStaged (): void {
+    this.retainUntil = 0
+  }
+
   /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
   observe (report: EngineReport, askedAt: number): void {
     const { startedAt, orders } = report
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -8,6 +8,7 @@
 import type { EnginePort, OriginPort } from '../../types/ports.js'
 import { runInBackground } from '../../utils/background.js'
 import { monotonicNow, sleepUntil } from '../../utils/clock.js'
+import { digestBytes } from '../../utils/digest.js'
 import { logFor } from '../../utils/log.js'
 import { ChunkFetcher } from './chunk-fetcher.js'
 import { VersionChunks } from './chunk-store.js'
@@ -43,8 +44,8 @@
   onChunksChanged (): void
   /** Called after a chunk was fetched from the origin. */
   onOriginChunk (position: number): void
-  /** Called when an earlier process has staged a complete copy of another version. */
-  onOtherCopy (): void
+  /** Called when an earlier process has staged a complete copy of another version, with the digests of its chunks. */
+  onOtherCopy (model: string, digests: readonly string[]): void
 }
 
 /** Holds the latest versions and runs one fetch at a time. */
@@ -185,17 +186,26 @@
   /** Reads chunks of a version that an earlier process of this agent staged on the engine's machine. */
   private async loadStaged (chunks: VersionChunks): Promise<void> {
     try {
-      const staged = await this.context.engine.staged(chunks.model)
-      for (const position of staged) {
+      const digests: string[] = []
+      for (const position of await this.context.engine.staged(chunks.model)) {
         const bytes = await this.context.engine.stagedChunk(chunks.model, position)
-        if (bytes !== undefined) chunks.put(position, bytes)
+        if (bytes === undefined) continue
+        digests[position] = digestBytes(bytes)
+        chunks.put(position, bytes)
       }
-      if (staged.length >= chunks.digests.length && chunks.heldCount === 0) this.context.onOtherCopy()
+      const stagedCount = Object.keys(digests).length
+      if (stagedCount >= chunks.digests.length && chunks.heldCount < stagedCount / 2) this.context.onOtherCopy(chunks.model, digests)
     } catch (error) {
       log.warn('could not read staged chunks', { model: chunks.model, reason: String(error) })
     }
   }
 
+  /** Whether most of the chunks with these digests are of a version. Throws if its manifest cannot be fetched. */
+  async isMostlyOf (model: string, version: number, digests: readonly string[]): Promise<boolean> {
+    const expected = this.get(model, version)?.digests ?? await this.fetchDigests(model, version)
+    return expected.filter((digest, position) => digest === digests[position]).length > expected.length / 2
+  }
+
   /** Fetches the digests from an agent of the same data centre that has them, else from others and the origin; throws when no source answers. */
   private async fetchDigests (model: string, version: number): Promise<readonly string[]> {
     const { peers } = this.context
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -102,7 +102,7 @@
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
       onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) },
-      onOtherCopy: () => { this.orders.retainStaged() }
+      onOtherCopy: (copyModel, digests) => { this.retainCopy(copyModel, digests) }
     })
     this.server = createServer((incoming, response) => { this.handleRequest(incoming, response) })
   }
@@ -129,6 +129,17 @@
     return this.report?.weights?.version ?? 0
   }
 
+  /** Keeps a copy that an earlier process staged for as long as its order may be accepted, unless the engine serves that version already. */
+  private retainCopy (model: string, digests: readonly string[]): void {
+    this.orders.retainStaged()
+    const { served } = this
+    if (served === 0) return
+    const release = async (): Promise<void> => {
+      if (await this.versions.isMostlyOf(model, served, digests)) this.orders.releaseStaged()
+    }
+    runInBackground(release(), log, 'compare what is staged with the version that is served')
+  }
+
   /** Estimated time until a version is served everywhere, from the share of chunks missing here, milliseconds. */
   private estimateRolloutMilliseconds (model: string, version: number): number {
     const bytes = (this.rollout.facts?.chunkBytes ?? 0) * (this.rollout.facts?.chunkCount ?? 0)
