--- a/test/fakes/staged-engine.ts
+++ b/test/fakes/staged-engine.ts
@@ -65,9 +65,15 @@
   readonly onAccepted: (version: number) => void
   /** Called when a chunk is to be staged. */
   readonly onStage: (position: number) => void
+  /** Version that is served at first; 0 for none. */
+  readonly served: number
+  /** Time from the moment for which a report is true until it is answered, milliseconds. */
+  readonly reportMilliseconds: number
+  /** When a chunk is staged whose call fails without an answer; undefined if it is staged and answered at once. */
+  readonly lateStage: (position: number, chunk: Buffer) => Promise<void> | undefined
 }
 
-const noFaults: StagedEngineFaults = { readMilliseconds: 0, acceptMilliseconds: [], loadMilliseconds: 200, onRead: () => {}, onOrder: () => {}, onAccepted: () => {}, onStage: () => {} }
+const noFaults: StagedEngineFaults = { readMilliseconds: 0, acceptMilliseconds: [], loadMilliseconds: 200, onRead: () => {}, onOrder: () => {}, onAccepted: () => {}, onStage: () => {}, served: 1, reportMilliseconds: 0, lateStage: () => undefined }
 
 /** An engine that serves version 1, which is also staged. */
 export class StagedEngine extends EnginePort {
@@ -81,13 +87,14 @@
   private readonly corruptSince = new Map<number, number>()
   private orders = 0
   /** Version that is served; 0 for none. */
-  private served = 1
+  private served: number
   private loading: { readonly version: number, readonly until: number } | undefined
 
   constructor (private readonly chunkCount: number, faults: Partial<StagedEngineFaults> = {}) {
     super()
     this.faults = { ...noFaults, ...faults }
-    for (let position = 0; position < chunkCount; position += 1) this.chunks.set(position, chunkOf(1, position))
+    this.served = this.faults.served
+    this.holdStaged(1)
   }
 
   /** Whether the engine serves a load with wrong chunks. */
@@ -96,6 +103,16 @@
     return last !== undefined && last.wrong.length > 0 && this.loadedVersion === last.version
   }
 
+  /** Another process has staged a whole version. */
+  holdStaged (version: number): void {
+    for (let position = 0; position < this.chunkCount; position += 1) this.chunks.set(position, chunkOf(version, position))
+  }
+
+  /** Nothing is staged, as after a loss of power. */
+  loseStaged (): void {
+    this.chunks.clear()
+  }
+
   /** The staged chunk at a position turns bad, now or since an earlier time in milliseconds of the monotonic clock. */
   corrupt (position: number, since = monotonicNow()): void {
     this.chunks.set(position, Buffer.from('corrupt'))
@@ -104,7 +121,9 @@
 
   async report (): Promise<EngineReport> {
     const served = this.loadedVersion
-    return { startedAt: 1, orders: this.orders, isSwapping: this.loading !== undefined, running: 0, waiting: 0, weights: served === 0 ? undefined : { model, version: served } }
+    const report = { startedAt: 1, orders: this.orders, isSwapping: this.loading !== undefined, running: 0, waiting: 0, weights: served === 0 ? undefined : { model, version: served } }
+    if (this.faults.reportMilliseconds > 0) await sleepUntil(monotonicNow() + this.faults.reportMilliseconds)
+    return report
   }
 
   async staged (): Promise<readonly number[]> { return [...this.chunks.keys()] }
@@ -118,8 +137,17 @@
 
   async stage (_model: string, position: number, chunk: Buffer): Promise<void> {
     this.faults.onStage(position)
-    this.chunks.set(position, chunk)
-    this.corruptSince.delete(position)
+    const put = (): void => {
+      this.chunks.set(position, chunk)
+      this.corruptSince.delete(position)
+    }
+    const late = this.faults.lateStage(position, chunk)
+    if (late === undefined) {
+      put()
+      return
+    }
+    const failed = sleepUntil(monotonicNow() + callTimeoutMilliseconds).then(() => { throw new Error('no answer') })
+    await Promise.all([failed, late.then(put)])
   }
 
   async load (_model: string, version: number, ordersBefore: number): Promise<OrderResult> {
@@ -147,6 +175,11 @@
     return this.served
   }
 
+  /** Accepts an order that another process sent, if it is the next one. */
+  acceptOfOther (version: number, ordersBefore: number): void {
+    this.accept(version, ordersBefore)
+  }
+
   private accept (version: number, ordersBefore: number): OrderResult {
     const served = this.loadedVersion
     if (this.loading !== undefined || ordersBefore !== this.orders) return 'conflict'
