Weights: what is staged since an order tells nothing of what the engine took, and a slow engine gets its order

What callers would have seen: tokens of a wrong load, after it had counted as whole. - A check that was in progress when the order was accepted repaired what the engine had taken wrong, and the chunks that were read again were then right. They count only if nothing was staged since the order may have been accepted. - A report that was asked for before an order and handled after its answer cleared the doubt; such reports are ignored. - A call to stage a chunk that is not answered may land later: a load beside it is read again. - An engine that refuses to send a chunk (503) does not lack it: the check fails and is made again. - An order that was accepted counts as own although its time has passed in the same report. And an engine that needs 200 or 300 ms a read got no order by the cutoff: the first read of a pass tells how many are made at the same time.

--- a/src/core/weights/load-trust.ts
+++ b/src/core/weights/load-trust.ts
@@ -31,6 +31,8 @@
   readonly oldestAt: number
   /** End of the last time in which a chunk may have been wrong for longer than allowed; 0 for none. */
   readonly lapsedUntil: number
+  /** Whether a call that staged a chunk was not answered lately: it may still replace what was checked. */
+  readonly mayBeReplaced: boolean
 }
 
 /** Whether checks that began at `checkedAt` or later are recent enough for an order that is sent now. */
@@ -52,7 +54,7 @@
  * Whether checks vouch for a load: `whole`; or the chunks have to be read again, since chunks that are right now were
  * right when they were taken: `unchecked`; or not even that tells: `doubtful`.
  */
-export function judgeLoad ({ oldestAt, lapsedUntil }: ChunkChecks, accepted: AcceptanceTime): 'whole' | 'unchecked' | 'doubtful' {
+export function judgeLoad ({ oldestAt, lapsedUntil, mayBeReplaced }: ChunkChecks, accepted: AcceptanceTime): 'whole' | 'unchecked' | 'doubtful' {
   if (lapsedUntil > accepted.after) return 'doubtful'
-  return isRightUntil(oldestAt, accepted.by) ? 'whole' : 'unchecked'
+  return isRightUntil(oldestAt, accepted.by) && !mayBeReplaced ? 'whole' : 'unchecked'
 }
--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -34,6 +34,8 @@
   readonly state: 'unchecked' | 'wrong'
   /** What was ordered; undefined if this agent did not order it. */
   readonly chunks: VersionChunks | undefined
+  /** Earliest time at which it may have been taken, milliseconds of the monotonic clock. */
+  readonly takenAfter: number
 }
 
 /** Orders to one engine. */
@@ -91,25 +93,30 @@
     this.retainUntil = 0
   }
 
+  /** Whether a report is older than what is known: it was asked for before an order was answered. */
+  isOutdated (report: EngineReport): boolean {
+    return this.known?.startedAt === report.startedAt && report.orders < this.known.orders
+  }
+
   /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
   observe (report: EngineReport, askedAt: number): void {
     const { startedAt, orders } = report
+    if (this.known?.startedAt !== startedAt) this.forget(startedAt)
+    else if (orders > this.known.orders) this.settle(report)
     if (this.open !== undefined && monotonicNow() >= this.open.openUntil) {
       log.warn('an order was neither answered nor accepted for long; going on with other versions', { version: this.open.version })
       this.open = undefined
     }
-    if (this.known?.startedAt !== startedAt) this.forget(startedAt)
-    else if (orders > this.known.orders) this.settle(report)
     if (this.known === undefined || orders >= this.known.orders) {
       this.known = { startedAt, orders }
       this.unchangedAt = askedAt
     }
     const served = report.weights?.version
-    if (!report.isSwapping && served === undefined) this.untrusted = undefined
+    if (!report.isSwapping && served === undefined && orders === this.known.orders) this.untrusted = undefined
     if (!report.isSwapping && this.loaded !== undefined && served !== undefined && orders === this.known.orders && served !== this.loaded) {
       log.warn('the engine has loaded another version than this agent ordered', { version: served, ordered: this.loaded, orders })
       this.loaded = served
-      this.distrust(undefined, 'unchecked')
+      this.distrust(undefined, 'unchecked', 0)
     }
   }
 
@@ -164,10 +171,10 @@
     const { untrusted } = this
     if (untrusted?.state !== 'unchecked') return
     const chunks = untrusted.chunks ?? loaded
-    const isWhole = chunks !== undefined && await this.staging.isStaged(chunks)
+    const isWhole = chunks !== undefined && await this.staging.wasStagedSince(chunks, untrusted.takenAfter)
     if (this.untrusted !== untrusted) return
     if (!isWhole) {
-      this.distrust(chunks, 'wrong')
+      this.distrust(chunks, 'wrong', untrusted.takenAfter)
       return
     }
     this.untrusted = undefined
@@ -217,7 +224,7 @@
     log.warn('the engine has accepted an order that this agent did not send', { orders: report.orders, before: this.known?.orders ?? 0 })
     this.open = undefined
     this.loaded = undefined
-    this.distrust(undefined, 'unchecked')
+    this.distrust(undefined, 'unchecked', this.unchangedAt)
   }
 
   private accept (chunks: VersionChunks, accepted: AcceptanceTime): void {
@@ -226,11 +233,11 @@
     const checks = this.staging.checksOf(chunks)
     const verdict = judgeLoad(checks, accepted)
     if (verdict === 'whole') this.untrusted = undefined
-    else this.distrust(chunks, verdict === 'unchecked' ? 'unchecked' : 'wrong')
+    else this.distrust(chunks, verdict === 'unchecked' ? 'unchecked' : 'wrong', accepted.after)
   }
 
-  private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state']): void {
-    this.untrusted = { state, chunks }
+  private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state'], takenAfter: number): void {
+    this.untrusted = { state, chunks, takenAfter }
     this.metrics.count('untrusted_loads_total', { state })
     const message = state === 'wrong' ? 'the engine has taken chunks that may be wrong: it is closed until it loads others' : 'no check vouches for what the engine has taken: it is closed until that was read again'
     log.warn(message, { version: chunks?.version ?? 0 })
--- a/src/roles/weights/staging.ts
+++ b/src/roles/weights/staging.ts
@@ -7,8 +7,12 @@
 
 const log = logFor('orders')
 
-/** Reads at the same time in each pass over the chunks; a slow engine needs more of them for checks that are recent enough. */
-const concurrentReads = [3, 6, 12, 24, 24] as const
+/** Passes over the chunks until the checks count as too slow. */
+const maximumPasses = 5
+/** Reads at the same time: as many as a pass of this length needs, milliseconds, by the time of its first read. */
+const concurrentReads = { minimum: 3, maximum: 48, passMilliseconds: 600 } as const
+/** Time in which a call to stage a chunk that was not answered may still be carried out, milliseconds. */
+const maximumLateStageMilliseconds = 15_000
 /** Age from which a check is renewed, milliseconds. */
 const renewalAgeMilliseconds = maximumCheckAgeMilliseconds / 2
 
@@ -18,6 +22,9 @@
   /** When the last check that found the staged chunk right began, by position, milliseconds of the monotonic clock; 0 before the first. */
   private checkedAt = new Map<number, number>()
   private lapsedUntil = 0
+  /** When a chunk was last staged, and until when one may still be by a call that was not answered, milliseconds of the monotonic clock. */
+  private stagedAt = 0
+  private lateStageUntil = 0
   private isStopped = false
 
   constructor (private readonly engine: EnginePort) {}
@@ -29,7 +36,7 @@
 
   /** The checks of a version's staged chunks. */
   checksOf (chunks: VersionChunks): ChunkChecks {
-    return { oldestAt: this.isComplete(chunks) ? Math.min(...this.checkedAt.values()) : 0, lapsedUntil: this.lapsedUntil }
+    return { oldestAt: this.isComplete(chunks) ? Math.min(...this.checkedAt.values()) : 0, lapsedUntil: this.lapsedUntil, mayBeReplaced: monotonicNow() < this.lateStageUntil }
   }
 
   /** Stages the held chunks that are not staged yet, so that a restarted agent finds them. Throws when the engine fails. */
@@ -50,29 +57,32 @@
    * until all checks are recent enough for an order. Throws if the engine fails or is too slow, or if a chunk is not held.
    */
   async verify (chunks: VersionChunks): Promise<void> {
-    for (const reads of concurrentReads) {
-      await this.renewChecks(chunks, reads)
+    for (let pass = 0; pass < maximumPasses; pass += 1) {
+      await this.renewChecks(chunks)
       if (isRecentForOrder(this.checksOf(chunks).oldestAt, monotonicNow())) return
     }
     throw new Error(`the checks of the chunks of version ${chunks.version} take too long`)
   }
 
   /** Checks the staged chunks again whose last check is no longer recent, and stages wrong ones anew. Throws as `verify` does. */
-  async renewChecks (chunks: VersionChunks, reads: number = concurrentReads[0]): Promise<void> {
+  async renewChecks (chunks: VersionChunks): Promise<void> {
     if (this.chunks !== chunks) throw new Error(`version ${chunks.version} is not staged`)
     const renewBefore = monotonicNow() - renewalAgeMilliseconds
     const due = chunks.digests.map((_, position) => position).filter(position => (this.checkedAt.get(position) ?? 0) < renewBefore)
-    await this.forEachConcurrently(due, reads, position => this.checkOrRepair(chunks, position))
+    await this.forEachConcurrently(due, position => this.checkOrRepair(chunks, position))
   }
 
-  /** Whether all staged chunks are those of a version; stages nothing. Throws when the engine fails. */
-  async isStaged (chunks: VersionChunks): Promise<boolean> {
+  /**
+   * Whether all staged chunks are those of a version, and were so since a time, milliseconds of the monotonic clock: what
+   * was staged later tells nothing of what lay there before. Stages nothing. Throws when the engine fails.
+   */
+  async wasStagedSince (chunks: VersionChunks, since: number): Promise<boolean> {
     let areRight = true
-    await this.forEachConcurrently(chunks.digests.map((_, position) => position), concurrentReads[0], async position => {
+    await this.forEachConcurrently(chunks.digests.map((_, position) => position), async position => {
       const staged = areRight ? await this.engine.stagedChunk(chunks.model, position) : undefined
       if (staged === undefined || !chunks.isValid(position, staged)) areRight = false
     })
-    return areRight
+    return areRight && this.stagedAt <= since
   }
 
   /** Clears the record of what is staged, after a restart of the engine or for another version. */
@@ -106,12 +116,19 @@
 
   private async stage (chunks: VersionChunks, position: number, bytes: Buffer): Promise<void> {
     this.throwIfStopped()
-    await this.engine.stage(chunks.model, position, bytes)
+    try {
+      await this.engine.stage(chunks.model, position, bytes)
+    } catch (error) {
+      this.lateStageUntil = monotonicNow() + maximumLateStageMilliseconds
+      throw error
+    } finally {
+      this.stagedAt = monotonicNow()
+    }
     if (this.chunks === chunks) this.checkedAt.set(position, 0)
   }
 
-  /** Calls `work` for each position, `count` at the same time; after a failure no further call begins, and those in progress are awaited. */
-  private async forEachConcurrently (positions: readonly number[], count: number, work: (position: number) => Promise<void>): Promise<void> {
+  /** Calls `work` for each position, several at the same time if one takes long; after a failure no further call begins, and those in progress are awaited. */
+  private async forEachConcurrently (positions: readonly number[], work: (position: number) => Promise<void>): Promise<void> {
     const pending = [...positions]
     const workOff = async (): Promise<void> => {
       try {
@@ -124,6 +141,13 @@
         throw error
       }
     }
+    const first = pending.shift()
+    if (first === undefined) return
+    this.throwIfStopped()
+    const startedAt = monotonicNow()
+    await work(first)
+    const { minimum, maximum, passMilliseconds } = concurrentReads
+    const count = Math.min(maximum, Math.max(minimum, Math.ceil(positions.length * (monotonicNow() - startedAt) / passMilliseconds)))
     const results = await Promise.allSettled(Array.from({ length: count }, workOff))
     const failed = results.find(({ status }) => status === 'rejected')
     if (failed?.status === 'rejected') throw failed.reason
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -199,6 +199,7 @@
 
   /** Stores a report and sends it to entries; after a restart of the engine, staging and swap start over. */
   private handleReport (report: EngineReport, askedAt: number): void {
+    if (this.orders.isOutdated(report)) return
     const previous = this.report
     this.report = report
     this.hasEngineAnswered = true
--- a/test/weights-load-trust.test.ts
+++ b/test/weights-load-trust.test.ts
@@ -5,14 +5,15 @@
 const accepted = { after: 10_000, by: 10_100 }
 
 const loads: readonly { readonly name: string, readonly checks: ChunkChecks, readonly accepted?: AcceptanceTime, readonly verdict: string }[] = [
-  { name: 'that was checked a second before', checks: { oldestAt: 9000, lapsedUntil: 0 }, verdict: 'whole' },
-  { name: 'that was checked as long before as a chunk may be wrong', checks: { oldestAt: 7100, lapsedUntil: 0 }, verdict: 'whole' },
-  { name: 'that was checked longer before', checks: { oldestAt: 7099, lapsedUntil: 0 }, verdict: 'unchecked' },
-  { name: 'that was not checked', checks: { oldestAt: 0, lapsedUntil: 0 }, verdict: 'unchecked' },
-  { name: 'that was repaired after a lapse, before it was accepted', checks: { oldestAt: 9900, lapsedUntil: 9800 }, verdict: 'whole' },
-  { name: 'that may have been accepted within a lapse', checks: { oldestAt: 10_090, lapsedUntil: 10_050 }, verdict: 'doubtful' },
-  { name: 'that was checked after it was accepted', checks: { oldestAt: 10_200, lapsedUntil: 0 }, verdict: 'whole' },
-  { name: 'of which it is known late that it was accepted', checks: { oldestAt: 9000, lapsedUntil: 0 }, accepted: { after: 9000, by: 13_000 }, verdict: 'unchecked' }
+  { name: 'that was checked a second before', checks: { oldestAt: 9000, lapsedUntil: 0, mayBeReplaced: false }, verdict: 'whole' },
+  { name: 'that was checked as long before as a chunk may be wrong', checks: { oldestAt: 7100, lapsedUntil: 0, mayBeReplaced: false }, verdict: 'whole' },
+  { name: 'that was checked longer before', checks: { oldestAt: 7099, lapsedUntil: 0, mayBeReplaced: false }, verdict: 'unchecked' },
+  { name: 'that was not checked', checks: { oldestAt: 0, lapsedUntil: 0, mayBeReplaced: false }, verdict: 'unchecked' },
+  { name: 'that was repaired after a lapse, before it was accepted', checks: { oldestAt: 9900, lapsedUntil: 9800, mayBeReplaced: false }, verdict: 'whole' },
+  { name: 'that may have been accepted within a lapse', checks: { oldestAt: 10_090, lapsedUntil: 10_050, mayBeReplaced: false }, verdict: 'doubtful' },
+  { name: 'that was checked after it was accepted', checks: { oldestAt: 10_200, lapsedUntil: 0, mayBeReplaced: false }, verdict: 'whole' },
+  { name: 'beside a call to stage a chunk that was not answered', checks: { oldestAt: 9900, lapsedUntil: 0, mayBeReplaced: true }, verdict: 'unchecked' },
+  { name: 'of which it is known late that it was accepted', checks: { oldestAt: 9000, lapsedUntil: 0, mayBeReplaced: false }, accepted: { after: 9000, by: 13_000 }, verdict: 'unchecked' }
 ]
 
 for (const { name, checks, accepted: time = accepted, verdict } of loads) {
