--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -45,7 +45,7 @@
   readonly resumedAfter: string | undefined
   /** Id that the answer must carry; the first one on a connection may carry none. */
   readonly requestId: string
-  /** When there must be a connection; past it nothing is sent, since the upstream, the headers and the slot were chosen too long ago. */
+  /** When there must be a connection; past it nothing is sent, since the headers and the slot may no longer hold. */
   readonly connectBy: number
   /** Whether the upstream gets no more requests; checked when there is a connection, before anything is sent. */
   readonly isWithdrawn: () => boolean
