Weights: a load from before an agent's start is not trusted until an entry or the staged chunks vouch for it

What callers saw: tokens of an engine that had taken a bad chunk, when the agent was killed as its order arrived, the order was accepted 4 s later and the next process started after that.

Cause: whether a load was judged ended with the process that judged it. An engine tells its start, its number of orders and its version, but not for which load its agent has vouched, so that the successor took each load for judged.

Change: a load report carries the engine's number of orders. Entries keep the last load (start, orders, version) of each engine that was reported as open, and tell it to the agent with each subscription. An agent keeps an engine closed whose load it did not see begin until an entry names exactly that load, or the staged chunks are right. A load for which neither speaks after 1.5 s is given up and loaded anew; one whose digests nobody has is served after 5.5 s, with a warning, since all engines would stay closed for good where all processes were killed and the origin is lost.

Ruled out: closing every engine with a bad staged chunk after a restart of its agent, since chunks also turn bad long after a load.

--- a/src/core/weights/load-trust.ts
+++ b/src/core/weights/load-trust.ts
@@ -1,5 +1,6 @@
 /** Which loads of staged chunks the checks of these chunks vouch for. */
-import type { EngineReport } from '../../types/fleet.js'
+import type { EngineReport, VouchedLoad } from '../../types/fleet.js'
+import type { LoadReport } from '../../types/node-messages.js'
 
 /** Longest time for which a staged chunk may have been wrong when an engine takes it, milliseconds. */
 const corruptionToleranceMilliseconds = 3000
@@ -58,3 +59,13 @@
   if (lapsedUntil > accepted.after) return 'doubtful'
   return isRightUntil(oldestAt, accepted.by) && !mayBeReplaced ? 'whole' : 'unchecked'
 }
+
+/** Whether an agent's vouching is for the load that the engine has now: its orders tell that no other one followed. */
+export function isVouchedFor (vouched: VouchedLoad | undefined, { startedAt, orders, isSwapping, weights }: EngineReport): boolean {
+  return vouched !== undefined && !isSwapping && vouched.startedAt === startedAt && vouched.orders === orders && vouched.version === weights?.version
+}
+
+/** The load for which an agent vouches with a report; undefined if it reports its engine as closed or without weights. */
+export function vouchedLoadOf ({ startedAt, orders, version, isSwapping }: LoadReport): VouchedLoad | undefined {
+  return isSwapping || version === 0 || orders === undefined ? undefined : { startedAt, orders, version }
+}
--- a/src/roles/gateway/agent-subscriptions.ts
+++ b/src/roles/gateway/agent-subscriptions.ts
@@ -1,7 +1,7 @@
 /** Subscriptions of one entry to the load reports of agents; they also tell the agents what to roll out. */
 import { subscriptionRenewalMilliseconds } from '../../core/fleet/report-schedule.js'
 import { areSameFacts } from '../../core/weights/rollout-facts.js'
-import type { RolloutFacts, Upstream } from '../../types/fleet.js'
+import type { RolloutFacts, Upstream, VouchedLoad } from '../../types/fleet.js'
 import type { GossipedWeights, Subscription } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { FleetState } from './fleet-state.js'
@@ -21,6 +21,8 @@
   entryCount (): number
   /** Listed upstreams that are engines. */
   engines (): readonly Upstream[]
+  /** The last load for which the agent at an IP vouched; undefined for none. */
+  vouchedAt (ip: string): VouchedLoad | undefined
   send (message: Subscription, ip: string): void
 }
 
@@ -77,10 +79,10 @@
 
   /** Subscribes at an agent of a service that no entry has subscribed to, as its engine may not be listed yet; not before the first configuration. */
   answerIntroduction (service: string, ip: string): void {
-    const { dataCentre, state, engines, send } = this.context
+    const { dataCentre, state, engines, vouchedAt, send } = this.context
     const facts = state.rolloutFacts(service)
     if (facts === undefined) return
-    send({ kind: 'subscription', dataCentre, service, weights: state.weights, agents: agentsOf(service, engines()), rollout: facts }, ip)
+    send({ kind: 'subscription', dataCentre, service, weights: state.weights, agents: agentsOf(service, engines()), rollout: facts, vouched: vouchedAt(ip) }, ip)
   }
 
   stop (): void {
@@ -89,7 +91,7 @@
 
   /** Subscribes with `due` at all agents, or, if nothing is due, at those that lack something; returns the number of messages. */
   private subscribe (due: Content | undefined): number {
-    const { dataCentre, state, send } = this.context
+    const { dataCentre, state, vouchedAt, send } = this.context
     const engines = this.context.engines()
     const weights = state.weights
     const weightsText = textOf(weights)
@@ -104,7 +106,8 @@
       if (content === undefined) continue
       told.set(key, { facts: content.hasFacts ? facts : known?.facts, weights: weightsText })
       const agents = content.hasAgents ? agentsOf(engine.service, engines.filter(({ id }) => id !== engine.id)) : []
-      send({ kind: 'subscription', dataCentre, service: engine.service, weights, agents, rollout: content.hasFacts ? facts : undefined }, ipOf(engine.address))
+      const ip = ipOf(engine.address)
+      send({ kind: 'subscription', dataCentre, service: engine.service, weights, agents, rollout: content.hasFacts ? facts : undefined, vouched: vouchedAt(ip) }, ip)
       count += 1
     }
     this.told = told
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -72,6 +72,7 @@
       state,
       entryCount: () => members.living(monotonicNow()).length,
       engines: () => pool.all().flatMap(({ upstream }) => upstream.isEngine ? [upstream] : []),
+      vouchedAt: ip => pool.vouchedAt(ip),
       send: (message, ip) => { datagrams().send(message, ip) }
     })
     this.crashes = new CrashGossip({ suspects: context.suspects, datagrams, reachable: () => members.reachable() })
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -1,8 +1,9 @@
 /** The upstreams as one entry knows them, from their records, the reports of their agents and its own calls. */
 import { ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { updateHealth, initialHealth, type CallOutcome } from '../../core/dispatch/upstream-health.js'
+import { vouchedLoadOf } from '../../core/weights/load-trust.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
-import type { Service, Upstream } from '../../types/fleet.js'
+import type { Service, Upstream, VouchedLoad } from '../../types/fleet.js'
 import type { AnswerHead } from '../../types/ports.js'
 import type { LoadReport, SlotReply } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
@@ -52,7 +53,7 @@
     }
     this.engineIds = undefined
     if (known !== undefined && known.upstream.startedAt !== upstream.startedAt) this.context.upstreamGone(known.upstream)
-    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
+    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, vouched: known?.vouched, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
   }
 
   /** Handles the removal of a record. The upstream is used until `retainUntil`, milliseconds of the monotonic clock, or that of an earlier removal: the record may only have lapsed. */
@@ -119,6 +120,13 @@
     this.context.slots.receive(reply)
   }
 
+  /** The last load for which the agent at an IP vouched; undefined for none. */
+  vouchedAt (ip: string): VouchedLoad | undefined {
+    this.engineIds ??= engineIdsByIp(this.all())
+    const vouched = (this.engineIds.get(ip) ?? []).flatMap(id => this.views.get(id)?.vouched ?? [])
+    return vouched.sort((left, right) => left.startedAt - right.startedAt || left.orders - right.orders).at(-1)
+  }
+
   /** State of an upstream; undefined for one that is not listed. */
   find (id: string): UpstreamView | undefined { return this.views.get(id) }
 
@@ -177,6 +185,7 @@
       health: view.health.losses > 0 && isRestart ? initialHealth : view.health,
       coldUntil: isRestart ? now + (this.serviceOf(view.upstream.service)?.coldMilliseconds ?? 0) : view.coldUntil,
       ...report.version > 0 ? { weights: { model: report.model, version: report.version }, reportedVersion: report.version } : { weights: undefined, reportedVersion: undefined },
+      vouched: vouchedLoadOf(report) ?? view.vouched,
       isSwapping: report.isSwapping,
       readyAt: report.readyInMilliseconds < 0 ? undefined : now + report.readyInMilliseconds,
       observedLoad: this.observeLoad(view, report.running + report.waiting)
--- a/src/roles/gateway/upstream-view.ts
+++ b/src/roles/gateway/upstream-view.ts
@@ -1,7 +1,7 @@
 /** State of one upstream as one entry knows it; times are milliseconds of the monotonic clock. */
 import type { ReportedLoad } from '../../core/dispatch/free-slots.js'
 import type { Health } from '../../core/dispatch/upstream-health.js'
-import type { LoadedWeights, Upstream } from '../../types/fleet.js'
+import type { LoadedWeights, Upstream, VouchedLoad } from '../../types/fleet.js'
 
 /** Age from which an observed load no longer shows what other entries send there, milliseconds: about the length of a stream. */
 const maximumReportAgeMilliseconds = 3000
@@ -32,6 +32,8 @@
   readonly weights: LoadedWeights | undefined
   /** Weights version of the last report of its agent; undefined for none. Unlike `weights` it is never taken from a record. */
   readonly reportedVersion: number | undefined
+  /** The last load for which its agent vouched, by a report that it accepts requests; undefined for none. */
+  readonly vouched: VouchedLoad | undefined
   /** Whether it takes no requests because its weights are being swapped. */
   readonly isSwapping: boolean
   /** When it is expected to serve; undefined when that is not known. */
--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -1,8 +1,8 @@
 /** Orders an engine to load what is staged, and tells whether what it has loaded is whole. */
-import { isSettledBy, judgeLoad, type AcceptanceTime, type LoadOrder } from '../../core/weights/load-trust.js'
+import { isSettledBy, isVouchedFor, judgeLoad, type AcceptanceTime, type LoadOrder } from '../../core/weights/load-trust.js'
 import type { DrainMode } from '../../core/weights/swap-schedule.js'
 import type { Metrics } from '../../plugins/metrics.js'
-import type { EngineReport } from '../../types/fleet.js'
+import type { EngineReport, VouchedLoad } from '../../types/fleet.js'
 import type { EnginePort, OrderResult } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -16,6 +16,10 @@
 
 /** Time from the start of a process until an order of an earlier one counts as lost, milliseconds; a load that it begins later is not trusted. */
 const maximumLateOrderMilliseconds = 6000
+/** Time from the first report of an engine in which entries tell for which of its loads an earlier process has vouched, milliseconds: each of them subscribes once a second. */
+const vouchingMilliseconds = 1500
+/** Time after that in which the digests of a load are awaited to read again what is staged, milliseconds. */
+const maximumUncheckedMilliseconds = 4000
 /** Time between two orders to give up a wrong load, milliseconds. */
 const unloadIntervalMilliseconds = 1000
 
@@ -36,6 +40,8 @@
   readonly chunks: VersionChunks | undefined
   /** Earliest time at which it may have been taken, milliseconds of the monotonic clock. */
   readonly takenAfter: number
+  /** Milliseconds of the monotonic clock until which an entry may tell that an earlier process vouched for it; 0 for a load that this process saw begin. */
+  readonly vouchedUntil: number
 }
 
 /** Orders to one engine. */
@@ -53,6 +59,8 @@
   private unloadRetryAt = 0
   /** Milliseconds of the monotonic clock until which nothing may be staged over what an earlier process of this agent staged; 0 if it may. */
   private retainUntil = 0
+  /** The last load for which, as entries tell, an agent of this engine vouched. */
+  private vouched: VouchedLoad | undefined
   private isStopped = false
 
   constructor (private readonly engine: EnginePort, private readonly staging: Staging, private readonly metrics: Metrics) {}
@@ -101,7 +109,7 @@
   /** Takes what the engine reports; `askedAt`: when the report was asked for, milliseconds of the monotonic clock. */
   observe (report: EngineReport, askedAt: number): void {
     const { startedAt, orders } = report
-    if (this.known?.startedAt !== startedAt) this.forget(startedAt)
+    if (this.known?.startedAt !== startedAt) this.start(report)
     else if (orders > this.known.orders) this.settle(report)
     if (this.open !== undefined && monotonicNow() >= this.open.openUntil) {
       log.warn('an order was neither answered nor accepted for long; going on with other versions', { version: this.open.version })
@@ -111,6 +119,7 @@
       this.known = { startedAt, orders }
       this.unchangedAt = askedAt
     }
+    this.endWaitForDigests()
     const served = report.weights?.version
     if (!report.isSwapping && served === undefined && orders === this.known.orders) this.untrusted = undefined
     if (!report.isSwapping && this.loaded !== undefined && served !== undefined && orders === this.known.orders && served !== this.loaded) {
@@ -174,7 +183,7 @@
     const isWhole = chunks !== undefined && await this.staging.wasStagedSince(chunks, untrusted.takenAfter)
     if (this.untrusted !== untrusted) return
     if (!isWhole) {
-      this.distrust(chunks, 'wrong', untrusted.takenAfter)
+      if (monotonicNow() >= untrusted.vouchedUntil) this.distrust(chunks, 'wrong', untrusted.takenAfter, untrusted.vouchedUntil)
       return
     }
     this.untrusted = undefined
@@ -192,16 +201,45 @@
     if (result === 'begun') this.loaded = undefined
   }
 
+  /** Takes the load for which, as an entry tells, an agent of this engine vouched. */
+  observeVouched (vouched: VouchedLoad, report: EngineReport | undefined): void {
+    const { startedAt, orders } = this.vouched ?? { startedAt: 0, orders: 0 }
+    if (vouched.startedAt > startedAt || (vouched.startedAt === startedAt && vouched.orders > orders)) this.vouched = vouched
+    if (report !== undefined) this.trustVouched(report)
+  }
+
   /** Sends no further orders. */
   stop (): void {
     this.isStopped = true
   }
 
-  /** The engine holds nothing after a restart; only an order that was sent since the last report may have come to the new process. */
-  private forget (startedAt: number): void {
+  /**
+   * The engine holds nothing after a restart; only an order that was sent since the last report may have come to the new
+   * process. What it has loaded by an order all the same, no check of this process vouches for.
+   */
+  private start (report: EngineReport): void {
+    const { startedAt, orders } = report
     this.open = this.open !== undefined && this.open.repeatedAt >= this.unchangedAt ? { ...this.open, startedAt } : undefined
     this.untrusted = undefined
     this.loaded = undefined
+    if (orders === 0 || (report.weights === undefined && !report.isSwapping)) return
+    this.distrust(undefined, 'unchecked', this.unchangedAt, monotonicNow() + vouchingMilliseconds)
+    this.trustVouched(report)
+  }
+
+  /** Nothing speaks against a load of an earlier process; where no source has its digests, an engine that stays closed for good is worse. */
+  private endWaitForDigests (): void {
+    const { untrusted } = this
+    if (untrusted?.state !== 'unchecked' || untrusted.vouchedUntil === 0 || monotonicNow() < untrusted.vouchedUntil + maximumUncheckedMilliseconds) return
+    log.warn('the load of an earlier process cannot be checked in time: it is served', { orders: this.known?.orders ?? 0 })
+    this.untrusted = undefined
+  }
+
+  /** Trusts a load from before the first report of its engine if an entry tells that an agent vouched for it. */
+  private trustVouched (report: EngineReport): void {
+    if (this.untrusted === undefined || this.untrusted.vouchedUntil === 0 || !isVouchedFor(this.vouched, report)) return
+    this.untrusted = undefined
+    log.info('the load is whole: an entry knows that an earlier process vouched for it', { version: report.weights?.version ?? 0, orders: report.orders })
   }
 
   /** The answer may come after a report that has already told of the order. */
@@ -236,8 +274,8 @@
     else this.distrust(chunks, verdict === 'unchecked' ? 'unchecked' : 'wrong', accepted.after)
   }
 
-  private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state'], takenAfter: number): void {
-    this.untrusted = { state, chunks, takenAfter }
+  private distrust (chunks: VersionChunks | undefined, state: UntrustedLoad['state'], takenAfter: number, vouchedUntil = 0): void {
+    this.untrusted = { state, chunks, takenAfter, vouchedUntil }
     this.metrics.count('untrusted_loads_total', { state })
     const message = state === 'wrong' ? 'the engine has taken chunks that may be wrong: it is closed until it loads others' : 'no check vouches for what the engine has taken: it is closed until that was read again'
     log.warn(message, { version: chunks?.version ?? 0 })
--- a/src/roles/weights/load-reporter.ts
+++ b/src/roles/weights/load-reporter.ts
@@ -35,6 +35,7 @@
     const load = {
       kind: 'load',
       startedAt: report.startedAt,
+      orders: report.orders,
       running: report.running,
       waiting: report.waiting,
       model: report.weights?.model ?? '',
@@ -43,7 +44,7 @@
       readyInMilliseconds
     } as const
     const readyStep = readyInMilliseconds <= 0 ? readyInMilliseconds : Math.round((now + readyInMilliseconds) / readyStepMilliseconds)
-    const text = [load.startedAt, load.model, load.version, load.isSwapping, readyStep].join(' ')
+    const text = [load.startedAt, load.orders, load.model, load.version, load.isSwapping, readyStep].join(' ')
     for (const [ip, { until }] of this.subscribers) if (until < now) this.subscribers.delete(ip)
     const due = dueSubscribers([...this.subscribers.values()], text, maximumReports, now).map(({ ip }) => ip)
     for (const ip of due) {
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -172,6 +172,7 @@
   }
 
   private subscribe (subscription: Subscription, ip: string): void {
+    if (subscription.vouched !== undefined) this.orders.observeVouched(subscription.vouched, this.report)
     this.loadReporter.subscribe(ip, subscription.dataCentre === this.settings.dataCentre)
     this.rollout.receive(subscription, ip)
   }
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -4,6 +4,7 @@
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
 import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, SlotRelease, SlotReply, SlotRequest, Subscription } from '../types/node-messages.js'
+import type { VouchedLoad } from '../types/fleet.js'
 import { logFor } from '../utils/log.js'
 
 const log = logFor('members')
@@ -74,9 +75,9 @@
     case 'slot-request': return [message.number, message.limit]
     case 'slot-reply': return [message.number, message.load, message.isGranted]
     case 'slot-release': return [message.number]
-    case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout)]
+    case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout), encodeVouched(message.vouched)]
     case 'introduction': return [message.service]
-    case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds]
+    case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds, ...message.orders === undefined ? [] : [message.orders]]
     case 'holdings': return [message.dataCentre, message.model, message.version, message.held, message.heldInDataCentre, message.served, message.isSwapping]
   }
 }
@@ -102,6 +103,11 @@
   return [configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin?.address ?? '', origin?.bytesPerSecond ?? 0, isResumable]
 }
 
+/** Nothing becomes an empty list. */
+function encodeVouched (vouched: VouchedLoad | undefined): Fields {
+  return vouched === undefined ? [] : [vouched.startedAt, vouched.orders, vouched.version]
+}
+
 /** Type of a field: the result of `typeof`, or `list` for arrays. */
 type FieldType = 'string' | 'number' | 'boolean' | 'list'
 
@@ -160,6 +166,13 @@
   return { configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin: address === '' ? undefined : { address, bytesPerSecond }, isResumable }
 }
 
+function decodeVouched (fields: Fields): VouchedLoad | undefined {
+  if (fields.length === 0) return undefined
+  checkTypes(fields, ['number', 'number', 'number'])
+  const [startedAt, orders, version] = fields as [number, number, number]
+  return { startedAt, orders, version }
+}
+
 /** Throws for a text that is no IPv4 address: sending to it would look up a name. */
 function checkIp (ip: string): void {
   if (!isIPv4(ip)) throw new TypeError('not an IP')
@@ -222,8 +235,9 @@
   },
   subscription: fields => {
     checkTypes(fields, ['string', 'string', 'list', 'list', 'list'])
-    const [dataCentre, service, weights, agents, rollout] = fields as [string, string, Fields, Fields, Fields]
-    return { kind: 'subscription', dataCentre, service, weights: decodeWeights(weights), agents: decodeAgents(agents), rollout: decodeFacts(rollout) } satisfies Subscription
+    // Earlier versions send no vouched load.
+    const [dataCentre, service, weights, agents, rollout, vouched = []] = fields as [string, string, Fields, Fields, Fields, Fields?]
+    return { kind: 'subscription', dataCentre, service, weights: decodeWeights(weights), agents: decodeAgents(agents), rollout: decodeFacts(rollout), vouched: decodeVouched(vouched) } satisfies Subscription
   },
   introduction: fields => {
     checkTypes(fields, ['string'])
@@ -232,8 +246,9 @@
   },
   load: fields => {
     checkTypes(fields, ['number', 'number', 'number', 'string', 'number', 'boolean', 'number'])
-    const [startedAt, running, waiting, model, version, isSwapping, readyInMilliseconds] = fields as [number, number, number, string, number, boolean, number]
-    return { kind: 'load', startedAt, running, waiting, model, version, isSwapping, readyInMilliseconds } satisfies LoadReport
+    const [startedAt, running, waiting, model, version, isSwapping, readyInMilliseconds, orders] = fields as [number, number, number, string, number, boolean, number, number?]
+    if (orders !== undefined) checkTypes([orders], ['number'])
+    return { kind: 'load', startedAt, orders, running, waiting, model, version, isSwapping, readyInMilliseconds } satisfies LoadReport
   },
   holdings: fields => {
     checkTypes(fields, ['string', 'string', 'number', 'string', 'string', 'number', 'boolean'])
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -164,3 +164,12 @@
   readonly waiting: number
   readonly weights: LoadedWeights | undefined
 }
+
+/** A load of an engine that an agent found whole; the number of orders tells it from others of the same start. */
+export interface VouchedLoad {
+  /** Epoch milliseconds of the engine's start. */
+  readonly startedAt: number
+  /** Number of orders accepted since then, with the one that began the load. */
+  readonly orders: number
+  readonly version: number
+}
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -3,7 +3,7 @@
 import type { LogPosition } from '../core/log-position.js'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
-import type { RolloutFacts } from './fleet.js'
+import type { RolloutFacts, VouchedLoad } from './fleet.js'
 
 /** Named weights with the time since some node learned of them, milliseconds; undefined where the sender does not know it. */
 export interface GossipedWeights {
@@ -100,6 +100,8 @@
   readonly agents: readonly (readonly [string, string])[]
   /** Facts of that service; undefined in most subscriptions, and before the sender's first configuration. */
   readonly rollout: ReportedFacts | undefined
+  /** The last load for which an agent of that engine vouched to the sender; undefined for none. */
+  readonly vouched: VouchedLoad | undefined
 }
 
 /** Sent by an agent without a subscription, to entries that its settings name; they subscribe at once. */
@@ -113,6 +115,8 @@
   readonly kind: 'load'
   /** Epoch milliseconds of the engine's start. */
   readonly startedAt: number
+  /** Number of orders that the engine has accepted since then; undefined from earlier versions. */
+  readonly orders: number | undefined
   readonly running: number
   readonly waiting: number
   readonly model: string
--- a/test/agent-subscriptions.test.ts
+++ b/test/agent-subscriptions.test.ts
@@ -4,7 +4,7 @@
 import { AgentSubscriptions } from '../src/roles/gateway/agent-subscriptions.js'
 import { FleetState } from '../src/roles/gateway/fleet-state.js'
 import { encodeMessage } from '../src/transports/datagrams.js'
-import type { FleetConfiguration, Upstream } from '../src/types/fleet.js'
+import type { FleetConfiguration, Upstream, VouchedLoad } from '../src/types/fleet.js'
 import type { GossipedWeights, ReportedFacts, Subscription } from '../src/types/node-messages.js'
 import { sleepUntil, monotonicNow } from '../src/utils/clock.js'
 import { configurationOf, FakeCodec, model, service, noCost } from './fakes/weights-node.js'
@@ -20,11 +20,14 @@
   weights: readonly GossipedWeights[] = []
   configuration: FleetConfiguration | undefined
   readonly engines: Upstream[] = []
+  /** By the IP of an agent. */
+  readonly vouched = new Map<string, VouchedLoad>()
   readonly subscriptions = new AgentSubscriptions({
     dataCentre: 'zone-a',
     state: this,
     entryCount: () => this.entries,
     engines: () => this.engines,
+    vouchedAt: ip => this.vouched.get(ip),
     send: (message, ip) => { this.sent.push({ message, ip, at: monotonicNow() }) }
   })
 
@@ -188,3 +191,16 @@
     t.equal(entry.sent.length, renewals)
   })
 }
+
+test('subscriptions: each agent is told for which load of its engine it vouched', async t => {
+  const entry = new Entry(2)
+  entry.configure(configurationOf(1))
+  await entry.taken()
+  const load: VouchedLoad = { startedAt: 5, orders: 2, version: 3 }
+  entry.vouched.set('10.100.0.2', load)
+  entry.subscriptions.answerIntroduction(service, '10.100.0.2')
+  t.same(entry.sent.splice(0).map(({ message, ip }) => [ip, message.vouched]), [['10.100.0.2', load]])
+  entry.subscriptions.renew()
+  t.same(entry.sent.splice(0).map(({ message, ip }) => [ip, message.vouched]), [['10.100.0.1', undefined], ['10.100.0.2', load]])
+  entry.subscriptions.stop()
+})
--- a/test/fakes/staged-engine.ts
+++ b/test/fakes/staged-engine.ts
@@ -1,5 +1,5 @@
 /** An engine in memory that loads what is staged when it accepts an order, and judges what it took. */
-import type { EngineReport } from '../../src/types/fleet.js'
+import type { EngineReport, VouchedLoad } from '../../src/types/fleet.js'
 import { EnginePort, OriginPort, type OrderResult } from '../../src/types/ports.js'
 import type { Subscription } from '../../src/types/node-messages.js'
 import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
@@ -32,14 +32,15 @@
 }
 
 /** An entry's subscription that names a version. */
-export function subscriptionTo (version: number, chunkCount: number): Subscription {
+export function subscriptionTo (version: number, chunkCount: number, vouched?: VouchedLoad): Subscription {
   return {
     kind: 'subscription',
     dataCentre: 'zone-a',
     service,
     weights: [{ model, version, ageMilliseconds: 0 }],
     agents: [],
-    rollout: { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount, chunkBytes: 64, origin: { address: '127.0.0.1:1', bytesPerSecond: 1_000_000 }, isResumable: false }
+    rollout: { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount, chunkBytes: 64, origin: { address: '127.0.0.1:1', bytesPerSecond: 1_000_000 }, isResumable: false },
+    vouched
   }
 }
 
--- a/test/fakes/weights-node.ts
+++ b/test/fakes/weights-node.ts
@@ -57,7 +57,7 @@
 /** Subscription of an entry with that configuration in force, with the given parts. */
 export function subscriptionOf (version: number, parts: Partial<Subscription> = {}): Subscription {
   const rollout = { ...rolloutFactsOf(configurationOf(version), service), ageMilliseconds: 30 }
-  return { kind: 'subscription', dataCentre: 'zone-a', service, weights: [], agents: [], rollout, ...parts }
+  return { kind: 'subscription', dataCentre: 'zone-a', service, weights: [], agents: [], rollout, vouched: undefined, ...parts }
 }
 
 /** Cost of reads in memory. */
--- a/test/fakes/weights-process.ts
+++ b/test/fakes/weights-process.ts
@@ -6,7 +6,9 @@
 import { fileURLToPath } from 'node:url'
 import { settingsVariable } from '../../platform/settings.js'
 import { freshAddress } from '../../script/launch.js'
+import { vouchedLoadOf } from '../../src/core/weights/load-trust.js'
 import { DatagramSocket } from '../../src/transports/datagrams.js'
+import type { VouchedLoad } from '../../src/types/fleet.js'
 import type { NodeMessage } from '../../src/types/node-messages.js'
 import { monotonicNow, sleepUntil } from '../../src/utils/clock.js'
 import { model, ModelServer, OriginServer, type ModelServerOptions } from './model-server.js'
@@ -62,6 +64,8 @@
   private readonly entry: DatagramSocket
   private named: { readonly version: number, readonly at: number } | undefined
   private isIntroduced = false
+  /** The last load for which an agent vouched. */
+  private vouched: VouchedLoad | undefined
   private slotRequests = 0
   private timer: NodeJS.Timeout | undefined
   private pipe: number | undefined
@@ -161,13 +165,14 @@
     const { named, ip } = this
     const weights = named === undefined ? [] : [{ model, version: named.version, ageMilliseconds: monotonicNow() - named.at }]
     const rollout = { configurationVersion: 7, ageMilliseconds: 0, models: [model], chunkCount: this.options.chunkCount, chunkBytes: 64, origin: { address: this.origin.address, bytesPerSecond: 1_000_000 }, isResumable: false }
-    this.entry.send({ kind: 'subscription', dataCentre, service, weights, agents: [], rollout }, ip)
+    this.entry.send({ kind: 'subscription', dataCentre, service, weights, agents: [], rollout, vouched: this.vouched }, ip)
     this.slotRequests += 1
     this.entry.send({ kind: 'slot-request', number: this.slotRequests, limit: 8 }, ip)
   }
 
   private receive (message: NodeMessage): void {
     this.isIntroduced = true
+    if (message.kind === 'load') this.vouched = vouchedLoadOf(message) ?? this.vouched
     const { loaded } = this.engine
     if (loaded === undefined || (loaded.wrong.length === 0 && loaded.otherVersion.length === 0)) return
     if (message.kind === 'load' && !message.isSwapping && message.version === loaded.version) this.wrongOffers.add(`report of version ${message.version} as open`)
--- a/test/fleet-decisions.test.ts
+++ b/test/fleet-decisions.test.ts
@@ -227,11 +227,11 @@
   { kind: 'crash-evidence', suspicions: [{ trait: 'f', ends: [['i-1/1', 20], ['i-2/1', 0]], refusedAgeMilliseconds: -1, isBlocked: false }, { trait: 'part:service/a', ends: [], refusedAgeMilliseconds: 7, isBlocked: true }], healthy: [['upstream:i-1/1', 3]] },
   { kind: 'permit-request', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: 2, ageMilliseconds: 7 } },
   { kind: 'permit-answer', number: 4, limit: { upstreamId: 'i-1', startedAt: 1000, perSecond: undefined, ageMilliseconds: 7 }, retryInMilliseconds: -1 },
-  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [['zone-a', '10.0.0.1']], rollout: undefined },
-  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: ['weights-a'], chunkCount: 40, chunkBytes: 32_768, origin: { address: '10.0.0.9:80', bytesPerSecond: 2_000_000 }, isResumable: true } },
-  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: [], chunkCount: 0, chunkBytes: 0, origin: undefined, isResumable: false } },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [['zone-a', '10.0.0.1']], rollout: undefined, vouched: undefined },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [{ model: 'weights-a', version: 2, ageMilliseconds: 40 }], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: ['weights-a'], chunkCount: 40, chunkBytes: 32_768, origin: { address: '10.0.0.9:80', bytesPerSecond: 2_000_000 }, isResumable: true }, vouched: { startedAt: 5, orders: 3, version: 2 } },
+  { kind: 'subscription', dataCentre: 'zone-a', service: 'ledger', weights: [], agents: [], rollout: { configurationVersion: 7, ageMilliseconds: 30, models: [], chunkCount: 0, chunkBytes: 0, origin: undefined, isResumable: false }, vouched: undefined },
   { kind: 'introduction', service: 'ledger' },
-  { kind: 'load', startedAt: 5, running: 3, waiting: 1, model: 'weights-a', version: 2, isSwapping: false, readyInMilliseconds: -1 },
+  { kind: 'load', startedAt: 5, orders: 2, running: 3, waiting: 1, model: 'weights-a', version: 2, isSwapping: false, readyInMilliseconds: -1 },
   { kind: 'holdings', dataCentre: 'zone-a', model: 'weights-a', version: 2, held: 'AAA=', heldInDataCentre: 'AAA=', served: 1, isSwapping: true }
 ]
 
--- a/test/named-version-age.test.ts
+++ b/test/named-version-age.test.ts
@@ -25,7 +25,7 @@
   }
 
   hearsFrom (other: Entry): this {
-    const message: Subscription = { kind: 'subscription', dataCentre: 'zone-a', service: 'tokens', weights: other.state.weights, agents: [], rollout: undefined }
+    const message: Subscription = { kind: 'subscription', dataCentre: 'zone-a', service: 'tokens', weights: other.state.weights, agents: [], rollout: undefined, vouched: undefined }
     const received = decodeMessage(encodeMessage(message)) as Subscription
     this.state.mergeWeights(received.weights)
     return this
--- a/test/silent-engine-slot.test.ts
+++ b/test/silent-engine-slot.test.ts
@@ -38,7 +38,7 @@
     await new Promise<void>(resolve => { this.server.listen(8080, this.ip, resolve) })
     await this.agent.open(this.ip)
     this.reports = setInterval(() => {
-      this.agent.send({ kind: 'load', startedAt: 1000, running: slots, waiting: 2, model, version: 1, isSwapping: false, readyInMilliseconds: 0 }, entryIp)
+      this.agent.send({ kind: 'load', startedAt: 1000, orders: 0, running: slots, waiting: 2, model, version: 1, isSwapping: false, readyInMilliseconds: 0 }, entryIp)
     }, 100)
   }
 
--- a/test/slot-placement.test.ts
+++ b/test/slot-placement.test.ts
@@ -12,7 +12,7 @@
 
 const service: Service = { name: 'model-a', maximumConnections: 0, coldMilliseconds: 0, coldRequestsPerSecond: 36, engine: undefined, origin: undefined }
 const upstreamOf = (number: number): Upstream => ({ id: `i-${number}`, service: 'model-a', address: `10.0.0.${number}:8080`, dataCentre: 'zone-a', slots: 8, isDraining: false, coldMilliseconds: 0, startedAt: 1000, weights: { model: 'weights-a', version: 1 }, isEngine: true })
-const report = { kind: 'load', startedAt: 1000, running: 4, waiting: 0, model: 'weights-a', version: 1, isSwapping: false, readyInMilliseconds: 0 } as const
+const report = { kind: 'load', startedAt: 1000, orders: 0, running: 4, waiting: 0, model: 'weights-a', version: 1, isSwapping: false, readyInMilliseconds: 0 } as const
 const ipOf = (number: number): string => `10.0.0.${number}`
 
 /** An entry among 99 before two engines whose agents have reported half of their slots in use. */
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -5,14 +5,15 @@
 import { UpstreamPool } from '../src/roles/gateway/upstream-pool.js'
 import type { UpstreamRequirements, SelectionFailure } from '../src/roles/gateway/upstream-selection.js'
 import type { UpstreamView } from '../src/roles/gateway/upstream-view.js'
-import type { Service, Upstream } from '../src/types/fleet.js'
+import type { Service, Upstream, VouchedLoad } from '../src/types/fleet.js'
+import type { LoadReport } from '../src/types/node-messages.js'
 import type { AnswerHead } from '../src/types/ports.js'
 import { sleepUntil, monotonicNow } from '../src/utils/clock.js'
 
 const service: Service = { name: 'model-a', maximumConnections: 0, coldMilliseconds: 3000, coldRequestsPerSecond: 36, engine: undefined, origin: undefined }
 const upstream: Upstream = { id: 'i-1', service: 'model-a', address: '10.0.0.9:8080', dataCentre: 'zone-a', slots: 16, isDraining: false, coldMilliseconds: 0, startedAt: 1000, weights: { model: 'weights-a', version: 1 }, isEngine: true }
 const requirements: UpstreamRequirements = { service, regions: undefined, admission: { requestsPerSlot: 1, waiting: 0 }, tried: new Set(), minimumVersion: 1, streamVersion: undefined, search: undefined }
-const report = { kind: 'load', startedAt: 1000, running: 0, waiting: 0, model: 'weights-a', version: 1, isSwapping: false, readyInMilliseconds: 0 } as const
+const report = { kind: 'load', startedAt: 1000, orders: 0, running: 0, waiting: 0, model: 'weights-a', version: 1, isSwapping: false, readyInMilliseconds: 0 } as const
 
 const answered: AnswerHead = { status: 200, requestId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, isEncoded: false, load: undefined, limit: { kind: 'none' }, rest: { kind: 'none' }, isLeaving: false }
 const resting: AnswerHead = { ...answered, status: 503, isSigned: false, isNotRun: true, rest: { kind: 'rest', milliseconds: 3000 } }
@@ -194,3 +195,22 @@
   await sleepUntil(until + 20)
   t.equal(pool.choose(requirements), 'no-upstream')
 })
+
+const vouchedCases: readonly { readonly name: string, readonly reports: readonly Partial<LoadReport>[], readonly vouched: VouchedLoad | undefined }[] = [
+  { name: 'nothing before a report', reports: [], vouched: undefined },
+  { name: 'the load of an engine that accepts requests', reports: [{ version: 2, orders: 3 }], vouched: { startedAt: 1000, orders: 3, version: 2 } },
+  { name: 'not the load of a closed engine', reports: [{ version: 2, orders: 3, isSwapping: true }], vouched: undefined },
+  { name: 'the load before, while the engine is closed', reports: [{ version: 2, orders: 3 }, { version: 3, orders: 4, isSwapping: true }], vouched: { startedAt: 1000, orders: 3, version: 2 } },
+  { name: 'nothing of an engine without weights', reports: [{ version: 0, orders: 3 }], vouched: undefined },
+  { name: 'nothing of an agent of an earlier release', reports: [{ version: 2, orders: undefined }], vouched: undefined },
+  { name: 'the load after a restart', reports: [{ version: 2, orders: 3 }, { startedAt: 2000, version: 2, orders: 1 }], vouched: { startedAt: 2000, orders: 1, version: 2 } }
+]
+
+for (const { name, reports, vouched } of vouchedCases) {
+  test(`upstream pool: an agent vouches for ${name}`, async t => {
+    const pool = makePool()
+    for (const parts of reports) pool.applyLoadReport({ ...report, ...parts }, '10.0.0.9')
+    t.same(pool.vouchedAt('10.0.0.9'), vouched)
+    t.equal(pool.vouchedAt('10.0.0.8'), undefined, 'another agent')
+  })
+}
--- a/test/weights-order-lost.test.ts
+++ b/test/weights-order-lost.test.ts
@@ -79,6 +79,7 @@
 
 const subscription: Subscription = {
   kind: 'subscription',
+  vouched: undefined,
   dataCentre: 'zone-a',
   service,
   weights: [{ model, version: 2, ageMilliseconds: 0 }],
