Upstream pool: a record does not raise the weights that an agent has reported

What callers could see: tokens of a load for which no agent vouches. The record of an engine names a version as soon as it is loaded, also while its agent is dead or keeps it closed, and an entry sent requests that expect it; likewise after an answer that other weights are there, although such an engine should get no requests until its agent reports again.

Change: once an agent has reported on an incarnation, its record tells nothing of its weights.

Evidence: two rows of upstream-pool fail without it. Without a report, as beside a dead agent when an entry starts, the record counts as before.

--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -46,14 +46,14 @@
       log.info('upstream listed, restarted or changed between ready and draining', { upstream: upstream.id, service: upstream.service, dataCentre: upstream.dataCentre, state: upstream.isDraining ? 'draining' : 'ready', startedAt: upstream.startedAt, version: upstream.weights?.version ?? 0, coldMilliseconds: upstream.coldMilliseconds, isFirst })
     }
     if (isSame) {
-      const weights = newerWeights(known.weights, upstream.weights)
+      const weights = known.isReported ? known.weights : newerWeights(known.weights, upstream.weights)
       if (known.upstream.isEngine !== upstream.isEngine) this.engineIds = undefined
       this.views.set(upstream.id, { ...known, upstream, coldUntil, weights, retainedUntil: undefined })
       return
     }
     this.engineIds = undefined
     if (known !== undefined && known.upstream.startedAt !== upstream.startedAt) this.context.upstreamGone(known.upstream)
-    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, vouched: known?.vouched, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
+    this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, isReported: false, vouched: known?.vouched, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
   }
 
   /** Handles the removal of a record. The upstream is used until `retainUntil`, milliseconds of the monotonic clock, or that of an earlier removal: the record may only have lapsed. */
@@ -185,6 +185,7 @@
       health: view.health.losses > 0 && isRestart ? initialHealth : view.health,
       coldUntil: isRestart ? now + (this.serviceOf(view.upstream.service)?.coldMilliseconds ?? 0) : view.coldUntil,
       ...report.version > 0 ? { weights: { model: report.model, version: report.version }, reportedVersion: report.version } : { weights: undefined, reportedVersion: undefined },
+      isReported: true,
       vouched: vouchedLoadOf(report) ?? view.vouched,
       isSwapping: report.isSwapping,
       readyAt: report.readyInMilliseconds < 0 ? undefined : now + report.readyInMilliseconds,
--- a/src/roles/gateway/upstream-view.ts
+++ b/src/roles/gateway/upstream-view.ts
@@ -32,6 +32,8 @@
   readonly weights: LoadedWeights | undefined
   /** Weights version of the last report of its agent; undefined for none. Unlike `weights` it is never taken from a record. */
   readonly reportedVersion: number | undefined
+  /** Whether its agent has reported on this incarnation; from then on its record tells nothing of its weights, as a record also names those for which no agent vouches. */
+  readonly isReported: boolean
   /** The last load for which its agent vouched, by a report that it accepts requests; undefined for none. */
   readonly vouched: VouchedLoad | undefined
   /** Whether it takes no requests because its weights are being swapped. */
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -74,6 +74,30 @@
     requirements: { minimumVersion: 2 },
     is: 'i-1'
   },
+  {
+    name: 'not an upstream on a version that its record names and its agent has not reported',
+    change: pool => {
+      pool.applyLoadReport(report, '10.0.0.9')
+      pool.putRecord({ ...upstream, weights: { model: 'weights-a', version: 2 } }, false)
+    },
+    requirements: { minimumVersion: 2 },
+    is: 'no-weights'
+  },
+  {
+    name: 'not an upstream with other weights than expected, whatever its record names, until its agent reports again',
+    change: pool => {
+      pool.applyLoadReport(report, '10.0.0.9')
+      pool.recordMisdirected('i-1')
+      pool.putRecord({ ...upstream, weights: { model: 'weights-a', version: 2 } }, false)
+    },
+    is: 'no-weights'
+  },
+  {
+    name: 'an upstream on a version that its record names while no agent has reported on it',
+    change: pool => { pool.putRecord({ ...upstream, weights: { model: 'weights-a', version: 2 } }, false) },
+    requirements: { minimumVersion: 2 },
+    is: 'i-1'
+  },
   {
     name: 'a restarted upstream has lost its weights',
     change: pool => {
