--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -223,7 +223,9 @@
     this.untrusted = undefined
     this.loaded = undefined
     if (orders === 0 || (report.weights === undefined && !report.isSwapping)) return
-    this.distrust(undefined, 'unchecked', this.unchangedAt, monotonicNow() + vouchingMilliseconds)
+    this.untrusted = { state: 'unchecked', chunks: undefined, takenAfter: this.unchangedAt, vouchedUntil: monotonicNow() + vouchingMilliseconds }
+    this.metrics.count('untrusted_loads_total', { state: 'inherited' })
+    log.info('the engine has a load that this process did not see begin: it is closed until an entry or the staged chunks vouch for it', { version: report.weights?.version ?? 0, orders })
     this.trustVouched(report)
   }
 
