Weights: a load from before an agent's start is read however long it takes to be readable

What callers saw: tokens of an engine that had taken a bad chunk, when its agent was replaced while the engine still waited for its running requests before the load, or did not answer its agent for some seconds.

Cause: 5.5 s after the first report such a load counted as whole, since nobody might have its digests. The time ran also while nothing could be read: during the load itself (a load in mode `wait` lasts as long as the running requests), while the engine did not answer and while the agent was paused. Entries then recorded it as vouched for, so that no later process read it either. The same held for a load whose order had come to a restarted engine.

Change: the digests of what is served are looked up, once a second; only when an attempt that begins 4 s after the first one fails does the load count as served without them. A pause or a long load counts as no attempt.

--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -18,8 +18,6 @@
 const maximumLateOrderMilliseconds = 6000
 /** Time from the first report of an engine in which entries tell for which of its loads an earlier process has vouched, milliseconds: each of them subscribes once a second. */
 const vouchingMilliseconds = 1500
-/** Time after that in which the digests of a load are awaited to read again what is staged, milliseconds. */
-const maximumUncheckedMilliseconds = 4000
 /** Time between two orders to give up a wrong load, milliseconds. */
 const unloadIntervalMilliseconds = 1000
 
@@ -119,7 +117,6 @@
       this.known = { startedAt, orders }
       this.unchangedAt = askedAt
     }
-    this.endWaitForDigests()
     const served = report.weights?.version
     if (!report.isSwapping && served === undefined && orders === this.known.orders) this.untrusted = undefined
     if (!report.isSwapping && this.loaded !== undefined && served !== undefined && orders === this.known.orders && served !== this.loaded) {
@@ -201,6 +198,14 @@
     if (result === 'begun') this.loaded = undefined
   }
 
+  /** Nothing speaks against a load of an earlier process; where no source has its digests, an engine that stays closed for good is worse. */
+  endWaitForDigests (): void {
+    const { untrusted } = this
+    if (untrusted?.state !== 'unchecked' || untrusted.vouchedUntil === 0 || monotonicNow() < untrusted.vouchedUntil) return
+    log.warn('the load of an earlier process cannot be checked in time: it is served', { orders: this.known?.orders ?? 0 })
+    this.untrusted = undefined
+  }
+
   /** Takes the load for which, as an entry tells, an agent of this engine vouched. */
   observeVouched (vouched: VouchedLoad, report: EngineReport | undefined): void {
     const { startedAt, orders } = this.vouched ?? { startedAt: 0, orders: 0 }
@@ -229,14 +234,6 @@
     this.trustVouched(report)
   }
 
-  /** Nothing speaks against a load of an earlier process; where no source has its digests, an engine that stays closed for good is worse. */
-  private endWaitForDigests (): void {
-    const { untrusted } = this
-    if (untrusted?.state !== 'unchecked' || untrusted.vouchedUntil === 0 || monotonicNow() < untrusted.vouchedUntil + maximumUncheckedMilliseconds) return
-    log.warn('the load of an earlier process cannot be checked in time: it is served', { orders: this.known?.orders ?? 0 })
-    this.untrusted = undefined
-  }
-
   /** Trusts a load from before the first report of its engine if an entry tells that an agent vouched for it. */
   private trustVouched (report: EngineReport): void {
     if (this.untrusted === undefined || this.untrusted.vouchedUntil === 0 || !isVouchedFor(this.vouched, report)) return
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -12,6 +12,7 @@
 import { logFor } from '../../utils/log.js'
 import { ChunkFetcher } from './chunk-fetcher.js'
 import { VersionChunks } from './chunk-store.js'
+import { DigestLookUp } from './digest-look-up.js'
 import type { PeerTable } from './peer-table.js'
 
 const log = logFor('exchange')
@@ -59,6 +60,8 @@
   private confirmRetryAt = 0
   /** Whether this process has read the chunks that an earlier one staged. */
   private hasLoadedStaged = false
+  /** Digests of a version that is served and not fetched. */
+  readonly lookUp = new DigestLookUp(async (model, version) => await this.fetchDigests(model, version))
 
   constructor (private readonly context: VersionCacheContext) {}
 
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -254,11 +254,12 @@
     this.runEngineTask('swap the weights', this.swapper.swap(chunks, this.swapRequest(target, this.report), chunks.completedAt))
   }
 
-  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its manifest is, unless a newer version follows anyway. */
+  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its digests are, unless a newer version follows anyway. */
   private checkLoad (model: string, wanted: number, isOwn: boolean, report: EngineReport): void {
-    const loaded = this.versions.get(model, this.served)
-    const isKnown = isOwn || (!report.isSwapping && this.served > 0 && (loaded !== undefined || this.served < wanted))
-    if (isKnown) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
+    if (!isOwn && (report.isSwapping || this.served === 0)) return
+    const loaded = this.versions.get(model, this.served) ?? (isOwn || this.served < wanted ? undefined : this.versions.lookUp.find(model, this.served))
+    if (isOwn || loaded !== undefined || this.served < wanted) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
+    else if (this.versions.lookUp.hasFailed) this.orders.endWaitForDigests()
   }
 
   /** Stages fetched chunks as they arrive, so that they survive a restart of this process. */
