Weights: a load from before an agent's start is compared with its own digests while a newer version is named

What callers saw: an engine with right weights got no requests until it had loaded a newer version, for good where nobody has that, when its agent started during a rollout and no entry vouched for its load. Entries do not vouch while they are of an earlier release, or after all of them and all agents started anew, so that this would have been all engines at once.

Cause: an agent knew only the digests of the version that it fetches. While a newer one was named than the engine serves, it called the load wrong 1.5 s after its start without having read anything, and nothing but the next load ended that.

Change: for a load that it did not see begin, an agent asks for the digests of the version that is served (origins and agents keep those of the version before), and reads the staged chunks. Where nobody has them, the load is served after 4 s, as without a newer version. A load that another process ordered while this one ran is given up for the newer version as before.

--- a/src/roles/weights/load-orders.ts
+++ b/src/roles/weights/load-orders.ts
@@ -42,6 +42,12 @@
   readonly vouchedUntil: number
 }
 
+/** Who began a load that must be read again. */
+export interface UncheckedLoad {
+  readonly isOwn: boolean
+  readonly isInherited: boolean
+}
+
 /** Orders to one engine. */
 export class LoadOrders {
   private open: OpenOrder | undefined
@@ -73,9 +79,9 @@
     return this.untrusted !== undefined
   }
 
-  /** Whether what is staged must be read again, and must stay as it is until then: of which version is known if this agent ordered it. */
-  get unchecked (): { readonly isOwn: boolean } | undefined {
-    return this.untrusted?.state === 'unchecked' ? { isOwn: this.untrusted.chunks !== undefined } : undefined
+  /** Whether what is staged must be read again, and must stay as it is until then: of which version is known if this agent ordered it; `isInherited` if it did not see the load begin. */
+  get unchecked (): UncheckedLoad | undefined {
+    return this.untrusted?.state === 'unchecked' ? { isOwn: this.untrusted.chunks !== undefined, isInherited: this.untrusted.vouchedUntil > 0 } : undefined
   }
 
   /** Whether the engine should give up what it has loaded, so that it can be ordered to load the same version again. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -18,7 +18,7 @@
 import type { VersionChunks } from './chunk-store.js'
 import { ChunkUploads } from './chunk-uploads.js'
 import { EngineSwapper, type SwapRequest } from './engine-swapper.js'
-import { LoadOrders } from './load-orders.js'
+import { LoadOrders, type UncheckedLoad } from './load-orders.js'
 import { LoadReporter } from './load-reporter.js'
 import { NamedVersions } from './named-versions.js'
 import { PeerTable } from './peer-table.js'
@@ -239,7 +239,7 @@
     if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
     if (this.hasEngineTask) return
     if (this.orders.unchecked !== undefined) {
-      this.checkLoad(model, wanted.version, this.orders.unchecked.isOwn, this.report)
+      this.checkLoad(model, wanted.version, this.orders.unchecked, this.report)
       return
     }
     if (this.served >= wanted.version && this.orders.shouldUnload(this.report)) {
@@ -254,11 +254,12 @@
     this.runEngineTask('swap the weights', this.swapper.swap(chunks, this.swapRequest(target, this.report), chunks.completedAt))
   }
 
-  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its digests are, unless a newer version follows anyway. */
-  private checkLoad (model: string, wanted: number, isOwn: boolean, report: EngineReport): void {
+  /** Reads again what the engine has loaded; a load that this agent did not order once it is known, and its digests are. One that another process ordered meanwhile is given up for a newer version. */
+  private checkLoad (model: string, wanted: number, { isOwn, isInherited }: UncheckedLoad, report: EngineReport): void {
     if (!isOwn && (report.isSwapping || this.served === 0)) return
-    const loaded = this.versions.get(model, this.served) ?? (isOwn || this.served < wanted ? undefined : this.versions.lookUp.find(model, this.served))
-    if (isOwn || loaded !== undefined || this.served < wanted) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
+    const isReplaced = !isInherited && this.served < wanted
+    const loaded = this.versions.get(model, this.served) ?? (isOwn || isReplaced ? undefined : this.versions.lookUp.find(model, this.served))
+    if (isOwn || isReplaced || loaded !== undefined) this.runEngineTask('read again what the engine has loaded', this.orders.checkLoad(loaded))
     else if (this.versions.lookUp.hasFailed) this.orders.endWaitForDigests()
   }
 
