Slot placement: the test's clock no longer runs with the machine

Cause: the steps of the test took longer than the times that they check. The monotonic clock of this process now advances only where a row says so; checks and times are the same.

--- a/test/slot-placement.test.ts
+++ b/test/slot-placement.test.ts
@@ -8,7 +8,14 @@
 import type { UpstreamView } from '../src/roles/gateway/upstream-view.js'
 import type { Service, Upstream } from '../src/types/fleet.js'
 import type { SlotRelease, SlotRequest } from '../src/types/node-messages.js'
-import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
+
+/** The time of a grant or an answer is some ten ms, so the monotonic clock advances only by `advance`, whatever the machine's load. */
+let time = performance.now()
+performance.now = () => time
+
+function advance (milliseconds: number): void {
+  time += milliseconds
+}
 
 const service: Service = { name: 'model-a', maximumConnections: 0, coldMilliseconds: 0, coldRequestsPerSecond: 36, engine: undefined, origin: undefined }
 const upstreamOf = (number: number): Upstream => ({ id: `i-${number}`, service: 'model-a', address: `10.0.0.${number}:8080`, dataCentre: 'zone-a', slots: 8, isDraining: false, coldMilliseconds: 0, startedAt: 1000, weights: { model: 'weights-a', version: 1 }, isEngine: true })
@@ -73,14 +80,14 @@
   t.match(placement.sent.at(-1), { message: { kind: 'slot-release' }, ip: ipOf(1) })
 })
 
-const replies: readonly { readonly name: string, readonly play: (placement: Placement, search: SlotSearch) => void | Promise<void>, readonly requestsPerSlot?: number, readonly is: string }[] = [
+const replies: readonly { readonly name: string, readonly play: (placement: Placement, search: SlotSearch) => void, readonly requestsPerSlot?: number, readonly is: string }[] = [
   { name: 'no slot anywhere', play: placement => { placement.reply(1, 8, false); placement.reply(2, 8, false) }, is: 'full' },
   { name: 'a slot that a late request may not use', play: placement => { placement.reply(1, 7, true); placement.reply(2, 8, false) }, requestsPerSlot: 0.75, is: 'full' },
   { name: 'a slot of an engine that is removed meanwhile', play: placement => { placement.reply(1, 5, true); placement.reply(2, 8, false); placement.pool.dropRecord('i-1', 0) }, is: 'full' },
   { name: 'a slot of an engine that swaps its weights meanwhile', play: placement => { placement.reply(1, 5, true); placement.reply(2, 8, false); placement.pool.applyLoadReport({ ...report, isSwapping: true }, ipOf(1)) }, is: 'full' },
-  { name: 'a slot that was not used in time', play: async placement => { placement.reply(1, 5, true); placement.reply(2, 8, false); await sleepUntil(monotonicNow() + 30) }, is: 'asked' },
-  { name: 'one agent is silent', play: async placement => { placement.reply(1, 5, true); await sleepUntil(monotonicNow() + 10) }, is: 'i-1' },
-  { name: 'all agents are silent, and the share leaves a slot', play: async placement => { for (const number of [1, 2]) placement.pool.applyLoadReport({ ...report, running: 0 }, ipOf(number)); await sleepUntil(monotonicNow() + 60); placement.pool.recordEnded('i-1', 'none') }, is: 'i-1' }
+  { name: 'a slot that was not used in time', play: placement => { placement.reply(1, 5, true); placement.reply(2, 8, false); advance(30) }, is: 'asked' },
+  { name: 'one agent is silent', play: placement => { placement.reply(1, 5, true); advance(10) }, is: 'i-1' },
+  { name: 'all agents are silent, and the share leaves a slot', play: placement => { for (const number of [1, 2]) placement.pool.applyLoadReport({ ...report, running: 0 }, ipOf(number)); advance(60); placement.pool.recordEnded('i-1', 'none') }, is: 'i-1' }
 ]
 
 for (const { name, play, requestsPerSlot, is } of replies) {
@@ -88,7 +95,7 @@
     const placement = new Placement()
     const search = new SlotSearch()
     placement.choose(search)
-    await play(placement, search)
+    play(placement, search)
     t.equal(placement.choose(search, requestsPerSlot), is)
   })
 }
