Silent upstream: the test of a planned stop has the time that deployments state for it

Cause: the test's own timing. The stop began 1,550 ms after the request was sent, the stream ends at some 1,720 ms at the earliest, and the fake's grace of 1 s leaves 300 ms of which 130 ms remain. No target states them; grace-s is 8 on both sites. Ruled out: the end of a whole stream held back by the entry; it ends as soon as it is read. Change: the entry has the stated 8 s, and its stop begins as soon as the upstream has the request. It must wait for the whole pause of 1.6 s in place of the last 50 ms of it, and the test now also checks that the stop ends after the request.

--- a/test/fakes/stream-fleet.ts
+++ b/test/fakes/stream-fleet.ts
@@ -106,7 +106,7 @@
   readonly isComplete: boolean
 }
 
-/** Options of the fleet's only route. */
+/** Options of the fleet's only route, and of its entry. */
 export interface RouteOptions {
   readonly upstreams: number
   readonly maximumUpstreams: number
@@ -114,6 +114,8 @@
   readonly isResumable?: boolean
   readonly timeoutMilliseconds?: number
   readonly slots?: number
+  /** Time for a planned stop of the entry, milliseconds. */
+  readonly stopGraceMilliseconds?: number
 }
 
 /** The upstreams and the entry. */
@@ -146,7 +148,7 @@
       const { port } = server.address() as AddressInfo
       this.log.append('instances', `i-${index}`, bytesOf({ service: 'plain', address: `127.0.0.1:${port}`, zone: dataCentre, state: 'ready', slots, born: 1000 }))
     })
-    const [entry] = await startEntries(this.log, [dataCentre], 1)
+    const [entry] = await startEntries(this.log, [dataCentre], 1, [], new Map(), this.options)
     if (entry === undefined) throw new Error('no entry was started')
     this.entry = entry
     await eventually(async () => (await this.send('start').result).status !== 503)
--- a/test/silent-upstream.test.ts
+++ b/test/silent-upstream.test.ts
@@ -39,6 +39,9 @@
 /** Time for which a pause may have an upstream ejected, milliseconds. */
 const ejectionMilliseconds = 600
 
+/** Time that deployments state for a planned stop (`grace-s`), milliseconds. */
+const stopGraceMilliseconds = 8000
+
 /** Retries that the tests' entry allows at once for a number of requests: 0.6 of its budget. */
 const budgetFor = (requests: number): number => Math.floor(0.6 * (0.2 * requests + 100))
 
@@ -202,12 +205,14 @@
 })
 
 test('silent upstream: a planned stop waits for it', async t => {
-  const fleet = new StreamFleet({ upstreams: 1, maximumUpstreams: 1 }, async call => { await pause(call, 1600) })
+  const fleet = new StreamFleet({ upstreams: 1, maximumUpstreams: 1, stopGraceMilliseconds }, async call => { await pause(call, 1600) })
   await fleet.start()
   const { result } = fleet.send('request-0')
-  await delay(1550)
-  const stopped = fleet.stop()
+  await eventually(async () => fleet.allCalls.length === 1)
+  let hasStopped = false
+  const stopped = fleet.stop().then(() => { hasStopped = true })
   t.ok(isWhole(await result))
+  t.notOk(hasStopped, 'the entry stops after its last request')
   await stopped
 })
 
