Dispatch: refusals do not cost a caller its answer that received the late bytes of another request

Trace (log lines of calls, 72 rows at load 18 to 25): 3 callers had 502, all alike: refused by two upstreams, then the late refusal of another request on the third's connection, which may have run it; the same upstream on a new connection refused: upstream-lost, ran 1, withdrawn 0, refused 3, 5 to 10 ms after the request came, with 1.39 s left. Cause: three refusals end a request. That bound suits one whose caller is told 'not run' and retries; this one's caller cannot be told so. Change: refusals count anew from the answer to another request on, and six end the request then, as many as of a request and its caller's retry. Upstreams that refused it may be called again after their back-off. Calls that may have run stay bounded by max-attempts, all repeats by the retry budget, each wait for a slot by one latency goal.

--- a/src/core/dispatch/next-step.ts
+++ b/src/core/dispatch/next-step.ts
@@ -9,8 +9,10 @@
   readonly ran: number
   /** Upstreams from which it was withdrawn before its answer began. They may have run it: one that hangs or is slow has begun without an event. */
   readonly withdrawn: number
-  /** Upstreams that certainly did not run it. */
+  /** Calls whose upstream certainly did not run it, since the last answer to another request. */
   readonly refused: number
+  /** Whether a call received the answer to another request. */
+  readonly hasForeignAnswer?: boolean
   /** Whether part of a stream was sent to the caller. */
   readonly hasBegun: boolean
   readonly isPastDeadline: boolean
@@ -23,8 +25,11 @@
   | { readonly kind: 'resend' }
   | { readonly kind: 'fail', readonly tag: FailureTag }
 
-/** Upstreams that may refuse a request before it fails. */
-const maximumRefusals = 3
+/**
+ * Refusals after which a request fails. One that received the answer to another request has as many as a request and its
+ * caller's retry have together: its caller cannot be told that it was not run, and so does not retry it.
+ */
+const maximumRefusals = { usual: 3, afterForeignAnswer: 6 } as const
 
 /** Upstreams that may have run the request, by which its attempts are bounded. */
 export function countAttempts ({ ran, withdrawn }: Pick<RequestProgress, 'ran' | 'withdrawn'>): number {
@@ -37,7 +42,8 @@
   const mayHaveRun = attempts > 0
   if (progress.isPastDeadline) return { kind: 'fail', tag: mayHaveRun ? 'deadline-passed' : 'out-of-time' }
   if (mayHaveRun && !isRepeatable(progress.route)) return { kind: 'fail', tag: 'upstream-lost' }
-  const isExhausted = attempts >= progress.route.maximumUpstreams || progress.refused >= maximumRefusals || !progress.hasBudget
+  const maximumRefused = progress.hasForeignAnswer === true ? maximumRefusals.afterForeignAnswer : maximumRefusals.usual
+  const isExhausted = attempts >= progress.route.maximumUpstreams || progress.refused >= maximumRefused || !progress.hasBudget
   if (isExhausted) return { kind: 'fail', tag: mayHaveRun ? 'upstream-lost' : 'busy' }
   return { kind: 'resend' }
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -132,8 +132,8 @@
   }
 
   private progress (): RequestProgress {
-    const { request, ran, withdrawn, refused, answer } = this
-    return { route: request.route, ran, withdrawn, refused, hasBegun: answer.hasBegun, isPastDeadline: monotonicNow() >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
+    const { request, ran, withdrawn, calls, answer } = this
+    return { route: request.route, ran, withdrawn, refused: calls.refusals, hasForeignAnswer: calls.hasForeignAnswer, hasBegun: answer.hasBegun, isPastDeadline: monotonicNow() >= request.deadline - timerToleranceMilliseconds, hasBudget: true }
   }
 
   /** Takes a slot at an upstream, behind requests that are queued already; undefined when the request is over. */
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -9,7 +9,7 @@
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult, type LostReason } from './upstream-call.js'
+import { CallInProgress, type CallResult, type LostReason, type NotRunReason } from './upstream-call.js'
 import type { UpstreamView } from './upstream-view.js'
 import type { EventSink } from './event-sink.js'
 
@@ -39,13 +39,16 @@
 
 /** Makes the calls of one request, passes on the events of one of them at a time, and records how each ended. */
 export class RequestCalls {
-  /** Ids of the upstreams called so far. */
+  /** Ids of the upstreams called so far that are not to be called again. */
   readonly tried = new Set<string>()
   /** The upstream whose stream the caller's answer began with. */
   startedBy: UpstreamView | undefined
   /** Calls in progress, with the incarnation of their upstream. */
   private readonly inProgress = new Map<CallInProgress, string>()
   private receivedForeignAnswer = false
+  private refusalCount = 0
+  /** Upstreams that refused the request, without those that were called again. */
+  private readonly refusedBy = new Set<string>()
   private readonly ended: EndedAttempt[] = []
   private wake: () => void = () => {}
 
@@ -67,6 +70,11 @@
     return this.receivedForeignAnswer
   }
 
+  /** Calls whose upstream certainly did not run the request, since one received the answer to another request: from then on its caller cannot be told to try again. */
+  get refusals (): number {
+    return this.refusalCount
+  }
+
   /** Calls in progress. */
   get open (): readonly OpenCall[] {
     return [...this.inProgress.keys()]
@@ -110,6 +118,7 @@
     })
     const waits = context.firstEventWaitsOf(request.service.name)
     this.tried.add(upstream.id)
+    this.refusedBy.delete(upstream.id)
     const call: CallInProgress = new CallInProgress({
       address: upstream.address,
       method: request.caller.method,
@@ -179,7 +188,20 @@
   /** The connection is to blame: the same upstream may be called again, on a new one. */
   private recordForeignAnswer (id: string): void {
     this.receivedForeignAnswer = true
+    this.refusalCount = 0
     this.tried.delete(id)
+    this.reopenRefusing()
+  }
+
+  private recordRefusal (id: string, reason: NotRunReason): void {
+    this.refusalCount += 1
+    if (reason === 'shed') this.refusedBy.add(id)
+    if (this.receivedForeignAnswer) this.reopenRefusing()
+  }
+
+  /** Upstreams that refused may be called again: the request has not run there, and its repeat waits for a slot. */
+  private reopenRefusing (): void {
+    for (const id of this.refusedBy) this.tried.delete(id)
   }
 
   private rank (): number {
@@ -198,6 +220,7 @@
       pool.recordEnded(id, lossEvidence[result.reason], sentAt)
       if (result.reason === 'wrong-answer') this.recordForeignAnswer(id)
     } else {
+      this.recordRefusal(id, result.reason)
       pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
     }
