Records: a delayed entry does not take its own delay for a slow entry in another data centre

Cause of one part: an entry that polls another data centre waits with a plain timer for the time at which that one counts as slow. A process that could not run finds the timer due before it reads the answer that lies in its socket. It then avoided the source for 1 s, doubled each time, counted it as unanswered, and asked the next one, at last the log, for the same records.

Ruled out: the deadlines of the call itself (http-call), which move with the own delay already; of the cases of record-reader-delay, which were run with a source in the own data centre only, the same ones fail with one in another.

Change: the time at which a call counts as slow moves by the process's own delay since the call began, 1 s at most, as deadlines of answers do (OwnDelay). A source that does not answer is given up as before, which two cases check.

--- a/src/nodes/record-attempt.ts
+++ b/src/nodes/record-attempt.ts
@@ -2,6 +2,8 @@
 import { isBefore, isSamePosition, type LogPosition } from '../core/log-position.js'
 import type { PreferredSource } from '../core/fleet/record-sources.js'
 import type { NewestRecords, RecordPage } from '../types/ports.js'
+import { monotonicNow, sleepUntil } from '../utils/clock.js'
+import { OwnDelay } from '../utils/process-delay.js'
 
 /** What a call asks for. */
 export type ReadKind = 'newest' | 'records'
@@ -15,9 +17,16 @@
   result: NewestRecords | RecordPage | undefined
   /** Whether an attempt has taken the result. */
   isAdopted = false
+  private readonly ownDelay = new OwnDelay()
 
-  /** `from`: first position that it asks for, `beforeLog` for all keys; `startedAt`, and `slowAt`, when it counts as slow: milliseconds of the monotonic clock. */
-  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly startedAt: number, readonly slowAt: number) {}
+  /** `from`: first position that it asks for, `beforeLog` for all keys; `startedAt`, and `slowAt`, when it counts as slow unless this process is delayed: milliseconds of the monotonic clock. */
+  constructor (readonly kind: ReadKind, readonly from: LogPosition, readonly startedAt: number, private readonly slowAt: number) {}
+
+  /** Resolves once the call counts as slow; own delays of this process since its start do not count. */
+  async becomesSlow (): Promise<void> {
+    do await sleepUntil(this.slowAt + this.ownDelay.milliseconds)
+    while (!this.isEnded && monotonicNow() < this.slowAt + this.ownDelay.milliseconds)
+  }
 }
 
 /** One read, tried at one source after another. */
--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -180,7 +180,7 @@
     const ended = call.end.then(() => { attempt.adopt(call) })
     // One that stops may end before it answers: the next one is asked at the same time.
     if (source.kind === 'entry' && !source.isReady) return
-    await Promise.race([ended, attempt.answered, ...source.kind === 'log' ? [] : [sleepUntil(call.slowAt)]])
+    await Promise.race([ended, attempt.answered, ...source.kind === 'log' ? [] : [call.becomesSlow()]])
     if (call.isEnded || attempt.result !== undefined) return
     attempt.unanswered += 1
     this.avoid(source)
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -1,16 +1,13 @@
 /** HTTP calls whose request and answer bodies are held in memory. */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
-import { processDelay } from '../utils/process-delay.js'
+import { OwnDelay } from '../utils/process-delay.js'
 
 /** Longest time without a byte of an answer that has begun, milliseconds; a link that is full delays a packet by half a second. */
 const inactivityMilliseconds = 1200
 /** Longest time from the deadline of an answer's head to that of its end, milliseconds, so that a trickle ends. */
 const maximumTransferMilliseconds = 15_000
 
-/** Own delay of the process that a deadline of an answer makes up for, milliseconds: the answer may have arrived unread. */
-const maximumOwnDelayMilliseconds = 1000
-
 /** Largest bodies of answers by what they hold, bytes; an answer without end must not take the memory of the process. */
 export const maximumAnswerBytes = {
   /** States, orders and acknowledgements. */
@@ -113,8 +110,8 @@
   /** Deadline of the next progress, milliseconds of the monotonic clock. */
   private progressBy: number
   private timer: NodeJS.Timeout | undefined
-  /** `processDelay` at the last progress; the deadlines move by what was added since, up to a limit. */
-  private delayAtProgress = processDelay()
+  /** Since the last progress; the deadlines move by it. */
+  private ownDelay = new OwnDelay()
 
   constructor (private readonly call: HttpCall, private readonly expire: (reason: string) => void) {
     this.progressBy = call.progress?.headDeadline ?? Infinity
@@ -134,7 +131,7 @@
       this.expire(`the answer from ${this.call.address} exceeds ${this.call.maximumBytes} bytes`)
       return
     }
-    this.delayAtProgress = processDelay()
+    this.ownDelay = new OwnDelay()
     if (this.call.progress !== undefined) this.progressBy = monotonicNow() + this.call.progress.inactivityMilliseconds
   }
 
@@ -155,8 +152,7 @@
   }
 
   private nextDeadline (): number {
-    const ownDelay = Math.min(maximumOwnDelayMilliseconds, processDelay() - this.delayAtProgress)
-    return Math.min(this.call.deadline, this.progressBy) + ownDelay
+    return Math.min(this.call.deadline, this.progressBy) + this.ownDelay.milliseconds
   }
 
   private problem (now: number): string {
--- a/src/utils/process-delay.ts
+++ b/src/utils/process-delay.ts
@@ -28,3 +28,16 @@
   const lateness = now - dueAt
   return lateness > usualLatenessMilliseconds ? lateness : 0
 }
+
+/** Own delay of the process that a deadline of others makes up for, milliseconds: their answer may have arrived unread. */
+const maximumOwnDelayMilliseconds = 1000
+
+/** This process's own delay since something began; a deadline by which others must have answered moves by it. */
+export class OwnDelay {
+  private readonly atStart = processDelay()
+
+  /** Time by which such a deadline moves so far, milliseconds: the own delay, up to a limit. */
+  get milliseconds (): number {
+    return Math.min(maximumOwnDelayMilliseconds, processDelay() - this.atStart)
+  }
+}
--- a/test/record-reader-delay.test.ts
+++ b/test/record-reader-delay.test.ts
@@ -7,6 +7,8 @@
 import { Metrics } from '../src/plugins/metrics.js'
 import { monotonicNow, sleepUntil } from '../src/utils/clock.js'
 import { freshAddress } from '../script/launch.js'
+import type { LogPosition } from '../src/core/log-position.js'
+import { RecordLog, type NewestRecords, type RecordPage, type StreamName } from '../src/types/ports.js'
 import { SharedLog } from './fakes/shared-log.js'
 import { at } from './fakes/positions.js'
 
@@ -26,6 +28,29 @@
 }).listen(${internalPort}, workerData.ip, () => { parentPort.postMessage('listening') })
 `
 
+/** Counts the reads of a log. */
+class CountedLog extends RecordLog {
+  reads = 0
+
+  constructor (private readonly inner: RecordLog) {
+    super()
+  }
+
+  async newest (stream: StreamName): Promise<NewestRecords> {
+    this.reads += 1
+    return await this.inner.newest(stream)
+  }
+
+  async read (stream: StreamName, from: LogPosition, waitUntil: number, limit: number): Promise<RecordPage> {
+    this.reads += 1
+    return await this.inner.read(stream, from, waitUntil, limit)
+  }
+
+  async write (stream: StreamName, key: string, value: Buffer): Promise<void> {
+    await this.inner.write(stream, key, value)
+  }
+}
+
 interface Case {
   readonly name: string
   readonly answers: boolean
@@ -42,19 +67,22 @@
   { name: 'the source does not answer, and it is delayed', answers: false, blocked: [[100, 1400]], expected: 'log' }
 ]
 
-for (const { name, answers, blocked, expected } of cases) {
-  test(`record reader delay: the ${expected} delivers: ${name}`, async t => {
+const placedCases = [true, false].flatMap(isSameDataCentre => cases.map(delayCase => ({ ...delayCase, isSameDataCentre })))
+
+for (const { name, answers, blocked, expected, isSameDataCentre } of placedCases) {
+  test(`record reader delay: the ${expected} delivers${isSameDataCentre ? '' : ', from another data centre'}: ${name}`, async t => {
     const ip = freshAddress().split(':')[0] ?? ''
     const worker = new Worker(sourceProgram, { eval: true, workerData: { ip, answers } })
     t.teardown(async () => { await worker.terminate() })
     await new Promise(resolve => { worker.once('message', resolve) })
     const log = new SharedLog('home')
     log.append('operators', 'config', Buffer.from('first'))
-    const sources: readonly PreferredSource[] = [{ kind: 'entry', instance: 'source', ip, isSameDataCentre: true, isReady: true }, { kind: 'log' }]
+    const counted = new CountedLog(log.readerIn('home', 'self'))
+    const sources: readonly PreferredSource[] = [{ kind: 'entry', instance: 'source', ip, isSameDataCentre, isReady: true }, { kind: 'log' }]
     const selected = new SelectedRecordLog({
       stream: 'operators',
       instance: 'self',
-      log: log.readerIn('home', 'self'),
+      log: counted,
       internalPort,
       logWaitMilliseconds: 500,
       metrics: new ReadMetrics(new Metrics(), 'operators'),
@@ -71,6 +99,7 @@
     }
     await read
     t.equal(selected.source, expected)
+    t.equal(counted.reads, expected === 'log' ? 1 : 0, 'reads of the log')
     selected.close()
   })
 }
