Revert "Engine slots: an agent that has not reported yet is asked for a slot too"

A record that looks like an engine has no agent, so that callers waited for an answer that never comes.

--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -24,9 +24,9 @@
 
   constructor (private readonly context: EngineSlotsContext, private readonly random: () => number = Math.random) {}
 
-  /** Whether the slots of an upstream are granted by its agent: it answers. One that has not reported here yet may keep its engine closed, whatever weights the record names. */
-  isGranting ({ upstream }: UpstreamView, now: number): boolean {
-    return upstream.isEngine && !this.requests.isSilent(upstream.id, now)
+  /** Whether the slots of an upstream are granted by its agent: it has reported, and answers. */
+  isGranting ({ upstream, reportedVersion }: UpstreamView, now: number): boolean {
+    return upstream.isEngine && reportedVersion !== undefined && !this.requests.isSilent(upstream.id, now)
   }
 
   /** The candidate with the load that its agent stated, if a slot is held there; otherwise without a free slot. */
