--- a/src/roles/gateway/fleet-state.ts
+++ b/src/roles/gateway/fleet-state.ts
@@ -4,6 +4,7 @@
 import { firstVersion, minimumVersionAt, withdrawalAt } from '../../core/weights/start-cutoffs.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { LogPosition } from '../../core/log-position.js'
+import { rankedServices } from '../../core/dispatch/service-profile.js'
 import { buildRouteTable, type RouteTable } from '../../core/fleet/match-route.js'
 import { transferMilliseconds } from '../../nodes/read-metrics.js'
 import type { RolloutFacts, Service } from '../../types/fleet.js'
@@ -24,6 +25,8 @@
   private inForceAt = 0
   /** Facts of the configuration in force, by service. */
   private readonly facts = new Map<string, RolloutFacts>()
+  /** Services for which callers of different priorities compete. */
+  private ranked: ReadonlySet<string> = new Set()
   private readonly evacuated = new Set<string>()
   private readonly named = new Map<string, readonly NamedVersion[]>()
 
@@ -38,6 +41,11 @@
     return this.routeTable?.configuration.services.get(name)
   }
 
+  /** Whether callers of different priorities compete for a service. */
+  isRanked (service: string): boolean {
+    return this.ranked.has(service)
+  }
+
   /** Facts for the agents of a service; undefined before the first configuration. */
   rolloutFacts (service: string): ReportedFacts | undefined {
     if (this.routeTable === undefined) return undefined
@@ -111,6 +119,7 @@
     this.routeTable = buildRouteTable(configuration)
     this.inForceAt = monotonicNow()
     this.facts.clear()
+    this.ranked = rankedServices(configuration)
     log.info('new configuration in force', {
       version: configuration.version,
       previousVersion: inForce ?? 0,
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -3,7 +3,7 @@
 import { isIPv4 } from 'node:net'
 import type { GossipedLimit } from '../core/dispatch/named-limits.js'
 import type { Member } from '../core/fleet/members.js'
-import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PermitAnswer, PermitRequest, ReportedFacts, SlotRelease, SlotReply, SlotRequest, Subscription } from '../types/node-messages.js'
+import type { Gossip, GossipedEvidence, GossipedWeights, Holdings, Introduction, LoadReport, NodeMessage, PaceReport, PermitAnswer, PermitRequest, ReportedFacts, SlotOrder, SlotRelease, SlotReply, SlotRequest, Subscription } from '../types/node-messages.js'
 import type { VouchedLoad } from '../types/fleet.js'
 import { logFor } from '../utils/log.js'
 
@@ -72,9 +72,10 @@
     case 'crash-evidence': return [message.suspicions.map(({ trait, ends, refusedAgeMilliseconds, isBlocked }) => [trait, ends, refusedAgeMilliseconds, isBlocked]), message.healthy]
     case 'permit-request': return [message.number, encodeLimit(message.limit)]
     case 'permit-answer': return [message.number, encodeLimit(message.limit), message.retryInMilliseconds]
-    case 'slot-request': return [message.number, message.limit]
-    case 'slot-reply': return [message.number, message.load, message.isGranted]
+    case 'slot-request': return [message.number, message.limit, ...message.order === undefined ? [] : [encodeOrder(message.order)]]
+    case 'slot-reply': return [message.number, message.load, message.isGranted, ...message.pace === undefined ? [] : [message.pace.value, message.pace.ageMilliseconds]]
     case 'slot-release': return [message.number]
+    case 'pace': return [message.startedAt, message.pace]
     case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout), encodeVouched(message.vouched)]
     case 'introduction': return [message.service]
     case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds, ...message.orders === undefined ? [] : [message.orders]]
@@ -103,6 +104,16 @@
   return [configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin?.address ?? '', origin?.bytesPerSecond ?? 0, isResumable]
 }
 
+function encodeOrder ({ rank, organisation, share, work, isRetry, remainingMilliseconds }: SlotOrder): Fields {
+  return [rank, organisation, share, work, isRetry, remainingMilliseconds]
+}
+
+function decodeOrder (fields: Fields): SlotOrder {
+  checkTypes(fields, ['number', 'string', 'number', 'number', 'boolean', 'number'])
+  const [rank, organisation, share, work, isRetry, remainingMilliseconds] = fields as [number, string, number, number, boolean, number]
+  return { rank, organisation, share, work, isRetry, remainingMilliseconds }
+}
+
 /** Nothing becomes an empty list. */
 function encodeVouched (vouched: VouchedLoad | undefined): Fields {
   return vouched === undefined ? [] : [vouched.startedAt, vouched.orders, vouched.version]
@@ -215,13 +226,22 @@
   },
   'slot-request': fields => {
     checkTypes(fields, ['number', 'number'])
-    const [number, limit] = fields as [number, number]
-    return { kind: 'slot-request', number, limit } satisfies SlotRequest
+    // Earlier versions send no order.
+    const [number, limit, order] = fields as [number, number, Fields?]
+    return { kind: 'slot-request', number, limit, ...order === undefined ? {} : { order: decodeOrder(order) } } satisfies SlotRequest
   },
   'slot-reply': fields => {
     checkTypes(fields, ['number', 'number', 'boolean'])
-    const [number, load, isGranted] = fields as [number, number, boolean]
-    return { kind: 'slot-reply', number, load, isGranted } satisfies SlotReply
+    // Earlier versions send no pace.
+    const [number, load, isGranted, value, ageMilliseconds] = fields as [number, number, boolean, number?, number?]
+    if (value === undefined || ageMilliseconds === undefined) return { kind: 'slot-reply', number, load, isGranted } satisfies SlotReply
+    checkTypes([value, ageMilliseconds], ['number', 'number'])
+    return { kind: 'slot-reply', number, load, isGranted, pace: { value, ageMilliseconds } } satisfies SlotReply
+  },
+  pace: fields => {
+    checkTypes(fields, ['number', 'number'])
+    const [startedAt, pace] = fields as [number, number]
+    return { kind: 'pace', startedAt, pace } satisfies PaceReport
   },
   'slot-release': fields => {
     checkTypes(fields, ['number'])
--- a/src/types/fleet.ts
+++ b/src/types/fleet.ts
@@ -92,6 +92,8 @@
   readonly keys: readonly string[]
   /** Overrides the route's priority; undefined if not configured. */
   readonly priority: number | undefined
+  /** Share of contended upstreams relative to other organisations, above 0; 1 if not configured. */
+  readonly share?: number
   /** Regions that may serve it; empty for all. */
   readonly regions: readonly string[]
 }
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -65,6 +65,24 @@
   readonly number: number
   /** Requests that may be at the engine, with the one that the slot is for. */
   readonly limit: number
+  /** What orders it among others; undefined for a service that is not ranked, and from earlier versions. */
+  readonly order?: SlotOrder
+}
+
+/** What orders a request among others that compete for the same slots. */
+export interface SlotOrder {
+  /** 0 for the most urgent. */
+  readonly rank: number
+  /** Name of the organisation; empty for none. */
+  readonly organisation: string
+  /** Share of the organisation, above 0. */
+  readonly share: number
+  /** Tokens of prompt and answer. */
+  readonly work: number
+  /** Whether it was refused before. */
+  readonly isRetry: boolean
+  /** Time until its deadline, milliseconds. */
+  readonly remainingMilliseconds: number
 }
 
 /** Answer to a `SlotRequest`. */
@@ -75,6 +93,17 @@
   /** Requests at the engine; with a grant, the one that it is for included. */
   readonly load: number
   readonly isGranted: boolean
+  /** Last pace that the engine stated, 1 for as long as usual, and its age, milliseconds; undefined while not known, and from earlier versions. */
+  readonly pace?: { readonly value: number, readonly ageMilliseconds: number }
+}
+
+/** Sent by an entry to an agent: its engine has stated a pace other than the one last known to the sender. */
+export interface PaceReport {
+  readonly kind: 'pace'
+  /** Start of the engine that stated it, epoch milliseconds. */
+  readonly startedAt: number
+  /** How long work takes there, 1 for as long as usual. */
+  readonly pace: number
 }
 
 /** Sent by an entry to an agent: a granted slot is not used. */
@@ -145,4 +174,4 @@
 }
 
 /** A message between nodes, distinguished by `kind`. */
-export type NodeMessage = Gossip | GossipedEvidence | PermitRequest | PermitAnswer | SlotRequest | SlotReply | SlotRelease | Subscription | Introduction | LoadReport | Holdings
+export type NodeMessage = Gossip | GossipedEvidence | PermitRequest | PermitAnswer | SlotRequest | SlotReply | SlotRelease | PaceReport | Subscription | Introduction | LoadReport | Holdings
--- a/src/types/node-settings.ts
+++ b/src/types/node-settings.ts
@@ -1,4 +1,5 @@
 /** Settings of the roles of a deployment whose upstreams are called directly. */
+import type { DispatchMode } from '../core/dispatch/service-profile.js'
 
 interface CommonSettings {
   readonly instance: string
@@ -46,6 +47,8 @@
   readonly directoryCacheSeconds: number
   /** Interval at which instances renew their records, milliseconds. */
   readonly heartbeatMilliseconds: number
+  /** Which services get the adaptive dispatch decisions. */
+  readonly dispatchMode: DispatchMode
 }
 
 /** Settings of an agent that delivers weights to its engine. */
--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -123,6 +123,15 @@
   | { readonly kind: 'rest', readonly milliseconds: number }
   | { readonly kind: 'invalid', readonly text: string }
 
+/** Load that an upstream states in an answer. */
+export interface StatedLoad {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+  /** How long work takes there now, 1 for as long as usual; undefined where the upstream does not state it. */
+  readonly pace?: number
+}
+
 /** The decoded head of an upstream's answer. */
 export interface AnswerHead {
   readonly status: number
@@ -135,7 +144,7 @@
   readonly isMisdirected: boolean
   /** Whether the body has a content encoding such as gzip. */
   readonly isEncoded: boolean
-  readonly load: { readonly running: number, readonly waiting: number, readonly slots: number } | undefined
+  readonly load: StatedLoad | undefined
   readonly limit: NamedLimit
   readonly rest: RequestedRest
   /** Whether the upstream says that it leaves. */
--- a/test/fakes/entry-group.ts
+++ b/test/fakes/entry-group.ts
@@ -75,6 +75,7 @@
       coldFactor: 1.5,
       coldSlack: 5,
       heartbeatMilliseconds: 1200,
+      dispatchMode: 'automatic',
       stableMilliseconds: 4000
     }
     const node = await startAt({ dataCentre, ip }, () => startGateway(settings, {
