Answers with a status that no final answer has are failures of their upstream

Cause: Node's client passes on any three digits. A signed 000, 007 or 099 counted as a usable answer: the entry's own head failed (502, also for requests that may be repeated), and the upstream counted as healthy and drew requests. 101, 600 and 999 reached callers. Calls between nodes took them as well, so that a chunk counted as staged. Change: statuses outside 200 to 599 end a call as lost with the reason invalid-status, whatever else the head says; callHttp and sendRequest reject. The results of calls moved to call-result.ts.

--- a/src/roles/gateway/call-evidence.ts
+++ b/src/roles/gateway/call-evidence.ts
@@ -5,7 +5,7 @@
 import type { FailureTag } from '../../errors.js'
 import type { Upstream } from '../../types/fleet.js'
 import { monotonicNow } from '../../utils/clock.js'
-import type { CallResult, LostReason } from './upstream-call.js'
+import type { CallResult, LostReason } from './call-result.js'
 
 /** Failure of a request that is refused because of one of its traits, after `ran` calls whose upstreams may have run it; undefined if it is not. */
 export function crashFailure (suspects: CrashSuspects, traits: readonly string[], ran: number): FailureTag | undefined {
@@ -22,6 +22,7 @@
   timeout: 'unanswered',
   cancelled: 'unanswered',
   'wrong-answer': 'unknown',
+  'invalid-status': 'unknown',
   'too-large': 'unknown',
   withdrawn: 'unknown'
 }
--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -4,7 +4,7 @@
 import { logFor } from '../../utils/log.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import type { CallResult } from './upstream-call.js'
+import type { CallResult } from './call-result.js'
 import { estimateLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('requests')
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -16,7 +16,7 @@
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { RequestCalls, type EndedAttempt } from './request-calls.js'
-import type { CallResult, NotRunReason } from './upstream-call.js'
+import type { CallResult, NotRunReason } from './call-result.js'
 import type { SelectionFailure } from './upstream-selection.js'
 import type { UpstreamView } from './upstream-view.js'
 
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -9,7 +9,8 @@
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult, type LostReason, type NotRunReason } from './upstream-call.js'
+import type { CallResult, LostReason, NotRunReason } from './call-result.js'
+import { CallInProgress } from './upstream-call.js'
 import type { UpstreamView } from './upstream-view.js'
 import type { EventSink } from './event-sink.js'
 
@@ -22,6 +23,7 @@
 const lossEvidence: Readonly<Record<LostReason, CallOutcome | 'none'>> = {
   reset: 'lost',
   'wrong-answer': 'lost',
+  'invalid-status': 'lost',
   'too-large': 'lost',
   incomplete: 'lost',
   silent: 'silent',
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,36 +1,16 @@
 /** One attempt of a request: its call to one upstream. */
-import { request as httpRequest, type Agent, type ClientRequest, type IncomingHttpHeaders, type IncomingMessage } from 'node:http'
+import { request as httpRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
+import { isFinalStatus } from '../../transports/final-status.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { isAnswerTo, isFramed, isPersistent, watchForEnd } from './answer-framing.js'
 import { socketStateOf } from './upstream-connections.js'
+import type { CallResult } from './call-result.js'
 import type { EventSink } from './event-sink.js'
 import { heldAnswers } from './held-answers.js'
 
-/** How a call ended. */
-export type CallResult =
-  /** A complete answer that is no stream, whatever its status; one that is not framed ended with its connection. */
-  | { readonly kind: 'answer', readonly head: AnswerHead, readonly headers: IncomingHttpHeaders, readonly body: Buffer, readonly isFramed: boolean }
-  /** The stream ended properly between two events, by its framing or with its connection. */
-  | { readonly kind: 'stream-ended', readonly isFramed: boolean }
-  /** The upstream has certainly not run the request. */
-  | { readonly kind: 'not-run', readonly reason: NotRunReason }
-  /** The upstream may have run the request. */
-  | { readonly kind: 'lost', readonly reason: LostReason }
-
-/** No connection (`unreachable`), all connections that this entry may open in use (`no-connection`), refused by the upstream (`shed`), another upstream or other weights at the address (`misdirected`), or not sent because the upstream gets no more requests, the connection came too late or the call was cancelled before it had one (`withdrawn`). */
-export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
-/**
- * Connection reset (`reset`), `finishBy` passed (`timeout`), an answer to another request, or one that is unsigned or
- * encoded (`wrong-answer`), an answer, stream or event over `maximumAnswerBytes` or `maximumEventBytes`, or over
- * `maximumInterimAnswers` before it (`too-large`), an answer that ended early (`incomplete`), or a call that the entry
- * cancelled, while it was silent (`silent`) or not (`cancelled`), or because it would begin on weights that are too old
- * (`withdrawn`).
- */
-export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'too-large' | 'incomplete' | 'cancelled' | 'withdrawn'
-
 /** Parameters of a call; deadlines are milliseconds of the monotonic clock. */
 export interface UpstreamCall {
   /** IP and port. */
@@ -145,6 +125,11 @@
   private handleAnswer (answer: IncomingMessage): void {
     const head = this.codec.answerHead(answer.statusCode ?? 0, answer.headers)
     answer.on('error', () => { this.finish({ kind: 'lost', reason: 'reset' }) })
+    if (!isFinalStatus(head.status)) {
+      // Nothing else in such a head is believed, nor that the request was not run.
+      this.abandon({ kind: 'lost', reason: 'invalid-status' })
+      return
+    }
     const isForAnotherRequest = !isAnswerTo(this.call.requestId, head, this.outgoing)
     if (!isForAnotherRequest) this.call.headReceived(head)
     this.call.bytesReceived()
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -1,6 +1,7 @@
 /** HTTP calls whose request and answer bodies are held in memory. */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
+import { isFinalStatus } from './final-status.js'
 import { OwnDelay } from '../utils/process-delay.js'
 
 /** Longest time without a byte of an answer that has begun, milliseconds; a link that is full delays a packet by half a second. */
@@ -87,6 +88,12 @@
     outgoing.on('response', answer => {
       watch.receive(0)
       const firstByteMilliseconds = monotonicNow() - startedAt
+      const status = answer.statusCode ?? 0
+      if (!isFinalStatus(status)) {
+        fail(new Error(`${call.address} answered with status ${status}, which no final answer has`))
+        outgoing.destroy()
+        return
+      }
       const parts: Buffer[] = []
       answer.on('data', (part: Buffer) => {
         parts.push(part)
@@ -96,7 +103,7 @@
       answer.on('error', fail)
       answer.on('end', () => {
         watch.stop()
-        resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
+        resolve({ status, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
       })
     })
     outgoing.end(call.body)
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { monotonicNow } from '../utils/clock.js'
+import { isFinalStatus } from './final-status.js'
 
 /** Time after which an idle connection is not reused, milliseconds; servers of Node.js close theirs after 5 s. */
 const maximumIdleMilliseconds = 2000
@@ -70,7 +71,13 @@
     })
     call.on('response', response => {
       clearTimeout(timer)
-      resolve(response)
+      const status = response.statusCode ?? 0
+      if (isFinalStatus(status)) {
+        resolve(response)
+        return
+      }
+      reject(new TransportError(`the answer has status ${status}, which no final answer has`, true))
+      call.destroy()
     })
     call.on('error', error => {
       clearTimeout(timer)
