Command line: check a fleet configuration before it is sent

Cause: a route that an earlier one hides, a goal above its timeout or a service without a route shows only once callers are refused. The format stays in platform/, the checks are pure functions of the decoded configuration.

--- a/bin/pollendyke.ts
+++ b/bin/pollendyke.ts
@@ -1,12 +1,13 @@
 #!/usr/bin/env node
 /** Command line tool for operators. */
+import { PlatformFleetFormat } from '../platform/configuration-file.js'
 import { buildProgram } from '../src/cli/program.js'
 import { exitCodes, UnreachableError } from '../src/cli/settings.js'
 import { FindingsError } from '../src/errors.js'
 import { writeLogs } from '../src/utils/log.js'
 
 async function main (): Promise<number> {
-  const program = buildProgram()
+  const program = buildProgram(new PlatformFleetFormat())
   const { options, args } = program.parse(process.argv, { run: false })
   if (options['help'] === true) return exitCodes.ok
   if (program.matchedCommand === undefined) {
--- a/src/cli/output.ts
+++ b/src/cli/output.ts
@@ -1,5 +1,6 @@
 /** Output of the command line: one JSON line with `--json`, readable lines otherwise. */
 import type { PlannedDifference, ChangePlan } from '../core/configuration/change-plan.js'
+import type { CheckedConfiguration } from '../commands/check-configuration.js'
 import type { HistoryLine } from '../queries/history.js'
 import type { QueriedNode, EntryStatus } from '../queries/nodes.js'
 import type { AgentStatus } from '../types/messages.js'
@@ -13,10 +14,22 @@
   if (text !== '') process.stdout.write(`${text}\n`)
 }
 
+const signs: Readonly<Record<PlannedDifference['change'], string>> = { added: '+', removed: '-', changed: '~' }
+
+/** Lines of a checked fleet configuration: its findings, then what differs from the one in force. */
+export function checkLines ({ version, versionInForce, findings, differences }: CheckedConfiguration): readonly string[] {
+  const compared = versionInForce === 0 ? [] : [`version ${version} against version ${versionInForce}, which is in force`]
+  return [
+    ...findings.length === 0 ? ['no findings'] : findings.map(({ place, problem }) => `${place}: ${problem}`),
+    ...compared,
+    ...differences.map(({ place, change, fields }) => `${signs[change]} ${place}${fields.length === 0 ? '' : ` (${fields.join(', ')})`}`),
+    ...versionInForce > 0 && differences.length === 0 ? ['nothing would change'] : []
+  ]
+}
+
 /** Lines of a plan: its findings if it has any, else the differences and what they affect. */
 export function planLines (plan: ChangePlan): readonly string[] {
   if (plan.findings.length > 0) return plan.findings.map(({ place, problem }) => `${place}: ${problem}`)
-  const signs: Readonly<Record<PlannedDifference['change'], string>> = { added: '+', removed: '-', changed: '~' }
   const instances = Object.entries(plan.instances).map(([dataCentre, names]) => `${dataCentre}: ${names.length} instances affected: ${names.join(', ')}`)
   return [
     `scope ${plan.scope}, based on revision ${plan.basedOn}; another change of this scope before it wins the race`,
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,6 +1,7 @@
 /** Commands of the operators' tool `pollendyke`, with their flags and examples. */
 import { writeFileSync } from 'node:fs'
 import { cac, type CAC } from 'cac'
+import { checkConfiguration, type FleetFormat } from '../commands/check-configuration.js'
 import { readHeadState, runChange, readInstancesOrFail } from '../commands/change.js'
 import { createIntent, readManifest } from '../commands/intent.js'
 import { askAtTerminal } from '../commands/questionnaire.js'
@@ -10,20 +11,22 @@
 import { FindingsError } from '../errors.js'
 import { readHistory } from '../queries/history.js'
 import { findRequest, readStatus } from '../queries/nodes.js'
+import type { FleetConfiguration } from '../types/fleet.js'
 import { HttpLogClient } from '../transports/log-client.js'
 import { waitUntil } from '../utils/clock.js'
-import { historyLines, planLines, print, statusLines } from './output.js'
-import { exitCodes, readCheckedFile, settingsFrom, UnreachableError } from './settings.js'
+import { checkLines, historyLines, planLines, print, statusLines } from './output.js'
+import { exitCodes, readCheckedFile, readJsonFile, settingsFrom, UnreachableError } from './settings.js'
 
 type Options = Readonly<Record<string, unknown>>
 
 /** Time between two outputs of `status --watch`. */
 const watchIntervalMilliseconds = 1000
 
-/** Builds the program; each action resolves with its exit code, and rejects with a `FindingsError` on invalid input or an `UnreachableError`. */
-export function buildProgram (): CAC {
+/** Builds the program; `format` is that of the platform's fleet configuration. Each action resolves with its exit code, and rejects with a `FindingsError` on invalid input or an `UnreachableError`. */
+export function buildProgram (format: FleetFormat): CAC {
   const program = cac('pollendyke')
   addAnswerCommands(program)
+  addCheckCommand(program, format)
   addChangeCommands(program)
   addIntentCommands(program)
   addQueryCommands(program)
@@ -31,7 +34,7 @@
   return program
 }
 
-const settingsHelp = '  Each flag that names a place has a variable too: --log is POLLENDYKE_LOG, --instances is POLLENDYKE_INSTANCES,\n  --entry is POLLENDYKE_ENTRY, --origin is POLLENDYKE_ORIGIN, --author is POLLENDYKE_AUTHOR, --key is POLLENDYKE_KEY, --wait is POLLENDYKE_WAIT.'
+const settingsHelp = '  Each flag that names a place has a variable too: --log is POLLENDYKE_LOG, --instances is POLLENDYKE_INSTANCES,\n  --entry is POLLENDYKE_ENTRY, --origin is POLLENDYKE_ORIGIN, --store is POLLENDYKE_STORE, --author is POLLENDYKE_AUTHOR, --key is POLLENDYKE_KEY, --wait is POLLENDYKE_WAIT.'
 const exitCodesHelp = [
   '  0  done',
   '  1  the change was refused, or lost a race',
@@ -71,6 +74,33 @@
     })
 }
 
+function addCheckCommand (program: CAC, format: FleetFormat): void {
+  program.command('check <file>', 'Check a fleet configuration before it is sent: errors, entries that never match, contradicting limits, and what differs from the one in force')
+    .option('--store <address>', 'Address of the platform\'s store, IP:PORT, to compare with the configuration in force')
+    .option('--against <file>', 'Compare with this file instead')
+    .option('--json', 'Print JSON')
+    .example('pollendyke check fleet.json --store 10.0.0.7:8007')
+    .action(async (file: string, options: Options) => {
+      const decoded = format.decode(readJsonFile(file))
+      const checked = checkConfiguration(decoded, await readFleetInForce(format, options))
+      print(options['json'] === true, checked, checkLines(checked))
+      return checked.findings.length === 0 ? exitCodes.ok : exitCodes.badInput
+    })
+}
+
+/** The configuration to compare with; undefined for none. */
+async function readFleetInForce (format: FleetFormat, options: Options): Promise<FleetConfiguration | undefined> {
+  const { against } = options
+  if (typeof against === 'string') return format.decode(readJsonFile(against)).configuration
+  const { store } = settingsFrom(['store'], options)
+  if (store === undefined) return undefined
+  try {
+    return await format.readInForce(store)
+  } catch (error) {
+    throw new UnreachableError(`the store at ${store} cannot be read: ${(error as Error).message}`)
+  }
+}
+
 function addChangeCommands (program: CAC): void {
   program.command('plan <file>', 'Show what a change or a configuration would change, before anything does')
     .option('--log <url>', 'Base URL of the log')
--- a/src/cli/settings.ts
+++ b/src/cli/settings.ts
@@ -35,6 +35,7 @@
   instances: urlSchema.optional(),
   entry: addressSchema.optional(),
   origin: urlSchema.optional(),
+  store: addressSchema.optional(),
   author: z.string().min(1).max(128).default(() => userInfo().username),
   key: z.string().min(1).optional(),
   wait: z.coerce.number().positive().max(3600).default(15)
