Dispatch: the profile of a service is known to each request

Cause: decisions that differ by the profile of a service had no access to it; the pool did not record whether an upstream states its pace.

Nothing uses it yet; the adapter does not decode a pace yet.

Result: npm test -- upstream-pool passes.

--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
+import type { ServiceProfile } from '../../core/dispatch/service-profile.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import type { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
@@ -27,6 +28,8 @@
   readonly metrics: Metrics
   /** Times to the first event lately at a service. */
   firstEventWaitsOf (service: string): FirstEventWaits
+  /** Which dispatch decisions a service asks for now. */
+  profileOfService (service: string): ServiceProfile
   /** Queue of a service's requests that wait for a free slot. */
   queueOf (service: string): RequestQueue
   /** Random number in [0, 1). */
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -24,6 +24,8 @@
   private readonly views = new Map<string, UpstreamView>()
   /** Ids of the engines by the IP of their machine; undefined after a change of the list. */
   private engineIds: ReadonlyMap<string, readonly string[]> | undefined
+  /** Services of which an upstream has stated how fast it works. */
+  private readonly pacedServices = new Set<string>()
   private readonly coldRate = new ColdRateLimiter()
   private readonly responsiveness = new Responsiveness()
   /** Which upstreams leave, rest or are withdrawn. */
@@ -92,6 +94,7 @@
     if (view === undefined) return
     if (view.upstream.startedAt === called.startedAt) this.availability.observe(called, head, sentAt)
     if (!head.isMisdirected && (head.isSigned || head.isNotRun)) this.context.limits.observe(view.upstream, head, sentAt)
+    if (head.load?.pace !== undefined) this.pacedServices.add(view.upstream.service)
     if (head.load !== undefined) this.views.set(id, { ...view, observedLoad: this.observeLoad(view, head.load.running + head.load.waiting) })
   }
 
@@ -172,6 +175,11 @@
     return expectedAt(views, reason, this.availability, this.context)
   }
 
+  /** Whether an upstream of a service has stated how fast it works. */
+  statesPace (service: string): boolean {
+    return this.pacedServices.has(service)
+  }
+
   /** State of every upstream. */
   all (): readonly UpstreamView[] { return [...this.views.values()] }
 
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -116,6 +116,15 @@
   })
 }
 
+test('upstream pool: a service states its pace once an answer of one of its upstreams does', async t => {
+  const pool = makePool()
+  pool.applyAnswerHead(upstream, { ...answered, load: { running: 1, waiting: 0, slots: 16 } }, monotonicNow())
+  t.notOk(pool.statesPace('model-a'), 'a load without a pace')
+  pool.applyAnswerHead(upstream, { ...answered, load: { running: 1, waiting: 0, slots: 16, pace: 2.5 } }, monotonicNow())
+  t.ok(pool.statesPace('model-a'))
+  t.notOk(pool.statesPace('desk'))
+})
+
 test('upstream pool: load reports find their engine after it was removed, listed again and moved to another machine', async t => {
   const pool = makePool()
   const isSwappingAfter = (ip: string): boolean => {
