Dispatch: the fair queue, its admission and the concurrency limit move to core/dispatch

Cause: entries and agents of the gateway role are to share one order of service with the agents of the product's own role, whose modules stood outside of core/dispatch. Change: src/core/{fair-queue,queue-admission,concurrency-limit}.ts move; only imports change.

--- a/src/roles/agent/admission.ts
+++ b/src/roles/agent/admission.ts
@@ -1,8 +1,8 @@
 /** Admission to the upstream: enforces its concurrency limit, queues requests fairly before it, and counts the requests in flight. */
 import PQueue from 'p-queue'
-import { limitAfterLoss, coldLimit, lowerUntrackedCount, limitAfterAnswer, clampLimit, type ConcurrencyLimit, type LimitBounds } from '../../core/concurrency-limit.js'
-import { FairQueue, type FairQueueOptions } from '../../core/fair-queue.js'
-import { admitToQueue, expectedStart, queuedPerSlot, type QueuedRequest } from '../../core/queue-admission.js'
+import { limitAfterLoss, coldLimit, lowerUntrackedCount, limitAfterAnswer, clampLimit, type ConcurrencyLimit, type LimitBounds } from '../../core/dispatch/concurrency-limit.js'
+import { FairQueue, type FairQueueOptions } from '../../core/dispatch/fair-queue.js'
+import { admitToQueue, expectedStart, queuedPerSlot, type QueuedRequest } from '../../core/dispatch/queue-admission.js'
 import { createFailure, type Failure } from '../../errors.js'
 
 /** Delay after which a refused caller should retry. */
--- a/test/agent-cold.test.ts
+++ b/test/agent-cold.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { test } from 'tap'
-import { limitAfterLoss, coldLimit, lowerUntrackedCount, limitAfterAnswer, type ConcurrencyLimit } from '../src/core/concurrency-limit.js'
+import { limitAfterLoss, coldLimit, lowerUntrackedCount, limitAfterAnswer, type ConcurrencyLimit } from '../src/core/dispatch/concurrency-limit.js'
 import { EngineStandIn } from '../stand-in/engine.js'
 import { ServiceStandIn } from '../stand-in/service.js'
 import { testWeights, SlotWorld } from './fakes/slot.js'
--- a/test/fair-queue.test.ts
+++ b/test/fair-queue.test.ts
@@ -1,8 +1,8 @@
 /** Tests of the fair queue against a naive version, and of the admission to it. */
 import fc from 'fast-check'
 import { test } from 'tap'
-import { FairQueue } from '../src/core/fair-queue.js'
-import { admitToQueue, expectedStart, type QueuedRequest } from '../src/core/queue-admission.js'
+import { FairQueue } from '../src/core/dispatch/fair-queue.js'
+import { admitToQueue, expectedStart, type QueuedRequest } from '../src/core/dispatch/queue-admission.js'
 
 const seed = 20_261
 const runs = 2000
