Order of service: rank, fair shares by work and slots granted in that order

Cause: agents gave a free slot to whoever asked first, and kinds with a longer goal could use more places of an engine, so that the least urgent kind was served best. Each entry ordered its queue by lateness only. Change, for ranked services only: - rank.ts: rank from the organisation's priority, then the route's; it is also X-Request-Priority. Elsewhere the rank is as before. - service-order.ts: those below their guaranteed minimum, rank, use of the organisation by its share, refused before, deadline.

--- a/src/core/dispatch/slot-requests.ts
+++ b/src/core/dispatch/slot-requests.ts
@@ -1,10 +1,14 @@
 /** Requests of one entry for slots of engines, and the slots that were granted to it. */
+import type { OrderedRequest } from './service-order.js'
 import type { SlotAnswer } from './slot-ledger.js'
 
 /** The search of one caller's request for a slot. */
 export class SlotSearch {
   /** When it may ask again, milliseconds of the monotonic clock; undefined before the first time. */
   nextAskAt: number | undefined
+
+  /** `order` is undefined for a request of a service that is not ranked. */
+  constructor (readonly order?: OrderedRequest) {}
 }
 
 /** A slot that an engine's agent granted and that no request has used yet. */
@@ -57,7 +61,7 @@
     return this.lastNumber
   }
 
-  /** Applies an agent's answer; a grant whose age is not known, since it comes too late, is not held. Whether the search has no more answers to wait for. */
+  /** Applies an agent's answer; a grant whose age is not known, since it comes too late, is not held. Whether the search has no more answers to wait for, or may use a slot at once. */
   receive (number: number, answer: SlotAnswer, now: number): boolean {
     const request = this.pending.get(number)
     if (request === undefined) return false
@@ -65,7 +69,8 @@
     this.silentUntil.delete(request.upstreamId)
     if (!answer.isGranted) this.fullUntil.set(request.upstreamId, now + fullMilliseconds)
     else this.held = [...this.held, { upstreamId: request.upstreamId, number, load: answer.load, until: Math.min(request.until, now + validityMilliseconds) }]
-    return !this.awaitsAnswer(request.search)
+    // Agents of a ranked service hold requests, so that the other answers may come after the slot has lapsed.
+    return (answer.isGranted && request.search.order !== undefined) || !this.awaitsAnswer(request.search)
   }
 
   /** Whether an agent that a search asked has not answered yet. */
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -138,8 +138,8 @@
 
   /** Takes a slot at an upstream, behind requests that are queued already; undefined when the request is over. */
   private async acquireSlot (): Promise<UpstreamView | undefined> {
-    this.search = new SlotSearch()
-    const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
+    this.search = new SlotSearch(this.request.order)
+    const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate, this.request.order)
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     const hasLeft = this.callerDisconnect.signal.aborted
     const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.attempts)
@@ -180,9 +180,9 @@
         isLate: request.isLate,
         reason: this.noSlotReason,
         expectedAt: this.expectedAt(),
-        waiting: queue.count(request.isLate)
+        waiting: queue.count(request.isLate, request.order)
       })
-    const view = until === undefined ? undefined : await queue.wait(request.isLate, until, () => this.tryAcquireSlot(), this.callerDisconnect.signal)
+    const view = until === undefined ? undefined : await queue.wait(request.isLate, until, () => this.tryAcquireSlot(), this.callerDisconnect.signal, request.order)
     if (view === undefined && !this.callerDisconnect.signal.aborted) this.failWithoutSlot()
     return view
   }
@@ -211,7 +211,7 @@
     return context.pool.choose({
       service: request.service,
       regions: regionsFor(request.route, request.organisation),
-      admission: admissionFor({ route: request.route, engine, isLate: request.isLate && !this.answer.hasBegun, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
+      admission: admissionFor({ route: request.route, engine, isLate: request.isLate && !this.answer.hasBegun, isRanked: request.order !== undefined, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
       tried: this.calls.tried,
       minimumVersion: this.minimumVersion(),
       streamVersion: this.calls.startedBy?.weights?.version,
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -1,5 +1,6 @@
 /** Slots of engines as one entry gets them: their agents grant each one. */
 import { concurrencyLimit, enginesToAsk, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { encodeOrder } from '../../core/dispatch/rank.js'
 import { SlotRequests, type HeldSlot, type SlotSearch } from '../../core/dispatch/slot-requests.js'
 import type { SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -44,7 +45,8 @@
   ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number): void {
     for (const { view: { upstream } } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
       const number = this.requests.ask(search, upstream.id, now)
-      this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission) }, ipOf(upstream.address))
+      const order = search.order === undefined ? {} : { order: encodeOrder(search.order, now) }
+      this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission), ...order }, ipOf(upstream.address))
     }
   }
 
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** The role of an entry that calls upstreams directly: its servers, its followers of records, and its start and stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
+import { profileOf } from '../../core/dispatch/service-profile.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
@@ -178,6 +179,7 @@
       metrics: this.metrics,
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
+      isRanked: service => profileOf(settings.dispatchMode, this.state.isRanked(service), false).isRanked,
       random: Math.random,
       entryCount: () => this.members.knownEntries(monotonicNow()).length,
       stopTimes: () => this.stopTimes,
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -2,6 +2,7 @@
 import { answerStartDeadline, streamInactivityTimeoutMilliseconds } from '../../core/dispatch/answer-timeouts.js'
 import { isRepeatable } from '../../core/dispatch/next-step.js'
 import type { CallOutcome } from '../../core/dispatch/upstream-health.js'
+import { basicRank } from '../../core/dispatch/rank.js'
 import { RunEvidence } from '../../core/dispatch/run-evidence.js'
 import type { OpenCall } from '../../core/dispatch/takeover.js'
 import { expectedVersion } from '../../core/weights/start-cutoffs.js'
@@ -15,8 +16,6 @@
 
 /** Timeout of opening a connection, milliseconds: about a hundred round trips between regions. */
 const connectTimeoutMilliseconds = 400
-/** Ranks at an upstream, 0 the most urgent: a late request ranks behind those that can still meet their goal. */
-const ranks = { lateIncrement: 3, maximum: 9 } as const
 
 /** What each kind of loss says about the health of its upstream. */
 const lossEvidence: Readonly<Record<LostReason, CallOutcome | 'none'>> = {
@@ -205,8 +204,8 @@
   }
 
   private rank (): number {
-    const priority = this.request.organisation?.priority ?? this.request.route.priority
-    return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
+    const { route, organisation, isLate, order } = this.request
+    return order === undefined ? basicRank(route, organisation, isLate) : order.rank
   }
 
   /** Records how a call ended, for the health of its upstream. */
--- a/src/roles/gateway/request-queue.ts
+++ b/src/roles/gateway/request-queue.ts
@@ -1,5 +1,6 @@
 /** Requests of one service that are queued at an entry until an upstream has a free slot. */
 import { orderQueue, type QueuedRequest } from '../../core/dispatch/queueing.js'
+import { orderByPlace, ServiceOrder, type OrderedRequest } from '../../core/dispatch/service-order.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { UpstreamView } from './upstream-view.js'
 
@@ -12,6 +13,8 @@
   /** Takes a slot at an upstream; undefined while none is free. */
   readonly takeSlot: () => UpstreamView | undefined
   readonly finish: (view: UpstreamView | undefined) => void
+  /** Undefined in a service that is not ranked. */
+  readonly order: OrderedRequest | undefined
 }
 
 /** Queue of one service; requests leave it in the order of `core/dispatch`. */
@@ -19,28 +22,32 @@
   private items: readonly QueueItem[] = []
   private lastNumber = 0
   private timer: NodeJS.Timeout | undefined
+  /** Order of the requests of a ranked service, from what this queue has placed. */
+  private readonly order = new ServiceOrder()
 
-  /** Number of queued requests that are late, or of those that are not. */
-  count (isLate: boolean): number {
-    return this.items.filter(item => item.isLate === isLate).length
+  /** Number of queued requests that are late, or of those that are not; in a ranked service, only those that are not less urgent. */
+  count (isLate: boolean, order?: OrderedRequest): number {
+    return this.items.filter(item => item.isLate === isLate && isNotBehind(item, order)).length
   }
 
-  /** Whether a request that arrives now has others ahead of it: all queued ones if it is late, else those that are not late. */
-  hasRequestsAhead (isLate: boolean): boolean {
-    return this.items.some(item => isLate || !item.isLate)
+  /** Whether a request that arrives now has others ahead of it: all queued ones if it is late, else those that are not late; in a ranked service, those that are not less urgent. */
+  hasRequestsAhead (isLate: boolean, order?: OrderedRequest): boolean {
+    return this.items.some(item => order === undefined ? isLate || !item.isLate : isNotBehind(item, order))
   }
 
   /** Queues a request; resolves with the upstream whose slot it took, or with undefined once `until` (milliseconds of the monotonic clock) has passed or `signal` aborts. */
-  wait (isLate: boolean, until: number, takeSlot: () => UpstreamView | undefined, signal: AbortSignal): Promise<UpstreamView | undefined> {
+  wait (isLate: boolean, until: number, takeSlot: () => UpstreamView | undefined, signal: AbortSignal, order?: OrderedRequest): Promise<UpstreamView | undefined> {
     return new Promise(resolve => {
       this.lastNumber += 1
+      if (order !== undefined) this.order.recordAsked(order, monotonicNow())
       const number = this.lastNumber
       const finish = (view: UpstreamView | undefined): void => {
         this.items = this.items.filter(item => item.number !== number)
+        if (view !== undefined && order !== undefined) this.order.recordGranted(order, monotonicNow())
         resolve(view)
       }
       signal.addEventListener('abort', () => { finish(undefined) }, { once: true })
-      this.items = [...this.items, { number, isLate, until, takeSlot, finish }]
+      this.items = [...this.items, { number, isLate, until, takeSlot, finish, order }]
       this.timer ??= setInterval(() => { this.poll() }, pollIntervalMilliseconds)
       // A request that arrives behind others has not looked for a slot yet.
       if (this.items.length > 1) this.poll()
@@ -55,7 +62,7 @@
   /** Has each queued request look for a slot. */
   poll (): void {
     const now = monotonicNow()
-    for (const item of orderQueue(this.items)) {
+    for (const item of this.inOrder(now)) {
       const view = item.takeSlot()
       if (view !== undefined || now >= item.until) item.finish(view)
     }
@@ -63,4 +70,15 @@
     clearInterval(this.timer)
     this.timer = undefined
   }
+
+  private inOrder (now: number): readonly QueueItem[] {
+    const items = orderQueue(this.items)
+    if (items.every(({ order }) => order === undefined)) return items
+    return orderByPlace(items, item => item.order, this.order, now)
+  }
+}
+
+/** Whether a queued request is at least as urgent as one that arrives; all are in a service that is not ranked. */
+function isNotBehind (item: QueueItem, order: OrderedRequest | undefined): boolean {
+  return order === undefined || item.order === undefined || item.order.rank <= order.rank
 }
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
+import type { OrderedRequest } from '../../core/dispatch/service-order.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import type { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
@@ -29,6 +30,8 @@
   firstEventWaitsOf (service: string): FirstEventWaits
   /** Queue of a service's requests that wait for a free slot. */
   queueOf (service: string): RequestQueue
+  /** Whether requests for a service are served by rank. */
+  isRanked (service: string): boolean
   /** Random number in [0, 1). */
   random (): number
   /** Number of entries among which sums over all of them are divided, see `Membership.knownEntries`. */
@@ -58,4 +61,6 @@
   readonly callerDeadline: number
   /** Whether it is past its latency goal, as a caller's retry after a refusal is. */
   readonly isLate: boolean
+  /** What orders it among others; undefined in a service that is not ranked. */
+  readonly order: OrderedRequest | undefined
 }
--- a/src/roles/gateway/serve-request.ts
+++ b/src/roles/gateway/serve-request.ts
@@ -3,11 +3,13 @@
 import { isRepeatable } from '../../core/dispatch/next-step.js'
 import { fingerprintRequest, traitsOf, withBegunParts } from '../../core/dispatch/request-traits.js'
 import { RouteDurations } from '../../core/dispatch/route-durations.js'
+import { ServiceRanks } from '../../core/dispatch/rank.js'
+import type { OrderedRequest } from '../../core/dispatch/service-order.js'
 import { mayTakeWhileStopping } from '../../core/dispatch/stop-admission.js'
 import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { matchRoute, routeRequest } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
-import type { Organisation, Route, Service } from '../../types/fleet.js'
+import type { FleetConfiguration, Organisation, Route, Service } from '../../types/fleet.js'
 import type { CallerRequest } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
@@ -28,6 +30,8 @@
 /** Serves requests until their final answer. */
 export class RequestServer {
   private readonly durations = new RouteDurations()
+  /** Ranks of the configuration that was last used. */
+  private ranks: { readonly configuration: FleetConfiguration, readonly ranks: ServiceRanks } | undefined
   /** Longest caller timeout received on each route, which is that of first attempts, milliseconds. */
   private readonly longestCallerTimeout = new Map<string, number>()
 
@@ -82,8 +86,10 @@
   private createRoutedRequest (caller: CallerRequest, incoming: IncomingMessage, routed: { readonly route: Route, readonly organisation: Organisation | undefined, readonly service: Service }, body: Buffer, arrivedAt: number): RoutedRequest {
     const { route, organisation, service } = routed
     const callerTimeout = caller.timeoutMilliseconds ?? route.timeoutMilliseconds
+    const deadline = arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds)
     const longestTimeout = Math.max(callerTimeout, this.longestCallerTimeout.get(route.name) ?? 0)
     this.longestCallerTimeout.set(route.name, longestTimeout)
+    const isLate = callerTimeout < longestTimeout * firstAttemptTimeoutShare
     return {
       caller,
       incoming,
@@ -94,9 +100,26 @@
       body,
       arrivedAt,
       traits: withBegunParts(traitsOf(fingerprintRequest(caller.method, caller.target, organisation?.name ?? '', body), service.name, caller.promptParts)),
-      deadline: arrivedAt + Math.min(callerTimeout, route.timeoutMilliseconds),
+      deadline,
       callerDeadline: arrivedAt + callerTimeout,
-      isLate: callerTimeout < longestTimeout * firstAttemptTimeoutShare
+      isLate,
+      order: this.orderOf(caller, routed, isLate, deadline)
+    }
+  }
+
+  /** What orders a request among others; undefined in a service that is not ranked. */
+  private orderOf (caller: CallerRequest, { route, organisation, service }: Pick<RoutedRequest, 'route' | 'organisation' | 'service'>, isLate: boolean, deadline: number): OrderedRequest | undefined {
+    const { state, isRanked } = this.context
+    const configuration = state.table?.configuration
+    if (configuration === undefined || !isRanked(service.name)) return undefined
+    if (this.ranks?.configuration !== configuration) this.ranks = { configuration, ranks: new ServiceRanks(configuration) }
+    return {
+      rank: this.ranks.ranks.of(service.name, route, organisation),
+      organisation: organisation?.name ?? '',
+      share: organisation?.share ?? 1,
+      work: caller.promptTokens + caller.maximumAnswerTokens,
+      isRetry: isLate,
+      deadline
     }
   }
 
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,14 +1,19 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
-import { SlotLedger } from '../../core/dispatch/slot-ledger.js'
+import { decodeOrder } from '../../core/dispatch/rank.js'
+import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
 import type { SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 
+/** Time between two looks at held requests, milliseconds: short against the time for which they are held. */
+const settleMilliseconds = 5
+
 /** Answers entries from the engine's last report and the grants since. */
 export class SlotGranter {
   private readonly ledger = new SlotLedger()
   private isOpen = false
+  private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly datagrams: DatagramSocket) {}
 
@@ -16,17 +21,52 @@
   recordReport ({ running, waiting }: EngineReport, isOpen: boolean): void {
     this.ledger.recordCount(running + waiting, monotonicNow())
     this.isOpen = isOpen
+    this.settle()
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
-  answer ({ number, limit }: SlotRequest, ip: string): void {
-    const answer = this.ledger.answer(keyOf(ip, number), this.isOpen ? limit : 0, monotonicNow())
-    if (answer !== undefined) this.datagrams.send({ kind: 'slot-reply', number, ...answer }, ip)
+  answer ({ number, limit, order }: SlotRequest, ip: string): void {
+    const now = monotonicNow()
+    const [key, request] = [keyOf(ip, number), decodeOrder(order, now)]
+    if (request !== undefined && this.isOpen) {
+      this.send(this.ledger.compete(key, limit, now, request))
+      this.settleLater()
+      return
+    }
+    const answer = this.ledger.answer(key, this.isOpen ? limit : 0, now)
+    if (answer !== undefined) this.send([{ key, ...answer }])
   }
 
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
-    this.ledger.release(keyOf(ip, number))
+    this.ledger.release(keyOf(ip, number), monotonicNow())
+    this.settle()
+  }
+
+  /** Stops answering. */
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+
+  private settle (): void {
+    this.send(this.isOpen ? this.ledger.settle(monotonicNow()) : [])
+  }
+
+  /** Looks after held requests until none is left. */
+  private settleLater (): void {
+    if (this.timer !== undefined || !this.ledger.hasHeld) return
+    this.timer = setTimeout(() => {
+      this.timer = undefined
+      this.settle()
+      this.settleLater()
+    }, settleMilliseconds)
+  }
+
+  private send (answers: readonly KeyedAnswer[]): void {
+    for (const { key, ...answer } of answers) {
+      const [ip = '', number] = key.split(' ')
+      this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer }, ip)
+    }
   }
 }
 
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -121,6 +121,7 @@
     this.staging.stop()
     this.rollout.stop()
     this.versions.stop()
+    this.slots.stop()
     this.datagrams.close()
     this.server.close()
   }
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -201,7 +201,7 @@
   }
 
   private releaseSlots (entryIndex: number, entry: ReplayEntry): void {
-    for (const { upstreamId, number } of entry.slots.releaseAll()) this.send(() => { this.ledgers[Number(upstreamId)]?.release(`${entryIndex} ${number}`) })
+    for (const { upstreamId, number } of entry.slots.releaseAll()) this.send(() => { this.ledgers[Number(upstreamId)]?.release(`${entryIndex} ${number}`, this.now) })
   }
 
   private count (): void {
--- a/test/slot-grants.test.ts
+++ b/test/slot-grants.test.ts
@@ -44,7 +44,7 @@
   { name: 'a free slot', play: ledger => { ledger.recordCount(3, now) }, answer: { load: 4, isGranted: true } },
   { name: 'none at capacity', play: ledger => { ledger.recordCount(8, now) }, answer: { load: 8, isGranted: false } },
   { name: 'none that another entry was granted', play: ledger => { ledger.recordCount(7, now); ledger.answer('other', 8, now) }, answer: { load: 8, isGranted: false } },
-  { name: 'one that another entry gave back', play: ledger => { ledger.recordCount(7, now); ledger.answer('other', 8, now); ledger.release('other') }, answer: { load: 8, isGranted: true } },
+  { name: 'one that another entry gave back', play: ledger => { ledger.recordCount(7, now); ledger.answer('other', 8, now); ledger.release('other', now) }, answer: { load: 8, isGranted: true } },
   { name: 'a grant that the engine may not count yet', play: ledger => { ledger.recordCount(7, now); ledger.answer('other', 8, now); ledger.recordCount(7, now + 10) }, at: now + 10, answer: { load: 8, isGranted: false } },
   { name: 'a grant that the engine counts', play: ledger => { ledger.recordCount(6, now); ledger.answer('other', 8, now); ledger.recordCount(7, now + 100) }, at: now + 100, answer: { load: 8, isGranted: true } },
   { name: 'no answer before the first count', play: () => {}, answer: undefined },
