Start pace: adaptive slow start of started and recovered upstreams, for adaptive services

Cause: an upstream that was ejected, unresponsive, cut off or swapped returned at once with full load; a cold one used at most 0.75 of its rate, divided among a few senders. The agent of a cold engine counts its grants (slot-request carries coldLimit), so that the bound does not depend on the number of entries; a reserve stays for entries that it does not answer. Services whose profile is not adaptive keep the decisions of before.

--- a/src/core/dispatch/cold-rate.ts
+++ b/src/core/dispatch/cold-rate.ts
@@ -29,6 +29,39 @@
   return Math.max(1, Math.floor((maximumRequests * usedShare - bounds.perSecond * usedShare) / burst))
 }
 
+/** Share of the bound that the agent of a cold engine grants; the rest is for entries that it does not answer. */
+const grantedShare = 0.75
+/** Shares of the rate and of the bound that the entries use where no agent sees all requests; the rest of the bound covers entries not yet known here and delays. */
+const divided = { ofRate: 0.95, ofBound: 0.87 } as const
+
+/** Largest number of requests in one second, all entries together. */
+export function coldMaximum ({ perSecond, factor, slack }: ColdBounds): number {
+  return perSecond * factor + slack
+}
+
+/** Requests that the agent of a cold engine grants in one second. */
+export function coldGrants (bounds: ColdBounds): number {
+  return Math.max(1, Math.floor(coldMaximum(bounds) * grantedShare))
+}
+
+/** Bounds that make a `ColdRateLimiter` send `rate` requests a second, with bursts of `bursts` in total. */
+function boundsFor (rate: number, bursts: number): ColdBounds {
+  return { perSecond: rate / usedShare, factor: 1, slack: bursts / usedShare }
+}
+
+/** Bounds of the entries that the agent of a cold engine does not answer: what its grants leave, with a margin. */
+export function coldReserve (bounds: ColdBounds): ColdBounds {
+  const rest = (coldMaximum(bounds) - coldGrants(bounds)) * divided.ofBound
+  return boundsFor(rest / 2, rest / 2)
+}
+
+/** Bounds of the entries for a cold upstream without an agent. */
+export function coldDivision (bounds: ColdBounds): ColdBounds {
+  const total = coldMaximum(bounds) * divided.ofBound
+  const rate = Math.min(bounds.perSecond * divided.ofRate, Math.max(total / 2, total - 1))
+  return boundsFor(rate, total - rate)
+}
+
 interface Bucket { readonly tokens: number, readonly at: number }
 
 /** One token bucket for each cold upstream; times in milliseconds of the monotonic clock. */
@@ -66,3 +99,40 @@
     return Math.min(burst, bucket.tokens + Math.max(0, now - bucket.at) * perSecond / millisecondsPerSecond)
   }
 }
+
+/** Time after which a slot that was granted no longer counts, milliseconds: the second of the bound, and the time for which a request may be on its way. */
+const windowMilliseconds = 1000 + 100
+/** Time for which an engine stays cold for its agent after an entry has last said so, milliseconds: requests of entries that know of its start later come meanwhile. */
+const coldnessMilliseconds = 500
+
+interface ColdGrant { readonly key: string, readonly at: number }
+
+/**
+ * Counts the slots that the agent of an engine grants, so that a cold engine stays within its bound whatever the number of
+ * entries: none of them needs to know of the others. Times in milliseconds of the monotonic clock.
+ */
+export class ColdGrants {
+  private grants: readonly ColdGrant[] = []
+  private limit = Infinity
+  private coldUntil = 0
+
+  /** Whether a slot may be granted now; `limit`: slots that may be granted in a second, as the asking entry says, undefined if the engine is not cold for it. */
+  mayGrant (limit: number | undefined, now: number): boolean {
+    if (limit !== undefined) {
+      this.limit = now < this.coldUntil ? Math.min(this.limit, limit) : limit
+      this.coldUntil = now + coldnessMilliseconds
+    }
+    this.grants = this.grants.filter(({ at }) => now - at < windowMilliseconds)
+    return now >= this.coldUntil || this.grants.length < this.limit
+  }
+
+  /** Records a slot that was granted. */
+  record (key: string, now: number): void {
+    this.grants = [...this.grants, { key, at: now }]
+  }
+
+  /** Takes back a slot that no request has used. */
+  release (key: string): void {
+    this.grants = this.grants.filter(grant => grant.key !== key)
+  }
+}
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -16,6 +16,10 @@
 /** A candidate with its upstream. */
 export interface ViewedCandidate extends Candidate {
   readonly view: UpstreamView
+  /** Requests that may be there while it starts or recovers; undefined for no such limit. */
+  readonly startAllowance?: number
+  /** Slots that its agent may grant in one second while it is cold; undefined if it is not. */
+  readonly coldLimit?: number
 }
 
 /** Asks agents for slots, and holds those that were granted. */
@@ -42,9 +46,10 @@
 
   /** Asks some of the candidates' agents for a slot. */
   ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number): void {
-    for (const { view: { upstream } } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
+    for (const { view: { upstream }, startAllowance = Infinity, coldLimit } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
       const number = this.requests.ask(search, upstream.id, now)
-      this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission) }, ipOf(upstream.address))
+      const limit = Math.min(concurrencyLimit(upstream.slots, admission), startAllowance)
+      this.context.send({ kind: 'slot-request', number, limit, ...coldLimit === undefined ? {} : { coldLimit } }, ipOf(upstream.address))
     }
   }
 
--- a/src/roles/gateway/gateway-metrics.ts
+++ b/src/roles/gateway/gateway-metrics.ts
@@ -32,6 +32,7 @@
     metrics.set('upstream_requests', { upstream: view.upstream.id }, view.inFlight)
     metrics.set('upstream_ejected', { upstream: view.upstream.id }, view.health.ejectedUntil > now ? 1 : 0)
     metrics.set('upstream_resting', { upstream: view.upstream.id }, pool.availability.isResting(view.upstream) ? 1 : 0)
+    metrics.set('upstream_start_allowance', { upstream: view.upstream.id }, Math.floor(pool.paces.allowanceOf(view) ?? -1))
     metrics.set('upstream_limit', { upstream: view.upstream.id }, limits.perSecond(view.upstream) ?? -1)
   }
   return metrics.render()
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -142,7 +142,7 @@
       silent: this.silent,
       lostAfterError: () => { evidence.recordLostAfterError(monotonicNow()) },
       started: isAnswer => {
-        context.pool.recordStarted(upstream.id)
+        context.pool.recordStarted(upstream.id, isAnswer ? now : undefined)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
         stopWatching?.()
       }
@@ -214,14 +214,14 @@
     const { pool } = this.context
     const { id } = view.upstream
     if (result.kind === 'answer') {
-      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
+      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good', sentAt)
     } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
     else if (result.kind === 'lost') {
       pool.recordEnded(id, lossEvidence[result.reason], sentAt)
       if (result.reason === 'wrong-answer') this.recordForeignAnswer(id)
     } else {
       this.recordRefusal(id, result.reason)
-      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
+      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none', sentAt)
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
     }
   }
--- a/src/roles/gateway/responsiveness.ts
+++ b/src/roles/gateway/responsiveness.ts
@@ -11,6 +11,9 @@
   /** Ids of upstreams that were unresponsive at the last check, so that only changes are logged. */
   private readonly unresponsive = new Set<string>()
 
+  /** `recovered` is called for an upstream that is no longer unresponsive. */
+  constructor (private readonly recovered: (view: UpstreamView) => void = () => {}) {}
+
   /** Records a request that is sent to an upstream. */
   recordSent ({ upstream, inFlight }: UpstreamView, now: number): void {
     this.activity.recordSent(upstream.id, inFlight, now)
@@ -34,11 +37,15 @@
   }
 
   /** Whether an engine has sent nothing for too long while it has requests of this entry; logs each change. */
-  private isUnresponsive ({ upstream, inFlight }: UpstreamView, now: number): boolean {
+  private isUnresponsive (view: UpstreamView, now: number): boolean {
+    const { upstream, inFlight } = view
     const isUnresponsive = upstream.isEngine && this.activity.isUnresponsive(upstream.id, inFlight, now)
     if (isUnresponsive === this.unresponsive.has(upstream.id)) return isUnresponsive
     if (isUnresponsive) this.unresponsive.add(upstream.id)
-    else this.unresponsive.delete(upstream.id)
+    else {
+      this.unresponsive.delete(upstream.id)
+      this.recovered(view)
+    }
     log.warn(isUnresponsive ? 'upstream unresponsive: nothing received while requests are in flight; other upstreams are preferred' : 'upstream no longer unresponsive', { upstream: upstream.id, inFlight })
     return isUnresponsive
   }
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -11,7 +11,8 @@
 import { UpstreamAvailability } from './upstream-availability.js'
 import { expectedAt } from './expected-at.js'
 import { Responsiveness } from './responsiveness.js'
-import { coldBoundsOf, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
+import { StartPaces } from './start-paces.js'
+import { coldSharesOf, keepsColdRateByAgent, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
 import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
@@ -27,14 +28,17 @@
   /** Services of which an upstream has stated how fast it works. */
   private readonly pacedServices = new Set<string>()
   private readonly coldRate = new ColdRateLimiter()
-  private readonly responsiveness = new Responsiveness()
+  private readonly responsiveness = new Responsiveness(view => { this.paces.begin(view, 'unresponsiveness') })
+  /** Starts and recoveries in progress. */
+  readonly paces: StartPaces
   /** Which upstreams leave, rest or are withdrawn. */
   readonly availability: UpstreamAvailability
   private readonly selection: UpstreamSelection
 
   constructor (private readonly context: PoolContext, private readonly serviceOf: (name: string) => Service | undefined, private readonly random: () => number = Math.random) {
+    this.paces = new StartPaces(context)
     this.availability = new UpstreamAvailability(dataCentre => context.isEvacuated(dataCentre))
-    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate }, random)
+    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate, paces: this.paces }, random)
   }
 
   /** Applies a record of the instance list. `isFirst` marks records that were found at the start. */
@@ -51,11 +55,13 @@
       const weights = known.isReported ? known.weights : newerWeights(known.weights, upstream.weights)
       if (known.upstream.isEngine !== upstream.isEngine) this.engineIds = undefined
       this.views.set(upstream.id, { ...known, upstream, coldUntil, weights, retainedUntil: undefined })
+      if (known.retainedUntil !== undefined) this.paces.begin({ upstream }, 'cut')
       return
     }
     this.engineIds = undefined
     if (known !== undefined && known.upstream.startedAt !== upstream.startedAt) this.context.upstreamGone(known.upstream)
     this.views.set(upstream.id, { upstream, health: initialHealth, inFlight: known?.inFlight ?? 0, unstarted: known?.unstarted ?? 0, observedLoad: unobservedLoad, coldUntil, atCapacityUntil: 0, weights: upstream.weights, reportedVersion: undefined, isReported: false, vouched: known?.vouched, isSwapping: false, readyAt: undefined, retainedUntil: undefined })
+    if (!isFirst || coldUntil > now) this.paces.begin({ upstream }, 'start')
   }
 
   /** Handles the removal of a record. The upstream is used until `retainUntil`, milliseconds of the monotonic clock, or that of an earlier removal: the record may only have lapsed. */
@@ -83,7 +89,10 @@
     this.engineIds ??= engineIdsByIp(this.all())
     for (const id of this.engineIds.get(ip) ?? []) {
       const view = this.views.get(id)
-      if (view !== undefined) this.views.set(id, this.withReport(view, report))
+      if (view === undefined) continue
+      const reported = this.withReport(view, report)
+      this.views.set(id, reported)
+      this.beginAfterReport(view, reported)
     }
   }
 
@@ -92,7 +101,7 @@
     const { id } = called
     const view = this.views.get(id)
     if (view === undefined) return
-    if (view.upstream.startedAt === called.startedAt) this.availability.observe(called, head, sentAt)
+    if (view.upstream.startedAt === called.startedAt) this.observeAvailability(view, head, sentAt)
     if (!head.isMisdirected && (head.isSigned || head.isNotRun)) this.context.limits.observe(view.upstream, head, sentAt)
     if (head.load?.pace !== undefined) this.pacedServices.add(view.upstream.service)
     if (head.load !== undefined) this.views.set(id, { ...view, observedLoad: this.observeLoad(view, head.load.running + head.load.waiting) })
@@ -139,7 +148,7 @@
     if (view === undefined) return
     const now = monotonicNow()
     const service = this.serviceOf(view.upstream.service)
-    if (service !== undefined && view.coldUntil > now) this.coldRate.take(id, this.context.knownEntries(), coldBoundsOf(service, this.context), now)
+    if (service !== undefined && view.coldUntil > now && !keepsColdRateByAgent(view, this.context, now)) this.coldRate.take(id, this.context.knownEntries(), coldSharesOf(view, service, this.context), now)
     this.context.limits.take(view.upstream)
     this.availability.recordSent(view.upstream)
     const observedLoad = { ...view.observedLoad, sent: view.observedLoad.sent + 1 }
@@ -147,10 +156,15 @@
     this.views.set(id, { ...view, observedLoad, inFlight: view.inFlight + 1, unstarted: view.unstarted + 1 })
   }
 
-  /** Records that the answer to a request has started, or that the call ended without one. */
-  recordStarted (id: string): void {
+  /** Records that the answer to a request that was sent at `answeredSentAt` has started, or, where that is undefined, that the call ended without one. */
+  recordStarted (id: string, answeredSentAt?: number): void {
     const view = this.views.get(id)
-    if (view !== undefined) this.views.set(id, { ...view, unstarted: Math.max(0, view.unstarted - 1) })
+    if (view === undefined) return
+    const started = { ...view, unstarted: Math.max(0, view.unstarted - 1) }
+    this.views.set(id, started)
+    if (answeredSentAt === undefined) return
+    this.paces.recordAnswer(started, answeredSentAt)
+    this.paces.endIfOver(started, view.upstream.slots)
   }
 
   /** Records how a call ended that was sent at `sentAt`; `none` for one that says nothing about the upstream's health. */
@@ -160,8 +174,10 @@
     const now = monotonicNow()
     const ended = { ...view, inFlight: Math.max(0, view.inFlight - 1), observedLoad: { ...view.observedLoad, ended: view.observedLoad.ended + 1 } }
     if (evidence === 'none') this.views.set(id, ended)
-    else if (evidence === 'shed') this.views.set(id, { ...ended, atCapacityUntil: now + shedBackoffMilliseconds })
-    else this.recordEvidence(ended, evidence, now, sentAt)
+    else if (evidence === 'shed') {
+      this.views.set(id, { ...ended, atCapacityUntil: now + shedBackoffMilliseconds })
+      this.paces.recordRefusal(ended, sentAt)
+    } else this.recordEvidence(ended, evidence, now, sentAt)
   }
 
   /** Load as a share of the slots of a service's upstreams, 0 to 1, for the log; 1 where there are no slots. */
@@ -201,6 +217,19 @@
     }
   }
 
+  /** Begins a recovery after a report of a restart or of other weights. */
+  private beginAfterReport (before: UpstreamView, after: UpstreamView): void {
+    if (before.upstream.startedAt !== after.upstream.startedAt) this.paces.begin(after, 'start')
+    else if (before.isReported && after.reportedVersion !== undefined && !after.isSwapping && (before.isSwapping || before.reportedVersion !== after.reportedVersion)) this.paces.begin(after, 'swap')
+  }
+
+  /** Applies what the head of an answer says of a rest, which a recovery follows. */
+  private observeAvailability (view: UpstreamView, head: AnswerHead, sentAt: number): void {
+    this.availability.observe(view.upstream, head, sentAt)
+    const restEnd = head.rest.kind === 'rest' ? this.availability.restEnd(view.upstream) : undefined
+    if (restEnd !== undefined) this.paces.begin(view, 'rest', restEnd)
+  }
+
   private delete (id: string): void {
     const view = this.views.get(id)
     this.engineIds = undefined
@@ -211,6 +240,7 @@
     this.context.slots.forget(id)
     this.availability.forget(id)
     this.responsiveness.forget(id)
+    this.paces.forget(id)
   }
 
   private recordEvidence (view: UpstreamView, evidence: CallOutcome, now: number, sentAt: number): void {
@@ -220,6 +250,8 @@
       log.warn('upstream ejected after failed calls', { upstream: id, evidence, losses: health.losses, errorShare: Math.round(health.errorShare * 100) / 100, milliseconds: Math.round(health.ejectedUntil - now) })
     }
     this.views.set(id, { ...view, health })
+    if (evidence !== 'good') this.paces.recordFailure(view, sentAt)
+    if (health.ejectedUntil > Math.max(now, view.health.ejectedUntil)) this.paces.begin(view, 'ejection', health.ejectedUntil)
   }
 
   /** Whether an upstream gets no request now: it is withdrawn, or rests. */
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -1,5 +1,5 @@
 /** Selection of the upstream that takes a request, among those that one entry knows. */
-import type { ColdBounds, ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { coldDivision, coldGrants, coldReserve, type ColdBounds, type ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
 import { concurrencyLimit, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
@@ -10,6 +10,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import type { EngineSlots, ViewedCandidate } from './engine-slots.js'
 import type { Responsiveness } from './responsiveness.js'
+import type { StartPaces } from './start-paces.js'
 import type { UpstreamAvailability } from './upstream-availability.js'
 import type { UpstreamLimits } from './upstream-limits.js'
 import { estimateLoad, hasWeights, isLoadRecent, type UpstreamView } from './upstream-view.js'
@@ -48,6 +49,8 @@
   /** Instances among which the rate of a cold upstream is divided, see `Membership.knownEntries`. */
   knownEntries (): readonly string[]
   isEvacuated (dataCentre: string): boolean
+  /** Whether a service's profile is adaptive, see `ServiceProfile`. */
+  isAdaptive (service: string): boolean
   /** Called when an incarnation of an upstream is gone: its record was removed, or it has started again. */
   upstreamGone (upstream: Upstream): void
   /** Called when a record says that an upstream leaves of which that was not known. */
@@ -63,6 +66,7 @@
   readonly availability: UpstreamAvailability
   readonly responsiveness: Responsiveness
   readonly coldRate: ColdRateLimiter
+  readonly paces: StartPaces
 }
 
 /** Selects upstreams for the requests of one entry; times are milliseconds of the monotonic clock. */
@@ -86,8 +90,8 @@
     if (available.length === 0) return 'resting'
     const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
-    const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements.service, knownEntries, now))
-    const candidates = this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now))
+    const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements, knownEntries, now))
+    const candidates = this.withinPace(this.withPermit(open), requirements, now).map(view => this.candidateOf(view, requirements, entries.length, now))
     const placed = requirements.search === undefined ? placeRequest(candidates, this.random) : this.place(candidates, requirements.search, requirements.admission, now)
     if (placed === 'asked') return 'asked'
     return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
@@ -95,9 +99,9 @@
 
   /** Places a request where a slot is held for it or this entry's share of the slots leaves one; asks agents for slots first, and where there is none. */
   private place (candidates: readonly ViewedCandidate[], search: SlotSearch, admission: AdmissionLimits, now: number): ViewedCandidate | 'asked' | undefined {
-    const { slots, limits } = this.context
-    const granting = candidates.filter(({ view }) => slots.isGranting(view, now) && !limits.isLimited(view.upstream))
-    const others = candidates.filter(candidate => !granting.includes(candidate))
+    const { slots } = this.context
+    const granting = this.withoutPaceOfAll(candidates).filter(({ view }) => this.isGranting(view, now))
+    const others = candidates.filter(({ view }) => !granting.some(candidate => candidate.view === view))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
     const chosen = placeRequest([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], this.random)
     if (chosen !== undefined) {
@@ -130,23 +134,64 @@
     return requirements.regions === undefined || (region !== undefined && requirements.regions.includes(region))
   }
 
-  private isWithinColdRate (view: UpstreamView, service: Service, entries: readonly string[], now: number): boolean {
-    return view.coldUntil <= now || this.state.coldRate.mayTake(view.upstream.id, this.context.instance, entries, coldBoundsOf(service, this.context), now)
+  /** Whether the rate of a cold upstream leaves room for a request. */
+  private isWithinColdRate (view: UpstreamView, { service, search }: UpstreamRequirements, entries: readonly string[], now: number): boolean {
+    const { context } = this
+    if (view.coldUntil <= now || service.coldRequestsPerSecond <= 0) return true
+    if (keepsColdRateByAgent(view, context, now)) return search !== undefined
+    return this.state.coldRate.mayTake(view.upstream.id, context.instance, entries, coldSharesOf(view, service, context), now)
   }
 
-  private candidateOf (view: UpstreamView, admission: AdmissionLimits, entries: number, now: number): ViewedCandidate {
+  /** Upstreams whose start or recovery leaves room for a request; all of them where every one starts or recovers, as there is no better one then. */
+  private withinPace (open: readonly UpstreamView[], { search }: UpstreamRequirements, now: number): readonly UpstreamView[] {
+    const { paces } = this.state
+    if (open.every(view => paces.allowanceOf(view) === undefined)) return open
+    const isGranted = (view: UpstreamView): boolean => search !== undefined && this.isGranting(view, now)
+    const allowed = open.filter(view => isGranted(view) || view.inFlight < (paces.ownAllowance(view) ?? Infinity))
+    return open.every(view => paces.allowanceOf(view) !== undefined) ? open : allowed
+  }
+
+  /** Candidates without the allowances of starts and recoveries where every one starts or recovers. */
+  private withoutPaceOfAll (candidates: readonly ViewedCandidate[]): readonly ViewedCandidate[] {
+    if (candidates.some(({ startAllowance }) => startAllowance === undefined)) return candidates
+    return candidates.map(({ startAllowance, ...candidate }) => candidate)
+  }
+
+  /** Whether the slots of an upstream are granted by its agent and no named limit divides its requests. */
+  private isGranting (view: UpstreamView, now: number): boolean {
+    return this.context.slots.isGranting(view, now) && !this.context.limits.isLimited(view.upstream)
+  }
+
+  private candidateOf (view: UpstreamView, { admission, service }: UpstreamRequirements, entries: number, now: number): ViewedCandidate {
+    const { context } = this
+    const startAllowance = this.state.paces.allowanceOf(view)
+    const isCold = view.coldUntil > now && service.coldRequestsPerSecond > 0 && context.isAdaptive(service.name)
     return {
+      ...startAllowance === undefined ? {} : { startAllowance: Math.floor(startAllowance) },
+      ...isCold ? { coldLimit: coldGrants(coldBoundsOf(service, context)) } : {},
       view,
       id: view.upstream.id,
       load: estimateLoad(view, now),
       freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), entries, now),
       unstarted: view.unstarted,
-      isSameDataCentre: view.upstream.dataCentre === this.context.dataCentre,
+      isSameDataCentre: view.upstream.dataCentre === context.dataCentre,
       penalty: penaltyOf(view.health)
     }
   }
 }
 
+/** Whether the agent of a cold engine alone keeps its rate: it grants each slot and sees all requests. */
+export function keepsColdRateByAgent (view: UpstreamView, { slots, limits, isAdaptive }: PoolContext, now: number): boolean {
+  return isAdaptive(view.upstream.service) && slots.isGranting(view, now) && !limits.isLimited(view.upstream)
+}
+
+/** Bounds of the rate that the entries divide for a cold upstream. */
+export function coldSharesOf ({ upstream }: UpstreamView, service: Service, context: PoolContext): ColdBounds {
+  const bounds = coldBoundsOf(service, context)
+  if (!context.isAdaptive(service.name)) return bounds
+  return upstream.isEngine ? coldReserve(bounds) : coldDivision(bounds)
+}
+
 /** Bounds of the rate at which a service's cold upstreams may get requests. */
 export function coldBoundsOf (service: Service, { cold }: PoolContext): ColdBounds {
   return { perSecond: service.coldRequestsPerSecond, ...cold }
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,4 +1,5 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
+import { ColdGrants } from '../../core/dispatch/cold-rate.js'
 import { SlotLedger } from '../../core/dispatch/slot-ledger.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
@@ -8,6 +9,7 @@
 /** Answers entries from the engine's last report and the grants since. */
 export class SlotGranter {
   private readonly ledger = new SlotLedger()
+  private readonly coldGrants = new ColdGrants()
   private isOpen = false
 
   constructor (private readonly datagrams: DatagramSocket) {}
@@ -19,14 +21,18 @@
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
-  answer ({ number, limit }: SlotRequest, ip: string): void {
-    const answer = this.ledger.answer(keyOf(ip, number), this.isOpen ? limit : 0, monotonicNow())
+  answer ({ number, limit, coldLimit }: SlotRequest, ip: string): void {
+    const now = monotonicNow()
+    const mayGrant = this.coldGrants.mayGrant(coldLimit, now)
+    const answer = this.ledger.answer(keyOf(ip, number), this.isOpen && mayGrant ? limit : 0, now)
+    if (answer?.isGranted === true) this.coldGrants.record(keyOf(ip, number), now)
     if (answer !== undefined) this.datagrams.send({ kind: 'slot-reply', number, ...answer }, ip)
   }
 
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
     this.ledger.release(keyOf(ip, number))
+    this.coldGrants.release(keyOf(ip, number))
   }
 }
 
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -72,7 +72,7 @@
     case 'crash-evidence': return [message.suspicions.map(({ trait, ends, refusedAgeMilliseconds, isBlocked }) => [trait, ends, refusedAgeMilliseconds, isBlocked]), message.healthy]
     case 'permit-request': return [message.number, encodeLimit(message.limit)]
     case 'permit-answer': return [message.number, encodeLimit(message.limit), message.retryInMilliseconds]
-    case 'slot-request': return [message.number, message.limit, ...message.order === undefined ? [] : [encodeOrder(message.order)]]
+    case 'slot-request': return [message.number, message.limit, ...encodeOptional(message)]
     case 'slot-reply': return [message.number, message.load, message.isGranted, ...message.pace === undefined ? [] : [message.pace.value, message.pace.ageMilliseconds]]
     case 'slot-release': return [message.number]
     case 'pace': return [message.startedAt, message.pace]
@@ -104,6 +104,13 @@
   return [configurationVersion, ageMilliseconds, models, chunkCount, chunkBytes, origin?.address ?? '', origin?.bytesPerSecond ?? 0, isResumable]
 }
 
+/** The fields of a request for a slot that only some services send. */
+function encodeOptional ({ order, coldLimit }: SlotRequest): Fields {
+  const encodedOrder = order === undefined ? [] : encodeOrder(order)
+  if (coldLimit !== undefined) return [encodedOrder, coldLimit]
+  return order === undefined ? [] : [encodedOrder]
+}
+
 function encodeOrder ({ rank, organisation, share, work, isRetry, remainingMilliseconds }: SlotOrder): Fields {
   return [rank, organisation, share, work, isRetry, remainingMilliseconds]
 }
@@ -226,9 +233,10 @@
   },
   'slot-request': fields => {
     checkTypes(fields, ['number', 'number'])
-    // Earlier versions send no order.
-    const [number, limit, order] = fields as [number, number, Fields?]
-    return { kind: 'slot-request', number, limit, ...order === undefined ? {} : { order: decodeOrder(order) } } satisfies SlotRequest
+    // Earlier versions send neither; an empty order stands for none.
+    const [number, limit, order = [], coldLimit] = fields as [number, number, Fields?, number?]
+    const hasColdLimit = typeof coldLimit === 'number' && coldLimit >= 0
+    return { kind: 'slot-request', number, limit, ...order.length === 0 ? {} : { order: decodeOrder(order) }, ...hasColdLimit ? { coldLimit } : {} } satisfies SlotRequest
   },
   'slot-reply': fields => {
     checkTypes(fields, ['number', 'number', 'boolean'])
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -67,6 +67,8 @@
   readonly limit: number
   /** What orders it among others; undefined for a service that is not ranked, and from earlier versions. */
   readonly order?: SlotOrder
+  /** Slots that may be granted in one second, as the engine is cold for the sender; undefined if it is not, for a service that is not adaptive, and from earlier versions. */
+  readonly coldLimit?: number
 }
 
 /** What orders a request among others that compete for the same slots. */
--- a/test/slot-placement.test.ts
+++ b/test/slot-placement.test.ts
@@ -37,6 +37,7 @@
     entries: () => Array.from({ length: 99 }, (_, index) => `entry-${index}`),
     knownEntries: () => ['entry-1'],
     isEvacuated: () => false,
+    isAdaptive: () => false,
     upstreamGone: () => {},
     upstreamLeaves: () => {}
   }, () => service, () => 0)
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -31,6 +31,7 @@
     entries: () => ['entry-1'],
     knownEntries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre),
+    isAdaptive: () => false,
     upstreamGone: () => {},
     upstreamLeaves: () => {}
   }, () => service, () => 0)
@@ -159,6 +160,7 @@
     },
     knownEntries: () => ['entry-1', 'entry-2'],
     isEvacuated: () => false,
+    isAdaptive: () => false,
     upstreamGone: () => {},
     upstreamLeaves: () => {}
   }, () => service, () => 0)
