--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,4 +1,5 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
+import { ColdGrants } from '../../core/dispatch/cold-rate.js'
 import { decodeOrder } from '../../core/dispatch/rank.js'
 import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
@@ -12,6 +13,7 @@
 /** Answers entries from the engine's last report and the grants since. */
 export class SlotGranter {
   private readonly ledger = new SlotLedger()
+  private readonly coldGrants = new ColdGrants()
   private isOpen = false
   private timer: NodeJS.Timeout | undefined
 
@@ -25,20 +27,23 @@
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
-  answer ({ number, limit, order }: SlotRequest, ip: string): void {
+  answer ({ number, limit, order, coldLimit }: SlotRequest, ip: string): void {
     const now = monotonicNow()
     const [key, request] = [keyOf(ip, number), decodeOrder(order, now)]
-    if (request !== undefined && this.isOpen) {
+    const mayGrant = this.coldGrants.mayGrant(coldLimit, now)
+    // Requests that compete are answered together, which could exceed the bound of a cold engine.
+    if (request !== undefined && this.isOpen && !this.coldGrants.isCold(now)) {
       this.send(this.ledger.compete(key, limit, now, request))
       this.settleLater()
       return
     }
-    const answer = this.ledger.answer(key, this.isOpen ? limit : 0, now)
+    const answer = this.ledger.answer(key, this.isOpen && mayGrant ? limit : 0, now)
     if (answer !== undefined) this.send([{ key, ...answer }])
   }
 
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
+    this.coldGrants.release(keyOf(ip, number))
     this.ledger.release(keyOf(ip, number), monotonicNow())
     this.settle()
   }
@@ -63,8 +68,10 @@
   }
 
   private send (answers: readonly KeyedAnswer[]): void {
+    const now = monotonicNow()
     for (const { key, ...answer } of answers) {
       const [ip = '', number] = key.split(' ')
+      if (answer.isGranted) this.coldGrants.record(key, now)
       this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer }, ip)
     }
   }
