Weights: a named version leaves its origin without idle time, and its manifest a few times only

Cause: all agents fetched the manifest from the origin; they acted on a poll of 100 ms; chunks fell due at exactly the rate of the origin's link, so every late start left it idle; the chunks of a dead agent waited for 0.35 copy times.

Change: two agents ask the origin for the manifest, the others get it from agents at once (manifest-order) and ask the origin only after 0.3 to 1.5 s. An agent starts when it learns of the name, and at the time at which a chunk falls due. Chunks fall due at 0.9 of a chunk time, at most 16 beyond what has arrived; a primary fetcher asks earlier when the link would be idle. The delay of a rank is 10 chunk times and 60 ms (at most 0.35 copies as before), longer while the origin sends slowly; the agents that would take over are told of a chunk at once.

--- a/src/core/weights/distribution-plan.ts
+++ b/src/core/weights/distribution-plan.ts
@@ -13,10 +13,20 @@
 const fetchesFromOrigin = 1
 /** Delay that each rank adds, from the first offer on, before an agent fetches a chunk from another data centre, milliseconds. */
 const remoteRankMilliseconds = 1800
-/** Delay that each rank adds before an agent fetches a chunk from the origin, in copy times of the origin: long enough for a few chunks to leave the origin and for a slow link. */
+/** Maximum delay that each rank adds before an agent fetches a chunk from the origin, in copy times of the origin. */
 const rankDelayCopies = 0.35
+/** Delay of a rank in chunk times of the origin: the requests that wait there when all primary fetchers are alive. */
+const rankDelayChunks = 10
+/** Addition to this delay, milliseconds: the next agent learns of a chunk that has arrived within that time. */
+const rankDelayMilliseconds = 60
+/** Factor by which the delay of a rank grows at most when the origin sends more slowly than its link could. */
+const maximumSlowdown = 6
 /** Chunks that are due at the origin from the start; the following ones fall due at the pace of its link. */
 const originWindowChunks = 6
+/** Chunks that may be due beyond those that have arrived: those of the window, and those that arrived within the time that an announcement takes. */
+const outstandingChunks = 16
+/** Share of a chunk time after which the next chunk falls due: a little faster than the link, so that agents that start late do not leave it idle. */
+const paceFactor = 0.9
 /** Delay before a chunk that peers offer is fetched from the origin all the same, in copy times of the origin: by then the peers have failed to deliver it. */
 const offeredDelayCopies = 2.5
 /** Rank from which on the delay no longer grows. */
@@ -57,6 +67,8 @@
   readonly originSince: number
   /** Place of each position in the order in which positions fall due at the origin from then on. */
   readonly originPlaces: readonly number[]
+  /** Chunks that have left the origin since `originSince`, as far as is known; undefined if that is not observed. */
+  readonly originSent?: number
   readonly peers: readonly DistributionPeer[]
   /** Positions that agents are known to hold, without those that fail to deliver. */
   readonly offered: Bitmap
@@ -94,6 +106,18 @@
   return rankMembers(rankingKey, members)[position % members.length]
 }
 
+/** Agents that are told at once of a chunk that has left the origin: its fetchers, in the order in which they would take over. */
+const toldFetchers = 3
+/** Chunks missing everywhere whose primary fetchers are told at once when the origin answers again. */
+const toldPositions = 16
+
+/** Agents that a chunk from the origin concerns first: those that would ask for it next, and the primary fetchers of some chunks in `missing`. */
+export function originFetchers (position: number, missing: readonly number[], members: readonly string[]): readonly string[] {
+  const ranked = rankMembers(rankingKey, members)
+  const next = Array.from({ length: Math.min(toldFetchers, ranked.length) }, (_, rank) => position + rank)
+  return [...new Set([...next, ...missing.slice(0, toldPositions)].flatMap(place => ranked[place % ranked.length] ?? []))]
+}
+
 /** Next fetch, from the origin if one is due and from a peer otherwise; undefined if none can start now. */
 export function nextDistributionFetch (view: DistributionView): DistributionFetch | undefined {
   if (view.inFlight.size >= maximumFetches) return undefined
@@ -120,11 +144,37 @@
  * the last failure, since after an outage all delays from before it have passed, and all agents would ask at once.
  */
 function dueAt (view: DistributionView, position: number, rank: number): number {
+  const place = view.originPlaces[position] ?? 0
+  const { originSent } = view
+  const isOffered = hasBit(view.offered, position)
+  if (!isOffered && originSent !== undefined && place >= originSent + outstandingChunks) return Infinity
+  // The origin has sent nearly all that has fallen due: its link would be idle soon.
+  if (!isOffered && rank === 0 && originSent !== undefined && place < originSent + originWindowChunks) return view.originSince
+  const chunkMilliseconds = view.originCopyMilliseconds / view.total
+  const dueFrom = view.originSince + Math.max(0, place - originWindowChunks) * chunkMilliseconds * paceFactor
+  const from = isOffered ? Math.max(dueFrom, view.offeredAt.get(position) ?? view.now) + offeredDelayCopies * view.originCopyMilliseconds : dueFrom
+  return from + rank * rankDelay(view)
+}
+
+/** Delay of each rank, milliseconds: the time that a requested chunk takes to arrive, longer while the origin sends more slowly than its link could. */
+function rankDelay (view: DistributionView): number {
   const chunkMilliseconds = view.originCopyMilliseconds / view.total
-  const paceDelay = Math.max(0, (view.originPlaces[position] ?? 0) - originWindowChunks) * chunkMilliseconds
-  const dueFrom = view.originSince + paceDelay
-  const from = hasBit(view.offered, position) ? Math.max(dueFrom, view.offeredAt.get(position) ?? view.now) + offeredDelayCopies * view.originCopyMilliseconds : dueFrom
-  return from + rank * rankDelayCopies * view.originCopyMilliseconds
+  const delay = Math.min(rankDelayCopies * view.originCopyMilliseconds, rankDelayChunks * chunkMilliseconds + rankDelayMilliseconds)
+  if (view.originSent === undefined) return delay
+  const observed = (view.now - view.originSince) / (view.originSent + originWindowChunks)
+  return delay * Math.min(maximumSlowdown, Math.max(1, observed / chunkMilliseconds))
+}
+
+/** Earliest time at which another chunk falls due for this agent at the origin, milliseconds of the monotonic clock; undefined if none does. */
+export function nextOriginDueAt (view: DistributionView): number | undefined {
+  if (view.originInFlight >= fetchesFromOrigin || view.inFlight.size >= maximumFetches) return undefined
+  let earliest = Infinity
+  for (let position = 0; position < view.total; position += 1) {
+    if (!isFetchable(view, position)) continue
+    earliest = Math.min(earliest, dueAt(view, position, Math.min(maximumDelayedRank, view.ranks.amongAll[position] ?? 0)))
+  }
+  const at = Math.max(earliest, view.originRetryAt)
+  return Number.isFinite(at) ? at : undefined
 }
 
 /** Place of each position in the order in which positions fall due at the origin: those that are missing everywhere come first. */
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import { originSource, type DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
+import { manifestDelayMilliseconds } from '../../core/weights/manifest-order.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
@@ -43,8 +44,8 @@
   chunkBytes (): number
   /** Called when a fetch starts and after each stored chunk. */
   onChunksChanged (): void
-  /** Called after a chunk was fetched from the origin. */
-  onOriginChunk (position: number): void
+  /** Called after a chunk was fetched from the origin; `fetchers` are agents that would ask it next. */
+  onOriginChunk (position: number, fetchers: readonly string[]): void
   /** Called when an earlier process has staged a complete copy of another version, with the digests of its chunks. */
   onOtherCopy (model: string, digests: readonly string[]): void
 }
@@ -56,6 +57,8 @@
   /** Milliseconds of the monotonic clock before which no other attempt to start a fetch is made. */
   private openRetryAt = 0
   private isOpening = false
+  /** The version that is to be fetched, and since when, milliseconds of the monotonic clock. */
+  private wanted: { readonly model: string, readonly version: number, readonly since: number, readonly at: number } | undefined
   /** Milliseconds of the monotonic clock before which no other attempt is made to confirm a digest that is in doubt. */
   private confirmRetryAt = 0
   /** Whether this process has read the chunks that an earlier one staged. */
@@ -101,15 +104,25 @@
       return
     }
     const now = monotonicNow()
-    if (this.isOpening || now < this.openRetryAt) return
+    if (this.wanted?.model !== model || this.wanted.version !== version) this.wanted = { model, version, since, at: now }
+    if (this.isOpening || now < this.openRetryAt || !this.mayOpen(model, version, this.wanted.at, now)) return
     this.openRetryAt = now + openIntervalMilliseconds
     this.isOpening = true
     runInBackground(this.open(model, version, since).finally(() => { this.isOpening = false }), log, 'start fetching a version')
   }
 
-  /** Starts the fetches of the current version that are due. */
+  /** Starts the fetches that are due, also of a wanted version of which an agent has the manifest now. */
   startFetches (): void {
-    this.fetcher?.startFetches()
+    if (this.wanted !== undefined) this.fetchVersion(this.wanted.model, this.wanted.version, this.wanted.since)
+    else this.fetcher?.startFetches()
+  }
+
+  /** Whether the manifest is known or can be fetched now: from an agent, or from the origin if few others ask it. */
+  private mayOpen (model: string, version: number, wantedAt: number, now: number): boolean {
+    const { ip, peers } = this.context
+    if (this.get(model, version) !== undefined) return true
+    const others = peers.all().map(peer => peer.ip)
+    return others.some(other => peers.hasManifest(other, model, version)) || now >= wantedAt + manifestDelayMilliseconds(model, version, ip, others)
   }
 
   stop (): void {
@@ -128,7 +141,7 @@
   private createFetcher (chunks: VersionChunks, wantedAt: number): ChunkFetcher {
     return new ChunkFetcher({
       ...this.context,
-      onChunkStored: (position, isFromOrigin) => { this.handleStoredChunk(position, isFromOrigin) },
+      onChunkStored: (position, isFromOrigin, fetchers) => { this.handleStoredChunk(position, isFromOrigin, fetchers) },
       onDigestDoubted: doubts => { this.handleDoubt(chunks, doubts) }
     }, chunks, wantedAt)
   }
@@ -171,9 +184,9 @@
     this.fetcher.startFetches()
   }
 
-  private handleStoredChunk (position: number, isFromOrigin: boolean): void {
+  private handleStoredChunk (position: number, isFromOrigin: boolean, fetchers: readonly string[]): void {
     this.context.onChunksChanged()
-    if (isFromOrigin) this.context.onOriginChunk(position)
+    if (isFromOrigin) this.context.onOriginChunk(position, fetchers)
   }
 
   /** Adds a version to the cache; the first one of this process starts with the chunks that an earlier process staged. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -1,7 +1,6 @@
 /** The agent on an engine's machine: rolls out named weights to the engine and reports its load to entries. */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { expectedCompletionAt } from '../../core/weights/swap-schedule.js'
-import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
@@ -17,6 +16,7 @@
 import { Announcer } from './announcer.js'
 import type { VersionChunks } from './chunk-store.js'
 import { ChunkUploads } from './chunk-uploads.js'
+import { DeliveryPlan } from './delivery-plan.js'
 import { EngineSwapper, type SwapRequest } from './engine-swapper.js'
 import { LoadOrders, type UncheckedLoad } from './load-orders.js'
 import { LoadReporter } from './load-reporter.js'
@@ -31,10 +31,6 @@
 
 /** Interval at which the engine is polled, milliseconds; an engine at full load finishes a request in about that time. */
 const reportIntervalMilliseconds = 100
-/** Time from the naming of a version until every engine can swap to it, in times of one copy on the machine's link. */
-const rolloutCopies = 1.3
-/** Time of a swap once a copy is complete, milliseconds. */
-const swapMilliseconds = 1000
 /** Share of a copy's chunks from which the engine may be closed to requests before the copy is complete. */
 const earlyCloseShare = 0.75
 
@@ -64,6 +60,7 @@
   private readonly orders: LoadOrders
   private readonly swapper: EngineSwapper
   private readonly versions: VersionCache
+  private readonly plan: DeliveryPlan
   private readonly loadReporter: LoadReporter
   private readonly slots: SlotGranter
   private readonly announcer: Announcer
@@ -77,7 +74,7 @@
   private hasEngineAnswered = false
 
   constructor (private readonly settings: WeightsSettings, private readonly ports: WeightsPorts) {
-    this.named = new NamedVersions(settings.rolloutMilliseconds)
+    this.named = new NamedVersions(settings.rolloutMilliseconds, () => { this.fetchWanted() })
     this.uploads = new ChunkUploads(settings.linkBytesPerSecond)
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
@@ -101,9 +98,10 @@
       chunkCount: () => this.rollout.facts?.chunkCount ?? 0,
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
-      onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) },
+      onOriginChunk: (position, fetchers) => { this.announcer.announceOriginChunk(position, fetchers) },
       onOtherCopy: (copyModel, digests) => { this.retainCopy(copyModel, digests) }
     })
+    this.plan = new DeliveryPlan({ named: this.named, versions: this.versions, linkBytesPerSecond: settings.linkBytesPerSecond, facts: () => this.rollout.facts })
     this.server = createServer((incoming, response) => { this.handleRequest(incoming, response) })
   }
 
@@ -140,22 +138,6 @@
     runInBackground(release(), log, 'compare what is staged with the version that is served')
   }
 
-  /** Estimated time until a version is served everywhere, from the share of chunks missing here, milliseconds. */
-  private estimateRolloutMilliseconds (model: string, version: number): number {
-    const bytes = (this.rollout.facts?.chunkBytes ?? 0) * (this.rollout.facts?.chunkCount ?? 0)
-    const { linkBytesPerSecond } = this.settings
-    const copyMilliseconds = linkBytesPerSecond === 0 ? 0 : bytes / linkBytesPerSecond * 1000
-    const chunks = this.versions.get(model, version)
-    const missingShare = chunks === undefined ? 1 : 1 - chunks.heldCount / chunks.digests.length
-    return copyMilliseconds * rolloutCopies * missingShare + swapMilliseconds
-  }
-
-  /** The version to fetch next, or the newest once it is complete here, since peers may still fetch it. */
-  private versionToFetch (model: string): NamedVersion {
-    const held = this.versions.newestComplete(model)?.version ?? 0
-    return this.named.next(model, this.served, held, version => this.estimateRolloutMilliseconds(model, version))
-  }
-
   private receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'subscription') this.subscribe(message, ip)
     else if (message.kind === 'slot-request') this.slots.answer(message, ip)
@@ -207,7 +189,7 @@
     this.orders.observe(report, askedAt)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
-    this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
+    this.loadReporter.send(report, this.swapper.isClosed, this.plan.readyInMilliseconds(this.served, report.isSwapping || this.swapper.isClosed))
     if (previous !== undefined && previous.startedAt !== report.startedAt) {
       this.staging.reset()
       this.swapper.reopen()
@@ -217,23 +199,21 @@
     log.info('the engine reports its weights', { version: this.served, before: previouslyServed, startedAt: report.startedAt, orders: report.orders, ordersBefore: previous?.orders ?? 0, isSwapping: report.isSwapping })
   }
 
-  private estimateReadyMilliseconds (report: EngineReport): number {
-    const now = monotonicNow()
-    return readyInMilliseconds({
-      now,
-      isServing: this.served > 0 && !this.named.isPastDeadline(this.served, now),
-      isSwapping: report.isSwapping || this.swapper.isClosed,
-      progress: this.versions.progress
-    })
+  /** Fetches the version that is wanted now and announces what is held; undefined while that version is unknown. */
+  private fetchWanted (): NamedVersion | undefined {
+    const model = this.rollout.facts?.models[0]
+    if (this.isStopped || model === undefined || !this.hasEngineAnswered) return undefined
+    const wanted = this.plan.versionToFetch(model, this.served)
+    this.versions.fetchVersion(model, wanted.version, wanted.since)
+    this.announcer.announce()
+    return wanted
   }
 
   /** Takes the next steps of the rollout: fetch, announce, close early, and stage or swap. */
   private updateEngine (): void {
     const model = this.rollout.facts?.models[0]
-    if (model === undefined || !this.hasEngineAnswered) return
-    const wanted = this.versionToFetch(model)
-    this.versions.fetchVersion(model, wanted.version, wanted.since)
-    this.announcer.announce()
+    const wanted = this.fetchWanted()
+    if (model === undefined || wanted === undefined) return
     const chunks = this.orders.openChunks ?? this.versions.newestComplete(model)
     if (this.report === undefined) return
     if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
--- a/test/fakes/exchange-replay.ts
+++ b/test/fakes/exchange-replay.ts
@@ -1,8 +1,10 @@
 /** Replays the exchange of weights among agents in simulated time: real choices of chunks and uploads, simulated links and origin. */
-import { emptyBitmap, hasBit, unionOf, withBit, type Bitmap } from '../../src/core/weights/bitmap.js'
-import { fetchRanks, nextDistributionFetch, originPlaces, primaryFetcher, type DistributionPeer, type FetchRanks } from '../../src/core/weights/distribution-plan.js'
+import { countBits, emptyBitmap, hasBit, unionOf, withBit, type Bitmap } from '../../src/core/weights/bitmap.js'
+import { fetchRanks, nextDistributionFetch, originFetchers, originPlaces, primaryFetcher, type DistributionPeer, type FetchRanks } from '../../src/core/weights/distribution-plan.js'
+import { OriginState } from '../../src/core/weights/origin-state.js'
 import { decideUpload } from '../../src/core/weights/upload.js'
 import { PeerTable } from '../../src/roles/weights/peer-table.js'
+import { Pipe } from './pipe.js'
 
 const [chunkCount, chunkBytes] = [96, 24_576] as const
 /** Overhead of a chunk: heads of the request and the answer. */
@@ -12,7 +14,7 @@
 const announcementBytes = 150
 const peerTimeoutMilliseconds = { sameDataCentre: 1500, otherDataCentre: 3000 } as const
 const originTimeoutMilliseconds = 3000
-const backoffMilliseconds = { first: 400, maximum: 6400, origin: 150 } as const
+const backoffMilliseconds = { first: 400, maximum: 6400 } as const
 const agentBytesPerSecond = 640_000
 const uploadShare = 0.92
 const originBytesPerSecond = 912_000
@@ -41,18 +43,6 @@
   readonly timeouts: number
 }
 
-class Pipe {
-  bytes = 0
-  freeAt = 0
-  constructor (private readonly bytesPerSecond: number, private readonly delay: number) {}
-
-  carry (bytes: number, from: number): number {
-    this.bytes += bytes
-    this.freeAt = Math.max(this.freeAt, from) + bytes / this.bytesPerSecond * 1000
-    return this.freeAt + this.delay
-  }
-}
-
 interface Known { readonly held: Bitmap, readonly heldInDataCentre: Bitmap }
 
 class Agent {
@@ -68,8 +58,7 @@
   uploads = 0
   uploadMilliseconds = 0
   originInFlight = 0
-  originRetryAt = 0
-  originSince = 0
+  readonly origin = new OriginState(0, 0, chunkCount * chunkBytes / originBytesPerSecond * 1000)
   originPlaces = originPlaces(chunkCount, emptyBitmap(chunkCount))
   heldCount = 0
   completeAt = Infinity
@@ -157,16 +146,18 @@
     }
   }
 
-  /** Announces to the agent of each other data centre that is the primary fetcher of a chunk there. */
-  private announceToPrimaryFetchers (agent: Agent, position: number): void {
+  /** Announces to the primary fetcher of a chunk in each other data centre, and to those that would ask the origin next. */
+  private announceOriginChunk (agent: Agent, position: number): void {
     const told: Known = { held: agent.held, heldInDataCentre: agent.held }
+    const all = this.agents.map(other => this.ipOf(other.index))
+    const known = this.knownTo(agent)
+    const missing = agent.origin.isAway ? Array.from({ length: chunkCount }, (_, other) => other).filter(other => !hasBit(known, other)) : []
+    const ips = new Set(originFetchers(position, missing, all))
     for (let dataCentre = 0; dataCentre < this.options.dataCentres; dataCentre += 1) {
-      if (dataCentre === agent.dataCentre) continue
-      const members = this.agents.filter(other => other.dataCentre === dataCentre)
-      const primary = primaryFetcher(position, members.map(other => this.ipOf(other.index)))
-      const index = members.find(other => this.ipOf(other.index) === primary)?.index
-      if (index !== undefined) this.tell(agent, index, told)
+      const primary = primaryFetcher(position, this.agents.filter(other => other.dataCentre === dataCentre).map(other => this.ipOf(other.index)))
+      if (dataCentre !== agent.dataCentre && primary !== undefined) ips.add(primary)
     }
+    for (const ip of ips) if (ip !== this.ipOf(agent.index)) this.tell(agent, all.indexOf(ip), told)
   }
 
   private tell (agent: Agent, index: number, told: Known): void {
@@ -196,7 +187,9 @@
         inFlight: agent.fetches.get(index) ?? 0,
         retryAt: agent.retryAt.get(index) ?? 0
       }))
-      const next = nextDistributionFetch({ now: this.now, total: chunkCount, held: agent.held, ranks: agent.ranks, originSince: agent.originSince, originPlaces: agent.originPlaces, peers, offered, offeredAt: agent.offeredAt, inFlight: agent.inFlight, originInFlight: agent.originInFlight, originRetryAt: agent.originRetryAt, originCopyMilliseconds: chunkCount * chunkBytes / originBytesPerSecond * 1000 })
+      const known = countBits(this.knownTo(agent), chunkCount)
+      if (agent.origin.observe(this.now, known)) agent.originPlaces = originPlaces(chunkCount, this.knownTo(agent))
+      const next = nextDistributionFetch({ now: this.now, total: chunkCount, held: agent.held, ranks: agent.ranks, originSince: agent.origin.since, originPlaces: agent.originPlaces, originSent: agent.origin.sent(known), peers, offered, offeredAt: agent.offeredAt, inFlight: agent.inFlight, originInFlight: agent.originInFlight, originRetryAt: agent.origin.retryAt, originCopyMilliseconds: chunkCount * chunkBytes / originBytesPerSecond * 1000 })
       if (next === undefined) return
       agent.inFlight.add(next.position)
       if (next.peer === undefined) this.fetchFromOrigin(agent, next.position)
@@ -208,9 +201,9 @@
     agent.originInFlight += 1
     const end = (isStored: boolean): void => {
       agent.originInFlight -= 1
-      if (!isStored) this.recordOriginFailure(agent)
+      if (!isStored) this.recordOriginFailure(agent, position)
       this.finish(agent, position, isStored)
-      if (isStored) this.announceToPrimaryFetchers(agent, position)
+      if (isStored) this.announceOriginChunk(agent, position)
     }
     const [from, to] = this.options.originAway ?? [Infinity, Infinity]
     if (this.now >= from && this.now < to) {
@@ -221,10 +214,13 @@
     this.deliver([this.origin, this.link(0, agent.dataCentre), agent.down], this.now + originTimeoutMilliseconds, end)
   }
 
-  private recordOriginFailure (agent: Agent): void {
-    agent.originSince = this.now
-    agent.originRetryAt = this.now + backoffMilliseconds.origin
+  private recordOriginFailure (agent: Agent, position: number): void {
     agent.originPlaces = originPlaces(chunkCount, unionOf(chunkCount, [agent.held, this.offeredTo(agent)]))
+    agent.origin.recordFailure(this.now, countBits(this.knownTo(agent), chunkCount), agent.originPlaces[position] ?? 0, agent.ranks.amongAll[position] === 0)
+  }
+
+  private knownTo (agent: Agent): Bitmap {
+    return unionOf(chunkCount, [agent.held, ...[...agent.known.values()].flatMap(({ held, heldInDataCentre }) => [held, heldInDataCentre])])
   }
 
   private offeredTo (agent: Agent): Bitmap {
