Replay of load: steps, and counts of refusals

Cause: the replay showed neither what a load step does to callers that were refused, nor for how long a queued request was not offered to an upstream.

Change: a load may have steps; outcomes count first and second refusals, the longest time without an offer, and the most attempts within a second after the last step. Types and sums of outcomes are in a module of their own.

--- a/test/dispatch-load.test.ts
+++ b/test/dispatch-load.test.ts
@@ -10,6 +10,7 @@
 import { excludeEjected, initialHealth, penaltyOf, updateHealth, type CallOutcome } from '../src/core/dispatch/upstream-health.js'
 import { seededRandom } from '../src/utils/random.js'
 import { replayEngine as engine } from './fakes/replay-engine.js'
+import { sumOutcomes } from './fakes/replay-outcome.js'
 import { entryPolicy, replayLoad, replayRoute as route, type ReplayLoad, type ReplayOutcome, type ReplayPolicy } from './fakes/engine-replay.js'
 
 const seed = 7
@@ -132,9 +133,7 @@
 
 /** Summed outcomes of a load under four seeds. */
 function replaySeeds (load: Omit<ReplayLoad, 'seed' | 'milliseconds'>, policy: ReplayPolicy): ReplayOutcome {
-  const outcomes = [1, 2, 3, 4].map(loadSeed => replayLoad({ ...load, seed: loadSeed, milliseconds: 10_000 }, policy))
-  const sum = (name: keyof ReplayOutcome): number => outcomes.reduce((total, outcome) => total + outcome[name], 0)
-  return { requests: sum('requests'), onTime: sum('onTime'), late: sum('late'), refusedTwice: sum('refusedTwice'), refusedBesideFreeSlots: sum('refusedBesideFreeSlots'), messages: sum('messages') }
+  return sumOutcomes([1, 2, 3, 4].map(loadSeed => replayLoad({ ...load, seed: loadSeed, milliseconds: 10_000 }, policy)))
 }
 
 /** Share to be served within the goal: of what the engines can handle under overload, and of all requests where capacity is spare. */
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -3,48 +3,20 @@
  * and learn of each other's requests one load report late. Times in milliseconds from the start.
  */
 import { admissionFor } from '../../src/core/dispatch/admission.js'
-import { FirstEventWaits, refusedShare } from '../../src/core/dispatch/first-event-waits.js'
+import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
 import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
 import { chooseRetryAt } from '../../src/core/dispatch/caller-retry.js'
 import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
-import { SlotRequests, SlotSearch } from '../../src/core/dispatch/slot-requests.js'
+import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
 import { orderQueue, queueDeadline } from '../../src/core/dispatch/queueing.js'
 import type { EngineFacts, Route } from '../../src/types/fleet.js'
+import { peakOf, type ReplayLoad, type ReplayOutcome } from './replay-outcome.js'
+import { ReplayEntry, type Message } from './replay-entry.js'
 import { ReplayEngine, replayEngine, type SimulatedRequest } from './replay-engine.js'
 import { seededRandom } from '../../src/utils/random.js'
 
-/** Load of a replay. */
-export interface ReplayLoad {
-  readonly seed: number
-  readonly engines: number
-  readonly entries: number
-  readonly arrivalsPerSecond: number
-  /** Time in which requests arrive. */
-  readonly milliseconds: number
-  /** Slots of each engine. */
-  readonly slots?: number
-  /** Time between two load reports to an entry; agents count their engine's requests more often. */
-  readonly reportMilliseconds?: number
-  /** Whether entries ask agents for each slot, or use their share of the slots that were free at the last report. */
-  readonly placement?: 'grants' | 'shares'
-}
-
-/** Numbers of requests by what their callers got. */
-export interface ReplayOutcome {
-  /** All requests, retries not counted. */
-  readonly requests: number
-  /** First event within the goal. */
-  readonly onTime: number
-  /** First event later, or on the retry. */
-  readonly late: number
-  /** Refused, and refused again on the retry. */
-  readonly refusedTwice: number
-  /** First attempts refused for want of a slot while over a tenth of all slots were free. */
-  readonly refusedBesideFreeSlots: number
-  /** Messages between entries and agents for slots. */
-  readonly messages: number
-}
+export type { ReplayLoad, ReplayOutcome }
 
 /** Decisions that a test can replace to compare them with others. */
 export interface ReplayPolicy {
@@ -70,33 +42,6 @@
 const networkMilliseconds = 5
 const callerTimeoutMilliseconds = 6000
 
-/** A message on its way. */
-interface Message {
-  readonly at: number
-  readonly arrive: () => void
-}
-
-/** One entry: what it knows of the engines, and its queue. */
-class ReplayEntry {
-  readonly waits = new FirstEventWaits()
-  readonly slots = new SlotRequests()
-  readonly inFlight: number[]
-  readonly unstarted: number[]
-  reported: ReportedLoad[]
-  queue: SimulatedRequest[] = []
-
-  constructor (engines: number) {
-    this.inFlight = Array.from({ length: engines }, () => 0)
-    this.unstarted = [...this.inFlight]
-    this.reported = this.inFlight.map(() => ({ total: 0, local: 0, roundingOffset: 0, sent: 0, ended: 0 }))
-  }
-
-  updateReport (index: number, change: (reported: ReportedLoad) => Partial<ReportedLoad>): void {
-    const reported = this.reported[index]
-    if (reported !== undefined) this.reported[index] = { ...reported, ...change(reported) }
-  }
-}
-
 /** Simulates a load; deterministic for its seed. */
 export function replayLoad (load: ReplayLoad, policy: ReplayPolicy = entryPolicy): ReplayOutcome {
   return new Replay(load, policy).run()
@@ -116,7 +61,11 @@
   private requests = 0
   private onTime = 0
   private late = 0
+  private refusedOnce = 0
   private refusedTwice = 0
+  private longestUnoffered = 0
+  /** Attempts that arrived after the last step. */
+  private readonly attemptsAfterSteps: number[] = []
   private refusedBesideFreeSlots = 0
   private messageCount = 0
 
@@ -134,7 +83,7 @@
       while (nextAt <= this.now && nextAt < this.load.milliseconds) {
         this.requests += 1
         this.dispatch(this.createRequest(nextAt))
-        nextAt += -Math.log(1 - this.random()) * 1000 / this.load.arrivalsPerSecond
+        nextAt += -Math.log(1 - this.random()) * 1000 / this.arrivalsPerSecondAt(nextAt)
       }
       for (const due of this.retries.filter(({ at }) => at <= this.now)) {
         this.retries.splice(this.retries.indexOf(due), 1)
@@ -146,12 +95,16 @@
       if (this.now % pollMilliseconds === 0) for (const entry of this.entries) this.pollQueue(entry)
       this.engines.forEach((engine, index) => { this.advance(engine, index) })
     }
-    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedTwice: this.refusedTwice, refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+  }
+
+  private arrivalsPerSecondAt (at: number): number {
+    return this.load.steps?.filter(({ from }) => from <= at).at(-1)?.arrivalsPerSecond ?? this.load.arrivalsPerSecond
   }
 
   private createRequest (at: number): SimulatedRequest {
     const spread = (mean: number): number => mean * (0.3 + 1.4 * this.random())
-    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0 }
+    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0 }
   }
 
   private pickEntry (): number {
@@ -161,11 +114,12 @@
   private dispatch (request: SimulatedRequest): void {
     const entry = this.entries[request.entry]
     if (entry === undefined) return
+    if (this.now >= (this.load.steps?.at(-1)?.from ?? Infinity)) this.attemptsAfterSteps.push(this.now)
     const hasRequestsAhead = entry.queue.some(({ isLate }) => request.isLate || !isLate)
     if (!hasRequestsAhead && this.place(request, entry)) return
     const until = queueDeadline({ now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting: entry.queue.filter(({ isLate }) => isLate === request.isLate).length })
     if (until === undefined) this.refuse(request)
-    else entry.queue.push({ ...request, until })
+    else entry.queue.push({ ...request, until, offeredAt: this.now })
   }
 
   private send (arrive: () => void): void {
@@ -211,12 +165,21 @@
   private pollQueue (entry: ReplayEntry): void {
     for (const request of orderQueue(entry.queue)) {
       const isPlaced = this.place(request, entry)
-      if (!isPlaced && this.now < request.until) continue
+      if (!isPlaced && this.now < request.until) {
+        this.recordOffer(request, entry)
+        continue
+      }
       entry.queue = entry.queue.filter(({ number }) => number !== request.number)
       if (!isPlaced) this.refuse(request)
     }
   }
 
+  /** Records for how long a queued request that was not placed has not been offered to an upstream. */
+  private recordOffer (request: SimulatedRequest, entry: ReplayEntry): void {
+    if (!this.isRefusedForWaits(request, entry)) request.offeredAt = this.now
+    this.longestUnoffered = Math.max(this.longestUnoffered, this.now - request.offeredAt)
+  }
+
   private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
     if (entry === undefined) return false
     const share = refusedShare(entry.waits.medianMilliseconds(this.now), replayRoute.latencyGoalMilliseconds, request.isLate)
@@ -267,6 +230,7 @@
       this.refusedTwice += 1
       return
     }
+    this.refusedOnce += 1
     const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
     if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
     const at = chooseRetryAt(this.now, request.deadline, undefined, this.random)
--- a/test/fakes/replay-engine.ts
+++ b/test/fakes/replay-engine.ts
@@ -20,6 +20,8 @@
   readonly search: SlotSearch
   /** Time until which it may stay queued. */
   until: number
+  /** When it was last offered to an upstream. */
+  offeredAt: number
 }
 
 /** A request at an engine. */
--- a/test/slot-grants.test.ts
+++ b/test/slot-grants.test.ts
@@ -4,6 +4,7 @@
 import { SlotLedger } from '../src/core/dispatch/slot-ledger.js'
 import { SlotRequests, SlotSearch } from '../src/core/dispatch/slot-requests.js'
 import { replayLoad, type ReplayLoad, type ReplayOutcome } from './fakes/engine-replay.js'
+import { sumOutcomes } from './fakes/replay-outcome.js'
 import { replayEngine } from './fakes/replay-engine.js'
 
 const slots = 8
@@ -20,8 +21,8 @@
 /** Share served within the goal, and other figures, summed over seeds. */
 function replaySeeds (load: Omit<ReplayLoad, 'seed' | 'milliseconds' | 'slots'>, seeds: number): ReplayOutcome & { readonly share: number } {
   const outcomes = Array.from({ length: seeds }, (_, index) => replayLoad({ ...load, slots, milliseconds, seed: index + 1 }))
-  const sum = (name: keyof ReplayOutcome): number => outcomes.reduce((total, outcome) => total + outcome[name], 0)
-  return { requests: sum('requests'), onTime: sum('onTime'), late: sum('late'), refusedTwice: sum('refusedTwice'), refusedBesideFreeSlots: sum('refusedBesideFreeSlots'), messages: sum('messages'), share: sum('onTime') / sum('requests') }
+  const sum = sumOutcomes(outcomes)
+  return { ...sum, share: sum.onTime / sum.requests }
 }
 
 for (const [engines, seeds] of [[5, 12], [24, 3], [63, 2]] as const) {
