Refusals: expected waits decide how many requests wait at an entry

Cause: at most 8 on-time and 8 late requests wait at an entry, late ones for 1.2 s at most and without being offered while first events are slow, whatever can still be served before their deadlines.

Change: ExpectedWaits measures the rate of first events at an entry and gives the expected wait behind the requests ahead; expectedDeadline admits a request to the queue if its turn is expected in time, a late one until its answer can still be complete. Retries are spread by the number already told to return. Used by the replay with isAdaptive only; entries do not use it yet.

Tests dispatch-load and slot-grants pass.

--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -31,6 +31,11 @@
   return { requestsPerSlot: 1, waiting: Math.max(0, Math.floor(queueMilliseconds / completionIntervalMilliseconds(context.engine))) }
 }
 
+/** Usual time from sending a request to an engine at full load to the end of its answer, milliseconds. */
+export function answerMilliseconds (engine: EngineFacts): number {
+  return completionIntervalMilliseconds(engine) * engine.slots
+}
+
 /** Usual time between two completions of an engine at full load, milliseconds. */
 export function completionIntervalMilliseconds (engine: EngineFacts): number {
   const promptMilliseconds = engine.typicalPromptTokens / engine.promptTokensPerSecond * 1000
--- a/src/core/dispatch/caller-retry.ts
+++ b/src/core/dispatch/caller-retry.ts
@@ -22,3 +22,9 @@
   const shortestShare = expectedAt === undefined ? minimumDelayShare : outageDelayShare
   return now + remaining * (shortestShare + random() * (maximumDelayShare - shortestShare))
 }
+
+/** Earliest and latest time at which a refused caller should retry, milliseconds of the monotonic clock: later ones are not accepted, earlier ones not recognised as retries. */
+export function retryTimes (now: number, deadline: number): { readonly earliest: number, readonly latest: number } {
+  const remaining = Math.max(0, deadline - now)
+  return { earliest: now + remaining * minimumDelayShare, latest: now + remaining * maximumDelayShare }
+}
--- a/src/core/dispatch/queueing.ts
+++ b/src/core/dispatch/queueing.ts
@@ -42,7 +42,11 @@
  * engines that swap weights or start together, and the seconds after a burst.
  */
 export function queueDeadline (context: QueueingContext): number | undefined {
-  if (context.reason === 'no-upstream' || context.waiting >= maximumQueued) return undefined
+  return context.waiting >= maximumQueued ? undefined : usualDeadline(context)
+}
+
+function usualDeadline (context: QueueingContext): number | undefined {
+  if (context.reason === 'no-upstream') return undefined
   const latest = context.deadline - answerReserveMilliseconds
   const queuedUntil = context.isLate ? context.now + lateQueueMilliseconds[isOutage(context) ? 'upstream' : 'place'] : context.arrivedAt + context.goalMilliseconds * queueGoalShare
   const until = Math.min(latest, queuedUntil)
@@ -54,6 +58,34 @@
   return Math.min(latest, Math.max(context.now, context.expectedAt) + recoveryMilliseconds)
 }
 
+/** What is expected of a service, for `expectedDeadline`; durations in milliseconds. */
+export interface ServiceExpectation {
+  /** Expected time until a request starts with those ahead of it that are queued already. */
+  readonly waitMilliseconds: number
+  /** Usual time from sending a request to the end of its answer. */
+  readonly answerMilliseconds: number
+  /** Queued requests, and those that can be served by the latest time at which this one can start; the latter while no upstream serves. */
+  readonly queued: number
+  readonly servable: number
+}
+
+/**
+ * The same where expected times decide: a request waits as long as it can still be served in time, a fifth of the goal for
+ * one that is on time and until the deadline for one whose caller does not try again; it is refused at once if its turn is expected later.
+ */
+export function expectedDeadline (context: QueueingContext, expectation: ServiceExpectation): number | undefined {
+  const { now, reason, isLate } = context
+  const latest = context.deadline - expectation.answerMilliseconds
+  if (isOutage(context)) {
+    const isServed = context.expectedAt !== undefined && context.expectedAt < latest && expectation.queued < expectation.servable
+    return isServed ? latest : undefined
+  }
+  if (reason === 'no-upstream' || (reason === 'waits' && !isLate)) return undefined
+  const until = isLate ? latest : Math.min(latest, context.arrivedAt + context.goalMilliseconds * queueGoalShare)
+  if (until <= now || now + expectation.waitMilliseconds > until) return undefined
+  return reason === 'limited' || reason === 'resting' ? usualDeadline(context) : until
+}
+
 /** The same where only limits prevent the request: until the permit that was asked for can be there; refused at once when the next one is known to come later than the request may wait. */
 function limitedDeadline ({ now, deadline, expectedAt }: QueueingContext, until: number): number | undefined {
   if (expectedAt === undefined) return Math.max(until, permitDeadline(now, deadline))
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -2,14 +2,14 @@
  * Simulates a load of streams on batching engines, behind entries that decide with the functions of `src/core/dispatch`
  * and learn of each other's requests one load report late. Times in milliseconds from the start.
  */
-import { admissionFor } from '../../src/core/dispatch/admission.js'
+import { admissionFor, answerMilliseconds } from '../../src/core/dispatch/admission.js'
 import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
 import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
-import { chooseRetryAt } from '../../src/core/dispatch/caller-retry.js'
+import { chooseRetryAt, retryTimes } from '../../src/core/dispatch/caller-retry.js'
 import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { orderQueue, queueDeadline } from '../../src/core/dispatch/queueing.js'
+import { expectedDeadline, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
 import type { EngineFacts, Route } from '../../src/types/fleet.js'
 import { peakOf, type ReplayLoad, type ReplayOutcome } from './replay-outcome.js'
 import { ReplayEntry, type Message } from './replay-entry.js'
@@ -49,12 +49,14 @@
 
 class Replay {
   private readonly random: () => number
+  /** Random numbers of arrivals, so that they are the same whatever is decided. */
+  private readonly arrivalRandom: () => number
   private readonly engines: readonly ReplayEngine[]
   private readonly entries: readonly ReplayEntry[]
   /** What the agent of each engine grants. */
   private readonly ledgers: readonly SlotLedger[]
   private readonly facts: EngineFacts
-  private messages: readonly Message[] = []
+  private readonly messages: Message[] = []
   private readonly retries: { readonly at: number, readonly request: SimulatedRequest }[] = []
   private nextNumber = 0
   private now = 0
@@ -71,6 +73,7 @@
 
   constructor (private readonly load: ReplayLoad, private readonly policy: ReplayPolicy) {
     this.random = seededRandom(load.seed)
+    this.arrivalRandom = seededRandom(load.seed + 1000)
     this.facts = { ...replayEngine, slots: load.slots ?? replayEngine.slots }
     this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(this.facts))
     this.ledgers = this.engines.map(() => new SlotLedger())
@@ -83,7 +86,7 @@
       while (nextAt <= this.now && nextAt < this.load.milliseconds) {
         this.requests += 1
         this.dispatch(this.createRequest(nextAt))
-        nextAt += -Math.log(1 - this.random()) * 1000 / this.arrivalsPerSecondAt(nextAt)
+        nextAt += -Math.log(1 - this.arrivalRandom()) * 1000 / this.arrivalsPerSecondAt(nextAt)
       }
       for (const due of this.retries.filter(({ at }) => at <= this.now)) {
         this.retries.splice(this.retries.indexOf(due), 1)
@@ -103,7 +106,7 @@
   }
 
   private createRequest (at: number): SimulatedRequest {
-    const spread = (mean: number): number => mean * (0.3 + 1.4 * this.random())
+    const spread = (mean: number): number => mean * (0.3 + 1.4 * this.arrivalRandom())
     return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0 }
   }
 
@@ -114,24 +117,36 @@
   private dispatch (request: SimulatedRequest): void {
     const entry = this.entries[request.entry]
     if (entry === undefined) return
+    entry.expected.recordArrival(this.now, request.isLate)
     if (this.now >= (this.load.steps?.at(-1)?.from ?? Infinity)) this.attemptsAfterSteps.push(this.now)
     const hasRequestsAhead = entry.queue.some(({ isLate }) => request.isLate || !isLate)
     if (!hasRequestsAhead && this.place(request, entry)) return
-    const until = queueDeadline({ now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting: entry.queue.filter(({ isLate }) => isLate === request.isLate).length })
+    const until = this.deadlineInQueue(request, entry)
     if (until === undefined) this.refuse(request)
     else entry.queue.push({ ...request, until, offeredAt: this.now })
   }
 
+  /** Time until which a request may be queued; undefined if it is refused at once. */
+  private deadlineInQueue (request: SimulatedRequest, entry: ReplayEntry): number | undefined {
+    const waiting = entry.queue.filter(({ isLate }) => isLate === request.isLate).length
+    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting }
+    if (this.load.isAdaptive !== true) return queueDeadline(context)
+    return expectedDeadline(context, {
+      waitMilliseconds: entry.expected.waitMilliseconds(request.isLate, waiting, this.now),
+      answerMilliseconds: answerMilliseconds(this.facts),
+      queued: waiting,
+      servable: 0
+    })
+  }
+
   private send (arrive: () => void): void {
     this.messageCount += 1
-    this.messages = [...this.messages, { at: this.now + messageMilliseconds, arrive }]
+    this.messages.push({ at: this.now + messageMilliseconds, arrive })
   }
 
   private deliverMessages (): void {
-    const due = this.messages.filter(({ at }) => at <= this.now)
-    if (due.length === 0) return
-    this.messages = this.messages.filter(({ at }) => at > this.now)
-    for (const { arrive } of due) arrive()
+    const next = this.messages.findIndex(({ at }) => at > this.now)
+    for (const { arrive } of this.messages.splice(0, next === -1 ? this.messages.length : next)) arrive()
   }
 
   /** Asks agents for a slot if the search may ask now. */
@@ -166,7 +181,7 @@
     for (const request of orderQueue(entry.queue)) {
       const isPlaced = this.place(request, entry)
       if (!isPlaced && this.now < request.until) {
-        this.recordOffer(request, entry)
+        this.longestUnoffered = Math.max(this.longestUnoffered, this.now - request.offeredAt)
         continue
       }
       entry.queue = entry.queue.filter(({ number }) => number !== request.number)
@@ -174,10 +189,10 @@
     }
   }
 
-  /** Records for how long a queued request that was not placed has not been offered to an upstream. */
-  private recordOffer (request: SimulatedRequest, entry: ReplayEntry): void {
-    if (!this.isRefusedForWaits(request, entry)) request.offeredAt = this.now
-    this.longestUnoffered = Math.max(this.longestUnoffered, this.now - request.offeredAt)
+  /** Whether a request is offered to upstreams now. Where expected times decide, one that is late or that waits in the queue always is. */
+  private isOffered (request: SimulatedRequest, entry: ReplayEntry): boolean {
+    const isAdmitted = request.isLate || request.until > 0
+    return (this.load.isAdaptive === true && isAdmitted) || !this.isRefusedForWaits(request, entry)
   }
 
   private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
@@ -187,7 +202,8 @@
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    if (this.isRefusedForWaits(request, entry)) return false
+    if (!this.isOffered(request, entry)) return false
+    request.offeredAt = this.now
     const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
     const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
     if (chosen === undefined) {
@@ -233,8 +249,15 @@
     this.refusedOnce += 1
     const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
     if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
-    const at = chooseRetryAt(this.now, request.deadline, undefined, this.random)
-    this.retries.push({ at, request: { ...request, isLate: true, entry: this.pickEntry(), search: new SlotSearch() } })
+    const at = this.retryAt(request)
+    this.retries.push({ at, request: { ...request, isLate: true, until: 0, entry: this.pickEntry(), search: new SlotSearch() } })
+  }
+
+  private retryAt ({ deadline, entry: index }: SimulatedRequest): number {
+    const entry = this.entries[index]
+    if (this.load.isAdaptive !== true || entry === undefined) return chooseRetryAt(this.now, deadline, undefined, this.random)
+    const { earliest, latest } = retryTimes(this.now, deadline)
+    return entry.expected.returnAt(earliest, latest, entry.queue.length, this.now, this.random)
   }
 
   private report (): void {
@@ -248,6 +271,7 @@
     for (const { request, sentNumber } of started) {
       const entry = this.entries[request.entry]
       entry?.waits.recordStarted(sentNumber, this.now, true)
+      entry?.expected.recordStart(this.now)
       if (entry !== undefined) entry.unstarted[index] = (entry.unstarted[index] ?? 0) - 1
       if (!request.isLate && this.now + networkMilliseconds - request.arrivedAt <= replayRoute.latencyGoalMilliseconds) this.onTime += 1
       else this.late += 1
--- a/test/fakes/replay-entry.ts
+++ b/test/fakes/replay-entry.ts
@@ -1,4 +1,5 @@
 /** An entry of the replays of load. */
+import { ExpectedWaits } from '../../src/core/dispatch/expected-wait.js'
 import { FirstEventWaits } from '../../src/core/dispatch/first-event-waits.js'
 import type { ReportedLoad } from '../../src/core/dispatch/free-slots.js'
 import { SlotRequests } from '../../src/core/dispatch/slot-requests.js'
@@ -13,6 +14,7 @@
 /** One entry: what it knows of the engines, and its queue. */
 export class ReplayEntry {
   readonly waits = new FirstEventWaits()
+  readonly expected = new ExpectedWaits()
   readonly slots = new SlotRequests()
   readonly inFlight: number[]
   readonly unstarted: number[]
--- a/test/fakes/replay-outcome.ts
+++ b/test/fakes/replay-outcome.ts
@@ -20,6 +20,8 @@
   readonly slots?: number
   /** Time between two load reports to an entry; agents count their engine's requests more often. */
   readonly reportMilliseconds?: number
+  /** Whether expected times decide on refusals. */
+  readonly isAdaptive?: boolean
   /** Whether entries ask agents for each slot, or use their share of the slots that were free at the last report. */
   readonly placement?: 'grants' | 'shares'
 }
