--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -49,6 +49,11 @@
   return (limit - load - 1) / Math.max(1, limit * reservedShare) + idleMilliseconds / reservationMilliseconds
 }
 
+/** Usual time from sending a request to an engine at full load to the end of its answer, milliseconds. */
+export function answerMilliseconds (engine: EngineFacts): number {
+  return completionIntervalMilliseconds(engine) * engine.slots
+}
+
 /** Usual time between two completions of an engine at full load, milliseconds. */
 export function completionIntervalMilliseconds (engine: EngineFacts): number {
   const promptMilliseconds = engine.typicalPromptTokens / engine.promptTokensPerSecond * 1000
