--- a/src/types/ports.ts
+++ b/src/types/ports.ts
@@ -130,6 +130,8 @@
   readonly slots: number
   /** How long work takes there now, 1 for as long as usual; undefined where the upstream does not state it. */
   readonly pace?: number
+  /** Text of a pace that cannot be read or is out of range; undefined for a valid one and for none. */
+  readonly invalidPace?: string
 }
 
 /** The decoded head of an upstream's answer. */
