Placement by expected time where upstreams state their pace

Cause: entries compared numbers of requests. An upstream that works at 2.5 times the usual time got as many as the others, and an entry sees the head of one engine only once in many seconds. Entries tell an engine's agent a pace that it does not know (datagram pace), and slot-reply carries it. Slots of engines much slower than the chosen one are given back. Used where the profile of the service is paced; otherwise the earlier functions are called with the same arguments.

--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -48,6 +48,26 @@
   return [...local, ...remote].reduce<Placed | undefined>((best, candidate) => best === undefined || costOf(candidate) < costOf(best) ? candidate : best, undefined)
 }
 
+/** Random candidates of the entry's data centre, and of the others, whose times are compared: all of a small service, as its entries seldom know more than the usual figures. */
+const comparedCandidates = 6
+
+/**
+ * Candidate with the least expected time, `costOf`, among random ones. Each time is raised by a random part of up to
+ * `spread`, so that entries with the same figures choose different upstreams where their times differ by less. Load
+ * pattern: upstreams that are slow for a part of the time, of which each entry knows only what its last answers stated.
+ */
+export function placeByTime<Placed extends Candidate> (candidates: readonly Placed[], costOf: (candidate: Placed) => number, spread: number, random: () => number): Placed | undefined {
+  const open = candidates.filter(({ freeSlots }) => freeSlots >= 1)
+  const local = sample(open.filter(({ isSameDataCentre }) => isSameDataCentre), comparedCandidates, random)
+  const remote = sample(open.filter(({ isSameDataCentre }) => !isSameDataCentre), comparedCandidates, random)
+  let best: { readonly candidate: Placed, readonly cost: number } | undefined
+  for (const candidate of [...local, ...remote]) {
+    const cost = costOf(candidate) * (-Math.log(1 - random())) ** spread
+    if (best === undefined || cost < best.cost) best = { candidate, cost }
+  }
+  return best?.candidate
+}
+
 function pickTwo<Placed extends Candidate> (candidates: readonly Placed[], random: () => number): readonly Placed[] {
   if (candidates.length <= 2) return candidates
   const first = Math.floor(random() * candidates.length)
@@ -70,6 +90,16 @@
   return [...local, ...sample(rest, askedAgents.sameDataCentre + askedAgents.elsewhere - local.length, random)]
 }
 
+/** Random engines whose expected times are compared before agents are asked: several times as many as are asked, and few enough that entries with the same figures ask different agents. */
+const consideredEngines = 9
+
+/** Engines whose agents are asked for a slot: of some random ones those with the least expected time, `costOf`. */
+export function enginesToAskByTime<Asked extends Pick<Candidate, 'id' | 'isSameDataCentre'>> (candidates: readonly Asked[], costOf: (candidate: Asked) => number, isFull: (id: string) => boolean, random: () => number): readonly Asked[] {
+  const open = candidates.filter(({ id }) => !isFull(id))
+  const considered = sample(open.length > 0 ? open : candidates, consideredEngines, random).map(candidate => ({ candidate, cost: costOf(candidate) }))
+  return considered.sort((left, right) => left.cost - right.cost).slice(0, askedAgents.sameDataCentre + askedAgents.elsewhere).map(({ candidate }) => candidate)
+}
+
 function costOf (candidate: Candidate): number {
   return candidate.load + candidate.unstarted * unstartedPenalty + candidate.penalty + (candidate.isSameDataCentre ? 0 : otherDataCentrePenalty)
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -14,7 +14,7 @@
 import { logCall, logFailure } from './call-log.js'
 import { crashFailure } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
-import type { RoutedRequest, ServingContext } from './routed-request.js'
+import { workOf, type RoutedRequest, type ServingContext } from './routed-request.js'
 import { RequestCalls, type EndedAttempt } from './request-calls.js'
 import type { CallResult, NotRunReason } from './upstream-call.js'
 import type { SelectionFailure } from './upstream-selection.js'
@@ -215,7 +215,8 @@
       tried: this.calls.tried,
       minimumVersion: this.minimumVersion(),
       streamVersion: this.calls.startedBy?.weights?.version,
-      search
+      search,
+      work: context.profileOfService(request.service.name).isPaced ? workOf(request) : undefined
     })
   }
 
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -1,14 +1,14 @@
 /** Slots of engines as one entry gets them: their agents grant each one. */
-import { concurrencyLimit, enginesToAsk, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { concurrencyLimit, enginesToAsk, enginesToAskByTime, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
 import { SlotRequests, type HeldSlot, type SlotSearch } from '../../core/dispatch/slot-requests.js'
-import type { SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
+import type { PaceReport, SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { ipOf, type UpstreamView } from './upstream-view.js'
 
 /** How agents are reached, and what an answer of theirs is for. */
 export interface EngineSlotsContext {
   /** Sends a message to the agent at `ip`, without a guarantee of delivery. */
-  send (message: SlotRequest | SlotRelease, ip: string): void
+  send (message: SlotRequest | SlotRelease | PaceReport, ip: string): void
   /** Called when a search has all its answers: requests that wait may use the slots that are held. */
   answered (): void
 }
@@ -40,9 +40,11 @@
     return this.requests.mayAsk(search, now)
   }
 
-  /** Asks some of the candidates' agents for a slot. */
-  ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number): void {
-    for (const { view: { upstream } } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
+  /** Asks some of the candidates' agents for a slot: at random, or, if `costOf` is given, those with the least expected time of some random ones. */
+  ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number, costOf?: (candidate: ViewedCandidate) => number): void {
+    const isFull = (id: string): boolean => this.requests.isFull(id, now)
+    const asked = costOf === undefined ? enginesToAsk(candidates, isFull, this.random) : enginesToAskByTime(candidates, costOf, isFull, this.random)
+    for (const { view: { upstream } } of asked) {
       const number = this.requests.ask(search, upstream.id, now)
       this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission) }, ipOf(upstream.address))
     }
@@ -59,6 +61,22 @@
     if (held !== undefined) this.requests.take(held)
   }
 
+  /** Gives back the slots that are held at some upstreams. */
+  giveBack (views: readonly UpstreamView[], admission: AdmissionLimits, now: number): void {
+    for (const view of views) {
+      const held = this.heldAt(view, admission, now)
+      if (held === undefined) continue
+      this.requests.take(held)
+      this.context.send({ kind: 'slot-release', number: held.number }, ipOf(view.upstream.address))
+    }
+  }
+
+  /** Tells the agent of an engine the pace that the engine has stated; an agent that does not answer requests for slots is not told. */
+  reportPace (view: UpstreamView, pace: number): void {
+    const { upstream } = view
+    if (this.isGranting(view, monotonicNow())) this.context.send({ kind: 'pace', startedAt: upstream.startedAt, pace }, ipOf(upstream.address))
+  }
+
   /** The upstream whose agent replies; undefined if the reply comes too late. */
   upstreamOf ({ number }: SlotReply): string | undefined {
     return this.requests.upstreamOf(number)
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -1,6 +1,7 @@
 /** The role of an entry that calls upstreams directly: its servers, its followers of records, and its start and stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
+import { profileOf, type ServiceProfile } from '../../core/dispatch/service-profile.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
@@ -177,6 +178,7 @@
       }),
       metrics: this.metrics,
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
+      profileOfService: service => this.profileOf(service),
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
       random: Math.random,
       entryCount: () => this.members.knownEntries(monotonicNow()).length,
@@ -236,6 +238,10 @@
     return this.stopTimes === undefined && this.state.table !== undefined
   }
 
+  private profileOf (service: string): ServiceProfile {
+    return profileOf(this.settings.dispatchMode, this.state.isRanked(service), this.pool.statesPace(service))
+  }
+
   private livingEntries (): readonly string[] {
     return this.members.living(monotonicNow()).map(({ instance }) => instance)
   }
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -8,7 +8,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
-import type { RoutedRequest, ServingContext } from './routed-request.js'
+import { workOf, type RoutedRequest, type ServingContext } from './routed-request.js'
 import { CallInProgress, type CallResult, type LostReason, type NotRunReason } from './upstream-call.js'
 import type { UpstreamView } from './upstream-view.js'
 import type { EventSink } from './event-sink.js'
@@ -144,10 +144,12 @@
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+        if (isAnswer) measured(monotonicNow())
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call, () => { evidence.recordFirstEvent(monotonicNow()) }) : undefined)
     const evidence = new RunEvidence(context.suspects, context.unprovedRuns, request.traits, incarnationOf(upstream), now)
+    const measured = context.pool.times.measure(view, workOf(request), now)
     const waitNumber = waits.recordSent(now)
     const stopWatching = isStream ? context.unstartedCalls.add(request.model, view, call) : undefined
     this.inProgress.set(call, incarnationOf(upstream))
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -2,7 +2,9 @@
 import type { IncomingMessage } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
+import type { ServiceProfile } from '../../core/dispatch/service-profile.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
+import type { RequestWork } from '../../core/dispatch/expected-time.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import type { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
 import type { Metrics } from '../../plugins/metrics.js'
@@ -27,6 +29,8 @@
   readonly metrics: Metrics
   /** Times to the first event lately at a service. */
   firstEventWaitsOf (service: string): FirstEventWaits
+  /** Which dispatch decisions a service asks for now. */
+  profileOfService (service: string): ServiceProfile
   /** Queue of a service's requests that wait for a free slot. */
   queueOf (service: string): RequestQueue
   /** Random number in [0, 1). */
@@ -59,3 +63,13 @@
   /** Whether it is past its latency goal, as a caller's retry after a refusal is. */
   readonly isLate: boolean
 }
+
+/** Work that a request asks of its upstream; what its caller does not state is taken to be typical. */
+export function workOf ({ caller, service, route }: Pick<RoutedRequest, 'caller' | 'service' | 'route'>): RequestWork {
+  const { promptTokens, maximumAnswerTokens } = caller
+  return {
+    promptTokens: promptTokens > 0 ? promptTokens : service.engine?.typicalPromptTokens ?? 0,
+    answerTokens: maximumAnswerTokens > 0 ? maximumAnswerTokens : service.engine?.typicalAnswerTokens ?? 0,
+    goalMilliseconds: route.latencyGoalMilliseconds
+  }
+}
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -4,12 +4,13 @@
 import { vouchedLoadOf } from '../../core/weights/load-trust.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
 import type { Service, Upstream, VouchedLoad } from '../../types/fleet.js'
-import type { AnswerHead } from '../../types/ports.js'
+import type { AnswerHead, StatedLoad } from '../../types/ports.js'
 import type { LoadReport, SlotReply } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { UpstreamAvailability } from './upstream-availability.js'
 import { expectedAt } from './expected-at.js'
+import { ExpectedTimes } from './expected-times.js'
 import { Responsiveness } from './responsiveness.js'
 import { coldBoundsOf, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
 import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
@@ -24,6 +25,10 @@
   private readonly views = new Map<string, UpstreamView>()
   /** Ids of the engines by the IP of their machine; undefined after a change of the list. */
   private engineIds: ReadonlyMap<string, readonly string[]> | undefined
+  /** Services of which an upstream has stated how fast it works. */
+  private readonly pacedServices = new Set<string>()
+  /** Paces and expected times. */
+  readonly times: ExpectedTimes
   private readonly coldRate = new ColdRateLimiter()
   private readonly responsiveness = new Responsiveness()
   /** Which upstreams leave, rest or are withdrawn. */
@@ -31,8 +36,9 @@
   private readonly selection: UpstreamSelection
 
   constructor (private readonly context: PoolContext, private readonly serviceOf: (name: string) => Service | undefined, private readonly random: () => number = Math.random) {
+    this.times = new ExpectedTimes(service => serviceOf(service)?.engine)
     this.availability = new UpstreamAvailability(dataCentre => context.isEvacuated(dataCentre))
-    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate }, random)
+    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate, times: this.times }, random)
   }
 
   /** Applies a record of the instance list. `isFirst` marks records that were found at the start. */
@@ -92,6 +98,8 @@
     if (view === undefined) return
     if (view.upstream.startedAt === called.startedAt) this.availability.observe(called, head, sentAt)
     if (!head.isMisdirected && (head.isSigned || head.isNotRun)) this.context.limits.observe(view.upstream, head, sentAt)
+    if (head.load?.pace !== undefined) this.pacedServices.add(view.upstream.service)
+    if (head.load !== undefined && view.upstream.startedAt === called.startedAt) this.observeTimes(view, head.load)
     if (head.load !== undefined) this.views.set(id, { ...view, observedLoad: this.observeLoad(view, head.load.running + head.load.waiting) })
   }
 
@@ -117,6 +125,7 @@
     const view = id === undefined ? undefined : this.views.get(id)
     if (id === undefined || view === undefined) return
     this.views.set(id, { ...view, observedLoad: this.observeLoad(view, reply.load) })
+    if (this.times.observeReply(view, reply, monotonicNow())) this.pacedServices.add(view.upstream.service)
     this.context.slots.receive(reply)
   }
 
@@ -172,6 +181,11 @@
     return expectedAt(views, reason, this.availability, this.context)
   }
 
+  /** Whether an upstream of a service has stated how fast it works. */
+  statesPace (service: string): boolean {
+    return this.pacedServices.has(service)
+  }
+
   /** State of every upstream. */
   all (): readonly UpstreamView[] { return [...this.views.values()] }
 
@@ -193,6 +207,12 @@
     }
   }
 
+  /** Applies a load with its pace, and tells the agent of the engine where it does not know the pace. */
+  private observeTimes (view: UpstreamView, load: StatedLoad): void {
+    const pace = this.times.observe(view, load, monotonicNow())
+    if (pace !== undefined) this.context.slots.reportPace(view, pace)
+  }
+
   private delete (id: string): void {
     const view = this.views.get(id)
     this.engineIds = undefined
@@ -203,6 +223,7 @@
     this.context.slots.forget(id)
     this.availability.forget(id)
     this.responsiveness.forget(id)
+    this.times.forget(id)
   }
 
   private recordEvidence (view: UpstreamView, evidence: CallOutcome, now: number, sentAt: number): void {
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -1,7 +1,8 @@
 /** Selection of the upstream that takes a request, among those that one entry knows. */
 import type { ColdBounds, ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
-import { concurrencyLimit, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
+import type { RequestWork } from '../../core/dispatch/expected-time.js'
+import { concurrencyLimit, placeByTime, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
 import type { SlotSearch } from '../../core/dispatch/slot-requests.js'
 import { excludeEjected, penaltyOf } from '../../core/dispatch/upstream-health.js'
@@ -9,6 +10,7 @@
 import type { Service, Upstream } from '../../types/fleet.js'
 import { monotonicNow } from '../../utils/clock.js'
 import type { EngineSlots, ViewedCandidate } from './engine-slots.js'
+import type { ExpectedTimes } from './expected-times.js'
 import type { Responsiveness } from './responsiveness.js'
 import type { UpstreamAvailability } from './upstream-availability.js'
 import type { UpstreamLimits } from './upstream-limits.js'
@@ -17,6 +19,11 @@
 /** Permits of limited upstreams that one request asks for: with more, most would not be used. */
 const permitRequestsPerChoice = 2
 
+/** Exponent of the random factor of expected times from loads that entries estimate, see `placeByTime`; loads that agents count for each grant need none. */
+const estimatedLoadSpread = 0.2
+/** Pace relative to that of the chosen engine from which the slot of another one is given back. */
+const slowerFactor = 1.5
+
 /** What a request requires of its upstream. */
 export interface UpstreamRequirements {
   readonly service: Service
@@ -31,6 +38,8 @@
   readonly streamVersion: number | undefined
   /** Its search for a slot of an engine whose agent grants them; undefined to use this entry's share of the slots. */
   readonly search: SlotSearch | undefined
+  /** Its work, by which expected times are compared; undefined for a service whose upstreams state no pace. */
+  readonly work?: RequestWork | undefined
 }
 
 /** The entry that a pool belongs to, and what the pool needs to know of it. */
@@ -63,6 +72,7 @@
   readonly availability: UpstreamAvailability
   readonly responsiveness: Responsiveness
   readonly coldRate: ColdRateLimiter
+  readonly times: ExpectedTimes
 }
 
 /** Selects upstreams for the requests of one entry; times are milliseconds of the monotonic clock. */
@@ -87,28 +97,48 @@
     const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
     const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements.service, knownEntries, now))
-    const candidates = this.withPermit(open).map(view => this.candidateOf(view, requirements.admission, entries.length, now))
-    const placed = requirements.search === undefined ? placeRequest(candidates, this.random) : this.place(candidates, requirements.search, requirements.admission, now)
+    const candidates = this.withPermit(open).map(view => this.candidateOf(view, requirements, entries.length, now))
+    const placed = requirements.search === undefined ? this.chooseFrom(candidates, requirements, now) : this.place(candidates, requirements.search, requirements, now)
     if (placed === 'asked') return 'asked'
     return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
   }
 
   /** Places a request where a slot is held for it or this entry's share of the slots leaves one; asks agents for slots first, and where there is none. */
-  private place (candidates: readonly ViewedCandidate[], search: SlotSearch, admission: AdmissionLimits, now: number): ViewedCandidate | 'asked' | undefined {
+  private place (candidates: readonly ViewedCandidate[], search: SlotSearch, requirements: UpstreamRequirements, now: number): ViewedCandidate | 'asked' | undefined {
     const { slots, limits } = this.context
+    const { admission, work } = requirements
     const granting = candidates.filter(({ view }) => slots.isGranting(view, now) && !limits.isLimited(view.upstream))
     const others = candidates.filter(candidate => !granting.includes(candidate))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
-    const chosen = placeRequest([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], this.random)
+    const chosen = this.chooseFrom([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], requirements, now)
     if (chosen !== undefined) {
       slots.take(chosen.view, admission, now)
+      if (work !== undefined) this.giveBackSlow(granting, chosen, admission, now)
       return chosen
     }
     if (granting.length === 0) return undefined
-    if (slots.mayAsk(search, now)) slots.ask(search, granting, admission, now)
+    if (slots.mayAsk(search, now)) slots.ask(search, granting, admission, now, work === undefined ? undefined : candidate => this.costOf(candidate, work, now))
     return slots.awaitsAnswer(search) ? 'asked' : undefined
   }
 
+  /** The candidate that takes a request: by expected time where upstreams state their pace. */
+  private chooseFrom (candidates: readonly ViewedCandidate[], { work }: UpstreamRequirements, now: number): ViewedCandidate | undefined {
+    if (work === undefined) return placeRequest(candidates, this.random)
+    const isCounted = candidates.every(({ view }) => view.upstream.isEngine)
+    return placeByTime(candidates, candidate => this.costOf(candidate, work, now), isCounted ? 0 : estimatedLoadSpread, this.random)
+  }
+
+  private costOf (candidate: ViewedCandidate, work: RequestWork, now: number): number {
+    return this.state.times.costOf(candidate, work, now) * (1 + candidate.penalty / Math.max(1, candidate.view.upstream.slots))
+  }
+
+  /** Gives back the slots of engines that are much slower now than the one that was chosen, so that they do not wait for a request that will not come. */
+  private giveBackSlow (granting: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
+    const { times } = this.state
+    const limit = times.paceOf(chosen.view.upstream, now) * slowerFactor
+    this.context.slots.giveBack(granting.flatMap(({ view }) => times.paceOf(view.upstream, now) > limit ? [view] : []), admission, now)
+  }
+
   /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
   private withPermit (open: readonly UpstreamView[]): readonly UpstreamView[] {
     const { limits } = this.context
@@ -118,8 +148,8 @@
   }
 
   /** Slots that this entry may use now without asking an agent. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
-  private freeSlotsAt (view: UpstreamView, limit: number, entries: number, now: number): number {
-    if (!view.upstream.isEngine || this.context.limits.isLimited(view.upstream)) return limit - estimateLoad(view, now)
+  private freeSlotsAt (view: UpstreamView, limit: number, load: number, entries: number, now: number): number {
+    if (!view.upstream.isEngine || this.context.limits.isLimited(view.upstream)) return limit - load
     return isLoadRecent(view, now) ? freeSlotsByReport(limit, view.observedLoad, entries) : freeSlotsWithoutReport(limit, view.inFlight, entries)
   }
 
@@ -134,12 +164,13 @@
     return view.coldUntil <= now || this.state.coldRate.mayTake(view.upstream.id, this.context.instance, entries, coldBoundsOf(service, this.context), now)
   }
 
-  private candidateOf (view: UpstreamView, admission: AdmissionLimits, entries: number, now: number): ViewedCandidate {
+  private candidateOf (view: UpstreamView, { admission, work }: UpstreamRequirements, entries: number, now: number): ViewedCandidate {
+    const load = work === undefined ? estimateLoad(view, now) : this.state.times.loadOf(view, now)
     return {
       view,
       id: view.upstream.id,
-      load: estimateLoad(view, now),
-      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), entries, now),
+      load,
+      freeSlots: this.freeSlotsAt(view, concurrencyLimit(view.upstream.slots, admission), load, entries, now),
       unstarted: view.unstarted,
       isSameDataCentre: view.upstream.dataCentre === this.context.dataCentre,
       penalty: penaltyOf(view.health)
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -160,6 +160,7 @@
     if (message.kind === 'subscription') this.subscribe(message, ip)
     else if (message.kind === 'slot-request') this.slots.answer(message, ip)
     else if (message.kind === 'slot-release') this.slots.release(message, ip)
+    else if (message.kind === 'pace') this.slots.recordPace(message)
     else if (message.kind === 'holdings') {
       const isNew = this.peers.receiveHoldings(message, ip)
       if (isNew) this.announcer.sendTo([ip])
--- a/test/fakes/replay-engine.ts
+++ b/test/fakes/replay-engine.ts
@@ -32,7 +32,8 @@
   private passEndsAt = 0
   private started: EngineRequest[] = []
 
-  constructor (private readonly facts: EngineFacts) {}
+  /** `scale` gives how many times as long as usual a pass takes. */
+  constructor (private readonly facts: EngineFacts, private readonly scale: (now: number) => number = () => 1) {}
 
   get load (): number {
     return this.waiting.length + this.running.length
@@ -51,7 +52,7 @@
     const ended = this.running.filter(({ promptTokensLeft, answerTokensLeft }) => promptTokensLeft <= 0 && answerTokensLeft <= 0)
     this.running = this.running.filter(request => !ended.includes(request))
     while (this.running.length < this.facts.slots && this.waiting.length > 0) this.running.push(...this.waiting.splice(0, 1))
-    this.passEndsAt = now + this.runPass()
+    this.passEndsAt = now + this.runPass() * this.scale(now)
     return { started, ended }
   }
 
--- a/test/slot-placement.test.ts
+++ b/test/slot-placement.test.ts
@@ -7,7 +7,7 @@
 import type { SelectionFailure, UpstreamRequirements } from '../src/roles/gateway/upstream-selection.js'
 import type { UpstreamView } from '../src/roles/gateway/upstream-view.js'
 import type { Service, Upstream } from '../src/types/fleet.js'
-import type { SlotRelease, SlotRequest } from '../src/types/node-messages.js'
+import type { PaceReport, SlotRelease, SlotRequest } from '../src/types/node-messages.js'
 
 /** The time of a grant or an answer is some ten ms, so the monotonic clock advances only by `advance`, whatever the machine's load. */
 let time = performance.now()
@@ -24,7 +24,7 @@
 
 /** An entry among 99 before two engines whose agents have reported half of their slots in use. */
 class Placement {
-  readonly sent: { readonly message: SlotRequest | SlotRelease, readonly ip: string }[] = []
+  readonly sent: { readonly message: SlotRequest | SlotRelease | PaceReport, readonly ip: string }[] = []
   answeredSearches = 0
   readonly slots = new EngineSlots({ send: (message, ip) => { this.sent.push({ message, ip }) }, answered: () => { this.answeredSearches += 1 } })
   readonly pool = new UpstreamPool({
@@ -59,7 +59,7 @@
   /** Has an agent reply to the last request for a slot that it got. */
   reply (number: number, load: number, isGranted: boolean): void {
     const request = this.sent.filter(({ message, ip }) => message.kind === 'slot-request' && ip === ipOf(number)).at(-1)
-    this.pool.receiveSlotReply({ kind: 'slot-reply', number: request?.message.number ?? 0, load, isGranted })
+    this.pool.receiveSlotReply({ kind: 'slot-reply', number: request?.message.kind === 'slot-request' ? request.message.number : 0, load, isGranted })
   }
 }
 
