Placement: measured times start from what was expected before the first call

Cause: one call set the measured factor of an upstream, although it may have waited for reasons of its own; with 300 entries before 32 engines most factors rest on one or two calls. Change: the expected value counts for two measurements.

--- a/src/core/dispatch/upstream-pace.ts
+++ b/src/core/dispatch/upstream-pace.ts
@@ -26,6 +26,7 @@
   readonly statedMilliseconds: number
   /** Measured time divided by the computed one, by the logarithm of their quotient; undefined before the first call. */
   readonly measured: number | undefined
+  readonly measurements: number
   readonly others: OthersLoad | undefined
 }
 
@@ -35,8 +36,10 @@
 const usualMilliseconds = 12_000
 /** Largest factor between a stated pace and the usual one that is believed; measured times already contain what a constant error of the stated pace adds. */
 const maximumDeviation = 4
-/** Share of a new measurement in the mean: about the last ten calls count. */
+/** Least share of a new measurement in the mean: about the last ten calls count. */
 const measurementShare = 0.1
+/** Measurements that the value expected before the first one counts for: a single call may have waited for reasons of its own. */
+const priorMeasurements = 2
 /** Largest change by one measurement, as a factor, since a call may have waited for reasons of its own. */
 const maximumQuotient = 8
 
@@ -87,12 +90,14 @@
     this.states.set(id, { ...state, stated: { value, at: stated.at }, usual, statedMilliseconds })
   }
 
-  /** Records that work took `quotient` times as long as computed for the stated pace. */
-  recordMeasured (id: string, startedAt: number, quotient: number): void {
+  /** Records that work took `quotient` times as long as computed for the stated pace; `prior` was expected before the first measurement. */
+  recordMeasured (id: string, startedAt: number, quotient: number, prior: number): void {
     if (!(quotient > 0 && Number.isFinite(quotient))) return
     const state = this.stateOf(id, startedAt)
-    const known = state.measured ?? quotient
-    this.states.set(id, { ...state, measured: known * Math.min(Math.max(quotient / known, 1 / maximumQuotient), maximumQuotient) ** measurementShare })
+    const known = state.measured ?? prior
+    const measurements = state.measurements + 1
+    const share = Math.max(measurementShare, 1 / (measurements + priorMeasurements))
+    this.states.set(id, { ...state, measurements, measured: known * Math.min(Math.max(quotient / known, 1 / maximumQuotient), maximumQuotient) ** share })
   }
 
   /** Pace expected at `now`; 1 while an upstream has stated none. */
@@ -136,7 +141,7 @@
 
   private stateOf (id: string, startedAt: number): PaceState {
     const state = this.states.get(id)
-    return state?.startedAt === startedAt ? state : { startedAt, stated: undefined, usual: 1, statedMilliseconds: 0, measured: undefined, others: undefined }
+    return state?.startedAt === startedAt ? state : { startedAt, stated: undefined, usual: 1, statedMilliseconds: 0, measured: undefined, measurements: 0, others: undefined }
   }
 }
 
--- a/src/roles/gateway/expected-times.ts
+++ b/src/roles/gateway/expected-times.ts
@@ -94,10 +94,11 @@
     const { upstream } = view
     const candidate = { view, load: this.loadOf(view, now), isSameDataCentre: true }
     const { firstEvent } = computedTime(this.estimate(candidate, now), work)
+    const prior = this.unmeasured(upstream.service)
     const pace = this.paces.paceOf(upstream.id, upstream.startedAt, now)
     return startedAt => {
       const quotient = (startedAt - now) / (firstEvent * pace)
-      this.paces.recordMeasured(upstream.id, upstream.startedAt, quotient)
+      this.paces.recordMeasured(upstream.id, upstream.startedAt, quotient, prior)
       if (this.engineOf(upstream.service) !== undefined || !(quotient > 0)) return
       const mean = this.plainMilliseconds.get(upstream.service) ?? quotient
       this.plainMilliseconds.set(upstream.service, mean + (quotient - mean) / 20)
@@ -114,10 +115,15 @@
   private estimate ({ view, load, isSameDataCentre }: TimedUpstream, now: number): UpstreamEstimate {
     const { id, startedAt, slots, service } = view.upstream
     const engine = this.engineOf(service)
-    const measured = this.paces.measuredAt(id, startedAt) ?? (engine === undefined ? this.plainMilliseconds.get(service) ?? unmeasuredPlainMilliseconds : 1)
+    const measured = this.paces.measuredAt(id, startedAt) ?? this.unmeasured(service)
     return { slots, engine, load, unstarted: view.unstarted, pace: this.paces.paceOf(id, startedAt, now), measured, isSameDataCentre }
   }
 
+  /** Measured factor of an upstream before the first call there. */
+  private unmeasured (service: string): number {
+    return this.engineOf(service) === undefined ? this.plainMilliseconds.get(service) ?? unmeasuredPlainMilliseconds : 1
+  }
+
   private logInvalid (upstream: string, pace: string, now: number): void {
     if (now < (this.nextInvalidLogAt.get(upstream) ?? 0)) return
     this.nextInvalidLogAt.set(upstream, now + invalidLogMilliseconds)
