--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -4,12 +4,13 @@
 import { vouchedLoadOf } from '../../core/weights/load-trust.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
 import type { Service, Upstream, VouchedLoad } from '../../types/fleet.js'
-import type { AnswerHead } from '../../types/ports.js'
+import type { AnswerHead, StatedLoad } from '../../types/ports.js'
 import type { LoadReport, SlotReply } from '../../types/node-messages.js'
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { UpstreamAvailability } from './upstream-availability.js'
 import { expectedAt } from './expected-at.js'
+import { ExpectedTimes } from './expected-times.js'
 import { Responsiveness } from './responsiveness.js'
 import { StartPaces } from './start-paces.js'
 import { coldSharesOf, keepsColdRateByAgent, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
@@ -27,6 +28,8 @@
   private engineIds: ReadonlyMap<string, readonly string[]> | undefined
   /** Services of which an upstream has stated how fast it works. */
   private readonly pacedServices = new Set<string>()
+  /** Paces and expected times. */
+  readonly times: ExpectedTimes
   private readonly coldRate = new ColdRateLimiter()
   private readonly responsiveness = new Responsiveness(view => { this.paces.begin(view, 'unresponsiveness') })
   /** Starts and recoveries in progress. */
@@ -36,9 +39,10 @@
   private readonly selection: UpstreamSelection
 
   constructor (private readonly context: PoolContext, private readonly serviceOf: (name: string) => Service | undefined, private readonly random: () => number = Math.random) {
+    this.times = new ExpectedTimes(service => serviceOf(service)?.engine)
     this.paces = new StartPaces(context)
     this.availability = new UpstreamAvailability(dataCentre => context.isEvacuated(dataCentre))
-    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate, paces: this.paces }, random)
+    this.selection = new UpstreamSelection({ pool: context, availability: this.availability, responsiveness: this.responsiveness, coldRate: this.coldRate, paces: this.paces, times: this.times }, random)
   }
 
   /** Applies a record of the instance list. `isFirst` marks records that were found at the start. */
@@ -104,6 +108,7 @@
     if (view.upstream.startedAt === called.startedAt) this.observeAvailability(view, head, sentAt)
     if (!head.isMisdirected && (head.isSigned || head.isNotRun)) this.context.limits.observe(view.upstream, head, sentAt)
     if (head.load?.pace !== undefined) this.pacedServices.add(view.upstream.service)
+    if (head.load !== undefined && view.upstream.startedAt === called.startedAt) this.observeTimes(view, head.load)
     if (head.load !== undefined) this.views.set(id, { ...view, observedLoad: this.observeLoad(view, head.load.running + head.load.waiting) })
   }
 
@@ -129,6 +134,7 @@
     const view = id === undefined ? undefined : this.views.get(id)
     if (id === undefined || view === undefined) return
     this.views.set(id, { ...view, observedLoad: this.observeLoad(view, reply.load) })
+    if (this.times.observeReply(view, reply, monotonicNow())) this.pacedServices.add(view.upstream.service)
     this.context.slots.receive(reply)
   }
 
@@ -230,6 +236,12 @@
     if (restEnd !== undefined) this.paces.begin(view, 'rest', restEnd)
   }
 
+  /** Applies a load with its pace, and tells the agent of the engine where it does not know the pace. */
+  private observeTimes (view: UpstreamView, load: StatedLoad): void {
+    const pace = this.times.observe(view, load, monotonicNow())
+    if (pace !== undefined) this.context.slots.reportPace(view, pace)
+  }
+
   private delete (id: string): void {
     const view = this.views.get(id)
     this.engineIds = undefined
@@ -241,6 +253,7 @@
     this.availability.forget(id)
     this.responsiveness.forget(id)
     this.paces.forget(id)
+    this.times.forget(id)
   }
 
   private recordEvidence (view: UpstreamView, evidence: CallOutcome, now: number, sentAt: number): void {
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -2,9 +2,10 @@
 import { ColdGrants } from '../../core/dispatch/cold-rate.js'
 import { decodeOrder } from '../../core/dispatch/rank.js'
 import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
+import { maximumStatedPace, paceChangeMilliseconds, type StatedPace } from '../../core/dispatch/upstream-pace.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
-import type { SlotRelease, SlotRequest } from '../../types/node-messages.js'
+import type { PaceReport, SlotRelease, SlotReply, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 
 /** Time between two looks at held requests, milliseconds: short against the time for which they are held. */
@@ -16,11 +17,17 @@
   private readonly coldGrants = new ColdGrants()
   private isOpen = false
   private timer: NodeJS.Timeout | undefined
+  /** Start of the engine by its last report, epoch milliseconds. */
+  private startedAt: number | undefined
+  /** Last pace of that start that an entry has told. */
+  private stated: StatedPace | undefined
 
   constructor (private readonly datagrams: DatagramSocket) {}
 
   /** Applies a report that was just received; `isOpen`: the engine has weights and accepts requests. */
-  recordReport ({ running, waiting }: EngineReport, isOpen: boolean): void {
+  recordReport ({ running, waiting, startedAt }: EngineReport, isOpen: boolean): void {
+    if (startedAt !== this.startedAt) this.stated = undefined
+    this.startedAt = startedAt
     this.ledger.recordCount(running + waiting, monotonicNow())
     this.isOpen = isOpen
     this.settle()
@@ -41,6 +48,19 @@
     if (answer !== undefined) this.send([{ key, ...answer }])
   }
 
+  /** Records the pace that the engine has stated to an entry; that of an earlier start and one out of range are ignored. */
+  recordPace ({ startedAt, pace }: PaceReport): void {
+    if (startedAt !== this.startedAt || !(pace > 0 && pace <= maximumStatedPace)) return
+    this.stated = { value: pace, at: monotonicNow() }
+  }
+
+  /** The last pace as a reply carries it; none once it says nothing any more. */
+  private statedPace (): Pick<SlotReply, 'pace'> {
+    if (this.stated === undefined) return {}
+    const ageMilliseconds = Math.round(monotonicNow() - this.stated.at)
+    return ageMilliseconds > paceChangeMilliseconds ? {} : { pace: { value: this.stated.value, ageMilliseconds } }
+  }
+
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
     this.coldGrants.release(keyOf(ip, number))
@@ -69,10 +89,11 @@
 
   private send (answers: readonly KeyedAnswer[]): void {
     const now = monotonicNow()
+    const pace = this.statedPace()
     for (const { key, ...answer } of answers) {
       const [ip = '', number] = key.split(' ')
       if (answer.isGranted) this.coldGrants.record(key, now)
-      this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer }, ip)
+      this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer, ...pace }, ip)
     }
   }
 }
--- a/test/fakes/contention-replay.ts
+++ b/test/fakes/contention-replay.ts
@@ -108,7 +108,7 @@
     const order = { rank: ranks.of('s', route, { priority }), organisation: name, share: 1, work: promptTokens + answerTokens, isRetry: false, deadline }
     const tallies = [this.outcome.all, this.outcome.organisations[organisation], this.outcome.kinds[kind], ...size > 0.9 ? [this.outcome.largest[kind]] : []] as Tally[]
     if (this.now >= warmUpMilliseconds) for (const counted of tallies) counted.asked += 1
-    return { number: this.nextNumber++, isLate: false, arrivedAt: this.now, deadline, promptTokens, answerTokens, refusalDraw: 0, entry: this.pickEntry(organisation), search: this.searchFor(order), until: 0, organisation, kind, order, tallies: this.now >= warmUpMilliseconds ? tallies : [] }
+    return { number: this.nextNumber++, isLate: false, arrivedAt: this.now, deadline, promptTokens, answerTokens, refusalDraw: 0, entry: this.pickEntry(organisation), search: this.searchFor(order), until: 0, offeredAt: 0, organisation, kind, order, tallies: this.now >= warmUpMilliseconds ? tallies : [] }
   }
 
   private pick (weights: readonly number[]): number {
