Weights: the order of versions and the ready time come from what the fleet holds and the origin

Cause: the time to deliver a version was estimated from the agent's own link and missing share alone. After an outage of the origin a version of which three chunks were missing was abandoned, since it could not meet its own cutoff.

Agents keep the chunks and the announcements of four versions, so that the plan can return to one.

--- a/src/roles/weights/announcer.ts
+++ b/src/roles/weights/announcer.ts
@@ -14,6 +14,8 @@
   readonly served: number
   /** Whether the engine swaps its weights, or is closed to requests before it does. */
   readonly isSwapping: boolean
+  /** Time since the last failure of the origin, milliseconds; undefined while it answers. */
+  readonly originFailedMilliseconds: number | undefined
 }
 
 /** Sends one agent's announcements. */
@@ -53,11 +55,11 @@
 
   /** Announces at once to some agents; sends nothing before the first fetch. */
   sendTo (ips: readonly string[]): void {
-    const { chunks, served, isSwapping } = this.readState()
+    const { chunks, served, isSwapping, originFailedMilliseconds } = this.readState()
     if (chunks === undefined || ips.length === 0) return
     const { model, version, digests, held } = chunks
     const heldInDataCentre = formatBitmap(this.peers.heldInDataCentre(model, version, digests.length, held))
-    this.datagrams.sendToAll({ kind: 'holdings', dataCentre: this.dataCentre, model, version, held: formatBitmap(held), heldInDataCentre, served, isSwapping }, ips)
+    this.datagrams.sendToAll({ kind: 'holdings', dataCentre: this.dataCentre, model, version, held: formatBitmap(held), heldInDataCentre, served, isSwapping, originFailedMilliseconds }, ips)
     const last = { at: monotonicNow(), version, served, isSwapping }
     for (const ip of ips) this.last.set(ip, last)
   }
--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -3,6 +3,8 @@
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import { maximumFetches, nextDistributionFetch, nextOriginDueAt, fetchRanks, originFetchers, originPlaces, type DistributionFetch, type DistributionPeer, type DistributionView, type FetchRanks } from '../../core/weights/distribution-plan.js'
 import { DigestDoubts, originSource } from '../../core/weights/digest-doubt.js'
+import { originCopyMilliseconds } from '../../core/weights/origin-copy.js'
+import type { OriginOutage } from '../../core/weights/origin-outage.js'
 import { OriginState } from '../../core/weights/origin-state.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
@@ -21,9 +23,6 @@
 /** Backoff after a failed fetch from a peer, milliseconds; it doubles with each consecutive failure. */
 const peerBackoffMilliseconds = { first: 400, maximum: 6400 } as const
 
-/** Assumed time of one copy from an origin whose link speed is not configured, milliseconds. */
-const defaultCopyMilliseconds = 3000
-
 /** Time between two log lines about an unfinished fetch, milliseconds. */
 const progressLogIntervalMilliseconds = 1500
 
@@ -33,6 +32,8 @@
   readonly internalPort: number
   readonly origin: OriginPort
   readonly peers: PeerTable
+  /** Whether the origin answers, as all fetches of this agent see it. */
+  readonly originOutage?: OriginOutage
   /** Origin in the current configuration; undefined when it has none. */
   originFacts (): OriginFacts | undefined
   /** Size of one chunk, bytes; 0 while unknown. */
@@ -80,11 +81,6 @@
     this.originPlaces = originPlaces(chunks.digests.length, known)
   }
 
-  /** Whether the origin failed to answer the last request, and has sent nothing to other agents since. */
-  get isOriginAway (): boolean {
-    return this.originState.isAway || this.context.originFacts() === undefined
-  }
-
   /** Starts no more fetches, closes the connections to peers and ignores chunks that still arrive. */
   stop (): void {
     this.isStopped = true
@@ -123,7 +119,7 @@
       inFlight: [...this.inFlight].join(),
       originInFlight: this.originInFlight,
       originRetryMilliseconds: Math.max(0, Math.round(this.originState.retryAt - now)),
-      isOriginAway: this.isOriginAway,
+      isOriginAway: this.originState.isAway,
       missingEverywhere: this.chunks.digests.length - countBits(this.known(holders), this.chunks.digests.length),
       holders: holders.map(({ ip, held }) => `${ip}:${countBits(held, this.chunks.digests.length)}`).join(' '),
       milliseconds: Math.round(now - this.wantedAt)
@@ -143,6 +139,7 @@
     const knownCount = countBits(known, this.chunks.digests.length)
     if (this.originState.observe(now, knownCount)) {
       this.originPlaces = originPlaces(this.chunks.digests.length, known)
+      this.context.originOutage?.recordAnswer(now)
       log.info('the origin answers again', { model: this.chunks.model, version: this.chunks.version, known: knownCount })
     }
     return {
@@ -202,9 +199,7 @@
   }
 
   private get originCopyMilliseconds (): number {
-    const bytesPerSecond = this.context.originFacts()?.bytesPerSecond ?? 0
-    const bytes = this.chunks.digests.length * this.context.chunkBytes()
-    return bytesPerSecond === 0 ? defaultCopyMilliseconds : bytes / bytesPerSecond * 1000
+    return originCopyMilliseconds(this.chunks.digests.length * this.context.chunkBytes(), this.context.originFacts()?.bytesPerSecond ?? 0)
   }
 
   private start (chunkFetch: DistributionFetch): void {
@@ -239,7 +234,10 @@
     if (chunkFetch.peer === undefined) this.chunkCounts.origin += 1
     else if (this.context.peers.isSameDataCentre(chunkFetch.peer)) this.chunkCounts.sameDataCentre += 1
     else this.chunkCounts.otherDataCentres += 1
-    if (chunkFetch.peer === undefined) this.lastOriginChunkAt = monotonicNow()
+    if (chunkFetch.peer === undefined) {
+      this.lastOriginChunkAt = monotonicNow()
+      this.context.originOutage?.recordAnswer(this.lastOriginChunkAt)
+    }
     if (this.chunks.isComplete) log.info('weights are complete', { model: this.chunks.model, version: this.chunks.version, ...this.chunkCounts, busy: this.busy, originMilliseconds: Math.round(this.lastOriginChunkAt - this.wantedAt), milliseconds: Math.round(monotonicNow() - this.wantedAt) })
     const isFromOrigin = chunkFetch.peer === undefined
     this.context.onChunkStored(chunkFetch.position, isFromOrigin, isFromOrigin ? this.fetchersOf(chunkFetch.position, this.originState.isAway) : [])
@@ -261,6 +259,7 @@
   private recordOriginFailure (position: number): void {
     const total = this.chunks.digests.length
     const holders = this.holders()
+    this.context.originOutage?.recordFailure(monotonicNow())
     const rank = this.currentRanks().amongAll[position]
     this.originPlaces = originPlaces(total, unionOf(total, [this.chunks.held, this.offeredBy(holders)]))
     this.originState.recordFailure(monotonicNow(), countBits(this.known(holders), total), this.originPlaces[position] ?? 0, rank === 0)
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -2,6 +2,7 @@
 import type { Agent } from 'node:http'
 import { originSource, type DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
+import { OriginOutage } from '../../core/weights/origin-outage.js'
 import { manifestDelayMilliseconds } from '../../core/weights/manifest-order.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
@@ -26,8 +27,8 @@
 const openIntervalMilliseconds = 300
 /** Minimum time between two attempts to confirm a digest that is in doubt, milliseconds. */
 const confirmIntervalMilliseconds = 1000
-/** Maximum number of cached versions: the one that is being fetched, and the one before, which peers may still fetch. */
-const maximumVersions = 2
+/** Maximum number of cached versions: those that agents remember as named, since the plan may return to one that it left incomplete. */
+const maximumVersions = 4
 
 /** Dependencies of a cache. */
 export interface VersionCacheContext {
@@ -63,6 +64,8 @@
   private confirmRetryAt = 0
   /** Whether this process has read the chunks that an earlier one staged. */
   private hasLoadedStaged = false
+  /** Whether the origin answers. */
+  readonly originOutage = new OriginOutage()
   /** Digests of a version that is served and not fetched. */
   readonly lookUp = new DigestLookUp(async (model, version) => await this.fetchDigests(model, version))
 
@@ -141,6 +144,7 @@
   private createFetcher (chunks: VersionChunks, wantedAt: number): ChunkFetcher {
     return new ChunkFetcher({
       ...this.context,
+      originOutage: this.originOutage,
       onChunkStored: (position, isFromOrigin, fetchers) => { this.handleStoredChunk(position, isFromOrigin, fetchers) },
       onDigestDoubted: doubts => { this.handleDoubt(chunks, doubts) }
     }, chunks, wantedAt)
@@ -195,10 +199,16 @@
     if (!this.hasLoadedStaged) await this.loadStaged(chunks)
     this.hasLoadedStaged = true
     this.versions.push(chunks)
-    if (this.versions.length > maximumVersions) this.versions.shift()
+    if (this.versions.length > maximumVersions) this.evict(chunks)
     return chunks
   }
 
+  /** Drops the oldest version but the one that was added. */
+  private evict (added: VersionChunks): void {
+    const [oldest] = this.versions.filter(chunks => chunks !== added).sort((left, right) => left.version - right.version)
+    if (oldest !== undefined) this.versions.splice(this.versions.indexOf(oldest), 1)
+  }
+
   /** Reads chunks of a version that an earlier process of this agent staged on the engine's machine. */
   private async loadStaged (chunks: VersionChunks): Promise<void> {
     try {
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -86,7 +86,7 @@
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.slots = new SlotGranter(this.datagrams)
-    this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
+    this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true, originFailedMilliseconds: this.versions.originOutage.failureAge(monotonicNow()) }))
     this.versions = new VersionCache({
       ip: settings.ip,
       internalPort: settings.internalPort,
@@ -101,7 +101,7 @@
       onOriginChunk: (position, fetchers) => { this.announcer.announceOriginChunk(position, fetchers) },
       onOtherCopy: (copyModel, digests) => { this.retainCopy(copyModel, digests) }
     })
-    this.plan = new DeliveryPlan({ named: this.named, versions: this.versions, linkBytesPerSecond: settings.linkBytesPerSecond, facts: () => this.rollout.facts })
+    this.plan = new DeliveryPlan({ named: this.named, versions: this.versions, peers: this.peers, linkBytesPerSecond: settings.linkBytesPerSecond, facts: () => this.rollout.facts })
     this.server = createServer((incoming, response) => { this.handleRequest(incoming, response) })
   }
 
@@ -145,6 +145,7 @@
     else if (message.kind === 'holdings') {
       const isNew = this.peers.receiveHoldings(message, ip)
       if (isNew) this.announcer.sendTo([ip])
+      if (message.originFailedMilliseconds !== undefined) this.versions.originOutage.recordFailure(monotonicNow() - message.originFailedMilliseconds)
       this.versions.startFetches()
     }
   }
@@ -189,7 +190,7 @@
     this.orders.observe(report, askedAt)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
-    this.loadReporter.send(report, this.swapper.isClosed, this.plan.readyInMilliseconds(this.served, report.isSwapping || this.swapper.isClosed))
+    this.loadReporter.send(report, this.swapper.isClosed, this.plan.readyInMilliseconds(this.rollout.facts?.models[0], this.served, report.isSwapping || this.swapper.isClosed))
     if (previous !== undefined && previous.startedAt !== report.startedAt) {
       this.staging.reset()
       this.swapper.reopen()
