--- a/src/roles/gateway/start-paces.ts
+++ b/src/roles/gateway/start-paces.ts
@@ -36,8 +36,12 @@
 
   /** Requests of all entries that may be in progress at an upstream now; undefined for one that neither starts nor recovers. */
   allowanceOf (view: UpstreamView): number | undefined {
-    const pace = this.paces.get(view.upstream.id)
-    return pace === undefined ? undefined : allowanceAt(pace, view.unstarted, this.usual.get(view.upstream.service), monotonicNow())
+    const { upstream, unstarted } = view
+    const pace = this.paces.get(upstream.id)
+    if (pace === undefined) return undefined
+    const now = monotonicNow()
+    const allowance = allowanceAt(pace, unstarted, this.usual.get(upstream.service), now)
+    return isPaceOver(pace, allowance, upstream.slots, now) ? undefined : allowance
   }
 
   /** What began the start or recovery of an upstream, and what changed its allowance last; undefined for none. */
@@ -76,14 +80,13 @@
     if (pace !== undefined) this.replace(view, pace, paceAfterFailure(pace, sentAt, monotonicNow()))
   }
 
-  /** Ends the start or recovery of an upstream that may now have as many requests as at any other time, `limit`. */
-  endIfOver (view: UpstreamView, limit: number): void {
-    const pace = this.paces.get(view.upstream.id)
-    const allowance = this.allowanceOf(view)
-    const now = monotonicNow()
-    if (pace === undefined || allowance === undefined || !isPaceOver(pace, allowance, limit, now)) return
-    this.paces.delete(view.upstream.id)
-    log.info('start or recovery of an upstream is over', { upstream: view.upstream.id, cause: pace.cause, change: pace.change, allowance: Math.floor(allowance), milliseconds: Math.round(now - pace.beganAt) })
+  /** Deletes the start or recovery of an upstream that may have requests for all its slots again. */
+  deleteIfOver (view: UpstreamView): void {
+    const { id } = view.upstream
+    const pace = this.paces.get(id)
+    if (pace === undefined || this.allowanceOf(view) !== undefined) return
+    this.paces.delete(id)
+    log.info('start or recovery of an upstream is over', { upstream: id, cause: pace.cause, change: pace.change, milliseconds: Math.round(monotonicNow() - pace.beganAt) })
   }
 
   /** Deletes the state of an upstream that was removed. */
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -74,10 +74,11 @@
     else this.delete(id)
   }
 
-  /** Deletes upstreams whose record was removed and not written again in time. */
+  /** Deletes upstreams whose record was removed and not written again in time, and starts and recoveries that are over. */
   deleteExpired (): void {
     const now = monotonicNow()
     for (const [id, view] of this.views) {
+      this.paces.deleteIfOver(view)
       if (view.retainedUntil === undefined || view.retainedUntil > now) continue
       log.info('upstream deleted: its record was not written again in time', { upstream: id, service: view.upstream.service })
       this.delete(id)
@@ -164,7 +165,7 @@
     this.views.set(id, started)
     if (answeredSentAt === undefined) return
     this.paces.recordAnswer(started, answeredSentAt)
-    this.paces.endIfOver(started, view.upstream.slots)
+    this.paces.deleteIfOver(started)
   }
 
   /** Records how a call ended that was sent at `sentAt`; `none` for one that says nothing about the upstream's health. */
