--- a/src/core/dispatch/cold-rate.ts
+++ b/src/core/dispatch/cold-rate.ts
@@ -126,6 +126,11 @@
     return now >= this.coldUntil || this.grants.length < this.limit
   }
 
+  /** Whether an entry has said lately that the engine is cold. */
+  isCold (now: number): boolean {
+    return now < this.coldUntil
+  }
+
   /** Records a slot that was granted. */
   record (key: string, now: number): void {
     this.grants = [...this.grants, { key, at: now }]
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -1,5 +1,6 @@
 /** Slots of engines as one entry gets them: their agents grant each one. */
 import { concurrencyLimit, enginesToAsk, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { encodeOrder } from '../../core/dispatch/rank.js'
 import { SlotRequests, type HeldSlot, type SlotSearch } from '../../core/dispatch/slot-requests.js'
 import type { SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -49,7 +50,8 @@
     for (const { view: { upstream }, startAllowance = Infinity, coldLimit } of enginesToAsk(candidates, id => this.requests.isFull(id, now), this.random)) {
       const number = this.requests.ask(search, upstream.id, now)
       const limit = Math.min(concurrencyLimit(upstream.slots, admission), startAllowance)
-      this.context.send({ kind: 'slot-request', number, limit, ...coldLimit === undefined ? {} : { coldLimit } }, ipOf(upstream.address))
+      const order = search.order === undefined ? {} : { order: encodeOrder(search.order, now) }
+      this.context.send({ kind: 'slot-request', number, limit, ...order, ...coldLimit === undefined ? {} : { coldLimit } }, ipOf(upstream.address))
     }
   }
 
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,16 +1,21 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
 import { ColdGrants } from '../../core/dispatch/cold-rate.js'
-import { SlotLedger } from '../../core/dispatch/slot-ledger.js'
+import { decodeOrder } from '../../core/dispatch/rank.js'
+import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
 import type { SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 
+/** Time between two looks at held requests, milliseconds: short against the time for which they are held. */
+const settleMilliseconds = 5
+
 /** Answers entries from the engine's last report and the grants since. */
 export class SlotGranter {
   private readonly ledger = new SlotLedger()
   private readonly coldGrants = new ColdGrants()
   private isOpen = false
+  private timer: NodeJS.Timeout | undefined
 
   constructor (private readonly datagrams: DatagramSocket) {}
 
@@ -18,21 +23,57 @@
   recordReport ({ running, waiting }: EngineReport, isOpen: boolean): void {
     this.ledger.recordCount(running + waiting, monotonicNow())
     this.isOpen = isOpen
+    this.settle()
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
-  answer ({ number, limit, coldLimit }: SlotRequest, ip: string): void {
+  answer ({ number, limit, order, coldLimit }: SlotRequest, ip: string): void {
     const now = monotonicNow()
+    const [key, request] = [keyOf(ip, number), decodeOrder(order, now)]
     const mayGrant = this.coldGrants.mayGrant(coldLimit, now)
-    const answer = this.ledger.answer(keyOf(ip, number), this.isOpen && mayGrant ? limit : 0, now)
-    if (answer?.isGranted === true) this.coldGrants.record(keyOf(ip, number), now)
-    if (answer !== undefined) this.datagrams.send({ kind: 'slot-reply', number, ...answer }, ip)
+    // Requests that compete are answered together, which could exceed the bound of a cold engine.
+    if (request !== undefined && this.isOpen && !this.coldGrants.isCold(now)) {
+      this.send(this.ledger.compete(key, limit, now, request))
+      this.settleLater()
+      return
+    }
+    const answer = this.ledger.answer(key, this.isOpen && mayGrant ? limit : 0, now)
+    if (answer !== undefined) this.send([{ key, ...answer }])
   }
 
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
-    this.ledger.release(keyOf(ip, number))
     this.coldGrants.release(keyOf(ip, number))
+    this.ledger.release(keyOf(ip, number), monotonicNow())
+    this.settle()
+  }
+
+  /** Stops answering. */
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+
+  private settle (): void {
+    this.send(this.isOpen ? this.ledger.settle(monotonicNow()) : [])
+  }
+
+  /** Looks after held requests until none is left. */
+  private settleLater (): void {
+    if (this.timer !== undefined || !this.ledger.hasHeld) return
+    this.timer = setTimeout(() => {
+      this.timer = undefined
+      this.settle()
+      this.settleLater()
+    }, settleMilliseconds)
+  }
+
+  private send (answers: readonly KeyedAnswer[]): void {
+    const now = monotonicNow()
+    for (const { key, ...answer } of answers) {
+      const [ip = '', number] = key.split(' ')
+      if (answer.isGranted) this.coldGrants.record(key, now)
+      this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer }, ip)
+    }
   }
 }
 
