Start pace: a cold plain upstream gets requests with permits of one entry

Change: for adaptive services the entry that ranks first grants permits at 0.95 of cold-per-s, as it does for named limits (same datagrams); a request waits up to 45 ms for one, and uses it where the upstream costs no more than the one chosen otherwise. Permits are valid for 150 ms. Entries that are not answered divide a reserve.

--- a/src/core/dispatch/cold-rate.ts
+++ b/src/core/dispatch/cold-rate.ts
@@ -31,8 +31,12 @@
 
 /** Share of the bound that the agent of a cold engine grants; the rest is for entries that it does not answer. */
 const grantedShare = 0.75
-/** Shares of the rate and of the bound that the entries use where no agent sees all requests; the rest of the bound covers entries not yet known here and delays. */
-const divided = { ofRate: 0.95, ofBound: 0.87 } as const
+/** Share of the reserve that the entries use; the rest covers entries not yet known here and delays. */
+const reserveShare = 0.87
+/** Share of the rate for which permits are granted where no agent sees all requests, and the requests in a second for each one a second: permits that are valid for a while are used later than they were granted, and a second entry may grant a quarter while views differ. */
+const permits = { ofRate: 0.95, perRate: 1.6, burst: 3 } as const
+/** Time for which a permit for a cold upstream is valid, milliseconds: one check of an entry's queue and the delay of an answer between regions; those of named limits are valid for longer, as their bound is one of several seconds. */
+export const coldPermitMilliseconds = 150
 
 /** Largest number of requests in one second, all entries together. */
 export function coldMaximum ({ perSecond, factor, slack }: ColdBounds): number {
@@ -49,17 +53,15 @@
   return { perSecond: rate / usedShare, factor: 1, slack: bursts / usedShare }
 }
 
-/** Bounds of the entries that the agent of a cold engine does not answer: what its grants leave, with a margin. */
+/** Bounds of the entries that the agent of a cold engine, or the entry that grants permits, does not answer: what its grants leave, with a margin. */
 export function coldReserve (bounds: ColdBounds): ColdBounds {
-  const rest = (coldMaximum(bounds) - coldGrants(bounds)) * divided.ofBound
+  const rest = (coldMaximum(bounds) - coldGrants(bounds)) * reserveShare
   return boundsFor(rest / 2, rest / 2)
 }
 
-/** Bounds of the entries for a cold upstream without an agent. */
-export function coldDivision (bounds: ColdBounds): ColdBounds {
-  const total = coldMaximum(bounds) * divided.ofBound
-  const rate = Math.min(bounds.perSecond * divided.ofRate, Math.max(total / 2, total - 1))
-  return boundsFor(rate, total - rate)
+/** Permits a second for a cold upstream without an agent. */
+export function coldPermitsPerSecond (bounds: ColdBounds): number {
+  return Math.max(1, Math.min(bounds.perSecond * permits.ofRate, (coldMaximum(bounds) - permits.burst) / permits.perRate))
 }
 
 interface Bucket { readonly tokens: number, readonly at: number }
--- a/src/core/dispatch/shared-rate.ts
+++ b/src/core/dispatch/shared-rate.ts
@@ -92,6 +92,8 @@
   readonly pending: { readonly number: number, readonly until: number } | undefined
   /** When to ask next. */
   readonly askAt: number
+  /** Whether the last request got no answer. */
+  readonly isUnanswered: boolean
 }
 
 /** The permits that one entry holds; times in milliseconds of the monotonic clock. */
@@ -116,17 +118,23 @@
     const isPending = permits?.pending !== undefined && now < permits.pending.until
     if (isPending || now < (permits?.askAt ?? 0) || this.validOf(key, now).length >= enough) return undefined
     this.lastNumber += 1
-    this.permits.set(key, { ends: permits?.ends ?? [], pending: { number: this.lastNumber, until: now + answerTimeoutMilliseconds }, askAt: now })
+    this.permits.set(key, { ends: permits?.ends ?? [], pending: { number: this.lastNumber, until: now + answerTimeoutMilliseconds }, askAt: now, isUnanswered: permits?.pending !== undefined })
     return this.lastNumber
   }
 
-  /** Applies the answer to a request; one that counts as lost is ignored. */
-  receive (key: string, number: number, grant: PermitGrant, now: number): void {
+  /** Applies the answer to a request; one that counts as lost is ignored. A permit is valid for `milliseconds`. */
+  receive (key: string, number: number, grant: PermitGrant, now: number, milliseconds: number = validityMilliseconds): void {
     const permits = this.permits.get(key)
     if (permits?.pending?.number !== number || now >= permits.pending.until) return
     const isGranted = grant.kind === 'granted'
-    const ends = isGranted ? [...this.validOf(key, now), now + validityMilliseconds] : permits.ends
-    this.permits.set(key, { ends, pending: undefined, askAt: isGranted ? now : grant.retryAt })
+    const ends = isGranted ? [...this.validOf(key, now), now + milliseconds] : permits.ends
+    this.permits.set(key, { ends, pending: undefined, askAt: isGranted ? now : grant.retryAt, isUnanswered: false })
+  }
+
+  /** Whether the last request for a permit got no answer in time. */
+  isUnanswered (key: string, now: number): boolean {
+    const permits = this.permits.get(key)
+    return permits !== undefined && (permits.isUnanswered || (permits.pending !== undefined && now >= permits.pending.until))
   }
 
   /** Earliest time at which a permit may be had; undefined while that is not known. */
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -112,7 +112,8 @@
         const ip = this.members.ipOf(instance)
         if (ip !== undefined) this.datagrams.send(message, ip)
       },
-      startOf: id => this.pool.find(id)?.upstream.startedAt
+      startOf: id => this.pool.find(id)?.upstream.startedAt,
+      coldRate: id => this.pool.coldPermitRate(id)
     })
     this.slots = new EngineSlots({
       send: (message, ip) => { this.datagrams.send(message, ip) },
--- a/src/roles/gateway/upstream-limits.ts
+++ b/src/roles/gateway/upstream-limits.ts
@@ -1,5 +1,6 @@
 /** The limits that upstreams name, kept by all entries together: one grants permits for each upstream, the others ask it for them. */
 import { NamedLimits, type GossipedLimit } from '../../core/dispatch/named-limits.js'
+import { coldPermitMilliseconds } from '../../core/dispatch/cold-rate.js'
 import { GrantingRanks, HeldPermits, PermitGrantor, type FleetView, type PermitGrant } from '../../core/dispatch/shared-rate.js'
 import { sample } from '../../core/fleet/gossip-plan.js'
 import type { Upstream } from '../../types/fleet.js'
@@ -19,6 +20,9 @@
 /** Time after which an entry asks again that had asked one that does not grant, milliseconds: a round of gossip, after which their views agree. */
 const misdirectedMilliseconds = 500
 
+/** Age of the statement without a limit in a request for a permit of a cold upstream, milliseconds: older than any limit that an entry knows, so that it changes none. */
+const unnamedAgeMilliseconds = 60_000
+
 /** What the limits need to know of the entry that they belong to. */
 export interface LimitsContext {
   fleet (): FleetView
@@ -26,6 +30,8 @@
   send (message: PermitRequest, instance: string): void
   /** Start of an upstream, epoch milliseconds; undefined for one that is not listed. */
   startOf (upstreamId: string): number | undefined
+  /** Requests a second that a cold upstream takes by permits; undefined for one that needs none for this. */
+  coldRate: (upstreamId: string) => number | undefined
 }
 
 /** Limits of all upstreams of one entry. */
@@ -74,7 +80,7 @@
 
   /** Whether requests to an upstream need a permit now. */
   isLimited ({ id, startedAt }: Upstream): boolean {
-    return this.named.rateOf(id, startedAt, monotonicNow()) !== undefined
+    return this.rateOf(id, startedAt, monotonicNow()) !== undefined
   }
 
   /** Whether a request may be sent to an upstream now. */
@@ -90,15 +96,15 @@
   /** Asks for a permit to send a request to a limited upstream; `mayTake` tells once there is one. */
   requestPermit ({ id, startedAt }: Upstream): void {
     const now = monotonicNow()
-    const rate = this.named.rateOf(id, startedAt, now)
-    const limit = this.named.describe(id, startedAt, now)
-    if (rate === undefined || limit === undefined) return
+    const rate = this.rateOf(id, startedAt, now)
+    if (rate === undefined) return
+    const limit = this.named.describe(id, startedAt, now) ?? { upstreamId: id, startedAt, perSecond: undefined, ageMilliseconds: unnamedAgeMilliseconds }
     const fleet = this.context.fleet()
     const enough = 1 + Math.floor(rate / fleet.ready.length / singlePermitsPerSecond)
     const number = this.held.ask(id, enough, now)
     if (number === undefined) return
     const grantingEntry = this.ranks.grantorOf(id, fleet, now)
-    if (grantingEntry === fleet.self) this.held.receive(id, number, this.grant(id, startedAt, fleet, now), now)
+    if (grantingEntry === fleet.self) this.hold(id, number, this.grant(id, startedAt, fleet, now), now)
     else this.context.send({ kind: 'permit-request', number, limit }, grantingEntry)
   }
 
@@ -118,7 +124,7 @@
   receive ({ number, limit, retryInMilliseconds }: PermitAnswer, source: string): void {
     this.merge([limit], source)
     const now = monotonicNow()
-    this.held.receive(limit.upstreamId, number, retryInMilliseconds < 0 ? { kind: 'granted' } : { kind: 'denied', retryAt: now + retryInMilliseconds }, now)
+    this.hold(limit.upstreamId, number, retryInMilliseconds < 0 ? { kind: 'granted' } : { kind: 'denied', retryAt: now + retryInMilliseconds }, now)
   }
 
   /** When a request may be sent to an upstream at the earliest, milliseconds of the monotonic clock; undefined while that is not known. */
@@ -136,9 +142,24 @@
     this.nextInvalidLogAt.delete(id)
   }
 
+  /** Whether the entry that grants the permits of an upstream did not answer this one. */
+  isUnanswered ({ id }: Upstream): boolean {
+    return this.held.isUnanswered(id, monotonicNow())
+  }
+
+  /** Requests a second for which an upstream needs permits, as it names a limit or is cold; undefined for any number. */
+  private rateOf (id: string, startedAt: number, now: number): number | undefined {
+    const rate = Math.min(this.named.rateOf(id, startedAt, now) ?? Infinity, this.context.coldRate(id) ?? Infinity)
+    return rate === Infinity ? undefined : rate
+  }
+
+  private hold (id: string, number: number, grant: PermitGrant, now: number): void {
+    this.held.receive(id, number, grant, now, this.context.coldRate(id) === undefined ? undefined : coldPermitMilliseconds)
+  }
+
   private grant (id: string, startedAt: number, fleet: FleetView, now: number): PermitGrant {
     const share = this.ranks.grantedShare(id, fleet, now)
-    const rate = this.named.rateOf(id, startedAt, now)
+    const rate = this.rateOf(id, startedAt, now)
     if (share === 0) {
       this.grantor.forget(id)
       return { kind: 'denied', retryAt: now + misdirectedMilliseconds }
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -1,5 +1,5 @@
 /** The upstreams as one entry knows them, from their records, the reports of their agents and its own calls. */
-import { ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { ColdRateLimiter, coldPermitsPerSecond } from '../../core/dispatch/cold-rate.js'
 import { updateHealth, initialHealth, type CallOutcome } from '../../core/dispatch/upstream-health.js'
 import { vouchedLoadOf } from '../../core/weights/load-trust.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
@@ -12,7 +12,7 @@
 import { expectedAt } from './expected-at.js'
 import { Responsiveness } from './responsiveness.js'
 import { StartPaces } from './start-paces.js'
-import { coldSharesOf, keepsColdRateByAgent, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
+import { coldBoundsOf, coldSharesOf, usesColdShare, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
 import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
@@ -149,7 +149,7 @@
     if (view === undefined) return
     const now = monotonicNow()
     const service = this.serviceOf(view.upstream.service)
-    if (service !== undefined && view.coldUntil > now && !keepsColdRateByAgent(view, this.context, now)) this.coldRate.take(id, this.context.knownEntries(), coldSharesOf(view, service, this.context), now)
+    if (service !== undefined && view.coldUntil > now && usesColdShare(view, this.context, now)) this.coldRate.take(id, this.context.knownEntries(), coldSharesOf(service, this.context), now)
     this.context.limits.take(view.upstream)
     this.availability.recordSent(view.upstream)
     const observedLoad = { ...view.observedLoad, sent: view.observedLoad.sent + 1 }
@@ -192,6 +192,14 @@
     return expectedAt(views, reason, this.availability, this.context)
   }
 
+  /** Requests a second that a cold upstream without an agent takes by permits, see `UpstreamLimits`; undefined for any other. */
+  coldPermitRate (id: string): number | undefined {
+    const view = this.views.get(id)
+    if (view === undefined || view.upstream.isEngine || view.coldUntil <= monotonicNow() || !this.context.isAdaptive(view.upstream.service)) return undefined
+    const service = this.serviceOf(view.upstream.service)
+    return service === undefined || service.coldRequestsPerSecond <= 0 ? undefined : coldPermitsPerSecond(coldBoundsOf(service, this.context))
+  }
+
   /** Whether an upstream of a service has stated how fast it works. */
   statesPace (service: string): boolean {
     return this.pacedServices.has(service)
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -1,5 +1,5 @@
 /** Selection of the upstream that takes a request, among those that one entry knows. */
-import { coldDivision, coldGrants, coldReserve, type ColdBounds, type ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { coldGrants, coldReserve, type ColdBounds, type ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
 import { concurrencyLimit, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
@@ -18,6 +18,9 @@
 /** Permits of limited upstreams that one request asks for: with more, most would not be used. */
 const permitRequestsPerChoice = 2
 
+/** Longest time for which a request waits for permits of cold upstreams although others could take it, milliseconds: a round trip within a region and a check of the queue. */
+const permitWaitMilliseconds = 45
+
 /** What a request requires of its upstream. */
 export interface UpstreamRequirements {
   readonly service: Service
@@ -91,7 +94,9 @@
     const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
     const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements, knownEntries, now))
-    const candidates = this.withinPace(this.withPermit(open), requirements, now).map(view => this.candidateOf(view, requirements, entries.length, now))
+    const permitted = this.withPermit(open, now)
+    if (this.awaitsColdPermit(open, permitted, requirements.search, now)) return 'asked'
+    const candidates = this.withinPace(permitted, requirements, now).map(view => this.candidateOf(view, requirements, entries.length, now))
     const placed = requirements.search === undefined ? placeRequest(candidates, this.random) : this.place(candidates, requirements.search, requirements.admission, now)
     if (placed === 'asked') return 'asked'
     return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
@@ -103,7 +108,7 @@
     const granting = this.withoutPaceOfAll(candidates).filter(({ view }) => this.isGranting(view, now))
     const others = candidates.filter(({ view }) => !granting.some(candidate => candidate.view === view))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
-    const chosen = placeRequest([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], this.random)
+    const chosen = this.preferPermit(placeRequest([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], this.random), others, now)
     if (chosen !== undefined) {
       slots.take(chosen.view, admission, now)
       return chosen
@@ -114,11 +119,11 @@
   }
 
   /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
-  private withPermit (open: readonly UpstreamView[]): readonly UpstreamView[] {
+  private withPermit (open: readonly UpstreamView[], now: number): readonly UpstreamView[] {
     const { limits } = this.context
     const others = open.filter(({ upstream }) => !limits.mayTake(upstream))
     for (const { upstream } of sample(others, permitRequestsPerChoice, this.random)) limits.requestPermit(upstream)
-    return others.length === 0 ? open : open.filter(({ upstream }) => limits.mayTake(upstream))
+    return others.length === 0 ? open : open.filter(view => limits.mayTake(view.upstream) || this.mayUseReserve(view, now))
   }
 
   /** Slots that this entry may use now without asking an agent. Agents report the load of engines to every entry; that of plain upstreams is known from answers only. Permits already divide the requests to a limited upstream among the entries. */
@@ -139,7 +144,33 @@
     const { context } = this
     if (view.coldUntil <= now || service.coldRequestsPerSecond <= 0) return true
     if (keepsColdRateByAgent(view, context, now)) return search !== undefined
-    return this.state.coldRate.mayTake(view.upstream.id, context.instance, entries, coldSharesOf(view, service, context), now)
+    return this.needsColdPermit(view) || this.state.coldRate.mayTake(view.upstream.id, context.instance, entries, coldSharesOf(service, context), now)
+  }
+
+  /** Whether a request waits for the answers to its requests for permits of cold upstreams: for the next request of an entry that gets few, a permit comes too late. */
+  private awaitsColdPermit (open: readonly UpstreamView[], permitted: readonly UpstreamView[], search: SlotSearch | undefined, now: number): boolean {
+    if (search === undefined || permitted.length === open.length || now >= (search.nextAskAt ?? Infinity)) return false
+    const { limits } = this.context
+    const isAwaited = open.some(view => view.coldUntil > now && this.needsColdPermit(view) && !permitted.includes(view) && limits.expectedAt(view.upstream) === undefined)
+    if (isAwaited) search.nextAskAt ??= now + permitWaitMilliseconds
+    return isAwaited
+  }
+
+  /** The chosen candidate, or a cold one for which this entry holds a permit if that costs less: it is not always among the few that are compared, and the permit would be lost. */
+  private preferPermit (chosen: ViewedCandidate | undefined, others: readonly ViewedCandidate[], now: number): ViewedCandidate | undefined {
+    const held = others.find(({ view }) => view.coldUntil > now && this.needsColdPermit(view))
+    return held === undefined || chosen === undefined || held === chosen ? chosen : placeRequest([held, chosen], this.random)
+  }
+
+  /** Whether a cold upstream gets requests with permits, and the entry that grants them answers this one. */
+  private needsColdPermit ({ upstream }: UpstreamView): boolean {
+    return !upstream.isEngine && this.context.isAdaptive(upstream.service) && !this.context.limits.isUnanswered(upstream)
+  }
+
+  /** Whether a cold upstream gets a request without a permit, within the reserve of entries that are not answered. */
+  private mayUseReserve (view: UpstreamView, now: number): boolean {
+    const isNamed = this.context.limits.perSecond(view.upstream) !== undefined
+    return view.coldUntil > now && !isNamed && !view.upstream.isEngine && this.context.isAdaptive(view.upstream.service) && !this.needsColdPermit(view)
   }
 
   /** Upstreams whose start or recovery leaves room for a request; all of them where every one starts or recovers, as there is no better one then. */
@@ -182,14 +213,19 @@
 
 /** Whether the agent of a cold engine alone keeps its rate: it grants each slot and sees all requests. */
 export function keepsColdRateByAgent (view: UpstreamView, { slots, limits, isAdaptive }: PoolContext, now: number): boolean {
-  return isAdaptive(view.upstream.service) && slots.isGranting(view, now) && !limits.isLimited(view.upstream)
+  return view.upstream.isEngine && isAdaptive(view.upstream.service) && slots.isGranting(view, now) && !limits.isLimited(view.upstream)
+}
+
+/** Whether a request to a cold upstream counts in the rate that the entries divide. */
+export function usesColdShare (view: UpstreamView, context: PoolContext, now: number): boolean {
+  if (!context.isAdaptive(view.upstream.service)) return true
+  return view.upstream.isEngine ? !keepsColdRateByAgent(view, context, now) : !context.limits.mayTake(view.upstream)
 }
 
-/** Bounds of the rate that the entries divide for a cold upstream. */
-export function coldSharesOf ({ upstream }: UpstreamView, service: Service, context: PoolContext): ColdBounds {
+/** Bounds of the rate that the entries divide for a cold upstream; where one node grants each request, only the reserve is divided. */
+export function coldSharesOf (service: Service, context: PoolContext): ColdBounds {
   const bounds = coldBoundsOf(service, context)
-  if (!context.isAdaptive(service.name)) return bounds
-  return upstream.isEngine ? coldReserve(bounds) : coldDivision(bounds)
+  return context.isAdaptive(service.name) ? coldReserve(bounds) : bounds
 }
 
 /** Bounds of the rate at which a service's cold upstreams may get requests. */
--- a/test/fakes/start-replay.ts
+++ b/test/fakes/start-replay.ts
@@ -6,13 +6,12 @@
 import { EngineSlots } from '../../src/roles/gateway/engine-slots.js'
 import { UpstreamLimits } from '../../src/roles/gateway/upstream-limits.js'
 import { UpstreamPool } from '../../src/roles/gateway/upstream-pool.js'
-import { SlotGranter } from '../../src/roles/weights/slot-granter.js'
-import type { DatagramSocket } from '../../src/transports/datagrams.js'
 import type { Service, Upstream } from '../../src/types/fleet.js'
-import type { NodeMessage } from '../../src/types/node-messages.js'
+import type { NodeMessage, PermitRequest } from '../../src/types/node-messages.js'
 import type { AnswerHead } from '../../src/types/ports.js'
 import { monotonicNow } from '../../src/utils/clock.js'
 import { seededRandom } from '../../src/utils/random.js'
+import { Server, work, type ServerHost } from './start-server.js'
 
 /** What happens to the last upstream at `eventAt`. */
 export type StartEvent = 'start' | 'ejection' | 'unresponsiveness' | 'rest' | 'cut' | 'swap' | 'fails-again'
@@ -60,7 +59,6 @@
 export const [coldPerSecond, coldMaximum] = [36, 59] as const
 const [eventAt, coldMilliseconds, endAt] = [1500, 3000, 6000] as const
 const upstreamCount = 5
-const work = { slots: 12, promptMilliseconds: 12, answerMilliseconds: 240 } as const
 const queueMilliseconds = 150
 const head: AnswerHead = { status: 200, requestId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, isEncoded: false, load: undefined, limit: { kind: 'none' }, rest: { kind: 'none' }, isLeaving: false }
 
@@ -75,47 +73,10 @@
   }
 }
 
-interface Call { readonly sentAt: number, readonly started: () => void, readonly ended: () => void }
-
-class Server {
-  running = 0
-  readonly waiting: Call[] = []
-  readonly arrivals: number[] = []
-  readonly starts: { readonly at: number, readonly waited: number }[] = []
-  private readerFreeAt = 0
-  readonly granter: SlotGranter
-
-  constructor (private readonly replay: Replay, readonly upstream: Upstream, private readonly slowness: number) {
-    this.granter = new SlotGranter({ send: (message: NodeMessage, ip: string) => { replay.post(() => { replay.entries[Number(ip)]?.receive(message) }) } } as unknown as DatagramSocket)
-  }
-
-  arrive (call: Call): void {
-    this.arrivals.push(this.replay.now)
-    this.waiting.push(call)
-    this.admit()
-  }
-
-  private admit (): void {
-    while (this.running < work.slots && this.waiting.length > 0) {
-      const call = this.waiting.shift() as Call
-      this.running += 1
-      this.readerFreeAt = this.replay.resumeAt(this.upstream, Math.max(this.replay.now, this.readerFreeAt)) + work.promptMilliseconds * this.slowness
-      this.replay.at(this.readerFreeAt, () => {
-        this.starts.push({ at: this.replay.now, waited: this.replay.now - call.sentAt })
-        call.started()
-      })
-      this.replay.at(this.readerFreeAt + work.answerMilliseconds * this.slowness, () => {
-        this.running -= 1
-        call.ended()
-        this.admit()
-      })
-    }
-  }
-}
-
 class Entry {
   readonly pool: UpstreamPool
   private readonly slots: EngineSlots
+  private readonly limits: UpstreamLimits
   waiting: { readonly until: number, readonly search: SlotSearch | undefined }[] = []
 
   constructor (private readonly replay: Replay, readonly index: number, readonly startsAt: number, readonly diesAt: number) {
@@ -134,7 +95,13 @@
       }
     }, replay.random)
     const names = (): readonly string[] => replay.knownEntries
-    const limits = new UpstreamLimits({ fleet: () => ({ self: this.name, ready: [this.name], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined })
+    this.limits = new UpstreamLimits({
+      fleet: () => ({ self: this.name, ready: names(), silent: replay.silentEntries, isSettled: replay.now - startsAt > 500 }),
+      send: (message, instance) => { replay.post(() => { replay.entryOf(instance)?.grantPermit(message, this) }) },
+      startOf: id => this.pool.find(id)?.upstream.startedAt,
+      coldRate: id => this.pool.coldPermitRate(id)
+    })
+    const { limits } = this
     this.pool = new UpstreamPool({ instance: this.name, dataCentre: 'a', regionOf: new Map(), cold: { factor: 1.5, slack: 5 }, limits, slots: this.slots, entries: names, knownEntries: names, isEvacuated: () => false, isAdaptive: () => plan.decisions === 'adaptive', upstreamGone: () => {}, upstreamLeaves: () => {} }, () => replay.service, replay.random)
   }
 
@@ -143,8 +110,14 @@
 
   receive (message: NodeMessage): void { if (this.isAlive && message.kind === 'slot-reply') this.pool.receiveSlotReply(message) }
 
+  /** Answers another entry's request for a permit. */
+  grantPermit (request: PermitRequest, asking: Entry): void {
+    const answer = this.isAlive ? this.limits.answer(request, asking.name) : undefined
+    if (answer !== undefined) this.replay.post(() => { if (asking.isAlive) asking.limits.receive(answer, this.name) })
+  }
+
   request (): void {
-    const search = this.replay.plan.isEngine ? new SlotSearch() : undefined
+    const search = new SlotSearch()
     if (!this.place(search)) this.waiting = [...this.waiting, { until: this.replay.now + queueMilliseconds, search }]
   }
 
@@ -191,7 +164,7 @@
   }
 }
 
-class Replay {
+class Replay implements ServerHost {
   now = 0
   readonly random: () => number
   readonly servers: readonly Server[]
@@ -225,9 +198,14 @@
 
   /** Entries as all of them know them: those that join after a quarter of a second at most, killed ones until they count as dead. */
   knownEntries: readonly string[] = []
+  /** Killed entries that count as dead. */
+  silentEntries: readonly string[] = []
+  entryOf (name: string): Entry | undefined { return this.entries[Number(name.slice('entry-'.length))] }
 
   isAgentDead (server: Server | undefined): boolean { return server === this.last && this.plan.isAgentKilled === true && this.now >= eventAt + 500 }
 
+  reply (message: NodeMessage, ip: string): void { this.post(() => { this.entries[Number(ip)]?.receive(message) }) }
+
   /** When work at an upstream goes on: at the end of the time in which it hangs. */
   resumeAt ({ id }: Upstream, time: number): number {
     return id === this.last.upstream.id && this.plan.event === 'unresponsiveness' && time >= eventAt - 900 && time < eventAt ? eventAt : time
@@ -248,7 +226,10 @@
     let nextAt = 0
     for (; this.now < endAt; this.now += 1) {
       const { now } = this
-      if (now % 250 === 0) this.knownEntries = entries.filter(({ startsAt, diesAt }) => now >= startsAt && now < diesAt + 2500).map(({ name }) => name)
+      if (now % 250 === 0) {
+        this.knownEntries = entries.filter(({ startsAt, diesAt }) => now >= startsAt && now < diesAt + 2500).map(({ name }) => name)
+        this.silentEntries = entries.filter(({ diesAt }) => now >= diesAt + 2500).map(({ name }) => name)
+      }
       if (now === eventAt) this.happen()
       if (now % 50 === 0) for (const server of servers) server.granter.recordReport({ running: server.running, waiting: server.waiting.length } as never, !this.isSwapping(server))
       if (now % 100 === 0 && plan.isEngine) this.report()
--- a/test/slot-placement.test.ts
+++ b/test/slot-placement.test.ts
@@ -32,7 +32,7 @@
     dataCentre: 'zone-a',
     regionOf: new Map([['zone-a', 'north']]),
     cold: { factor: 1.5, slack: 5 },
-    limits: new UpstreamLimits({ fleet: () => ({ self: 'entry-1', ready: ['entry-1'], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined }),
+    limits: new UpstreamLimits({ fleet: () => ({ self: 'entry-1', ready: ['entry-1'], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined, coldRate: () => undefined }),
     slots: this.slots,
     entries: () => Array.from({ length: 99 }, (_, index) => `entry-${index}`),
     knownEntries: () => ['entry-1'],
--- a/test/start-pace.test.ts
+++ b/test/start-pace.test.ts
@@ -67,6 +67,8 @@
 interface ReplayCase extends Omit<StartPlan, 'decisions' | 'seed'> {
   /** Longest time until the upstream carries its share, milliseconds. */
   readonly shareWithin: number
+  /** Whether a cold plain upstream is to get over half of its rate; before 300 entries its permits leave it below its share until it is warm. */
+  readonly isUsed?: boolean
 }
 
 const engines: readonly ReplayCase[] = [8, 67, 300].flatMap(entries => events.map(event => ({ event, entries, isEngine: true, shareWithin: 300 })))
@@ -76,12 +78,12 @@
   { event: 'start', entries, isEngine: true, lostShare: 0.2, shareWithin: Infinity },
   { event: 'start', entries, isEngine: true, isAgentKilled: true, shareWithin: 300 },
   { event: 'start', entries, isEngine: true, slowness: 2.2, shareWithin: 600 },
-  { event: 'start', entries, isEngine: false, shareWithin: Infinity },
+  { event: 'start', entries, isEngine: false, shareWithin: entries === 300 ? Infinity : 1000, isUsed: true },
   { event: 'start', entries, isEngine: false, killedShare: 0.3, shareWithin: Infinity },
   { event: 'start', entries, isEngine: false, joiningShare: 0.3, shareWithin: Infinity }
 ] as const)
 
-for (const { shareWithin, ...plan } of [...engines, ...disturbed]) {
+for (const { shareWithin, isUsed, ...plan } of [...engines, ...disturbed]) {
   const { event, entries, isEngine, slowness, killedShare, joiningShare, lostShare, isAgentKilled } = plan
   const what = Object.entries({ slowness, killedShare, joiningShare, lostShare, isAgentKilled }).flatMap(([key, value]) => value === undefined ? [] : [`${key} ${String(value)}`]).join(', ')
   test(`start replay: ${event} of ${isEngine ? 'an engine' : 'a plain upstream'} before ${entries} entries ${what}`, async t => {
@@ -89,6 +91,7 @@
     t.ok(outcome.shareMilliseconds <= shareWithin, `carries its share after ${outcome.shareMilliseconds} ms`)
     if (event !== 'start') return
     t.ok(outcome.busiestSecond <= coldMaximum, `${outcome.busiestSecond} requests in one second`)
+    if (isUsed === true) t.ok(outcome.coldPerSecond >= 0.55 * coldPerSecond, `${outcome.coldPerSecond} requests a second`)
     if (!isEngine || isAgentKilled === true || slowness !== undefined) return
     if (lostShare === undefined) t.ok(outcome.coldPerSecond >= 0.9 * coldPerSecond, `${outcome.coldPerSecond} requests a second`)
     const flood = replayStart({ ...plan, decisions: 'flood', seed: 1 })
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -18,7 +18,7 @@
 const answered: AnswerHead = { status: 200, requestId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, isEncoded: false, load: undefined, limit: { kind: 'none' }, rest: { kind: 'none' }, isLeaving: false }
 const resting: AnswerHead = { ...answered, status: 503, isSigned: false, isNotRun: true, rest: { kind: 'rest', milliseconds: 3000 } }
 
-const unlimited = new UpstreamLimits({ fleet: () => ({ self: 'entry-1', ready: ['entry-1'], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined })
+const unlimited = new UpstreamLimits({ fleet: () => ({ self: 'entry-1', ready: ['entry-1'], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined, coldRate: () => undefined })
 
 function makePool (evacuated: readonly string[] = [], upstreams: readonly Upstream[] = [upstream]): UpstreamPool {
   const pool = new UpstreamPool({
