--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -5,6 +5,7 @@
 import type { ServiceProfile } from '../../core/dispatch/service-profile.js'
 import type { OrderedRequest } from '../../core/dispatch/service-order.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
+import type { RequestWork } from '../../core/dispatch/expected-time.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
 import type { UnprovedRuns } from '../../core/dispatch/unproved-runs.js'
 import type { Metrics } from '../../plugins/metrics.js'
@@ -65,3 +66,13 @@
   /** What orders it among others; undefined in a service that is not ranked. */
   readonly order: OrderedRequest | undefined
 }
+
+/** Work that a request asks of its upstream; what its caller does not state is taken to be typical. */
+export function workOf ({ caller, service, route }: Pick<RoutedRequest, 'caller' | 'service' | 'route'>): RequestWork {
+  const { promptTokens, maximumAnswerTokens } = caller
+  return {
+    promptTokens: promptTokens > 0 ? promptTokens : service.engine?.typicalPromptTokens ?? 0,
+    answerTokens: maximumAnswerTokens > 0 ? maximumAnswerTokens : service.engine?.typicalAnswerTokens ?? 0,
+    goalMilliseconds: route.latencyGoalMilliseconds
+  }
+}
