--- a/test/fakes/start-replay.ts
+++ b/test/fakes/start-replay.ts
@@ -6,13 +6,12 @@
 import { EngineSlots } from '../../src/roles/gateway/engine-slots.js'
 import { UpstreamLimits } from '../../src/roles/gateway/upstream-limits.js'
 import { UpstreamPool } from '../../src/roles/gateway/upstream-pool.js'
-import { SlotGranter } from '../../src/roles/weights/slot-granter.js'
-import type { DatagramSocket } from '../../src/transports/datagrams.js'
 import type { Service, Upstream } from '../../src/types/fleet.js'
-import type { NodeMessage } from '../../src/types/node-messages.js'
+import type { NodeMessage, PermitRequest } from '../../src/types/node-messages.js'
 import type { AnswerHead } from '../../src/types/ports.js'
 import { monotonicNow } from '../../src/utils/clock.js'
 import { seededRandom } from '../../src/utils/random.js'
+import { Server, work, type ServerHost } from './start-server.js'
 
 /** What happens to the last upstream at `eventAt`. */
 export type StartEvent = 'start' | 'ejection' | 'unresponsiveness' | 'rest' | 'cut' | 'swap' | 'fails-again'
@@ -34,6 +33,8 @@
   readonly lostShare?: number
   /** Share of the entries that are killed 0.3 s after the event. */
   readonly killedShare?: number
+  /** Share of the entries that exchange no messages with agents and other entries from 0.3 s after the event on. */
+  readonly cutShare?: number
   /** Share of the entries that start 0.3 s after the event. */
   readonly joiningShare?: number
   /** Whether the agent of the last upstream is killed 0.5 s after the event. */
@@ -60,8 +61,9 @@
 export const [coldPerSecond, coldMaximum] = [36, 59] as const
 const [eventAt, coldMilliseconds, endAt] = [1500, 3000, 6000] as const
 const upstreamCount = 5
-const work = { slots: 12, promptMilliseconds: 12, answerMilliseconds: 240 } as const
 const queueMilliseconds = 150
+/** Time after which an entry that is not heard counts as dead. */
+const deadMilliseconds = 2500
 const head: AnswerHead = { status: 200, requestId: undefined, isSigned: true, isNotRun: false, isMisdirected: false, isEncoded: false, load: undefined, limit: { kind: 'none' }, rest: { kind: 'none' }, isLeaving: false }
 
 /** Plays a plan; deterministic for its seed. */
@@ -75,47 +77,10 @@
   }
 }
 
-interface Call { readonly sentAt: number, readonly started: () => void, readonly ended: () => void }
-
-class Server {
-  running = 0
-  readonly waiting: Call[] = []
-  readonly arrivals: number[] = []
-  readonly starts: { readonly at: number, readonly waited: number }[] = []
-  private readerFreeAt = 0
-  readonly granter: SlotGranter
-
-  constructor (private readonly replay: Replay, readonly upstream: Upstream, private readonly slowness: number) {
-    this.granter = new SlotGranter({ send: (message: NodeMessage, ip: string) => { replay.post(() => { replay.entries[Number(ip)]?.receive(message) }) } } as unknown as DatagramSocket)
-  }
-
-  arrive (call: Call): void {
-    this.arrivals.push(this.replay.now)
-    this.waiting.push(call)
-    this.admit()
-  }
-
-  private admit (): void {
-    while (this.running < work.slots && this.waiting.length > 0) {
-      const call = this.waiting.shift() as Call
-      this.running += 1
-      this.readerFreeAt = this.replay.resumeAt(this.upstream, Math.max(this.replay.now, this.readerFreeAt)) + work.promptMilliseconds * this.slowness
-      this.replay.at(this.readerFreeAt, () => {
-        this.starts.push({ at: this.replay.now, waited: this.replay.now - call.sentAt })
-        call.started()
-      })
-      this.replay.at(this.readerFreeAt + work.answerMilliseconds * this.slowness, () => {
-        this.running -= 1
-        call.ended()
-        this.admit()
-      })
-    }
-  }
-}
-
 class Entry {
   readonly pool: UpstreamPool
   private readonly slots: EngineSlots
+  private readonly limits: UpstreamLimits
   waiting: { readonly until: number, readonly search: SlotSearch | undefined }[] = []
 
   constructor (private readonly replay: Replay, readonly index: number, readonly startsAt: number, readonly diesAt: number) {
@@ -124,7 +89,7 @@
       send: (message, ip) => {
         const server = replay.servers[Number(ip)]
         replay.post(() => {
-          if (replay.isAgentDead(server)) return
+          if (replay.isAgentDead(server) || this.isCut) return
           server?.granter[message.kind === 'slot-request' ? 'answer' : 'release'](message as never, String(index))
         })
       },
@@ -134,17 +99,30 @@
       }
     }, replay.random)
     const names = (): readonly string[] => replay.knownEntries
-    const limits = new UpstreamLimits({ fleet: () => ({ self: this.name, ready: [this.name], silent: [], isSettled: true }), send: () => {}, startOf: () => undefined })
+    this.limits = new UpstreamLimits({
+      fleet: () => ({ self: this.name, ...replay.viewOf(this), isSettled: replay.now - startsAt > 500 }),
+      send: (message, instance) => { replay.post(() => { replay.entryOf(instance)?.grantPermit(message, this) }) },
+      startOf: id => this.pool.find(id)?.upstream.startedAt,
+      coldRate: id => this.pool.coldPermitRate(id)
+    })
+    const { limits } = this
     this.pool = new UpstreamPool({ instance: this.name, dataCentre: 'a', regionOf: new Map(), cold: { factor: 1.5, slack: 5 }, limits, slots: this.slots, entries: names, knownEntries: names, isEvacuated: () => false, isAdaptive: () => plan.decisions === 'adaptive', upstreamGone: () => {}, upstreamLeaves: () => {} }, () => replay.service, replay.random)
   }
 
   get name (): string { return `entry-${this.index}` }
+  get isCut (): boolean { return this.replay.now >= eventAt + 300 && this.index < (this.replay.plan.cutShare ?? 0) * this.replay.plan.entries }
   get isAlive (): boolean { return this.replay.now >= this.startsAt && this.replay.now < this.diesAt }
 
-  receive (message: NodeMessage): void { if (this.isAlive && message.kind === 'slot-reply') this.pool.receiveSlotReply(message) }
+  receive (message: NodeMessage): void { if (this.isAlive && !this.isCut && message.kind === 'slot-reply') this.pool.receiveSlotReply(message) }
+
+  /** Answers another entry's request for a permit. */
+  grantPermit (request: PermitRequest, asking: Entry): void {
+    const answer = this.isAlive && this.isCut === asking.isCut ? this.limits.answer(request, asking.name) : undefined
+    if (answer !== undefined) this.replay.post(() => { if (asking.isAlive) asking.limits.receive(answer, this.name) })
+  }
 
   request (): void {
-    const search = this.replay.plan.isEngine ? new SlotSearch() : undefined
+    const search = new SlotSearch()
     if (!this.place(search)) this.waiting = [...this.waiting, { until: this.replay.now + queueMilliseconds, search }]
   }
 
@@ -191,7 +169,7 @@
   }
 }
 
-class Replay {
+class Replay implements ServerHost {
   now = 0
   readonly random: () => number
   readonly servers: readonly Server[]
@@ -225,9 +203,21 @@
 
   /** Entries as all of them know them: those that join after a quarter of a second at most, killed ones until they count as dead. */
   knownEntries: readonly string[] = []
+  /** Killed entries that count as dead. */
+  silentEntries: readonly string[] = []
+  /** Entries that one of them takes for living and for silent. */
+  viewOf ({ isCut }: Entry): { readonly ready: readonly string[], readonly silent: readonly string[] } {
+    if (this.plan.cutShare === undefined || this.now < eventAt + 300 + deadMilliseconds) return { ready: this.knownEntries, silent: this.silentEntries }
+    const isSame = (name: string): boolean => this.entryOf(name)?.isCut === isCut
+    return { ready: this.knownEntries.filter(isSame), silent: this.knownEntries.filter(name => !isSame(name)) }
+  }
+
+  entryOf (name: string): Entry | undefined { return this.entries[Number(name.slice('entry-'.length))] }
 
   isAgentDead (server: Server | undefined): boolean { return server === this.last && this.plan.isAgentKilled === true && this.now >= eventAt + 500 }
 
+  reply (message: NodeMessage, ip: string): void { this.post(() => { this.entries[Number(ip)]?.receive(message) }) }
+
   /** When work at an upstream goes on: at the end of the time in which it hangs. */
   resumeAt ({ id }: Upstream, time: number): number {
     return id === this.last.upstream.id && this.plan.event === 'unresponsiveness' && time >= eventAt - 900 && time < eventAt ? eventAt : time
@@ -248,7 +238,10 @@
     let nextAt = 0
     for (; this.now < endAt; this.now += 1) {
       const { now } = this
-      if (now % 250 === 0) this.knownEntries = entries.filter(({ startsAt, diesAt }) => now >= startsAt && now < diesAt + 2500).map(({ name }) => name)
+      if (now % 250 === 0) {
+        this.knownEntries = entries.filter(({ startsAt, diesAt }) => now >= startsAt && now < diesAt + deadMilliseconds).map(({ name }) => name)
+        this.silentEntries = entries.filter(({ diesAt }) => now >= diesAt + deadMilliseconds).map(({ name }) => name)
+      }
       if (now === eventAt) this.happen()
       if (now % 50 === 0) for (const server of servers) server.granter.recordReport({ running: server.running, waiting: server.waiting.length } as never, !this.isSwapping(server))
       if (now % 100 === 0 && plan.isEngine) this.report()
@@ -277,7 +270,7 @@
   private report (): void {
     for (const server of this.servers.filter(one => !this.isAgentDead(one))) {
       const report = { kind: 'load', startedAt: 1, orders: 0, running: server.running, waiting: server.waiting.length, model: 'm', version: server === this.last && this.plan.event === 'swap' && this.now >= eventAt ? 2 : 1, isSwapping: this.isSwapping(server), readyInMilliseconds: 0 } as const
-      for (const entry of this.entries) this.post(() => { if (entry.isAlive) entry.pool.applyLoadReport(report, server.upstream.address.split(':')[0] ?? '') })
+      for (const entry of this.entries) this.post(() => { if (entry.isAlive && !entry.isCut) entry.pool.applyLoadReport(report, server.upstream.address.split(':')[0] ?? '') })
     }
   }
 
