--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -1,5 +1,6 @@
 /** Slots of engines as one entry gets them: their agents grant each one. */
 import { concurrencyLimit, enginesToAsk, enginesToAskByTime, type AdmissionLimits, type Candidate } from '../../core/dispatch/placement.js'
+import { encodeOrder } from '../../core/dispatch/rank.js'
 import { SlotRequests, type HeldSlot, type SlotSearch } from '../../core/dispatch/slot-requests.js'
 import type { PaceReport, SlotReply, SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -16,6 +17,10 @@
 /** A candidate with its upstream. */
 export interface ViewedCandidate extends Candidate {
   readonly view: UpstreamView
+  /** Requests that may be there while it starts or recovers; undefined for no such limit. */
+  readonly startAllowance?: number
+  /** Slots that its agent may grant in one second while it is cold; undefined if it is not. */
+  readonly coldLimit?: number
 }
 
 /** Asks agents for slots, and holds those that were granted. */
@@ -44,9 +49,11 @@
   ask (search: SlotSearch, candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number, costOf?: (candidate: ViewedCandidate) => number): void {
     const isFull = (id: string): boolean => this.requests.isFull(id, now)
     const asked = costOf === undefined ? enginesToAsk(candidates, isFull, this.random) : enginesToAskByTime(candidates, costOf, isFull, this.random)
-    for (const { view: { upstream } } of asked) {
+    for (const { view: { upstream }, startAllowance = Infinity, coldLimit } of asked) {
       const number = this.requests.ask(search, upstream.id, now)
-      this.context.send({ kind: 'slot-request', number, limit: concurrencyLimit(upstream.slots, admission) }, ipOf(upstream.address))
+      const limit = Math.min(concurrencyLimit(upstream.slots, admission), startAllowance)
+      const order = search.order === undefined ? {} : { order: encodeOrder(search.order, now) }
+      this.context.send({ kind: 'slot-request', number, limit, ...order, ...coldLimit === undefined ? {} : { coldLimit } }, ipOf(upstream.address))
     }
   }
 
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -128,6 +128,7 @@
       entries: () => this.livingEntries(),
       knownEntries: () => this.members.knownEntries(monotonicNow()),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre),
+      isAdaptive: service => this.profileOf(service).isAdaptive,
       upstreamGone: upstream => {
         if (upstream.isDraining) this.unprovedRuns.recordLeft(incarnationOf(upstream))
         else this.unprovedRuns.recordEnded(incarnationOf(upstream), monotonicNow())
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -2,6 +2,7 @@
 import { answerStartDeadline, streamInactivityTimeoutMilliseconds } from '../../core/dispatch/answer-timeouts.js'
 import { isRepeatable } from '../../core/dispatch/next-step.js'
 import type { CallOutcome } from '../../core/dispatch/upstream-health.js'
+import { basicRank } from '../../core/dispatch/rank.js'
 import { RunEvidence } from '../../core/dispatch/run-evidence.js'
 import type { OpenCall } from '../../core/dispatch/takeover.js'
 import { expectedVersion } from '../../core/weights/start-cutoffs.js'
@@ -9,19 +10,19 @@
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
 import { workOf, type RoutedRequest, type ServingContext } from './routed-request.js'
-import { CallInProgress, type CallResult, type LostReason, type NotRunReason } from './upstream-call.js'
+import type { CallResult, LostReason, NotRunReason } from './call-result.js'
+import { CallInProgress } from './upstream-call.js'
 import type { UpstreamView } from './upstream-view.js'
 import type { EventSink } from './event-sink.js'
 
 /** Timeout of opening a connection, milliseconds: about a hundred round trips between regions. */
 const connectTimeoutMilliseconds = 400
-/** Ranks at an upstream, 0 the most urgent: a late request ranks behind those that can still meet their goal. */
-const ranks = { lateIncrement: 3, maximum: 9 } as const
 
 /** What each kind of loss says about the health of its upstream. */
 const lossEvidence: Readonly<Record<LostReason, CallOutcome | 'none'>> = {
   reset: 'lost',
   'wrong-answer': 'lost',
+  'invalid-status': 'lost',
   'too-large': 'lost',
   incomplete: 'lost',
   silent: 'silent',
@@ -142,7 +143,7 @@
       silent: this.silent,
       lostAfterError: () => { evidence.recordLostAfterError(monotonicNow()) },
       started: isAnswer => {
-        context.pool.recordStarted(upstream.id)
+        context.pool.recordStarted(upstream.id, isAnswer ? now : undefined)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
         if (isAnswer) measured(monotonicNow())
         stopWatching?.()
@@ -207,8 +208,8 @@
   }
 
   private rank (): number {
-    const priority = this.request.organisation?.priority ?? this.request.route.priority
-    return Math.min(ranks.maximum, priority + (this.request.isLate ? ranks.lateIncrement : 0))
+    const { route, organisation, isLate, order } = this.request
+    return order === undefined ? basicRank(route, organisation, isLate) : order.rank
   }
 
   /** Records how a call ended, for the health of its upstream. */
@@ -216,14 +217,14 @@
     const { pool } = this.context
     const { id } = view.upstream
     if (result.kind === 'answer') {
-      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good')
+      pool.recordEnded(id, result.head.status >= 500 ? 'error' : 'good', sentAt)
     } else if (result.kind === 'stream-ended') pool.recordEnded(id, 'good')
     else if (result.kind === 'lost') {
       pool.recordEnded(id, lossEvidence[result.reason], sentAt)
       if (result.reason === 'wrong-answer') this.recordForeignAnswer(id)
     } else {
       this.recordRefusal(id, result.reason)
-      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none')
+      pool.recordEnded(id, result.reason === 'unreachable' ? 'unreachable' : result.reason === 'shed' || result.reason === 'no-connection' ? 'shed' : 'none', sentAt)
       if (result.reason === 'misdirected') pool.recordMisdirected(id)
     }
   }
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -3,6 +3,7 @@
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import type { ServiceProfile } from '../../core/dispatch/service-profile.js'
+import type { OrderedRequest } from '../../core/dispatch/service-order.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
 import type { RequestWork } from '../../core/dispatch/expected-time.js'
 import type { StopTimes } from '../../core/dispatch/stop-admission.js'
@@ -62,6 +63,8 @@
   readonly callerDeadline: number
   /** Whether it is past its latency goal, as a caller's retry after a refusal is. */
   readonly isLate: boolean
+  /** What orders it among others; undefined in a service that is not ranked. */
+  readonly order: OrderedRequest | undefined
 }
 
 /** Work that a request asks of its upstream; what its caller does not state is taken to be typical. */
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,52 +1,88 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
-import { SlotLedger } from '../../core/dispatch/slot-ledger.js'
-import { maximumStatedPace, paceChangeMilliseconds, type StatedPace } from '../../core/dispatch/upstream-pace.js'
+import { ColdGrants } from '../../core/dispatch/cold-rate.js'
+import { decodeOrder } from '../../core/dispatch/rank.js'
+import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
+import { EnginePace } from '../../core/dispatch/engine-pace.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
-import type { PaceReport, SlotRelease, SlotReply, SlotRequest } from '../../types/node-messages.js'
+import type { PaceReport, SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
 
+/** Time between two looks at held requests, milliseconds: short against the time for which they are held. */
+const settleMilliseconds = 5
+
 /** Answers entries from the engine's last report and the grants since. */
 export class SlotGranter {
   private readonly ledger = new SlotLedger()
+  private readonly coldGrants = new ColdGrants()
   private isOpen = false
-  /** Start of the engine by its last report, epoch milliseconds. */
-  private startedAt: number | undefined
-  /** Last pace of that start that an entry has told. */
-  private stated: StatedPace | undefined
+  private timer: NodeJS.Timeout | undefined
+  private readonly pace = new EnginePace()
 
   constructor (private readonly datagrams: DatagramSocket) {}
 
   /** Applies a report that was just received; `isOpen`: the engine has weights and accepts requests. */
   recordReport ({ running, waiting, startedAt }: EngineReport, isOpen: boolean): void {
-    if (startedAt !== this.startedAt) this.stated = undefined
-    this.startedAt = startedAt
+    this.pace.recordStart(startedAt)
     this.ledger.recordCount(running + waiting, monotonicNow())
     this.isOpen = isOpen
+    this.settle()
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
-  answer ({ number, limit }: SlotRequest, ip: string): void {
-    const answer = this.ledger.answer(keyOf(ip, number), this.isOpen ? limit : 0, monotonicNow())
-    if (answer !== undefined) this.datagrams.send({ kind: 'slot-reply', number, ...answer, ...this.statedPace() }, ip)
-  }
-
-  /** Records the pace that the engine has stated to an entry; that of an earlier start and one out of range are ignored. */
-  recordPace ({ startedAt, pace }: PaceReport): void {
-    if (startedAt !== this.startedAt || !(pace > 0 && pace <= maximumStatedPace)) return
-    this.stated = { value: pace, at: monotonicNow() }
+  answer ({ number, limit, order, coldLimit }: SlotRequest, ip: string): void {
+    const now = monotonicNow()
+    const [key, request] = [keyOf(ip, number), decodeOrder(order, now)]
+    const mayGrant = this.coldGrants.mayGrant(coldLimit, now)
+    // Requests that compete are answered together, which could exceed the bound of a cold engine.
+    if (request !== undefined && this.isOpen && !this.coldGrants.isCold(now)) {
+      this.send(this.ledger.compete(key, limit, now, request))
+      this.settleLater()
+      return
+    }
+    const answer = this.ledger.answer(key, this.isOpen && mayGrant ? limit : 0, now)
+    if (answer !== undefined) this.send([{ key, ...answer }])
   }
 
-  /** The last pace as a reply carries it; none once it says nothing any more. */
-  private statedPace (): Pick<SlotReply, 'pace'> {
-    if (this.stated === undefined) return {}
-    const ageMilliseconds = Math.round(monotonicNow() - this.stated.at)
-    return ageMilliseconds > paceChangeMilliseconds ? {} : { pace: { value: this.stated.value, ageMilliseconds } }
+  /** Records the pace that the engine has stated to an entry. */
+  recordPace (report: PaceReport): void {
+    this.pace.record(report, monotonicNow())
   }
 
   /** Takes back a slot that the entry at `ip` has not used. */
   release ({ number }: SlotRelease, ip: string): void {
-    this.ledger.release(keyOf(ip, number))
+    this.coldGrants.release(keyOf(ip, number))
+    this.ledger.release(keyOf(ip, number), monotonicNow())
+    this.settle()
+  }
+
+  /** Stops answering. */
+  stop (): void {
+    clearTimeout(this.timer)
+  }
+
+  private settle (): void {
+    this.send(this.isOpen ? this.ledger.settle(monotonicNow()) : [])
+  }
+
+  /** Looks after held requests until none is left. */
+  private settleLater (): void {
+    if (this.timer !== undefined || !this.ledger.hasHeld) return
+    this.timer = setTimeout(() => {
+      this.timer = undefined
+      this.settle()
+      this.settleLater()
+    }, settleMilliseconds)
+  }
+
+  private send (answers: readonly KeyedAnswer[]): void {
+    const now = monotonicNow()
+    const pace = this.pace.at(now)
+    for (const { key, ...answer } of answers) {
+      const [ip = '', number] = key.split(' ')
+      if (answer.isGranted) this.coldGrants.record(key, now)
+      this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer, ...pace === undefined ? {} : { pace } }, ip)
+    }
   }
 }
 
--- a/test/fakes/uneven-replay.ts
+++ b/test/fakes/uneven-replay.ts
@@ -174,7 +174,7 @@
         return answer?.isGranted === true ? [this.candidate(Number(id), answer.load - 1, 1)] : []
       })
       const chosen = this.choose(state, granted, 0)
-      for (const { id } of granted) if (id !== chosen?.id) this.ledgers[Number(id)]?.release(key)
+      for (const { id } of granted) if (id !== chosen?.id) this.ledgers[Number(id)]?.release(key, this.now)
       if (chosen !== undefined) this.send(entry, Number(chosen.id), arrivedAt, messageMilliseconds)
       else if (this.now - arrivedAt < this.work.goalMilliseconds / 2) this.after(askIntervalMilliseconds, () => { this.ask(entry, arrivedAt) })
     })
--- a/test/upstream-pool.test.ts
+++ b/test/upstream-pool.test.ts
@@ -31,6 +31,7 @@
     entries: () => ['entry-1'],
     knownEntries: () => ['entry-1'],
     isEvacuated: dataCentre => evacuated.includes(dataCentre),
+    isAdaptive: () => false,
     upstreamGone: () => {},
     upstreamLeaves: () => {}
   }, () => service, () => 0)
@@ -116,6 +117,15 @@
   })
 }
 
+test('upstream pool: a service states its pace once an answer of one of its upstreams does', async t => {
+  const pool = makePool()
+  pool.applyAnswerHead(upstream, { ...answered, load: { running: 1, waiting: 0, slots: 16 } }, monotonicNow())
+  t.notOk(pool.statesPace('model-a'), 'a load without a pace')
+  pool.applyAnswerHead(upstream, { ...answered, load: { running: 1, waiting: 0, slots: 16, pace: 2.5 } }, monotonicNow())
+  t.ok(pool.statesPace('model-a'))
+  t.notOk(pool.statesPace('desk'))
+})
+
 test('upstream pool: load reports find their engine after it was removed, listed again and moved to another machine', async t => {
   const pool = makePool()
   const isSwappingAfter = (ip: string): boolean => {
@@ -150,6 +160,7 @@
     },
     knownEntries: () => ['entry-1', 'entry-2'],
     isEvacuated: () => false,
+    isAdaptive: () => false,
     upstreamGone: () => {},
     upstreamLeaves: () => {}
   }, () => service, () => 0)
