--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -3,6 +3,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { CallerAnswer } from './caller-answer.js'
+import type { CallExpectation } from './expected-times.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import type { CallResult } from './call-result.js'
 import { estimateLoad, type UpstreamView } from './upstream-view.js'
@@ -17,6 +18,7 @@
   readonly result: CallResult
   /** When it was sent, milliseconds of the monotonic clock. */
   readonly sentAt: number
+  readonly expectation: CallExpectation
   readonly counts: CallCounts
 }
 
@@ -29,7 +31,7 @@
 }
 
 /** Logs the result of a call and records the times of an answer; -1 stands for a time that is not known. */
-export function logCall (sentence: string, { request, answer, view, result, sentAt, counts }: EndedCall, { metrics, state }: ServingContext): void {
+export function logCall (sentence: string, { request, answer, view, result, sentAt, expectation, counts }: EndedCall, { metrics, state, profileOfService }: ServingContext): void {
   const now = monotonicNow()
   const firstByteMilliseconds = answer.firstByteAt === undefined ? -1 : Math.round(answer.firstByteAt - request.arrivedAt)
   if (result.kind === 'answer' || result.kind === 'stream-ended') {
@@ -42,6 +44,10 @@
     upstream: view.upstream.id,
     load: estimateLoad(view, now),
     loadAgeMilliseconds: view.observedLoad.at === 0 ? -1 : Math.round(sentAt - view.observedLoad.at),
+    placedBy: profileOfService(request.service.name).isPaced ? 'time' : 'number',
+    expectedMilliseconds: expectation.expectedMilliseconds,
+    pace: Math.round(expectation.pace * 100) / 100,
+    paceAgeMilliseconds: expectation.paceAgeMilliseconds,
     version: view.weights?.version ?? 0,
     result: result.kind,
     reason: 'reason' in result ? result.reason : result.kind === 'answer' ? String(result.head.status) : '',
--- a/src/roles/gateway/expected-times.ts
+++ b/src/roles/gateway/expected-times.ts
@@ -1,5 +1,5 @@
 /** Expected times of requests at the upstreams that one entry knows, from the paces that they state and the times of its calls. */
-import { computedTime, expectedTime, placementCost, type ExpectedTime, type RequestWork, type UpstreamEstimate } from '../../core/dispatch/expected-time.js'
+import { computedTime, expectedTime, placementCost, type RequestWork, type UpstreamEstimate } from '../../core/dispatch/expected-time.js'
 import { differsFrom, expectedPace, maximumStatedPace, UpstreamPaces, type StatedPace } from '../../core/dispatch/upstream-pace.js'
 import type { EngineFacts, Upstream } from '../../types/fleet.js'
 import type { SlotReply } from '../../types/node-messages.js'
@@ -11,6 +11,8 @@
 
 /** Time between two log lines about invalid paces of one upstream, milliseconds. */
 const invalidLogMilliseconds = 10_000
+/** Share of a new measurement in the mean of a service of plain upstreams. */
+const plainShare = 0.05
 /** Time of a request at a plain upstream before one of its service has answered, milliseconds. */
 const unmeasuredPlainMilliseconds = 50
 
@@ -21,6 +23,21 @@
   readonly isSameDataCentre: boolean
 }
 
+/** What was expected of a call when it was sent, for its log line. */
+export interface CallExpectation {
+  /** Time to the first event or the plain answer. */
+  readonly expectedMilliseconds: number
+  readonly pace: number
+  /** Age of the last pace that the upstream stated; -1 for none. */
+  readonly paceAgeMilliseconds: number
+}
+
+/** A call whose time is measured. */
+export interface MeasuredCall extends CallExpectation {
+  /** Records that its answer has started. */
+  readonly started: (startedAt: number) => void
+}
+
 /** Paces and measured times of all upstreams of one entry; times in milliseconds of the monotonic clock. */
 export class ExpectedTimes {
   private readonly paces = new UpstreamPaces()
@@ -65,9 +82,11 @@
     return placementCost(this.estimate(candidate, now), work)
   }
 
-  /** Expected times of a request at an upstream. */
-  expectedAt (candidate: TimedUpstream, work: RequestWork, now: number): ExpectedTime {
-    return expectedTime(this.estimate(candidate, now), work)
+  /** Expected time to the first event or the plain answer of a typical request, milliseconds. */
+  typicalMilliseconds (view: UpstreamView, now: number): number {
+    const engine = this.engineOf(view.upstream.service)
+    const work = { promptTokens: engine?.typicalPromptTokens ?? 0, answerTokens: engine?.typicalAnswerTokens ?? 0, goalMilliseconds: 0 }
+    return Math.round(expectedTime(this.estimate({ view, load: this.loadOf(view, now), isSameDataCentre: true }, now), work).firstEvent)
   }
 
   /** Requests expected at an upstream: those of this entry, and those of the others, see `UpstreamPaces.othersAt`. */
@@ -89,19 +108,17 @@
     return stated === undefined ? -1 : Math.round(now - stated.at)
   }
 
-  /** Begins to measure a request that is sent at `now`; the returned function is called when its answer starts. */
-  measure (view: UpstreamView, work: RequestWork, now: number): (startedAt: number) => void {
+  /** Begins to measure a request that is sent at `now`. */
+  measure (view: UpstreamView, work: RequestWork, now: number): MeasuredCall {
     const { upstream } = view
     const candidate = { view, load: this.loadOf(view, now), isSameDataCentre: true }
-    const { firstEvent } = computedTime(this.estimate(candidate, now), work)
-    const prior = this.unmeasured(upstream.service)
-    const pace = this.paces.paceOf(upstream.id, upstream.startedAt, now)
-    return startedAt => {
-      const quotient = (startedAt - now) / (firstEvent * pace)
-      this.paces.recordMeasured(upstream.id, upstream.startedAt, quotient, prior)
-      if (this.engineOf(upstream.service) !== undefined || !(quotient > 0)) return
-      const mean = this.plainMilliseconds.get(upstream.service) ?? quotient
-      this.plainMilliseconds.set(upstream.service, mean + (quotient - mean) / 20)
+    const estimate = this.estimate(candidate, now)
+    const { firstEvent } = computedTime(estimate, work)
+    return {
+      expectedMilliseconds: Math.round(expectedTime(estimate, work).firstEvent),
+      pace: estimate.pace,
+      paceAgeMilliseconds: this.ageOf(upstream, now),
+      started: startedAt => { this.recordMeasured(upstream, (startedAt - now) / (firstEvent * estimate.pace)) }
     }
   }
 
@@ -112,6 +129,13 @@
     this.nextInvalidLogAt.delete(id)
   }
 
+  private recordMeasured ({ id, startedAt, service }: Upstream, quotient: number): void {
+    this.paces.recordMeasured(id, startedAt, quotient, this.unmeasured(service))
+    if (this.engineOf(service) !== undefined || !(quotient > 0)) return
+    const mean = this.plainMilliseconds.get(service) ?? quotient
+    this.plainMilliseconds.set(service, mean + (quotient - mean) * plainShare)
+  }
+
   private estimate ({ view, load, isSameDataCentre }: TimedUpstream, now: number): UpstreamEstimate {
     const { id, startedAt, slots, service } = view.upstream
     const engine = this.engineOf(service)
--- a/src/roles/gateway/gateway-metrics.ts
+++ b/src/roles/gateway/gateway-metrics.ts
@@ -34,6 +34,9 @@
     metrics.set('upstream_resting', { upstream: view.upstream.id }, pool.availability.isResting(view.upstream) ? 1 : 0)
     metrics.set('upstream_start_allowance', { upstream: view.upstream.id }, Math.floor(pool.paces.allowanceOf(view) ?? -1))
     metrics.set('upstream_limit', { upstream: view.upstream.id }, limits.perSecond(view.upstream) ?? -1)
+    if (!pool.statesPace(view.upstream.service)) continue
+    metrics.set('upstream_pace', { upstream: view.upstream.id }, pool.times.paceOf(view.upstream, now))
+    metrics.set('upstream_expected_milliseconds', { upstream: view.upstream.id }, pool.times.typicalMilliseconds(view, now))
   }
   return metrics.render()
 }
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -9,6 +9,7 @@
 import { monotonicNow } from '../../utils/clock.js'
 import { incarnationOf, recordCallEnd } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
+import type { CallExpectation } from './expected-times.js'
 import { workOf, type RoutedRequest, type ServingContext } from './routed-request.js'
 import type { CallResult, LostReason, NotRunReason } from './call-result.js'
 import { CallInProgress } from './upstream-call.js'
@@ -35,6 +36,7 @@
 export interface EndedAttempt {
   readonly view: UpstreamView
   readonly sentAt: number
+  readonly expectation: CallExpectation
   readonly result: CallResult
 }
 
@@ -145,7 +147,7 @@
       started: isAnswer => {
         context.pool.recordStarted(upstream.id, isAnswer ? now : undefined)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
-        if (isAnswer) measured(monotonicNow())
+        if (isAnswer) measured.started(monotonicNow())
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call, () => { evidence.recordFirstEvent(monotonicNow()) }) : undefined)
@@ -156,7 +158,7 @@
     this.inProgress.set(call, incarnationOf(upstream))
     call.result.then(result => {
       recordCallEnd(evidence, result)
-      this.handleEnd(call, { view, sentAt: now, result })
+      this.handleEnd(call, { view, sentAt: now, expectation: measured, result })
     }, () => {})
   }
 
