--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -225,9 +225,9 @@
 
   private candidateOf (view: UpstreamView, { admission, service, work }: UpstreamRequirements, entries: number, now: number): ViewedCandidate {
     const { context } = this
+    const load = work === undefined ? estimateLoad(view, now) : this.state.times.loadOf(view, now)
     const startAllowance = this.state.paces.allowanceOf(view)
     const isCold = view.coldUntil > now && service.coldRequestsPerSecond > 0 && context.isAdaptive(service.name)
-    const load = work === undefined ? estimateLoad(view, now) : this.state.times.loadOf(view, now)
     return {
       ...startAllowance === undefined ? {} : { startAllowance: Math.floor(startAllowance) },
       ...isCold ? { coldLimit: coldGrants(coldBoundsOf(service, context)) } : {},
