Refusals: entries decide by expected times where a service asks for it

Cause: an entry refused at random whatever the rank, admitted eight waiting requests whatever could be served, and took the repeats of callers that ignore Retry-After like any other request. Behind a queued request, others were not told from an outage and were refused after 80 ms.

Change: RefusalDecision holds the decisions of one request. In an adaptive service: the queue's limit follows from the expected wait; while no engine serves and it is known when one will, as many requests wait as engines can then start by the latest time, and leave the queue once none is expected in time any more; late and queued requests are always offered; in a ranked service the least urgent requests bear the refused share first, at most 0.75 of a priority; requests with a body that come too early after two refusals are refused at once with the time told before. Other services get the decisions of before.

Not yet measured under load.

--- a/src/core/dispatch/expected-wait.ts
+++ b/src/core/dispatch/expected-wait.ts
@@ -9,6 +9,8 @@
 /** Length of one count, milliseconds. */
 const countMilliseconds = 100
 const counts = windowMilliseconds / countMilliseconds
+/** Priorities from 0 on that are told apart. */
+const priorities = 10
 /** Starts in the window below which the rate is not known. */
 const minimumStarts = 4
 /** Requests that wait while the rate is not known: few enough to be served by one engine within a goal. */
@@ -52,6 +54,8 @@
 export class ExpectedWaits {
   private readonly starts = new RecentRate()
   private readonly onTimeArrivals = new RecentRate()
+  /** On-time arrivals by priority, the most urgent first. */
+  private readonly byPriority = Array.from({ length: priorities }, () => new RecentRate())
   /** Requests that were told to return, by the number of the count in which they do. */
   private readonly returns = new Map<number, number>()
 
@@ -61,8 +65,15 @@
   }
 
   /** Records that a request has arrived. */
-  recordArrival (now: number, isLate: boolean): void {
-    if (!isLate) this.onTimeArrivals.record(now)
+  recordArrival (now: number, isLate: boolean, priority: number): void {
+    if (isLate) return
+    this.onTimeArrivals.record(now)
+    this.byPriority[priority]?.record(now)
+  }
+
+  /** On-time arrivals in the window by priority, the most urgent first. */
+  arrivalsByPriority (now: number): readonly number[] {
+    return this.byPriority.map(rate => rate.count(now))
   }
 
   /** Starts a second that a request may expect to share with those ahead of it; a late one gets what on-time ones leave. Undefined while that is not known. */
--- a/src/core/dispatch/first-event-waits.ts
+++ b/src/core/dispatch/first-event-waits.ts
@@ -58,6 +58,18 @@
   return Math.max(0, Math.min(maximumRefusedShare, share))
 }
 
+/**
+ * The part of `share` that requests of one priority bear in a ranked service, where the least urgent are refused first;
+ * `arrivals` by priority, the most urgent first. No priority bears more than the largest refused share, so that each is served.
+ */
+export function refusedShareOfPriority (share: number, priority: number, arrivals: readonly number[]): number {
+  const total = arrivals.reduce((sum, count) => sum + count, 0)
+  let left = share * total
+  for (let other = arrivals.length - 1; other > priority; other -= 1) left -= Math.min(left, (arrivals[other] ?? 0) * maximumRefusedShare)
+  const own = arrivals[priority] ?? 0
+  return own === 0 ? share : Math.min(maximumRefusedShare, left / own)
+}
+
 function medianOf (numbers: readonly number[]): number {
   return [...numbers].sort((left, right) => left - right)[Math.floor(numbers.length / 2)] ?? 0
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -1,12 +1,10 @@
 /** Dispatches one request: selects upstreams, calls them one after another, and answers or fails. */
 import type { ServerResponse } from 'node:http'
 import { admissionFor } from '../../core/dispatch/admission.js'
-import { permitDeadline, queueDeadline, repeatDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
-import { refusedShare } from '../../core/dispatch/first-event-waits.js'
+import { permitDeadline, repeatDeadline, type PlacementFailure } from '../../core/dispatch/queueing.js'
 import { SlotSearch } from '../../core/dispatch/slot-requests.js'
 import { countAttempts, nextStep, type RequestProgress } from '../../core/dispatch/next-step.js'
 import { mayTakeOver, stepAfterEnd, type CallYield } from '../../core/dispatch/takeover.js'
-import { chooseRetryAt } from '../../core/dispatch/caller-retry.js'
 import { regionsFor } from '../../core/fleet/match-route.js'
 import { createFailure, type FailureTag } from '../../errors.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -14,6 +12,7 @@
 import { logCall, logFailure } from './call-log.js'
 import { crashFailure } from './call-evidence.js'
 import type { CallerAnswer } from './caller-answer.js'
+import { RefusalDecision, type NoUpstream } from './refusal-decision.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
 import { RequestCalls, type EndedAttempt } from './request-calls.js'
 import type { CallResult, NotRunReason } from './upstream-call.js'
@@ -26,8 +25,6 @@
 const timerToleranceMilliseconds = 5
 /** Results of calls of which the upstream received nothing; another one needs no retry budget. */
 const unsentReasons: ReadonlySet<NotRunReason> = new Set(['unreachable', 'no-connection', 'withdrawn'])
-/** Share of requests to refuse, as `refusedShare` gives it, above which late requests are queued instead of sent. */
-const lateRefusalThreshold = 0.2
 /** Interval at which a request that is silent everywhere looks for another upstream, milliseconds. */
 const takeoverIntervalMilliseconds = 100
 
@@ -35,8 +32,7 @@
 export class RequestDispatch {
   private readonly calls: RequestCalls
   private readonly callerDisconnect = new AbortController()
-  /** Random number in [0, 1), one for all refusal checks of the request. */
-  private readonly refusalSample: number
+  private readonly decision: RefusalDecision
   private noSlotReason: PlacementFailure = 'full'
   /** Calls whose upstream may have run the request. */
   private ran = 0
@@ -51,7 +47,7 @@
   private isOver = false
 
   constructor (private readonly context: ServingContext, private readonly request: RoutedRequest, private readonly answer: CallerAnswer, private readonly response: ServerResponse) {
-    this.refusalSample = context.random()
+    this.decision = new RefusalDecision(context, request)
     this.calls = new RequestCalls(context, request, answer, () => { this.considerTakeover() })
     response.on('close', () => {
       if (response.writableFinished) return
@@ -62,6 +58,11 @@
 
   async run (): Promise<void> {
     if (this.response.destroyed) return
+    const returnAt = this.decision.returnTimeOfRepeat()
+    if (returnAt !== undefined) {
+      this.fail('busy', 'early-repeat', returnAt)
+      return
+    }
     let view = await this.acquireSlot()
     while (view !== undefined) {
       this.startCall(view)
@@ -140,6 +141,8 @@
   private async acquireSlot (): Promise<UpstreamView | undefined> {
     this.search = new SlotSearch()
     const mustQueue = !this.mayHaveRun && this.context.queueOf(this.request.service.name).hasRequestsAhead(this.request.isLate)
+    // Behind others the request is not offered now, but during an outage it waits for its end as they do.
+    if (mustQueue && this.decision.isAdaptive && this.chooseUpstream(undefined) === 'no-weights') this.noSlotReason = 'no-weights'
     const view = (mustQueue ? undefined : this.tryAcquireSlot()) ?? await this.waitForSlot()
     const hasLeft = this.callerDisconnect.signal.aborted
     const tag = view === undefined ? undefined : crashFailure(this.context.suspects, this.request.traits, this.attempts)
@@ -157,7 +160,7 @@
 
   /** Takes a slot at an upstream; without a free one it sets `noSlotReason` and returns undefined. */
   private tryAcquireSlot (): UpstreamView | undefined {
-    const view = this.isRefusedForOverload() ? 'waits' : this.chooseUpstream(this.search)
+    const view = !this.mayHaveRun && this.decision.isRefusedForOverload() ? 'waits' : this.chooseUpstream(this.search)
     if (typeof view === 'string') {
       this.noSlotReason = view
       return undefined
@@ -172,17 +175,14 @@
     const queue = context.queueOf(request.service.name)
     const until = this.mayHaveRun
       ? this.deadlineOfRepeat()
-      : queueDeadline({
-        now: monotonicNow(),
-        arrivedAt: request.arrivedAt,
-        deadline: request.deadline,
-        goalMilliseconds: request.route.latencyGoalMilliseconds,
-        isLate: request.isLate,
-        reason: this.noSlotReason,
-        expectedAt: this.expectedAt(),
-        waiting: queue.count(request.isLate)
-      })
-    const view = until === undefined ? undefined : await queue.wait(request.isLate, until, () => this.tryAcquireSlot(), this.callerDisconnect.signal)
+      : this.decision.queueDeadline(this.noUpstream(), queue.count(request.isLate))
+    const hopeless = new AbortController()
+    const takeSlot = (): UpstreamView | undefined => {
+      const view = this.tryAcquireSlot()
+      if (view === undefined && !this.mayHaveRun && this.noSlotReason === 'no-weights' && this.decision.isHopeless(this.noUpstream())) hopeless.abort()
+      return view
+    }
+    const view = until === undefined ? undefined : await queue.wait(request.isLate, until, takeSlot, AbortSignal.any([this.callerDisconnect.signal, hopeless.signal]))
     if (view === undefined && !this.callerDisconnect.signal.aborted) this.failWithoutSlot()
     return view
   }
@@ -196,15 +196,6 @@
     return undefined
   }
 
-  /** Whether first events take so long that this request gets no slot now: at random by the refused share, or above a threshold if it is late. */
-  private isRefusedForOverload (): boolean {
-    const { request, context } = this
-    if (request.service.engine === undefined || this.mayHaveRun) return false
-    const wait = context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow())
-    const share = refusedShare(wait, request.route.latencyGoalMilliseconds, request.isLate)
-    return request.isLate ? share > lateRefusalThreshold : this.refusalSample < share
-  }
-
   private chooseUpstream (search: SlotSearch | undefined): UpstreamView | SelectionFailure {
     const { request, context } = this
     const { engine } = request.service
@@ -269,24 +260,23 @@
     return false
   }
 
-  /** When an upstream is expected to take the request: to serve at all or, where only rests or limits prevent it, after its rest or within its limit. */
-  private expectedAt (): number | undefined {
-    return this.context.pool.expectedAt(this.request.service.name, this.noSlotReason)
+  /** Why no upstream takes the request, and when one is expected to: to serve at all or, where only rests or limits prevent it, after its rest or within its limit. */
+  private noUpstream (): NoUpstream {
+    return { reason: this.noSlotReason, expectedAt: this.context.pool.expectedAt(this.request.service.name, this.noSlotReason) }
   }
 
   private failWithoutSlot (): void {
     this.fail(this.mayHaveRun ? 'upstream-lost' : this.noSlotReason === 'no-weights' ? 'no-weights' : 'busy', this.noSlotReason)
   }
 
-  /** Sends a failure to the caller; `noSlotReason` is set when no upstream could be called. */
-  private fail (tag: FailureTag, noSlotReason = ''): void {
+  /** Sends a failure to the caller; `noSlotReason` is set when no upstream could be called, `returnAt` when its caller was told before when to return. */
+  private fail (tag: FailureTag, noSlotReason = '', returnAt?: number): void {
     const { request, context } = this
     const now = monotonicNow()
     const failure = createFailure(tag)
     const isRefusal = failure.outcome === 'not-run' && !tag.startsWith('crashing')
-    const isOutage = noSlotReason === 'no-weights' || noSlotReason === 'no-upstream'
-    const expectedAt = isOutage ? this.expectedAt() ?? Infinity : noSlotReason === 'limited' || noSlotReason === 'resting' ? this.expectedAt() : undefined
-    const retryAt = isRefusal ? chooseRetryAt(now, request.callerDeadline, expectedAt, context.random) : now
+    const waiting = context.queueOf(request.service.name).count(request.isLate)
+    const retryAt = !isRefusal ? now : returnAt ?? this.decision.retryAt(now, noSlotReason === '' ? undefined : this.noUpstream(), waiting)
     this.answer.fail(failure, isRefusal ? retryAt - now : undefined)
     context.metrics.count('refusals_total', { reason: tag })
     logFailure({ request, tag, noSlotReason, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused, now, retryAt }, context)
--- a/src/roles/gateway/expected-at.ts
+++ b/src/roles/gateway/expected-at.ts
@@ -20,6 +20,12 @@
   return firstOf(views.map(({ upstream, readyAt }) => isEvacuated(upstream.dataCentre) ? undefined : readyAt))
 }
 
+/** Requests that upstreams which do not serve now, but will, can start by `latest` together, at one in each interval. */
+export function startsUntil (views: readonly UpstreamView[], latest: number, intervalMilliseconds: number, now: number, isEvacuated: ExpectationContext['isEvacuated']): number {
+  const ready = views.flatMap(({ upstream, readyAt }) => readyAt === undefined || isEvacuated(upstream.dataCentre) ? [] : [Math.max(now, readyAt)])
+  return ready.reduce((sum, readyAt) => sum + Math.max(0, latest - readyAt) / intervalMilliseconds, 0)
+}
+
 /** Undefined also while the entry that grants the permits of one of them has not answered yet. */
 function firstPermitAt (views: readonly UpstreamView[], limits: UpstreamLimits): number | undefined {
   const times = views.flatMap(({ upstream }) => limits.isLimited(upstream) ? [limits.expectedAt(upstream)] : [])
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -1,5 +1,7 @@
 /** The role of an entry that calls upstreams directly: its servers, its followers of records, and its start and stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { EarlyRepeats } from '../../core/dispatch/early-repeats.js'
+import { ExpectedWaits } from '../../core/dispatch/expected-wait.js'
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import { profileOf } from '../../core/dispatch/service-profile.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
@@ -64,6 +66,7 @@
 class Gateway implements RunningNode {
   private readonly metrics = new Metrics()
   private readonly firstEventWaits = new Map<string, FirstEventWaits>()
+  private readonly expectedWaits = new Map<string, ExpectedWaits>()
   private readonly queues = new Map<string, RequestQueue>()
   private readonly members: Membership
   private readonly state: FleetState
@@ -178,6 +181,8 @@
       }),
       metrics: this.metrics,
       firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
+      expectedWaitsOf: service => getOrCreate(this.expectedWaits, service, () => new ExpectedWaits()),
+      earlyRepeats: new EarlyRepeats(),
       profileOfService: service => profileOf(settings.dispatchMode, this.state.isRanked(service), this.pool.statesPace(service)),
       queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
       random: Math.random,
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -144,6 +144,7 @@
       started: isAnswer => {
         context.pool.recordStarted(upstream.id)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
+        if (isAnswer) context.expectedWaitsOf(request.service.name).recordStart(monotonicNow())
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call, () => { evidence.recordFirstEvent(monotonicNow()) }) : undefined)
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -1,6 +1,8 @@
 /** A request with its route, and the components that all requests share. */
 import type { IncomingMessage } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
+import type { EarlyRepeats } from '../../core/dispatch/early-repeats.js'
+import type { ExpectedWaits } from '../../core/dispatch/expected-wait.js'
 import type { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import type { ServiceProfile } from '../../core/dispatch/service-profile.js'
 import type { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
@@ -28,6 +30,9 @@
   readonly metrics: Metrics
   /** Times to the first event lately at a service. */
   firstEventWaitsOf (service: string): FirstEventWaits
+  /** Expected waits for a service. */
+  expectedWaitsOf (service: string): ExpectedWaits
+  readonly earlyRepeats: EarlyRepeats
   /** Which dispatch decisions a service asks for now. */
   profileOfService (service: string): ServiceProfile
   /** Queue of a service's requests that wait for a free slot. */
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -9,7 +9,7 @@
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { UpstreamAvailability } from './upstream-availability.js'
-import { expectedAt } from './expected-at.js'
+import { expectedAt, startsUntil } from './expected-at.js'
 import { Responsiveness } from './responsiveness.js'
 import { coldBoundsOf, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
 import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
@@ -175,6 +175,12 @@
     return expectedAt(views, reason, this.availability, this.context)
   }
 
+  /** Requests that upstreams of a service which do not serve now, but will, can start by `latest`, milliseconds of the monotonic clock, at one in each interval. */
+  startsUntil (service: string, latest: number, intervalMilliseconds: number): number {
+    const views = [...this.views.values()].filter(({ upstream }) => upstream.service === service)
+    return startsUntil(views, latest, intervalMilliseconds, monotonicNow(), this.context.isEvacuated)
+  }
+
   /** Whether an upstream of a service has stated how fast it works. */
   statesPace (service: string): boolean {
     return this.pacedServices.has(service)
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -117,7 +117,7 @@
   private dispatch (request: SimulatedRequest): void {
     const entry = this.entries[request.entry]
     if (entry === undefined) return
-    entry.expected.recordArrival(this.now, request.isLate)
+    entry.expected.recordArrival(this.now, request.isLate, replayRoute.priority)
     if (this.now >= (this.load.steps?.at(-1)?.from ?? Infinity)) this.attemptsAfterSteps.push(this.now)
     const hasRequestsAhead = entry.queue.some(({ isLate }) => request.isLate || !isLate)
     if (!hasRequestsAhead && this.place(request, entry)) return
