Refusals: requests wait for the end of an outage behind those that arrive then

Cause: requests that waited for the end of an outage were offered at once and before those that arrived then.

Change: one that waits past its goal goes behind those that can still meet theirs; as many wait as can start besides the arrivals of before the outage; they are offered one after another at the rate at which the upstreams can start them.

--- a/src/core/dispatch/expected-wait.ts
+++ b/src/core/dispatch/expected-wait.ts
@@ -71,6 +71,11 @@
     this.byPriority[priority]?.record(now)
   }
 
+  /** Requests that a service which starts `servable` of them by `latest` can start behind the on-time ones that arrive from `from` on. */
+  servableBehindArrivals (servable: number, from: number, latest: number, now: number): number {
+    return Math.max(0, servable - this.onTimeArrivals.perSecond(now) * Math.max(0, latest - from) / 1000)
+  }
+
   /** On-time arrivals in the window by priority, the most urgent first. */
   arrivalsByPriority (now: number): readonly number[] {
     return this.byPriority.map(rate => rate.count(now))
--- a/src/core/dispatch/queueing.ts
+++ b/src/core/dispatch/queueing.ts
@@ -86,6 +86,15 @@
   return reason === 'limited' || reason === 'resting' ? usualDeadline(context) : until
 }
 
+/**
+ * Time from which a request that waits for the end of an outage is offered to upstreams: those that wait follow each other at the
+ * rate at which `servable` of them can start from `expectedAt` to `latest`. If all were offered at once, upstreams would read their prompts
+ * for so long that requests which arrive then miss their goals.
+ */
+export function offeredFrom (expectedAt: number, latest: number, ahead: number, servable: number): number {
+  return servable <= 0 ? expectedAt : expectedAt + (latest - expectedAt) * Math.min(1, ahead / servable)
+}
+
 /** The same where only limits prevent the request: until the permit that was asked for can be there; refused at once when the next one is known to come later than the request may wait. */
 function limitedDeadline ({ now, deadline, expectedAt }: QueueingContext, until: number): number | undefined {
   if (expectedAt === undefined) return Math.max(until, permitDeadline(now, deadline))
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -160,6 +160,7 @@
 
   /** Takes a slot at an upstream; without a free one it sets `noSlotReason` and returns undefined. */
   private tryAcquireSlot (): UpstreamView | undefined {
+    if (!this.mayHaveRun && this.decision.isHeldBack()) return undefined
     const view = !this.mayHaveRun && this.decision.isRefusedForOverload() ? 'waits' : this.chooseUpstream(this.search)
     if (typeof view === 'string') {
       this.noSlotReason = view
@@ -175,14 +176,14 @@
     const queue = context.queueOf(request.service.name)
     const until = this.mayHaveRun
       ? this.deadlineOfRepeat()
-      : this.decision.queueDeadline(this.noUpstream(), queue.count(request.isLate))
+      : this.decision.queueDeadline(this.noUpstream(), queue.count(this.noSlotReason === 'no-weights' && this.decision.isAdaptive ? true : request.isLate))
     const hopeless = new AbortController()
     const takeSlot = (): UpstreamView | undefined => {
       const view = this.tryAcquireSlot()
       if (view === undefined && !this.mayHaveRun && this.noSlotReason === 'no-weights' && this.decision.isHopeless(this.noUpstream())) hopeless.abort()
       return view
     }
-    const view = until === undefined ? undefined : await queue.wait(request.isLate, until, takeSlot, AbortSignal.any([this.callerDisconnect.signal, hopeless.signal]))
+    const view = until === undefined ? undefined : await queue.wait(this.decision.isBehind, until, takeSlot, AbortSignal.any([this.callerDisconnect.signal, hopeless.signal]))
     if (view === undefined && !this.callerDisconnect.signal.aborted) this.failWithoutSlot()
     return view
   }
@@ -202,7 +203,7 @@
     return context.pool.choose({
       service: request.service,
       regions: regionsFor(request.route, request.organisation),
-      admission: admissionFor({ route: request.route, engine, isLate: request.isLate && !this.answer.hasBegun, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
+      admission: admissionFor({ route: request.route, engine, isLate: this.decision.isBehind && !this.answer.hasBegun, waitMilliseconds: context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow()) }),
       tried: this.calls.tried,
       minimumVersion: this.minimumVersion(),
       streamVersion: this.calls.startedBy?.weights?.version,
--- a/src/roles/gateway/refusal-decision.ts
+++ b/src/roles/gateway/refusal-decision.ts
@@ -2,7 +2,7 @@
 import { answerMilliseconds, completionIntervalMilliseconds } from '../../core/dispatch/admission.js'
 import { chooseRetryAt, retryTimes } from '../../core/dispatch/caller-retry.js'
 import { refusedShare, refusedShareOfPriority } from '../../core/dispatch/first-event-waits.js'
-import { expectedDeadline, queueDeadline, type PlacementFailure, type QueueingContext } from '../../core/dispatch/queueing.js'
+import { expectedDeadline, offeredFrom, queueDeadline, type PlacementFailure, type QueueingContext } from '../../core/dispatch/queueing.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { logFor } from '../../utils/log.js'
 import type { RoutedRequest, ServingContext } from './routed-request.js'
@@ -30,12 +30,17 @@
   private readonly isRanked: boolean
   /** Whether it has been admitted to the queue. */
   private isQueued = false
+  /** When it is offered to upstreams for the first time. */
+  private offeredFrom = 0
+  /** Whether it goes behind requests that can still meet their goal: it is late, or waits for the end of an outage past its goal. */
+  isBehind: boolean
 
   constructor (private readonly context: ServingContext, private readonly request: RoutedRequest) {
     this.sample = context.random()
     const profile = context.profileOfService(request.service.name)
     this.isAdaptive = profile.isAdaptive
     this.isRanked = profile.isRanked
+    this.isBehind = request.isLate
     if (this.isAdaptive) this.waits.recordArrival(monotonicNow(), request.isLate, this.priority)
   }
 
@@ -65,9 +70,14 @@
     if (!this.isAdaptive) return queueDeadline(queueing)
     const answerMilliseconds = this.answerMilliseconds(now)
     const waitMilliseconds = this.waits.waitMilliseconds(request.isLate, waiting, now)
-    const until = expectedDeadline(queueing, { waitMilliseconds, answerMilliseconds, queued: waiting, servable: reason === 'no-weights' ? this.servable(request.deadline - answerMilliseconds) : 0 })
+    const until = expectedDeadline(queueing, { waitMilliseconds, answerMilliseconds, queued: waiting, servable: reason === 'no-weights' ? this.servable(expectedAt ?? Infinity, request.deadline - answerMilliseconds) : 0 })
     if (until === undefined) return undefined
     this.isQueued = true
+    if (reason === 'no-weights' && expectedAt !== undefined && expectedAt > request.arrivedAt + request.route.latencyGoalMilliseconds) {
+      this.isBehind = true
+      const latest = request.deadline - answerMilliseconds
+      this.offeredFrom = offeredFrom(expectedAt, latest, waiting, this.startsUntil(latest))
+    }
     context.metrics.count('waiting_requests_total', { service: request.service.name, reason })
     log.info('request waits for an upstream', { id: request.caller.id, route: request.route.name, service: request.service.name, reason, ahead: waiting, expectedWaitMilliseconds: Math.round(waitMilliseconds), expectedMilliseconds: expectedAt === undefined ? -1 : Math.round(expectedAt - now), untilMilliseconds: Math.round(until - now), isLate: request.isLate })
     return until
@@ -96,12 +106,21 @@
     return this.waits.returnAt(earliest, latest, waiting, now, context.random)
   }
 
-  /** Requests of this entry that upstreams which are about to serve can start by `latest`; a fraction is rounded at random. */
-  private servable (latest: number): number {
+  /** Whether the request is not offered yet, as others that waited for the end of an outage go first. */
+  isHeldBack (): boolean {
+    return monotonicNow() < this.offeredFrom
+  }
+
+  /** Requests of this entry that upstreams which are about to serve can start by `latest`, on-time ones that arrive by then included. */
+  private startsUntil (latest: number): number {
     const { request: { service }, context } = this
     if (service.engine === undefined) return 0
-    const servable = context.pool.startsUntil(service.name, latest, completionIntervalMilliseconds(service.engine)) / Math.max(1, context.entryCount())
-    return Math.floor(servable + this.sample)
+    return context.pool.startsUntil(service.name, latest, completionIntervalMilliseconds(service.engine)) / Math.max(1, context.entryCount())
+  }
+
+  /** The same without those that arrive from `from` on; a fraction is rounded at random. */
+  private servable (from: number, latest: number): number {
+    return Math.floor(this.waits.servableBehindArrivals(this.startsUntil(latest), from, latest, monotonicNow()) + this.sample)
   }
 
   /** Usual time from sending the request to the end of its answer. */
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -2,14 +2,14 @@
  * Simulates a load of streams on batching engines, behind entries that decide with the functions of `src/core/dispatch`
  * and learn of each other's requests one load report late. Times in milliseconds from the start.
  */
-import { admissionFor, answerMilliseconds } from '../../src/core/dispatch/admission.js'
+import { admissionFor, answerMilliseconds, completionIntervalMilliseconds } from '../../src/core/dispatch/admission.js'
 import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
 import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
 import { chooseRetryAt, retryTimes } from '../../src/core/dispatch/caller-retry.js'
 import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { expectedDeadline, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
+import { expectedDeadline, offeredFrom, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
 import type { EngineFacts, Route } from '../../src/types/fleet.js'
 import { peakOf, type ReplayLoad, type ReplayOutcome } from './replay-outcome.js'
 import { ReplayEntry, type Message } from './replay-entry.js'
@@ -66,6 +66,7 @@
   private refusedOnce = 0
   private refusedTwice = 0
   private longestUnoffered = 0
+  private longestInVain = 0
   /** Attempts that arrived after the last step. */
   private readonly attemptsAfterSteps: number[] = []
   private refusedBesideFreeSlots = 0
@@ -98,7 +99,7 @@
       if (this.now % pollMilliseconds === 0) for (const entry of this.entries) this.pollQueue(entry)
       this.engines.forEach((engine, index) => { this.advance(engine, index) })
     }
-    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, longestInVain: this.longestInVain, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
   }
 
   private arrivalsPerSecondAt (at: number): number {
@@ -107,7 +108,7 @@
 
   private createRequest (at: number): SimulatedRequest {
     const spread = (mean: number): number => mean * (0.3 + 1.4 * this.arrivalRandom())
-    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0 }
+    return { number: this.nextNumber++, isLate: false, isRetry: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0, queuedAt: 0, offeredFrom: 0 }
   }
 
   private pickEntry (): number {
@@ -123,22 +124,50 @@
     if (!hasRequestsAhead && this.place(request, entry)) return
     const until = this.deadlineInQueue(request, entry)
     if (until === undefined) this.refuse(request)
-    else entry.queue.push({ ...request, until, offeredAt: this.now })
+    else entry.queue.push({ ...request, isLate: request.isLate || this.isBehind(request), until, offeredAt: this.now, queuedAt: this.now, offeredFrom: this.offeredFrom(request, entry) })
   }
 
   /** Time until which a request may be queued; undefined if it is refused at once. */
   private deadlineInQueue (request: SimulatedRequest, entry: ReplayEntry): number | undefined {
-    const waiting = entry.queue.filter(({ isLate }) => isLate === request.isLate).length
-    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting }
+    const countsLate = request.isLate || (this.isOutage && this.load.isAdaptive === true)
+    const waiting = entry.queue.filter(({ isLate }) => isLate === countsLate).length
+    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isOutage ? 'no-weights' : this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: this.expectedAt, waiting }
     if (this.load.isAdaptive !== true) return queueDeadline(context)
+    const latest = request.deadline - answerMilliseconds(this.facts)
     return expectedDeadline(context, {
       waitMilliseconds: entry.expected.waitMilliseconds(request.isLate, waiting, this.now),
       answerMilliseconds: answerMilliseconds(this.facts),
       queued: waiting,
-      servable: 0
+      servable: Math.floor(entry.expected.servableBehindArrivals(this.servable(latest), this.expectedAt ?? Infinity, latest, this.now) + this.random())
     })
   }
 
+  /** Whether a request that waits for the end of an outage past its goal goes behind those that can still meet theirs. */
+  private isBehind ({ arrivedAt }: SimulatedRequest): boolean {
+    return this.load.isAdaptive === true && (this.expectedAt ?? 0) > arrivedAt + replayRoute.latencyGoalMilliseconds
+  }
+
+  private offeredFrom (request: SimulatedRequest, entry: ReplayEntry): number {
+    if (!this.isBehind(request)) return 0
+    const latest = request.deadline - answerMilliseconds(this.facts)
+    return offeredFrom(this.expectedAt ?? this.now, latest, entry.queue.length, this.servable(latest))
+  }
+
+  private get isOutage (): boolean {
+    const { outage } = this.load
+    return outage !== undefined && this.now >= outage.from && this.now < outage.until
+  }
+
+  /** When engines are expected to serve; undefined if they do, or if that is not known. */
+  private get expectedAt (): number | undefined {
+    return this.isOutage && this.load.outage?.isEndKnown === true ? this.load.outage.until : undefined
+  }
+
+  /** Requests of one entry that the engines can start after the outage until `latest`. */
+  private servable (latest: number): number {
+    return Math.max(0, latest - (this.expectedAt ?? latest)) / completionIntervalMilliseconds(this.facts) * this.engines.length / this.load.entries
+  }
+
   private send (arrive: () => void): void {
     this.messageCount += 1
     this.messages.push({ at: this.now + messageMilliseconds, arrive })
@@ -185,7 +214,9 @@
         continue
       }
       entry.queue = entry.queue.filter(({ number }) => number !== request.number)
-      if (!isPlaced) this.refuse(request)
+      if (isPlaced) continue
+      this.longestInVain = Math.max(this.longestInVain, this.now - request.queuedAt)
+      this.refuse(request)
     }
   }
 
@@ -202,7 +233,7 @@
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    if (!this.isOffered(request, entry)) return false
+    if (this.isOutage || this.now < request.offeredFrom || !this.isOffered(request, entry)) return false
     request.offeredAt = this.now
     const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
     const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
@@ -242,7 +273,7 @@
   }
 
   private refuse (request: SimulatedRequest): void {
-    if (request.isLate) {
+    if (request.isRetry) {
       this.refusedTwice += 1
       return
     }
@@ -250,12 +281,12 @@
     const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
     if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
     const at = this.retryAt(request)
-    this.retries.push({ at, request: { ...request, isLate: true, until: 0, entry: this.pickEntry(), search: new SlotSearch() } })
+    this.retries.push({ at, request: { ...request, isLate: true, isRetry: true, until: 0, offeredFrom: 0, entry: this.pickEntry(), search: new SlotSearch() } })
   }
 
   private retryAt ({ deadline, entry: index }: SimulatedRequest): number {
     const entry = this.entries[index]
-    if (this.load.isAdaptive !== true || entry === undefined) return chooseRetryAt(this.now, deadline, undefined, this.random)
+    if (this.load.isAdaptive !== true || entry === undefined || this.isOutage) return chooseRetryAt(this.now, deadline, this.isOutage ? this.expectedAt ?? Infinity : undefined, this.random)
     const { earliest, latest } = retryTimes(this.now, deadline)
     return entry.expected.returnAt(earliest, latest, entry.queue.length, this.now, this.random)
   }
--- a/test/fakes/replay-engine.ts
+++ b/test/fakes/replay-engine.ts
@@ -18,10 +18,16 @@
   readonly refusalDraw: number
   readonly entry: number
   readonly search: SlotSearch
+  /** Whether it was refused before. */
+  readonly isRetry: boolean
   /** Time until which it may stay queued. */
   until: number
   /** When it was last offered to an upstream. */
   offeredAt: number
+  /** When it is offered to an upstream for the first time. */
+  readonly offeredFrom: number
+  /** When it was queued. */
+  queuedAt: number
 }
 
 /** A request at an engine. */
--- a/test/fakes/replay-outcome.ts
+++ b/test/fakes/replay-outcome.ts
@@ -20,6 +20,8 @@
   readonly slots?: number
   /** Time between two load reports to an entry; agents count their engine's requests more often. */
   readonly reportMilliseconds?: number
+  /** Time in which no engine serves; entries may know its end. */
+  readonly outage?: { readonly from: number, readonly until: number, readonly isEndKnown: boolean }
   /** Whether expected times decide on refusals. */
   readonly isAdaptive?: boolean
   /** Whether entries ask agents for each slot, or use their share of the slots that were free at the last report. */
@@ -40,6 +42,8 @@
   readonly refusedTwice: number
   /** Longest time for which a queued request was not offered to an upstream. */
   readonly longestUnoffered: number
+  /** Longest time for which a request waited that was refused in the end. */
+  readonly longestInVain: number
   /** Most attempts, retries included, that arrived within one second after the last step, a second. */
   readonly peakAfterSteps: number
   /** First attempts refused for want of a slot while over a tenth of all slots were free. */
@@ -58,6 +62,7 @@
     refusedTwice: sum.refusedTwice + outcome.refusedTwice,
     refusedBesideFreeSlots: sum.refusedBesideFreeSlots + outcome.refusedBesideFreeSlots,
     messages: sum.messages + outcome.messages,
+    longestInVain: Math.max(sum.longestInVain, outcome.longestInVain),
     longestUnoffered: Math.max(sum.longestUnoffered, outcome.longestUnoffered),
     peakAfterSteps: Math.max(sum.peakAfterSteps, outcome.peakAfterSteps)
   }))
