--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -2,35 +2,27 @@
  * Simulates a load of streams on batching engines, behind entries that decide with the functions of `src/core/dispatch`
  * and learn of each other's requests one load report late. Times in milliseconds from the start.
  */
-import { admissionFor, answerMilliseconds, completionIntervalMilliseconds } from '../../src/core/dispatch/admission.js'
+import { admissionFor, answerMilliseconds } from '../../src/core/dispatch/admission.js'
 import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
-import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
+import { concurrencyLimit, enginesToAsk, placeRequest, type Candidate } from '../../src/core/dispatch/placement.js'
 import { chooseRetryAt, retryTimes } from '../../src/core/dispatch/caller-retry.js'
-import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
+import { freeSlotsByReport } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
 import { expectedDeadline, offeredFrom, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
-import type { EngineFacts, Route } from '../../src/types/fleet.js'
-import { peakOf, type ReplayLoad, type ReplayOutcome } from './replay-outcome.js'
+import type { EngineFacts } from '../../src/types/fleet.js'
+import { peakOf, type ReplayLoad, type ReplayOutcome, type ReplayPolicy } from './replay-outcome.js'
+import { ReplayOutage } from './replay-outage.js'
 import { ReplayEntry, type Message } from './replay-entry.js'
-import { ReplayEngine, replayEngine, type SimulatedRequest } from './replay-engine.js'
+import { ReplayEngine, replayEngine, replayRoute, type SimulatedRequest } from './replay-engine.js'
 import { seededRandom } from '../../src/utils/random.js'
 
-export type { ReplayLoad, ReplayOutcome }
-
-/** Decisions that a test can replace to compare them with others. */
-export interface ReplayPolicy {
-  admit (isLate: boolean, waitMilliseconds: number): AdmissionLimits
-  /** Requests that an entry may send to an engine that handles `limit`. */
-  freeSlots (limit: number, reported: ReportedLoad, entries: number): number
-}
+export { replayRoute }
+export type { ReplayLoad, ReplayOutcome, ReplayPolicy }
 
 /** Decisions of real entries. */
 export const entryPolicy: ReplayPolicy = { admit: (isLate, waitMilliseconds) => admissionFor({ route: replayRoute, engine: replayEngine, isLate, waitMilliseconds }), freeSlots: freeSlotsByReport }
 
-/** Route of every replay; latency goal of 400 ms. */
-export const replayRoute: Route = { name: 'r-1', host: 'one.example', pathPrefix: '/a/', kind: 'stream', isResumable: true, timeoutMilliseconds: 6000, latencyGoalMilliseconds: 400, eventGapGoalMilliseconds: 400, priority: 1, targets: [], maximumUpstreams: 2, isPublic: false, regions: [] }
-
 const dataCentres = 3
 /** Time between two counts of an engine's requests, and between two load reports unless a load names another one. */
 const countMilliseconds = 100
@@ -56,6 +48,7 @@
   /** What the agent of each engine grants. */
   private readonly ledgers: readonly SlotLedger[]
   private readonly facts: EngineFacts
+  private readonly outage: ReplayOutage
   private readonly messages: Message[] = []
   private readonly retries: { readonly at: number, readonly request: SimulatedRequest }[] = []
   private nextNumber = 0
@@ -76,6 +69,7 @@
     this.random = seededRandom(load.seed)
     this.arrivalRandom = seededRandom(load.seed + 1000)
     this.facts = { ...replayEngine, slots: load.slots ?? replayEngine.slots }
+    this.outage = new ReplayOutage(load, this.facts)
     this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(this.facts))
     this.ledgers = this.engines.map(() => new SlotLedger())
     this.entries = Array.from({ length: load.entries }, () => new ReplayEntry(load.engines))
@@ -129,43 +123,29 @@
 
   /** Time until which a request may be queued; undefined if it is refused at once. */
   private deadlineInQueue (request: SimulatedRequest, entry: ReplayEntry): number | undefined {
-    const countsLate = request.isLate || (this.isOutage && this.load.isAdaptive === true)
+    const countsLate = request.isLate || (this.outage.isOn(this.now) && this.load.isAdaptive === true)
     const waiting = entry.queue.filter(({ isLate }) => isLate === countsLate).length
-    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isOutage ? 'no-weights' : this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: this.expectedAt, waiting }
+    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.outage.isOn(this.now) ? 'no-weights' : this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: this.outage.expectedAt(this.now), waiting }
     if (this.load.isAdaptive !== true) return queueDeadline(context)
     const latest = request.deadline - answerMilliseconds(this.facts)
     return expectedDeadline(context, {
       waitMilliseconds: entry.expected.waitMilliseconds(request.isLate, waiting, this.now),
       answerMilliseconds: answerMilliseconds(this.facts),
       queued: waiting,
-      servable: Math.floor(entry.expected.servableBehindArrivals(this.servable(latest), this.expectedAt ?? Infinity, latest, this.now) + this.random())
+      servable: Math.floor(entry.expected.servableBehindArrivals(this.outage.servable(latest, this.now), this.outage.expectedAt(this.now) ?? Infinity, latest, this.now) + this.random())
     })
   }
 
-  /** Whether a request that waits for the end of an outage past its goal goes behind those that can still meet theirs. */
-  private isBehind ({ arrivedAt }: SimulatedRequest): boolean {
-    return this.load.isAdaptive === true && (this.expectedAt ?? 0) > arrivedAt + replayRoute.latencyGoalMilliseconds
-  }
-
+  /** Time from which a request that is queued now is offered to engines. */
   private offeredFrom (request: SimulatedRequest, entry: ReplayEntry): number {
     if (!this.isBehind(request)) return 0
     const latest = request.deadline - answerMilliseconds(this.facts)
-    return offeredFrom(this.expectedAt ?? this.now, latest, entry.queue.length, this.servable(latest))
+    return offeredFrom(this.outage.expectedAt(this.now) ?? this.now, latest, entry.queue.length, this.outage.servable(latest, this.now))
   }
 
-  private get isOutage (): boolean {
-    const { outage } = this.load
-    return outage !== undefined && this.now >= outage.from && this.now < outage.until
-  }
-
-  /** When engines are expected to serve; undefined if they do, or if that is not known. */
-  private get expectedAt (): number | undefined {
-    return this.isOutage && this.load.outage?.isEndKnown === true ? this.load.outage.until : undefined
-  }
-
-  /** Requests of one entry that the engines can start after the outage until `latest`. */
-  private servable (latest: number): number {
-    return Math.max(0, latest - (this.expectedAt ?? latest)) / completionIntervalMilliseconds(this.facts) * this.engines.length / this.load.entries
+  /** Whether a request that waits for the end of an outage past its goal goes behind those that can still meet theirs. */
+  private isBehind ({ arrivedAt }: SimulatedRequest): boolean {
+    return this.load.isAdaptive === true && (this.outage.expectedAt(this.now) ?? 0) > arrivedAt + replayRoute.latencyGoalMilliseconds
   }
 
   private send (arrive: () => void): void {
@@ -220,10 +200,10 @@
     }
   }
 
-  /** Whether a request is offered to upstreams now. Where expected times decide, one that is late or that waits in the queue always is. */
+  /** Whether a request is offered to engines now: where expected times decide, one that is late or queued always is. */
   private isOffered (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    const isAdmitted = request.isLate || request.until > 0
-    return (this.load.isAdaptive === true && isAdmitted) || !this.isRefusedForWaits(request, entry)
+    if (this.load.isAdaptive === true && (request.isLate || request.until > 0)) return true
+    return !this.isRefusedForWaits(request, entry)
   }
 
   private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
@@ -233,7 +213,7 @@
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    if (this.isOutage || this.now < request.offeredFrom || !this.isOffered(request, entry)) return false
+    if (this.outage.isOn(this.now) || this.now < request.offeredFrom || !this.isOffered(request, entry)) return false
     request.offeredAt = this.now
     const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
     const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
@@ -286,7 +266,7 @@
 
   private retryAt ({ deadline, entry: index }: SimulatedRequest): number {
     const entry = this.entries[index]
-    if (this.load.isAdaptive !== true || entry === undefined || this.isOutage) return chooseRetryAt(this.now, deadline, this.isOutage ? this.expectedAt ?? Infinity : undefined, this.random)
+    if (this.load.isAdaptive !== true || entry === undefined || this.outage.isOn(this.now)) return chooseRetryAt(this.now, deadline, this.outage.isOn(this.now) ? this.outage.expectedAt(this.now) ?? Infinity : undefined, this.random)
     const { earliest, latest } = retryTimes(this.now, deadline)
     return entry.expected.returnAt(earliest, latest, entry.queue.length, this.now, this.random)
   }
--- a/test/fakes/replay-engine.ts
+++ b/test/fakes/replay-engine.ts
@@ -1,10 +1,13 @@
 /** A batching engine of the replays of load; times in milliseconds from the start. */
 import type { QueuedRequest } from '../../src/core/dispatch/queueing.js'
 import type { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import type { EngineFacts } from '../../src/types/fleet.js'
+import type { EngineFacts, Route } from '../../src/types/fleet.js'
 
 /** Engine of every replay; about ten completions a second at full load. */
 export const replayEngine: EngineFacts = { slots: 16, layers: 16, chunkCount: 96, chunkBytes: 24_576, models: ['weights-a'], stepMilliseconds: 9.27, promptTokensPerSecond: 20_700, stepsPerPass: 5, typicalPromptTokens: 979, typicalAnswerTokens: 92 }
+/** Route of every replay; latency goal of 400 ms. */
+export const replayRoute: Route = { name: 'r-1', host: 'one.example', pathPrefix: '/a/', kind: 'stream', isResumable: true, timeoutMilliseconds: 6000, latencyGoalMilliseconds: 400, eventGapGoalMilliseconds: 400, priority: 1, targets: [], maximumUpstreams: 2, isPublic: false, regions: [] }
+
 /** Prompt tokens that an engine reads in one pass. */
 const promptTokensPerPass = 2048
 
--- a/test/fakes/replay-outcome.ts
+++ b/test/fakes/replay-outcome.ts
@@ -1,4 +1,6 @@
 /** What is put into and comes out of a replay of load. */
+import type { ReportedLoad } from '../../src/core/dispatch/free-slots.js'
+import type { AdmissionLimits } from '../../src/core/dispatch/placement.js'
 
 /** Arrivals from a time on. */
 export interface LoadStep {
@@ -77,3 +79,10 @@
   })
   return most
 }
+
+/** Decisions that a test can replace to compare them with others. */
+export interface ReplayPolicy {
+  admit (isLate: boolean, waitMilliseconds: number): AdmissionLimits
+  /** Requests that an entry may send to an engine that handles `limit`. */
+  freeSlots (limit: number, reported: ReportedLoad, entries: number): number
+}
