--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -1,5 +1,7 @@
 /** The role of an entry that calls upstreams directly: its servers, its followers of records, and its start and stop. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { EarlyRepeats } from '../../core/dispatch/early-repeats.js'
+import { ExpectedWaits } from '../../core/dispatch/expected-wait.js'
 import { FirstEventWaits } from '../../core/dispatch/first-event-waits.js'
 import { profileOf, type ServiceProfile } from '../../core/dispatch/service-profile.js'
 import { SharedRetryBudget } from '../../core/dispatch/shared-retry-budget.js'
@@ -17,6 +19,7 @@
 import type { RecordCodec, RecordLog, RequestCodec } from '../../types/ports.js'
 import { runInBackground } from '../../utils/background.js'
 import { sleepUntil, monotonicNow } from '../../utils/clock.js'
+import { LazyMap } from '../../utils/lazy-map.js'
 import { logFor } from '../../utils/log.js'
 import { CallerAnswer } from './caller-answer.js'
 import { CallerTimeouts } from './caller-timeouts.js'
@@ -63,8 +66,9 @@
 
 class Gateway implements RunningNode {
   private readonly metrics = new Metrics()
-  private readonly firstEventWaits = new Map<string, FirstEventWaits>()
-  private readonly queues = new Map<string, RequestQueue>()
+  private readonly firstEventWaits = new LazyMap(() => new FirstEventWaits())
+  private readonly expectedWaits = new LazyMap(() => new ExpectedWaits())
+  private readonly queues = new LazyMap(() => new RequestQueue())
   private readonly members: Membership
   private readonly state: FleetState
   private readonly pool: UpstreamPool
@@ -179,9 +183,11 @@
         versionAt: id => this.pool.find(id)?.reportedVersion
       }),
       metrics: this.metrics,
-      firstEventWaitsOf: service => getOrCreate(this.firstEventWaits, service, () => new FirstEventWaits()),
+      firstEventWaitsOf: service => this.firstEventWaits.get(service),
+      expectedWaitsOf: service => this.expectedWaits.get(service),
+      earlyRepeats: new EarlyRepeats(),
       profileOfService: service => this.profileOf(service),
-      queueOf: service => getOrCreate(this.queues, service, () => new RequestQueue()),
+      queueOf: service => this.queues.get(service),
       random: Math.random,
       entryCount: () => this.members.knownEntries(monotonicNow()).length,
       stopTimes: () => this.stopTimes,
@@ -271,7 +277,7 @@
 
   /** Has queued requests use the slots that agents have granted, and gives back those that none needs. */
   private useSlots (): void {
-    const queues = [...this.queues.values()]
+    const queues = this.queues.values()
     for (const queue of queues) queue.poll()
     if (queues.every(({ isEmpty }) => isEmpty)) this.slots.releaseAll(id => this.pool.find(id)?.upstream.address)
   }
@@ -287,11 +293,3 @@
     else response.writeHead(404).end()
   }
 }
-
-function getOrCreate<Value> (values: Map<string, Value>, key: string, make: () => Value): Value {
-  const known = values.get(key)
-  if (known !== undefined) return known
-  const made = make()
-  values.set(key, made)
-  return made
-}
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -148,6 +148,7 @@
         context.pool.recordStarted(upstream.id, isAnswer ? now : undefined)
         waits.recordStarted(waitNumber, monotonicNow(), isAnswer)
         if (isAnswer) measured.started(monotonicNow())
+        if (isAnswer) context.expectedWaitsOf(request.service.name).recordStart(monotonicNow())
         stopWatching?.()
       }
     }, context.requests, isStream ? this.sinkFor(view, () => call, () => { evidence.recordFirstEvent(monotonicNow()) }) : undefined)
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -4,33 +4,25 @@
  */
 import { admissionFor, answerMilliseconds } from '../../src/core/dispatch/admission.js'
 import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
-import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
+import { concurrencyLimit, enginesToAsk, placeRequest, type Candidate } from '../../src/core/dispatch/placement.js'
 import { chooseRetryAt, retryTimes } from '../../src/core/dispatch/caller-retry.js'
-import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
+import { freeSlotsByReport } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { expectedDeadline, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
-import type { EngineFacts, Route } from '../../src/types/fleet.js'
-import { peakOf, type ReplayLoad, type ReplayOutcome } from './replay-outcome.js'
+import { expectedDeadline, offeredFrom, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
+import type { EngineFacts } from '../../src/types/fleet.js'
+import { peakOf, type ReplayLoad, type ReplayOutcome, type ReplayPolicy } from './replay-outcome.js'
+import { ReplayOutage } from './replay-outage.js'
 import { ReplayEntry, type Message } from './replay-entry.js'
-import { ReplayEngine, replayEngine, type SimulatedRequest } from './replay-engine.js'
+import { ReplayEngine, replayEngine, replayRoute, type SimulatedRequest } from './replay-engine.js'
 import { seededRandom } from '../../src/utils/random.js'
 
-export type { ReplayLoad, ReplayOutcome }
-
-/** Decisions that a test can replace to compare them with others. */
-export interface ReplayPolicy {
-  admit (isLate: boolean, waitMilliseconds: number): AdmissionLimits
-  /** Requests that an entry may send to an engine that handles `limit`. */
-  freeSlots (limit: number, reported: ReportedLoad, entries: number): number
-}
+export { replayRoute }
+export type { ReplayLoad, ReplayOutcome, ReplayPolicy }
 
 /** Decisions of real entries. */
 export const entryPolicy: ReplayPolicy = { admit: (isLate, waitMilliseconds) => admissionFor({ route: replayRoute, engine: replayEngine, isLate, waitMilliseconds }), freeSlots: freeSlotsByReport }
 
-/** Route of every replay; latency goal of 400 ms. */
-export const replayRoute: Route = { name: 'r-1', host: 'one.example', pathPrefix: '/a/', kind: 'stream', isResumable: true, timeoutMilliseconds: 6000, latencyGoalMilliseconds: 400, eventGapGoalMilliseconds: 400, priority: 1, targets: [], maximumUpstreams: 2, isPublic: false, regions: [] }
-
 const dataCentres = 3
 /** Time between two counts of an engine's requests, and between two load reports unless a load names another one. */
 const countMilliseconds = 100
@@ -56,6 +48,7 @@
   /** What the agent of each engine grants. */
   private readonly ledgers: readonly SlotLedger[]
   private readonly facts: EngineFacts
+  private readonly outage: ReplayOutage
   private readonly messages: Message[] = []
   private readonly retries: { readonly at: number, readonly request: SimulatedRequest }[] = []
   private nextNumber = 0
@@ -66,6 +59,7 @@
   private refusedOnce = 0
   private refusedTwice = 0
   private longestUnoffered = 0
+  private longestInVain = 0
   /** Attempts that arrived after the last step. */
   private readonly attemptsAfterSteps: number[] = []
   private refusedBesideFreeSlots = 0
@@ -75,6 +69,7 @@
     this.random = seededRandom(load.seed)
     this.arrivalRandom = seededRandom(load.seed + 1000)
     this.facts = { ...replayEngine, slots: load.slots ?? replayEngine.slots }
+    this.outage = new ReplayOutage(load, this.facts)
     this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(this.facts))
     this.ledgers = this.engines.map(() => new SlotLedger())
     this.entries = Array.from({ length: load.entries }, () => new ReplayEntry(load.engines))
@@ -98,7 +93,7 @@
       if (this.now % pollMilliseconds === 0) for (const entry of this.entries) this.pollQueue(entry)
       this.engines.forEach((engine, index) => { this.advance(engine, index) })
     }
-    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, longestInVain: this.longestInVain, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
   }
 
   private arrivalsPerSecondAt (at: number): number {
@@ -107,7 +102,7 @@
 
   private createRequest (at: number): SimulatedRequest {
     const spread = (mean: number): number => mean * (0.3 + 1.4 * this.arrivalRandom())
-    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0 }
+    return { number: this.nextNumber++, isLate: false, isRetry: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0, queuedAt: 0, offeredFrom: 0 }
   }
 
   private pickEntry (): number {
@@ -117,28 +112,42 @@
   private dispatch (request: SimulatedRequest): void {
     const entry = this.entries[request.entry]
     if (entry === undefined) return
-    entry.expected.recordArrival(this.now, request.isLate)
+    entry.expected.recordArrival(this.now, request.isLate, replayRoute.priority)
     if (this.now >= (this.load.steps?.at(-1)?.from ?? Infinity)) this.attemptsAfterSteps.push(this.now)
     const hasRequestsAhead = entry.queue.some(({ isLate }) => request.isLate || !isLate)
     if (!hasRequestsAhead && this.place(request, entry)) return
     const until = this.deadlineInQueue(request, entry)
     if (until === undefined) this.refuse(request)
-    else entry.queue.push({ ...request, until, offeredAt: this.now })
+    else entry.queue.push({ ...request, isLate: request.isLate || this.isBehind(request), until, offeredAt: this.now, queuedAt: this.now, offeredFrom: this.offeredFrom(request, entry) })
   }
 
   /** Time until which a request may be queued; undefined if it is refused at once. */
   private deadlineInQueue (request: SimulatedRequest, entry: ReplayEntry): number | undefined {
-    const waiting = entry.queue.filter(({ isLate }) => isLate === request.isLate).length
-    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting }
+    const countsLate = request.isLate || (this.outage.isOn(this.now) && this.load.isAdaptive === true)
+    const waiting = entry.queue.filter(({ isLate }) => isLate === countsLate).length
+    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.outage.isOn(this.now) ? 'no-weights' : this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: this.outage.expectedAt(this.now), waiting }
     if (this.load.isAdaptive !== true) return queueDeadline(context)
+    const latest = request.deadline - answerMilliseconds(this.facts)
     return expectedDeadline(context, {
       waitMilliseconds: entry.expected.waitMilliseconds(request.isLate, waiting, this.now),
       answerMilliseconds: answerMilliseconds(this.facts),
       queued: waiting,
-      servable: 0
+      servable: Math.floor(entry.expected.servableBehindArrivals(this.outage.servable(latest, this.now), this.outage.expectedAt(this.now) ?? Infinity, latest, this.now) + this.random())
     })
   }
 
+  /** Time from which a request that is queued now is offered to engines. */
+  private offeredFrom (request: SimulatedRequest, entry: ReplayEntry): number {
+    if (!this.isBehind(request)) return 0
+    const latest = request.deadline - answerMilliseconds(this.facts)
+    return offeredFrom(this.outage.expectedAt(this.now) ?? this.now, latest, entry.queue.length, this.outage.servable(latest, this.now))
+  }
+
+  /** Whether a request that waits for the end of an outage past its goal goes behind those that can still meet theirs. */
+  private isBehind ({ arrivedAt }: SimulatedRequest): boolean {
+    return this.load.isAdaptive === true && (this.outage.expectedAt(this.now) ?? 0) > arrivedAt + replayRoute.latencyGoalMilliseconds
+  }
+
   private send (arrive: () => void): void {
     this.messageCount += 1
     this.messages.push({ at: this.now + messageMilliseconds, arrive })
@@ -185,14 +194,16 @@
         continue
       }
       entry.queue = entry.queue.filter(({ number }) => number !== request.number)
-      if (!isPlaced) this.refuse(request)
+      if (isPlaced) continue
+      this.longestInVain = Math.max(this.longestInVain, this.now - request.queuedAt)
+      this.refuse(request)
     }
   }
 
-  /** Whether a request is offered to upstreams now. Where expected times decide, one that is late or that waits in the queue always is. */
+  /** Whether a request is offered to engines now: where expected times decide, one that is late or queued always is. */
   private isOffered (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    const isAdmitted = request.isLate || request.until > 0
-    return (this.load.isAdaptive === true && isAdmitted) || !this.isRefusedForWaits(request, entry)
+    if (this.load.isAdaptive === true && (request.isLate || request.until > 0)) return true
+    return !this.isRefusedForWaits(request, entry)
   }
 
   private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
@@ -202,7 +213,7 @@
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    if (!this.isOffered(request, entry)) return false
+    if (this.outage.isOn(this.now) || this.now < request.offeredFrom || !this.isOffered(request, entry)) return false
     request.offeredAt = this.now
     const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
     const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
@@ -242,7 +253,7 @@
   }
 
   private refuse (request: SimulatedRequest): void {
-    if (request.isLate) {
+    if (request.isRetry) {
       this.refusedTwice += 1
       return
     }
@@ -250,12 +261,12 @@
     const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
     if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
     const at = this.retryAt(request)
-    this.retries.push({ at, request: { ...request, isLate: true, until: 0, entry: this.pickEntry(), search: new SlotSearch() } })
+    this.retries.push({ at, request: { ...request, isLate: true, isRetry: true, until: 0, offeredFrom: 0, entry: this.pickEntry(), search: new SlotSearch() } })
   }
 
   private retryAt ({ deadline, entry: index }: SimulatedRequest): number {
     const entry = this.entries[index]
-    if (this.load.isAdaptive !== true || entry === undefined) return chooseRetryAt(this.now, deadline, undefined, this.random)
+    if (this.load.isAdaptive !== true || entry === undefined || this.outage.isOn(this.now)) return chooseRetryAt(this.now, deadline, this.outage.isOn(this.now) ? this.outage.expectedAt(this.now) ?? Infinity : undefined, this.random)
     const { earliest, latest } = retryTimes(this.now, deadline)
     return entry.expected.returnAt(earliest, latest, entry.queue.length, this.now, this.random)
   }
--- a/test/fakes/uneven-replay.ts
+++ b/test/fakes/uneven-replay.ts
@@ -210,7 +210,7 @@
     this.sent.set(number, { entry, arrivedAt, sentAt: this.now, computed: computedTime(this.estimate(this.servers[index]?.load ?? 0), this.work).firstEvent, pace: state.paces.paceOf(String(index), 0, this.now) })
     const size = 0.3 + 1.4 * this.random()
     const answer = this.load.kind === 'plain' ? plain.workMilliseconds * size : engineFacts.typicalAnswerTokens * (0.3 + 1.4 * this.random())
-    this.after(delay, () => { this.servers[index]?.add({ request: { number, isLate: false, arrivedAt, deadline: Infinity, promptTokens: 0, answerTokens: 0, refusalDraw: 0, entry, search: new SlotSearch(), until: 0, offeredAt: 0 }, sentNumber: number, promptTokensLeft: engineFacts.typicalPromptTokens * size, answerTokensLeft: answer }) })
+    this.after(delay, () => { this.servers[index]?.add({ request: { number, isLate: false, arrivedAt, deadline: Infinity, promptTokens: 0, answerTokens: 0, refusalDraw: 0, entry, search: new SlotSearch(), until: 0, offeredAt: 0, isRetry: false, offeredFrom: 0, queuedAt: 0 }, sentNumber: number, promptTokensLeft: engineFacts.typicalPromptTokens * size, answerTokensLeft: answer }) })
   }
 
   private advance (server: ReplayEngine | PlainServer, index: number): void {
