Weights: a chunk is taken over from its fetcher only once later ones have left the origin

Change: the next rank asks after its delay only for a chunk that as many others have overtaken as may be outstanding; for any other one after twice the delay.

--- a/src/core/weights/distribution-plan.ts
+++ b/src/core/weights/distribution-plan.ts
@@ -21,6 +21,8 @@
 const rankDelayMilliseconds = 60
 /** Factor by which the delay of a rank grows at most when the origin sends more slowly than its link could. */
 const maximumSlowdown = 6
+/** Factor on this delay for a chunk that has not fallen behind those that have left the origin. */
+const unconfirmedDelayFactor = 2
 /** Chunks that are due at the origin from the start; the following ones fall due at the pace of its link. */
 const originWindowChunks = 6
 /** Chunks that may be due beyond those that have arrived: those of the window, and those that arrived within the time that an announcement takes. */
@@ -153,7 +155,16 @@
   const chunkMilliseconds = view.originCopyMilliseconds / view.total
   const dueFrom = view.originSince + Math.max(0, place - originWindowChunks) * chunkMilliseconds * paceFactor
   const from = isOffered ? Math.max(dueFrom, view.offeredAt.get(position) ?? view.now) + offeredDelayCopies * view.originCopyMilliseconds : dueFrom
-  return from + rank * rankDelay(view)
+  const isTakeoverDue = rank === 0 || hasFallenBehind(view, place)
+  return from + rank * rankDelay(view) * (isTakeoverDue ? 1 : unconfirmedDelayFactor)
+}
+
+/**
+ * Whether a chunk should have left the origin, as enough later ones have: until then its fetcher may still wait for it, and
+ * another fetch would only take a part of the link from the others. The last chunks have fewer behind them.
+ */
+function hasFallenBehind ({ originSent, total }: DistributionView, place: number): boolean {
+  return originSent === undefined || place + Math.min(originWindowChunks, total - 1 - place) <= originSent
 }
 
 /** Delay of each rank, milliseconds: the time that a requested chunk takes to arrive, longer while the origin sends more slowly than its link could. */
