--- a/src/core/weights/origin-state.ts
+++ b/src/core/weights/origin-state.ts
@@ -7,7 +7,7 @@
 /** Places in the order of missing chunks whose primary fetchers look for the return of the origin. */
 const probedPlaces = 3
 /** Time without a new chunk anywhere after which the origin counts as having paused, in copy times: several times what announcements take. */
-const pauseCopies = 0.25
+const pauseCopies = 0.5
 
 /** State of the origin as one fetch of a version sees it; all times are milliseconds of the monotonic clock. */
 export class OriginState {
