Start pace: choices cost as much as before while no upstream starts

Change: nothing is looked up while no upstream starts or recovers; candidates are made without spreading optional fields; engines that grant slots are told apart by identity.

--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -18,9 +18,9 @@
 export interface ViewedCandidate extends Candidate {
   readonly view: UpstreamView
   /** Requests that may be there while it starts or recovers; undefined for no such limit. */
-  readonly startAllowance?: number
+  readonly startAllowance: number | undefined
   /** Slots that its agent may grant in one second while it is cold; undefined if it is not. */
-  readonly coldLimit?: number
+  readonly coldLimit: number | undefined
 }
 
 /** Asks agents for slots, and holds those that were granted. */
--- a/src/roles/gateway/start-paces.ts
+++ b/src/roles/gateway/start-paces.ts
@@ -34,6 +34,9 @@
     log.info('upstream gets few requests at first', { upstream: upstream.id, cause, allowance: pace.allowance, slots: upstream.slots, beginsInMilliseconds: Math.max(0, Math.round(beganAt - monotonicNow())) })
   }
 
+  /** Whether no upstream starts or recovers. */
+  get isEmpty (): boolean { return this.paces.size === 0 }
+
   /** Requests of all entries that may be in progress at an upstream now; undefined for one that neither starts nor recovers. */
   allowanceOf (view: UpstreamView): number | undefined {
     const { upstream, unstarted } = view
--- a/src/roles/gateway/upstream-limits.ts
+++ b/src/roles/gateway/upstream-limits.ts
@@ -80,7 +80,7 @@
 
   /** Whether requests to an upstream need a permit now. */
   isLimited ({ id, startedAt }: Upstream): boolean {
-    return this.rateOf(id, startedAt, monotonicNow()) !== undefined
+    return this.named.rateOf(id, startedAt, monotonicNow()) !== undefined || this.context.coldRate(id) !== undefined
   }
 
   /** Whether a request may be sent to an upstream now. */
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -115,8 +115,9 @@
   private place (candidates: readonly ViewedCandidate[], search: SlotSearch, requirements: UpstreamRequirements, now: number): ViewedCandidate | 'asked' | undefined {
     const { slots } = this.context
     const { admission, work } = requirements
-    const granting = this.withoutPaceOfAll(candidates).filter(({ view }) => this.isGranting(view, now))
-    const others = candidates.filter(({ view }) => !granting.some(candidate => candidate.view === view))
+    const paced = this.withoutPaceOfAll(candidates)
+    const granting = paced.filter(({ view }) => this.isGranting(view, now))
+    const others = paced.filter(candidate => !granting.includes(candidate))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
     const cheapest = this.chooseFrom([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], requirements, now)
     const chosen = this.preferPermit(cheapest, others, requirements, now)
@@ -206,7 +207,7 @@
   /** Upstreams whose start or recovery leaves room for a request; all of them where every one starts or recovers, as there is no better one then. */
   private withinPace (open: readonly UpstreamView[], { search }: UpstreamRequirements, now: number): readonly UpstreamView[] {
     const { paces } = this.state
-    if (open.every(view => paces.allowanceOf(view) === undefined)) return open
+    if (paces.isEmpty || open.every(view => paces.allowanceOf(view) === undefined)) return open
     const isGranted = (view: UpstreamView): boolean => search !== undefined && this.isGranting(view, now)
     const allowed = open.filter(view => isGranted(view) || view.inFlight < (paces.ownAllowance(view) ?? Infinity))
     return open.every(view => paces.allowanceOf(view) !== undefined) ? open : allowed
@@ -214,8 +215,8 @@
 
   /** Candidates without the allowances of starts and recoveries where every one starts or recovers. */
   private withoutPaceOfAll (candidates: readonly ViewedCandidate[]): readonly ViewedCandidate[] {
-    if (candidates.some(({ startAllowance }) => startAllowance === undefined)) return candidates
-    return candidates.map(({ startAllowance, ...candidate }) => candidate)
+    if (this.state.paces.isEmpty || candidates.some(({ startAllowance }) => startAllowance === undefined)) return candidates
+    return candidates.map(candidate => ({ ...candidate, startAllowance: undefined }))
   }
 
   /** Whether the slots of an upstream are granted by its agent and no named limit divides its requests. */
@@ -225,12 +226,13 @@
 
   private candidateOf (view: UpstreamView, { admission, service, work }: UpstreamRequirements, entries: number, now: number): ViewedCandidate {
     const { context } = this
-    const startAllowance = this.state.paces.allowanceOf(view)
+    const { paces } = this.state
+    const startAllowance = paces.isEmpty ? undefined : paces.allowanceOf(view)
     const isCold = view.coldUntil > now && service.coldRequestsPerSecond > 0 && context.isAdaptive(service.name)
     const load = work === undefined ? estimateLoad(view, now) : this.state.times.loadOf(view, now)
     return {
-      ...startAllowance === undefined ? {} : { startAllowance: Math.floor(startAllowance) },
-      ...isCold ? { coldLimit: coldGrants(coldBoundsOf(service, context)) } : {},
+      startAllowance: startAllowance === undefined ? undefined : Math.floor(startAllowance),
+      coldLimit: isCold ? coldGrants(coldBoundsOf(service, context)) : undefined,
       view,
       id: view.upstream.id,
       load,
