--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -232,6 +232,12 @@
     }
   }
 
+  /** Applies a load with its pace, and tells the agent of the engine where it does not know the pace. */
+  private observeTimes (view: UpstreamView, load: StatedLoad): void {
+    const pace = this.times.observe(view, load, monotonicNow())
+    if (pace !== undefined) this.context.slots.reportPace(view, pace)
+  }
+
   /** Begins a recovery after a report of a restart or of other weights. */
   private beginAfterReport (before: UpstreamView, after: UpstreamView): void {
     if (before.upstream.startedAt !== after.upstream.startedAt) this.paces.begin(after, 'start')
@@ -245,12 +251,6 @@
     if (restEnd !== undefined) this.paces.begin(view, 'rest', restEnd)
   }
 
-  /** Applies a load with its pace, and tells the agent of the engine where it does not know the pace. */
-  private observeTimes (view: UpstreamView, load: StatedLoad): void {
-    const pace = this.times.observe(view, load, monotonicNow())
-    if (pace !== undefined) this.context.slots.reportPace(view, pace)
-  }
-
   private delete (id: string): void {
     const view = this.views.get(id)
     this.engineIds = undefined
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -226,10 +226,10 @@
 
   private candidateOf (view: UpstreamView, { admission, service, work }: UpstreamRequirements, entries: number, now: number): ViewedCandidate {
     const { context } = this
-    const { paces } = this.state
+    const { paces, times } = this.state
+    const load = work === undefined ? estimateLoad(view, now) : times.loadOf(view, now)
     const startAllowance = paces.isEmpty ? undefined : paces.allowanceOf(view)
     const isCold = view.coldUntil > now && service.coldRequestsPerSecond > 0 && context.isAdaptive(service.name)
-    const load = work === undefined ? estimateLoad(view, now) : this.state.times.loadOf(view, now)
     return {
       startAllowance: startAllowance === undefined ? undefined : Math.floor(startAllowance),
       coldLimit: isCold ? coldGrants(coldBoundsOf(service, context)) : undefined,
