--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -52,20 +52,29 @@
 const comparedCandidates = 6
 
 /**
- * Candidate with the least expected time, `costOf`, among random ones. Each time is raised by a random part of up to
- * `spread`, so that entries with the same figures choose different upstreams where their times differ by less. Load
+ * Candidate with the least expected time, `costOf`, among random ones. Each time is multiplied by an exponentially
+ * distributed factor to the power of `spread`: with 0 the least one is chosen, with 1 each in proportion to its inverse,
+ * so that entries with the same figures choose different upstreams. Load
  * pattern: upstreams that are slow for a part of the time, of which each entry knows only what its last answers stated.
  */
 export function placeByTime<Placed extends Candidate> (candidates: readonly Placed[], costOf: (candidate: Placed) => number, spread: number, random: () => number): Placed | undefined {
   const open = candidates.filter(({ freeSlots }) => freeSlots >= 1)
-  const local = sample(open.filter(({ isSameDataCentre }) => isSameDataCentre), comparedCandidates, random)
-  const remote = sample(open.filter(({ isSameDataCentre }) => !isSameDataCentre), comparedCandidates, random)
-  let best: { readonly candidate: Placed, readonly cost: number } | undefined
-  for (const candidate of [...local, ...remote]) {
-    const cost = costOf(candidate) * (-Math.log(1 - random())) ** spread
-    if (best === undefined || cost < best.cost) best = { candidate, cost }
+  let best: Placed | undefined
+  let leastCost = Infinity
+  for (const candidate of toCompare(open, ({ isSameDataCentre }) => isSameDataCentre, random)) {
+    const cost = costOf(candidate) * (spread === 0 ? 1 : (-Math.log(1 - random())) ** spread)
+    if (best !== undefined && cost >= leastCost) continue
+    best = candidate
+    leastCost = cost
   }
-  return best?.candidate
+  return best
+}
+
+/** Random upstreams of the entry's data centre and of the others, whose expected times are compared; all where there are few. */
+export function toCompare<Item> (items: readonly Item[], isLocal: (item: Item) => boolean, random: () => number): readonly Item[] {
+  if (items.length <= comparedCandidates) return items
+  const local = items.filter(isLocal)
+  return [...sample(local, comparedCandidates, random), ...sample(items.filter(item => !isLocal(item)), comparedCandidates, random)]
 }
 
 function pickTwo<Placed extends Candidate> (candidates: readonly Placed[], random: () => number): readonly Placed[] {
@@ -96,8 +105,20 @@
 /** Engines whose agents are asked for a slot: of some random ones those with the least expected time, `costOf`. */
 export function enginesToAskByTime<Asked extends Pick<Candidate, 'id' | 'isSameDataCentre'>> (candidates: readonly Asked[], costOf: (candidate: Asked) => number, isFull: (id: string) => boolean, random: () => number): readonly Asked[] {
   const open = candidates.filter(({ id }) => !isFull(id))
-  const considered = sample(open.length > 0 ? open : candidates, consideredEngines, random).map(candidate => ({ candidate, cost: costOf(candidate) }))
-  return considered.sort((left, right) => left.cost - right.cost).slice(0, askedAgents.sameDataCentre + askedAgents.elsewhere).map(({ candidate }) => candidate)
+  const rest = open.length > 0 ? open : [...candidates]
+  const best: { readonly candidate: Asked, readonly cost: number }[] = []
+  for (let count = Math.min(consideredEngines, rest.length); count > 0; count -= 1) {
+    const index = Math.floor(random() * rest.length)
+    const candidate = rest[index]
+    const last = rest.pop()
+    if (candidate === undefined || last === undefined) break
+    if (index < rest.length) rest[index] = last
+    const cost = costOf(candidate)
+    const place = best.findIndex(other => cost < other.cost)
+    best.splice(place < 0 ? best.length : place, 0, { candidate, cost })
+    if (best.length > askedAgents.sameDataCentre + askedAgents.elsewhere) best.pop()
+  }
+  return best.map(({ candidate }) => candidate)
 }
 
 function costOf (candidate: Candidate): number {
--- a/src/core/dispatch/slot-requests.ts
+++ b/src/core/dispatch/slot-requests.ts
@@ -88,6 +88,11 @@
     return this.held.find(slot => slot.upstreamId === upstreamId && slot.load <= limit && now < slot.until)
   }
 
+  /** Whether any slot is held. */
+  get holdsAny (): boolean {
+    return this.held.length > 0
+  }
+
   /** Uses a slot. */
   take ({ number }: HeldSlot): void {
     this.held = this.held.filter(slot => slot.number !== number)
--- a/src/core/dispatch/upstream-pace.ts
+++ b/src/core/dispatch/upstream-pace.ts
@@ -52,9 +52,14 @@
 /** Share of a new load in the usual one. */
 const loadShare = 0.1
 
-/** Whether a pace differs enough from a known one for others to be told. */
-export function differsFrom (pace: number, known: number): boolean {
-  return Math.abs(pace - known) > known * reportedDifference
+/** State before anything is known. */
+const unknownState: PaceState = { startedAt: 0, stated: undefined, usual: 1, statedMilliseconds: 0, measured: undefined, measurements: 0, others: undefined }
+
+/** Whether others who last knew `known` are to be told a pace. Once their knowledge has decayed, neither the pace that an upstream calls usual nor the one learnt for it is news. */
+export function isNewsOf (pace: number, known: StatedPace | undefined, usual: number, now: number): boolean {
+  const differs = (reference: number): boolean => Math.abs(pace - reference) > reference * reportedDifference
+  if (known === undefined || now - known.at >= paceChangeMilliseconds) return differs(usual) && differs(1)
+  return differs(expectedPace(known, usual, now))
 }
 
 /** Expected pace of an upstream: the stated one, which decays to the usual one within a change interval. */
@@ -106,6 +111,12 @@
     return expectedPace(state.stated, state.usual, now)
   }
 
+  /** Pace expected at `now` and the measured factor, undefined before the first call. */
+  estimateOf (id: string, startedAt: number, now: number): { readonly pace: number, readonly measured: number | undefined } {
+    const { stated, usual, measured } = this.stateOf(id, startedAt)
+    return { pace: expectedPace(stated, usual, now), measured }
+  }
+
   /** The usual pace of an upstream; 1 while it has stated none. */
   usualOf (id: string, startedAt: number): number {
     return this.stateOf(id, startedAt).usual
@@ -141,7 +152,7 @@
 
   private stateOf (id: string, startedAt: number): PaceState {
     const state = this.states.get(id)
-    return state?.startedAt === startedAt ? state : { startedAt, stated: undefined, usual: 1, statedMilliseconds: 0, measured: undefined, measurements: 0, others: undefined }
+    return state?.startedAt === startedAt ? state : { ...unknownState, startedAt }
   }
 }
 
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -40,6 +40,15 @@
     return held === undefined ? { ...candidate, freeSlots: 0 } : { ...candidate, freeSlots: 1, load: held.load - 1 }
   }
 
+  /** Those candidates at which a slot is held, with the load that its agent stated. */
+  onlyHeld (candidates: readonly ViewedCandidate[], admission: AdmissionLimits, now: number): readonly ViewedCandidate[] {
+    if (!this.requests.holdsAny) return []
+    return candidates.flatMap(candidate => {
+      const held = this.heldAt(candidate.view, admission, now)
+      return held === undefined ? [] : [{ ...candidate, freeSlots: 1, load: held.load - 1 }]
+    })
+  }
+
   /** Whether a search may ask now. */
   mayAsk (search: SlotSearch, now: number): boolean {
     return this.requests.mayAsk(search, now)
--- a/src/roles/gateway/expected-times.ts
+++ b/src/roles/gateway/expected-times.ts
@@ -1,6 +1,6 @@
 /** Expected times of requests at the upstreams that one entry knows, from the paces that they state and the times of its calls. */
 import { computedTime, expectedTime, placementCost, type RequestWork, type UpstreamEstimate } from '../../core/dispatch/expected-time.js'
-import { differsFrom, expectedPace, maximumStatedPace, UpstreamPaces, type StatedPace } from '../../core/dispatch/upstream-pace.js'
+import { isNewsOf, maximumStatedPace, UpstreamPaces, type StatedPace } from '../../core/dispatch/upstream-pace.js'
 import type { EngineFacts, Upstream } from '../../types/fleet.js'
 import type { SlotReply } from '../../types/node-messages.js'
 import type { StatedLoad } from '../../types/ports.js'
@@ -57,9 +57,9 @@
     this.paces.observeOthers(id, startedAt, Math.max(0, load.running + load.waiting - inFlight), now)
     if (load.pace === undefined) return undefined
     const known = this.knownToAgents.get(id)
-    const knownPace = expectedPace(known?.startedAt === startedAt ? known : undefined, this.paces.usualOf(id, startedAt), now)
+    const isNews = isNewsOf(load.pace, known?.startedAt === startedAt ? known : undefined, this.paces.usualOf(id, startedAt), now)
     this.paces.observe(id, startedAt, { value: load.pace, at: now })
-    if (!upstream.isEngine || !differsFrom(load.pace, knownPace)) return undefined
+    if (!upstream.isEngine || !isNews) return undefined
     this.knownToAgents.set(id, { value: load.pace, at: now, startedAt })
     return load.pace
   }
@@ -139,8 +139,8 @@
   private estimate ({ view, load, isSameDataCentre }: TimedUpstream, now: number): UpstreamEstimate {
     const { id, startedAt, slots, service } = view.upstream
     const engine = this.engineOf(service)
-    const measured = this.paces.measuredAt(id, startedAt) ?? this.unmeasured(service)
-    return { slots, engine, load, unstarted: view.unstarted, pace: this.paces.paceOf(id, startedAt, now), measured, isSameDataCentre }
+    const { pace, measured = this.unmeasured(service) } = this.paces.estimateOf(id, startedAt, now)
+    return { slots, engine, load, unstarted: view.unstarted, pace, measured, isSameDataCentre }
   }
 
   /** Measured factor of an upstream before the first call there. */
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -2,7 +2,7 @@
 import { coldDivision, coldGrants, coldReserve, type ColdBounds, type ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
 import type { RequestWork } from '../../core/dispatch/expected-time.js'
-import { concurrencyLimit, placeByTime, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
+import { concurrencyLimit, placeByTime, placeRequest, toCompare, type AdmissionLimits } from '../../core/dispatch/placement.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
 import type { SlotSearch } from '../../core/dispatch/slot-requests.js'
 import { excludeEjected, penaltyOf } from '../../core/dispatch/upstream-health.js'
@@ -101,7 +101,7 @@
     const onStreamVersion = available.filter(view => view.weights?.version === requirements.streamVersion)
     const eligible = onStreamVersion.length > 0 ? onStreamVersion : available
     const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements, knownEntries, now))
-    const candidates = this.withinPace(this.withPermit(open), requirements, now).map(view => this.candidateOf(view, requirements, entries.length, now))
+    const candidates = this.candidatesOf(this.withinPace(this.withPermit(open), requirements, now), requirements, entries.length, now)
     const placed = requirements.search === undefined ? this.chooseFrom(candidates, requirements, now) : this.place(candidates, requirements.search, requirements, now)
     if (placed === 'asked') return 'asked'
     return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
@@ -114,10 +114,11 @@
     const granting = this.withoutPaceOfAll(candidates).filter(({ view }) => this.isGranting(view, now))
     const others = candidates.filter(({ view }) => !granting.some(candidate => candidate.view === view))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
-    const chosen = this.chooseFrom([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], requirements, now)
+    const granted = work === undefined ? granting.map(candidate => slots.withHeldSlot(candidate, admission, now)) : slots.onlyHeld(granting, admission, now)
+    const chosen = this.chooseFrom([...granted, ...isFirst ? [] : others], requirements, now)
     if (chosen !== undefined) {
       slots.take(chosen.view, admission, now)
-      if (work !== undefined) this.giveBackSlow(granting, chosen, admission, now)
+      if (work !== undefined) this.giveBackSlow(granted, chosen, admission, now)
       return chosen
     }
     if (granting.length === 0) return undefined
@@ -125,6 +126,16 @@
     return slots.awaitsAnswer(search) ? 'asked' : undefined
   }
 
+  /** Candidates among the upstreams. Of plain ones whose times are compared only those that are sampled, unless none of these has a free slot. */
+  private candidatesOf (views: readonly UpstreamView[], requirements: UpstreamRequirements, entries: number, now: number): readonly ViewedCandidate[] {
+    const toCandidate = (view: UpstreamView): ViewedCandidate => this.candidateOf(view, requirements, entries, now)
+    if (requirements.work === undefined || requirements.service.engine !== undefined) return views.map(toCandidate)
+    const sampled = toCompare(views, ({ upstream }) => upstream.dataCentre === this.context.dataCentre, this.random)
+    const candidates = sampled.map(toCandidate)
+    if (sampled.length === views.length || candidates.some(({ freeSlots }) => freeSlots >= 1)) return candidates
+    return views.map(toCandidate)
+  }
+
   /** The candidate that takes a request: by expected time where upstreams state their pace. */
   private chooseFrom (candidates: readonly ViewedCandidate[], { work }: UpstreamRequirements, now: number): ViewedCandidate | undefined {
     if (work === undefined) return placeRequest(candidates, this.random)
@@ -137,10 +148,11 @@
   }
 
   /** Gives back the slots of engines that are much slower now than the one that was chosen, so that they do not wait for a request that will not come. */
-  private giveBackSlow (granting: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
+  private giveBackSlow (granted: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
     const { times } = this.state
+    if (granted.length < 2) return
     const limit = times.paceOf(chosen.view.upstream, now) * slowerFactor
-    this.context.slots.giveBack(granting.flatMap(({ view }) => times.paceOf(view.upstream, now) > limit ? [view] : []), admission, now)
+    this.context.slots.giveBack(granted.flatMap(({ view }) => times.paceOf(view.upstream, now) > limit ? [view] : []), admission, now)
   }
 
   /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
--- a/test/fakes/uneven-replay.ts
+++ b/test/fakes/uneven-replay.ts
@@ -7,7 +7,7 @@
 import { enginesToAsk, enginesToAskByTime, placeByTime, placeRequest, type Candidate } from '../../src/core/dispatch/placement.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { differsFrom, expectedPace, UpstreamPaces, type StatedPace } from '../../src/core/dispatch/upstream-pace.js'
+import { expectedPace, isNewsOf, UpstreamPaces, type StatedPace } from '../../src/core/dispatch/upstream-pace.js'
 import { seededRandom } from '../../src/utils/random.js'
 import { ReplayEngine, replayEngine, type EngineRequest } from './replay-engine.js'
 
@@ -224,7 +224,7 @@
       this.after(messageMilliseconds, () => {
         this.heads[index] = stated
         state.observed[index] = { load: server.load, own: state.inFlight[index] ?? 0, at: this.now }
-        const isNews = differsFrom(stated.value, state.paces.paceOf(String(index), 0, this.now))
+        const isNews = isNewsOf(stated.value, state.paces.statedBy(String(index), 0), state.paces.usualOf(String(index), 0), this.now)
         state.paces.observe(String(index), 0, stated)
         if (this.load.kind === 'plain') state.paces.observeOthers(String(index), 0, server.load - (state.inFlight[index] ?? 0), this.now)
         state.paces.recordMeasured(String(index), 0, (this.now - sent.sentAt) / (sent.computed * sent.pace), this.unmeasured)
--- a/test/uneven-placement.test.ts
+++ b/test/uneven-placement.test.ts
@@ -3,7 +3,7 @@
 import { EnginePace } from '../src/core/dispatch/engine-pace.js'
 import { expectedTime, placementCost, type RequestWork, type UpstreamEstimate } from '../src/core/dispatch/expected-time.js'
 import { placeByTime, type Candidate } from '../src/core/dispatch/placement.js'
-import { differsFrom, expectedPace, UpstreamPaces } from '../src/core/dispatch/upstream-pace.js'
+import { expectedPace, isNewsOf, UpstreamPaces } from '../src/core/dispatch/upstream-pace.js'
 import { seededRandom } from '../src/utils/random.js'
 import { replayEngine } from './fakes/replay-engine.js'
 import { replayUneven, type UnevenLoad, type UnevenPolicy } from './fakes/uneven-replay.js'
@@ -155,9 +155,18 @@
   })
 }
 
-test('pace reports: worth a message only where a pace differs by more than a tenth', async t => {
-  t.notOk(differsFrom(1, 1))
-  t.notOk(differsFrom(1.05, 1))
-  t.ok(differsFrom(2.5, 1))
-  t.ok(differsFrom(1, 2.5))
-})
+const newsCases: readonly { readonly name: string, readonly pace: number, readonly known: number | undefined, readonly age: number, readonly usual: number, readonly is: boolean }[] = [
+  { name: 'the usual pace, nothing known', pace: 1, known: undefined, age: 0, usual: 1, is: false },
+  { name: 'a slow pace, nothing known', pace: 2.5, known: undefined, age: 0, usual: 1, is: true },
+  { name: 'the same slow pace again', pace: 2.5, known: 2.5, age: 5, usual: 1, is: false },
+  { name: 'the same slow pace, half decayed', pace: 2.5, known: 2.5, age: 300, usual: 1, is: true },
+  { name: 'the usual pace while a slow one is known', pace: 1, known: 2.5, age: 100, usual: 1.2, is: true },
+  { name: 'the usual pace after a slow one has decayed', pace: 1, known: 2.5, age: 700, usual: 1.2, is: false },
+  { name: 'a pace that is always stated', pace: 1.5, known: undefined, age: 0, usual: 1.5, is: false }
+]
+
+for (const { name, pace, known, age, usual, is } of newsCases) {
+  test(`pace reports: ${name}`, async t => {
+    t.equal(isNewsOf(pace, known === undefined ? undefined : { value: known, at: 10_000 - age }, usual, 10_000), is)
+  })
+}
