--- a/test/fakes/uneven-replay.ts
+++ b/test/fakes/uneven-replay.ts
@@ -36,6 +36,8 @@
 const LW = 60
 const countMilliseconds = 100
 const askIntervalMilliseconds = 15
+/** Time for which an agent that had no slot is not asked, as in `SlotRequests`. */
+const fullMilliseconds = 100
 /** Mean time for which a pace is on its way in gossip, to 8 and to 300 entries. */
 const gossipMilliseconds = 500
 const plain = { slots: 6, workMilliseconds: 21, goalMilliseconds: 144, requestsPerSlot: 3 } as const
@@ -58,7 +60,7 @@
   }
 }
 
-interface Entry { readonly paces: UpstreamPaces, readonly inFlight: number[], readonly observed: { load: number, own: number, at: number }[] }
+interface Entry { readonly paces: UpstreamPaces, readonly fullUntil: Map<string, number>, readonly inFlight: number[], readonly observed: { load: number, own: number, at: number }[] }
 interface Sent { readonly entry: number, readonly arrivedAt: number, readonly sentAt: number, readonly computed: number, readonly pace: number }
 
 /** Share of the requests served in time; deterministic for its seed. */
@@ -96,7 +98,7 @@
     const scaleOf = (index: number): number => this.paceOf(index) / (this.speeds[index] ?? 1)
     this.servers = indices.map(index => load.kind === 'engines' ? new ReplayEngine(engineFacts, () => scaleOf(index)) : new PlainServer(() => scaleOf(index)))
     this.ledgers = indices.map(() => new SlotLedger())
-    this.entries = Array.from({ length: load.entries }, () => ({ paces: new UpstreamPaces(), inFlight: indices.map(() => 0), observed: indices.map(() => ({ load: 0, own: 0, at: -Infinity })) }))
+    this.entries = Array.from({ length: load.entries }, () => ({ paces: new UpstreamPaces(), fullUntil: new Map(), inFlight: indices.map(() => 0), observed: indices.map(() => ({ load: 0, own: 0, at: -Infinity })) }))
     this.work = { promptTokens: engineFacts.typicalPromptTokens, answerTokens: engineFacts.typicalAnswerTokens, goalMilliseconds: load.kind === 'engines' ? engine.goalMilliseconds : plain.goalMilliseconds }
   }
 
@@ -163,13 +165,15 @@
     const state = this.entries[entry]
     if (state === undefined) return
     const engines = this.speeds.map((_, index) => this.candidate(index, this.expectedLoad(state, index), 1))
-    const asked = this.policy === 'number' ? enginesToAsk(engines, () => false, this.random) : enginesToAskByTime(engines, candidate => this.costOf(state, candidate), () => false, this.random)
+    const isFull = (id: string): boolean => (state.fullUntil.get(id) ?? 0) > this.now
+    const asked = this.policy === 'number' ? enginesToAsk(engines, isFull, this.random) : enginesToAskByTime(engines, candidate => this.costOf(state, candidate), isFull, this.random)
     this.after(2 * messageMilliseconds, () => {
       const key = `${entry} ${this.requests} ${this.now} ${this.random()}`
       const granted = asked.flatMap(({ id }) => {
         const answer = this.ledgers[Number(id)]?.answer(key, engine.slots + engine.waiting, this.now)
         const stated = this.agents[Number(id)]
         if (answer !== undefined) state.paces.observeOthers(id, 0, answer.load, this.now)
+        if (answer?.isGranted === false) state.fullUntil.set(id, this.now + fullMilliseconds)
         if (stated !== undefined) state.paces.observeRelayed(id, 0, stated)
         return answer?.isGranted === true ? [this.candidate(Number(id), answer.load - 1, 1)] : []
       })
