Placement by time: no slot at which a request would be late while another engine serves it in time

Cause: above the capacity, requests took granted slots of slow engines and were served late there, while a slot of another engine became free a few milliseconds later. Change: a granted slot is given back where the first event is expected later than 1.1 times what is left until the goal, while another engine is expected to serve the request in time and nothing of it has run. Full engines are left out as they are drawn.

--- a/src/core/dispatch/expected-time.ts
+++ b/src/core/dispatch/expected-time.ts
@@ -24,6 +24,8 @@
   readonly answerTokens: number
   /** Goal for the time to the first event, or to a plain answer, milliseconds. */
   readonly goalMilliseconds: number
+  /** Time left until the goal, milliseconds; undefined where it has passed or the request must not wait. */
+  readonly remainingMilliseconds?: number | undefined
 }
 
 /** Times of a request from now, milliseconds. */
@@ -64,6 +66,14 @@
   return { firstEvent, completion: firstEvent + work.answerTokens * engine.stepMilliseconds }
 }
 
+/** Factor by which an expected time may exceed what is left until the goal: expected times are means. */
+const inTimeFactor = 1.1
+
+/** Whether the first event is expected within the goal; true where the request may not wait for another upstream. */
+export function isExpectedInTime (upstream: UpstreamEstimate, work: RequestWork): boolean {
+  return work.remainingMilliseconds === undefined || expectedTime(upstream, work).firstEvent <= work.remainingMilliseconds * inTimeFactor
+}
+
 /** What placement compares, milliseconds: the time to the first event, the occupied slot and the link with its price. */
 export function placementCost (upstream: UpstreamEstimate, work: RequestWork): number {
   const { firstEvent, completion } = expectedTime(upstream, work)
--- a/src/core/dispatch/placement.ts
+++ b/src/core/dispatch/placement.ts
@@ -104,20 +104,23 @@
 
 /** Engines whose agents are asked for a slot: of some random ones those with the least expected time, `costOf`. */
 export function enginesToAskByTime<Asked extends Pick<Candidate, 'id' | 'isSameDataCentre'>> (candidates: readonly Asked[], costOf: (candidate: Asked) => number, isFull: (id: string) => boolean, random: () => number): readonly Asked[] {
-  const open = candidates.filter(({ id }) => !isFull(id))
-  const rest = open.length > 0 ? open : [...candidates]
+  const rest = [...candidates]
   const best: { readonly candidate: Asked, readonly cost: number }[] = []
-  for (let count = Math.min(consideredEngines, rest.length); count > 0; count -= 1) {
+  let considered = 0
+  while (considered < consideredEngines && rest.length > 0) {
     const index = Math.floor(random() * rest.length)
     const candidate = rest[index]
     const last = rest.pop()
     if (candidate === undefined || last === undefined) break
     if (index < rest.length) rest[index] = last
+    if (isFull(candidate.id)) continue
+    considered += 1
     const cost = costOf(candidate)
     const place = best.findIndex(other => cost < other.cost)
     best.splice(place < 0 ? best.length : place, 0, { candidate, cost })
     if (best.length > askedAgents.sameDataCentre + askedAgents.elsewhere) best.pop()
   }
+  if (considered === 0) return sample(candidates, askedAgents.sameDataCentre + askedAgents.elsewhere, random)
   return best.map(({ candidate }) => candidate)
 }
 
--- a/src/roles/gateway/expected-times.ts
+++ b/src/roles/gateway/expected-times.ts
@@ -1,5 +1,5 @@
 /** Expected times of requests at the upstreams that one entry knows, from the paces that they state and the times of its calls. */
-import { computedTime, expectedTime, placementCost, type RequestWork, type UpstreamEstimate } from '../../core/dispatch/expected-time.js'
+import { computedTime, expectedTime, isExpectedInTime, placementCost, type RequestWork, type UpstreamEstimate } from '../../core/dispatch/expected-time.js'
 import { isNewsOf, maximumStatedPace, UpstreamPaces, type StatedPace } from '../../core/dispatch/upstream-pace.js'
 import type { EngineFacts, Upstream } from '../../types/fleet.js'
 import type { SlotReply } from '../../types/node-messages.js'
@@ -82,6 +82,11 @@
     return placementCost(this.estimate(candidate, now), work)
   }
 
+  /** Whether a request is expected to be served within its goal. */
+  isInTime (candidate: TimedUpstream, work: RequestWork, now: number): boolean {
+    return isExpectedInTime(this.estimate(candidate, now), work)
+  }
+
   /** Expected time to the first event or the plain answer of a typical request, milliseconds. */
   typicalMilliseconds (view: UpstreamView, now: number): number {
     const engine = this.engineOf(view.upstream.service)
--- a/src/roles/gateway/routed-request.ts
+++ b/src/roles/gateway/routed-request.ts
@@ -11,6 +11,7 @@
 import type { Metrics } from '../../plugins/metrics.js'
 import type { Organisation, Route, Service } from '../../types/fleet.js'
 import type { CallerRequest, RequestCodec } from '../../types/ports.js'
+import { monotonicNow } from '../../utils/clock.js'
 import type { FleetState } from './fleet-state.js'
 import type { UpstreamConnections } from './upstream-connections.js'
 import type { RequestQueue } from './request-queue.js'
@@ -67,10 +68,12 @@
   readonly order: OrderedRequest | undefined
 }
 
-/** Work that a request asks of its upstream; what its caller does not state is taken to be typical. */
-export function workOf ({ caller, service, route }: Pick<RoutedRequest, 'caller' | 'service' | 'route'>): RequestWork {
+/** Work that a request asks of its upstream; what its caller does not state is taken to be typical. `mayWait`: nothing has run yet, so that it may wait for an upstream that serves it in time. */
+export function workOf ({ caller, service, route, isLate, arrivedAt }: RoutedRequest, mayWait = false): RequestWork {
   const { promptTokens, maximumAnswerTokens } = caller
+  const remaining = arrivedAt + route.latencyGoalMilliseconds - monotonicNow()
   return {
+    remainingMilliseconds: mayWait && !isLate && remaining > 0 ? remaining : undefined,
     promptTokens: promptTokens > 0 ? promptTokens : service.engine?.typicalPromptTokens ?? 0,
     answerTokens: maximumAnswerTokens > 0 ? maximumAnswerTokens : service.engine?.typicalAnswerTokens ?? 0,
     goalMilliseconds: route.latencyGoalMilliseconds
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -114,7 +114,7 @@
     const granting = this.withoutPaceOfAll(candidates).filter(({ view }) => this.isGranting(view, now))
     const others = candidates.filter(({ view }) => !granting.some(candidate => candidate.view === view))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
-    const granted = work === undefined ? granting.map(candidate => slots.withHeldSlot(candidate, admission, now)) : slots.onlyHeld(granting, admission, now)
+    const granted = work === undefined ? granting.map(candidate => slots.withHeldSlot(candidate, admission, now)) : this.inTime(slots.onlyHeld(granting, admission, now), granting, requirements, now)
     const chosen = this.chooseFrom([...granted, ...isFirst ? [] : others], requirements, now)
     if (chosen !== undefined) {
       slots.take(chosen.view, admission, now)
@@ -147,6 +147,16 @@
     return this.state.times.costOf(candidate, work, now) * (1 + candidate.penalty / Math.max(1, candidate.view.upstream.slots))
   }
 
+  /** Granted slots at which a request is expected within its goal; the others are given back. All of them where no engine is expected to serve it in time, as it gains nothing by waiting then. */
+  private inTime (granted: readonly ViewedCandidate[], granting: readonly ViewedCandidate[], { work, admission }: UpstreamRequirements, now: number): readonly ViewedCandidate[] {
+    if (work?.remainingMilliseconds === undefined || granted.length === 0) return granted
+    const isInTime = (candidate: ViewedCandidate): boolean => this.state.times.isInTime(candidate, work, now)
+    const late = granted.filter(candidate => !isInTime(candidate))
+    if (late.length === 0 || !granting.some(candidate => !late.some(({ id }) => id === candidate.id) && isInTime(candidate))) return granted
+    this.context.slots.giveBack(late.map(({ view }) => view), admission, now)
+    return granted.filter(candidate => !late.includes(candidate))
+  }
+
   /** Gives back the slots of engines that are much slower now than the one that was chosen, so that they do not wait for a request that will not come. */
   private giveBackSlow (granted: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
     const { times } = this.state
