--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -1,5 +1,5 @@
 /** The upstreams as one entry knows them, from their records, the reports of their agents and its own calls. */
-import { ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
+import { ColdRateLimiter, coldPermitsPerSecond } from '../../core/dispatch/cold-rate.js'
 import { updateHealth, initialHealth, type CallOutcome } from '../../core/dispatch/upstream-health.js'
 import { vouchedLoadOf } from '../../core/weights/load-trust.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
@@ -9,11 +9,11 @@
 import { logFor } from '../../utils/log.js'
 import { monotonicNow } from '../../utils/clock.js'
 import { UpstreamAvailability } from './upstream-availability.js'
-import { expectedAt } from './expected-at.js'
+import { expectedAt, startsUntil } from './expected-at.js'
 import { ExpectedTimes } from './expected-times.js'
 import { Responsiveness } from './responsiveness.js'
 import { StartPaces } from './start-paces.js'
-import { coldSharesOf, keepsColdRateByAgent, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
+import { coldBoundsOf, coldSharesOf, usesColdShare, UpstreamSelection, type PoolContext, type SelectionFailure, type UpstreamRequirements } from './upstream-selection.js'
 import { engineIdsByIp, loadShareOf, unobservedLoad, newerWeights, type ObservedLoad, type UpstreamView } from './upstream-view.js'
 
 const log = logFor('instances')
@@ -78,10 +78,11 @@
     else this.delete(id)
   }
 
-  /** Deletes upstreams whose record was removed and not written again in time. */
+  /** Deletes upstreams whose record was removed and not written again in time, and starts and recoveries that are over. */
   deleteExpired (): void {
     const now = monotonicNow()
     for (const [id, view] of this.views) {
+      this.paces.deleteIfOver(view)
       if (view.retainedUntil === undefined || view.retainedUntil > now) continue
       log.info('upstream deleted: its record was not written again in time', { upstream: id, service: view.upstream.service })
       this.delete(id)
@@ -154,7 +155,7 @@
     if (view === undefined) return
     const now = monotonicNow()
     const service = this.serviceOf(view.upstream.service)
-    if (service !== undefined && view.coldUntil > now && !keepsColdRateByAgent(view, this.context, now)) this.coldRate.take(id, this.context.knownEntries(), coldSharesOf(view, service, this.context), now)
+    if (service !== undefined && view.coldUntil > now && usesColdShare(view, this.context, now)) this.coldRate.take(id, this.context.knownEntries(), coldSharesOf(service, this.context), now)
     this.context.limits.take(view.upstream)
     this.availability.recordSent(view.upstream)
     const observedLoad = { ...view.observedLoad, sent: view.observedLoad.sent + 1 }
@@ -170,7 +171,7 @@
     this.views.set(id, started)
     if (answeredSentAt === undefined) return
     this.paces.recordAnswer(started, answeredSentAt)
-    this.paces.endIfOver(started, view.upstream.slots)
+    this.paces.deleteIfOver(started)
   }
 
   /** Records how a call ended that was sent at `sentAt`; `none` for one that says nothing about the upstream's health. */
@@ -197,6 +198,20 @@
     return expectedAt(views, reason, this.availability, this.context)
   }
 
+  /** Requests a second that a cold upstream without an agent takes by permits, see `UpstreamLimits`; undefined for any other. */
+  coldPermitRate (id: string): number | undefined {
+    const view = this.views.get(id)
+    if (view === undefined || view.upstream.isEngine || view.coldUntil <= monotonicNow() || !this.context.isAdaptive(view.upstream.service)) return undefined
+    const service = this.serviceOf(view.upstream.service)
+    return service === undefined || service.coldRequestsPerSecond <= 0 ? undefined : coldPermitsPerSecond(coldBoundsOf(service, this.context))
+  }
+
+  /** Requests that upstreams of a service which do not serve now, but will, can start by `latest`, milliseconds of the monotonic clock, at one in each interval. */
+  startsUntil (service: string, latest: number, intervalMilliseconds: number): number {
+    const views = [...this.views.values()].filter(({ upstream }) => upstream.service === service)
+    return startsUntil(views, latest, intervalMilliseconds, monotonicNow(), this.context.isEvacuated)
+  }
+
   /** Whether an upstream of a service has stated how fast it works. */
   statesPace (service: string): boolean {
     return this.pacedServices.has(service)
--- a/test/fakes/engine-replay.ts
+++ b/test/fakes/engine-replay.ts
@@ -2,63 +2,27 @@
  * Simulates a load of streams on batching engines, behind entries that decide with the functions of `src/core/dispatch`
  * and learn of each other's requests one load report late. Times in milliseconds from the start.
  */
-import { admissionFor } from '../../src/core/dispatch/admission.js'
-import { FirstEventWaits, refusedShare } from '../../src/core/dispatch/first-event-waits.js'
-import { concurrencyLimit, enginesToAsk, placeRequest, type AdmissionLimits, type Candidate } from '../../src/core/dispatch/placement.js'
-import { chooseRetryAt } from '../../src/core/dispatch/caller-retry.js'
-import { freeSlotsByReport, type ReportedLoad } from '../../src/core/dispatch/free-slots.js'
+import { admissionFor, answerMilliseconds } from '../../src/core/dispatch/admission.js'
+import { refusedShare } from '../../src/core/dispatch/first-event-waits.js'
+import { concurrencyLimit, enginesToAsk, placeRequest, type Candidate } from '../../src/core/dispatch/placement.js'
+import { chooseRetryAt, retryTimes } from '../../src/core/dispatch/caller-retry.js'
+import { freeSlotsByReport } from '../../src/core/dispatch/free-slots.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
-import { SlotRequests, SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { orderQueue, queueDeadline } from '../../src/core/dispatch/queueing.js'
-import type { EngineFacts, Route } from '../../src/types/fleet.js'
-import { ReplayEngine, replayEngine, type SimulatedRequest } from './replay-engine.js'
+import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
+import { expectedDeadline, offeredFrom, orderQueue, queueDeadline, type QueueingContext } from '../../src/core/dispatch/queueing.js'
+import type { EngineFacts } from '../../src/types/fleet.js'
+import { peakOf, type ReplayLoad, type ReplayOutcome, type ReplayPolicy } from './replay-outcome.js'
+import { ReplayOutage } from './replay-outage.js'
+import { ReplayEntry, type Message } from './replay-entry.js'
+import { ReplayEngine, replayEngine, replayRoute, type SimulatedRequest } from './replay-engine.js'
 import { seededRandom } from '../../src/utils/random.js'
 
-/** Load of a replay. */
-export interface ReplayLoad {
-  readonly seed: number
-  readonly engines: number
-  readonly entries: number
-  readonly arrivalsPerSecond: number
-  /** Time in which requests arrive. */
-  readonly milliseconds: number
-  /** Slots of each engine. */
-  readonly slots?: number
-  /** Time between two load reports to an entry; agents count their engine's requests more often. */
-  readonly reportMilliseconds?: number
-  /** Whether entries ask agents for each slot, or use their share of the slots that were free at the last report. */
-  readonly placement?: 'grants' | 'shares'
-}
-
-/** Numbers of requests by what their callers got. */
-export interface ReplayOutcome {
-  /** All requests, retries not counted. */
-  readonly requests: number
-  /** First event within the goal. */
-  readonly onTime: number
-  /** First event later, or on the retry. */
-  readonly late: number
-  /** Refused, and refused again on the retry. */
-  readonly refusedTwice: number
-  /** First attempts refused for want of a slot while over a tenth of all slots were free. */
-  readonly refusedBesideFreeSlots: number
-  /** Messages between entries and agents for slots. */
-  readonly messages: number
-}
-
-/** Decisions that a test can replace to compare them with others. */
-export interface ReplayPolicy {
-  admit (isLate: boolean, waitMilliseconds: number): AdmissionLimits
-  /** Requests that an entry may send to an engine that handles `limit`. */
-  freeSlots (limit: number, reported: ReportedLoad, entries: number): number
-}
+export { replayRoute }
+export type { ReplayLoad, ReplayOutcome, ReplayPolicy }
 
 /** Decisions of real entries. */
 export const entryPolicy: ReplayPolicy = { admit: (isLate, waitMilliseconds) => admissionFor({ route: replayRoute, engine: replayEngine, isLate, waitMilliseconds }), freeSlots: freeSlotsByReport }
 
-/** Route of every replay; latency goal of 400 ms. */
-export const replayRoute: Route = { name: 'r-1', host: 'one.example', pathPrefix: '/a/', kind: 'stream', isResumable: true, timeoutMilliseconds: 6000, latencyGoalMilliseconds: 400, eventGapGoalMilliseconds: 400, priority: 1, targets: [], maximumUpstreams: 2, isPublic: false, regions: [] }
-
 const dataCentres = 3
 /** Time between two counts of an engine's requests, and between two load reports unless a load names another one. */
 const countMilliseconds = 100
@@ -70,33 +34,6 @@
 const networkMilliseconds = 5
 const callerTimeoutMilliseconds = 6000
 
-/** A message on its way. */
-interface Message {
-  readonly at: number
-  readonly arrive: () => void
-}
-
-/** One entry: what it knows of the engines, and its queue. */
-class ReplayEntry {
-  readonly waits = new FirstEventWaits()
-  readonly slots = new SlotRequests()
-  readonly inFlight: number[]
-  readonly unstarted: number[]
-  reported: ReportedLoad[]
-  queue: SimulatedRequest[] = []
-
-  constructor (engines: number) {
-    this.inFlight = Array.from({ length: engines }, () => 0)
-    this.unstarted = [...this.inFlight]
-    this.reported = this.inFlight.map(() => ({ total: 0, local: 0, roundingOffset: 0, sent: 0, ended: 0 }))
-  }
-
-  updateReport (index: number, change: (reported: ReportedLoad) => Partial<ReportedLoad>): void {
-    const reported = this.reported[index]
-    if (reported !== undefined) this.reported[index] = { ...reported, ...change(reported) }
-  }
-}
-
 /** Simulates a load; deterministic for its seed. */
 export function replayLoad (load: ReplayLoad, policy: ReplayPolicy = entryPolicy): ReplayOutcome {
   return new Replay(load, policy).run()
@@ -104,25 +41,35 @@
 
 class Replay {
   private readonly random: () => number
+  /** Random numbers of arrivals, so that they are the same whatever is decided. */
+  private readonly arrivalRandom: () => number
   private readonly engines: readonly ReplayEngine[]
   private readonly entries: readonly ReplayEntry[]
   /** What the agent of each engine grants. */
   private readonly ledgers: readonly SlotLedger[]
   private readonly facts: EngineFacts
-  private messages: readonly Message[] = []
+  private readonly outage: ReplayOutage
+  private readonly messages: Message[] = []
   private readonly retries: { readonly at: number, readonly request: SimulatedRequest }[] = []
   private nextNumber = 0
   private now = 0
   private requests = 0
   private onTime = 0
   private late = 0
+  private refusedOnce = 0
   private refusedTwice = 0
+  private longestUnoffered = 0
+  private longestInVain = 0
+  /** Attempts that arrived after the last step. */
+  private readonly attemptsAfterSteps: number[] = []
   private refusedBesideFreeSlots = 0
   private messageCount = 0
 
   constructor (private readonly load: ReplayLoad, private readonly policy: ReplayPolicy) {
     this.random = seededRandom(load.seed)
+    this.arrivalRandom = seededRandom(load.seed + 1000)
     this.facts = { ...replayEngine, slots: load.slots ?? replayEngine.slots }
+    this.outage = new ReplayOutage(load, this.facts)
     this.engines = Array.from({ length: load.engines }, () => new ReplayEngine(this.facts))
     this.ledgers = this.engines.map(() => new SlotLedger())
     this.entries = Array.from({ length: load.entries }, () => new ReplayEntry(load.engines))
@@ -134,7 +81,7 @@
       while (nextAt <= this.now && nextAt < this.load.milliseconds) {
         this.requests += 1
         this.dispatch(this.createRequest(nextAt))
-        nextAt += -Math.log(1 - this.random()) * 1000 / this.load.arrivalsPerSecond
+        nextAt += -Math.log(1 - this.arrivalRandom()) * 1000 / this.arrivalsPerSecondAt(nextAt)
       }
       for (const due of this.retries.filter(({ at }) => at <= this.now)) {
         this.retries.splice(this.retries.indexOf(due), 1)
@@ -146,12 +93,16 @@
       if (this.now % pollMilliseconds === 0) for (const entry of this.entries) this.pollQueue(entry)
       this.engines.forEach((engine, index) => { this.advance(engine, index) })
     }
-    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedTwice: this.refusedTwice, refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+    return { requests: this.requests, onTime: this.onTime, late: this.late, refusedOnce: this.refusedOnce, refusedTwice: this.refusedTwice, longestUnoffered: this.longestUnoffered, longestInVain: this.longestInVain, peakAfterSteps: peakOf(this.attemptsAfterSteps), refusedBesideFreeSlots: this.refusedBesideFreeSlots, messages: this.messageCount }
+  }
+
+  private arrivalsPerSecondAt (at: number): number {
+    return this.load.steps?.filter(({ from }) => from <= at).at(-1)?.arrivalsPerSecond ?? this.load.arrivalsPerSecond
   }
 
   private createRequest (at: number): SimulatedRequest {
-    const spread = (mean: number): number => mean * (0.3 + 1.4 * this.random())
-    return { number: this.nextNumber++, isLate: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0 }
+    const spread = (mean: number): number => mean * (0.3 + 1.4 * this.arrivalRandom())
+    return { number: this.nextNumber++, isLate: false, isRetry: false, arrivedAt: at, deadline: at + callerTimeoutMilliseconds, promptTokens: spread(replayEngine.typicalPromptTokens), answerTokens: spread(replayEngine.typicalAnswerTokens), refusalDraw: this.random(), entry: this.pickEntry(), search: new SlotSearch(), until: 0, offeredAt: 0, queuedAt: 0, offeredFrom: 0 }
   }
 
   private pickEntry (): number {
@@ -161,23 +112,50 @@
   private dispatch (request: SimulatedRequest): void {
     const entry = this.entries[request.entry]
     if (entry === undefined) return
+    entry.expected.recordArrival(this.now, request.isLate, replayRoute.priority)
+    if (this.now >= (this.load.steps?.at(-1)?.from ?? Infinity)) this.attemptsAfterSteps.push(this.now)
     const hasRequestsAhead = entry.queue.some(({ isLate }) => request.isLate || !isLate)
     if (!hasRequestsAhead && this.place(request, entry)) return
-    const until = queueDeadline({ now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: undefined, waiting: entry.queue.filter(({ isLate }) => isLate === request.isLate).length })
+    const until = this.deadlineInQueue(request, entry)
     if (until === undefined) this.refuse(request)
-    else entry.queue.push({ ...request, until })
+    else entry.queue.push({ ...request, isLate: request.isLate || this.isBehind(request), until, offeredAt: this.now, queuedAt: this.now, offeredFrom: this.offeredFrom(request, entry) })
+  }
+
+  /** Time until which a request may be queued; undefined if it is refused at once. */
+  private deadlineInQueue (request: SimulatedRequest, entry: ReplayEntry): number | undefined {
+    const countsLate = request.isLate || (this.outage.isOn(this.now) && this.load.isAdaptive === true)
+    const waiting = entry.queue.filter(({ isLate }) => isLate === countsLate).length
+    const context: QueueingContext = { now: this.now, arrivedAt: request.arrivedAt, deadline: request.deadline, goalMilliseconds: replayRoute.latencyGoalMilliseconds, isLate: request.isLate, reason: this.outage.isOn(this.now) ? 'no-weights' : this.isRefusedForWaits(request, entry) ? 'waits' : 'full', expectedAt: this.outage.expectedAt(this.now), waiting }
+    if (this.load.isAdaptive !== true) return queueDeadline(context)
+    const latest = request.deadline - answerMilliseconds(this.facts)
+    return expectedDeadline(context, {
+      waitMilliseconds: entry.expected.waitMilliseconds(request.isLate, waiting, this.now),
+      answerMilliseconds: answerMilliseconds(this.facts),
+      queued: waiting,
+      servable: Math.floor(entry.expected.servableBehindArrivals(this.outage.servable(latest, this.now), this.outage.expectedAt(this.now) ?? Infinity, latest, this.now) + this.random())
+    })
+  }
+
+  /** Time from which a request that is queued now is offered to engines. */
+  private offeredFrom (request: SimulatedRequest, entry: ReplayEntry): number {
+    if (!this.isBehind(request)) return 0
+    const latest = request.deadline - answerMilliseconds(this.facts)
+    return offeredFrom(this.outage.expectedAt(this.now) ?? this.now, latest, entry.queue.length, this.outage.servable(latest, this.now))
+  }
+
+  /** Whether a request that waits for the end of an outage past its goal goes behind those that can still meet theirs. */
+  private isBehind ({ arrivedAt }: SimulatedRequest): boolean {
+    return this.load.isAdaptive === true && (this.outage.expectedAt(this.now) ?? 0) > arrivedAt + replayRoute.latencyGoalMilliseconds
   }
 
   private send (arrive: () => void): void {
     this.messageCount += 1
-    this.messages = [...this.messages, { at: this.now + messageMilliseconds, arrive }]
+    this.messages.push({ at: this.now + messageMilliseconds, arrive })
   }
 
   private deliverMessages (): void {
-    const due = this.messages.filter(({ at }) => at <= this.now)
-    if (due.length === 0) return
-    this.messages = this.messages.filter(({ at }) => at > this.now)
-    for (const { arrive } of due) arrive()
+    const next = this.messages.findIndex(({ at }) => at > this.now)
+    for (const { arrive } of this.messages.splice(0, next === -1 ? this.messages.length : next)) arrive()
   }
 
   /** Asks agents for a slot if the search may ask now. */
@@ -211,12 +189,23 @@
   private pollQueue (entry: ReplayEntry): void {
     for (const request of orderQueue(entry.queue)) {
       const isPlaced = this.place(request, entry)
-      if (!isPlaced && this.now < request.until) continue
+      if (!isPlaced && this.now < request.until) {
+        this.longestUnoffered = Math.max(this.longestUnoffered, this.now - request.offeredAt)
+        continue
+      }
       entry.queue = entry.queue.filter(({ number }) => number !== request.number)
-      if (!isPlaced) this.refuse(request)
+      if (isPlaced) continue
+      this.longestInVain = Math.max(this.longestInVain, this.now - request.queuedAt)
+      this.refuse(request)
     }
   }
 
+  /** Whether a request is offered to engines now: where expected times decide, one that is late or queued always is. */
+  private isOffered (request: SimulatedRequest, entry: ReplayEntry): boolean {
+    if (this.load.isAdaptive === true && (request.isLate || request.until > 0)) return true
+    return !this.isRefusedForWaits(request, entry)
+  }
+
   private isRefusedForWaits (request: SimulatedRequest, entry: ReplayEntry | undefined): boolean {
     if (entry === undefined) return false
     const share = refusedShare(entry.waits.medianMilliseconds(this.now), replayRoute.latencyGoalMilliseconds, request.isLate)
@@ -224,7 +213,8 @@
   }
 
   private place (request: SimulatedRequest, entry: ReplayEntry): boolean {
-    if (this.isRefusedForWaits(request, entry)) return false
+    if (this.outage.isOn(this.now) || this.now < request.offeredFrom || !this.isOffered(request, entry)) return false
+    request.offeredAt = this.now
     const limit = concurrencyLimit(this.facts.slots, this.policy.admit(request.isLate, entry.waits.medianMilliseconds(this.now)))
     const chosen = placeRequest(this.placeable(request.entry, entry, limit), this.random)
     if (chosen === undefined) {
@@ -263,14 +253,22 @@
   }
 
   private refuse (request: SimulatedRequest): void {
-    if (request.isLate) {
+    if (request.isRetry) {
       this.refusedTwice += 1
       return
     }
+    this.refusedOnce += 1
     const free = this.engines.reduce((sum, { load }) => sum + Math.max(0, this.facts.slots - load), 0)
     if (free > this.engines.length * this.facts.slots / 10 && !this.isRefusedForWaits(request, this.entries[request.entry])) this.refusedBesideFreeSlots += 1
-    const at = chooseRetryAt(this.now, request.deadline, undefined, this.random)
-    this.retries.push({ at, request: { ...request, isLate: true, entry: this.pickEntry(), search: new SlotSearch() } })
+    const at = this.retryAt(request)
+    this.retries.push({ at, request: { ...request, isLate: true, isRetry: true, until: 0, offeredFrom: 0, entry: this.pickEntry(), search: new SlotSearch() } })
+  }
+
+  private retryAt ({ deadline, entry: index }: SimulatedRequest): number {
+    const entry = this.entries[index]
+    if (this.load.isAdaptive !== true || entry === undefined || this.outage.isOn(this.now)) return chooseRetryAt(this.now, deadline, this.outage.isOn(this.now) ? this.outage.expectedAt(this.now) ?? Infinity : undefined, this.random)
+    const { earliest, latest } = retryTimes(this.now, deadline)
+    return entry.expected.returnAt(earliest, latest, entry.queue.length, this.now, this.random)
   }
 
   private report (): void {
@@ -284,6 +282,7 @@
     for (const { request, sentNumber } of started) {
       const entry = this.entries[request.entry]
       entry?.waits.recordStarted(sentNumber, this.now, true)
+      entry?.expected.recordStart(this.now)
       if (entry !== undefined) entry.unstarted[index] = (entry.unstarted[index] ?? 0) - 1
       if (!request.isLate && this.now + networkMilliseconds - request.arrivedAt <= replayRoute.latencyGoalMilliseconds) this.onTime += 1
       else this.late += 1
--- a/test/paced-selection.test.ts
+++ b/test/paced-selection.test.ts
@@ -39,7 +39,7 @@
       dataCentre: 'zone-0',
       regionOf: new Map([['zone-0', 'north'], ['zone-1', 'north']]),
       cold: { factor: 1.5, slack: 5 },
-      limits: new UpstreamLimits({ fleet: () => ({ self: 'entry-0', ready: names, silent: [], isSettled: true }), send: () => {}, startOf: () => undefined }),
+      limits: new UpstreamLimits({ fleet: () => ({ self: 'entry-0', ready: names, silent: [], isSettled: true }), send: () => {}, startOf: () => undefined, coldRate: () => undefined }),
       slots: this.slots,
       entries: () => names,
       knownEntries: () => names,
