--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -2,7 +2,7 @@
 import { coldGrants, coldReserve, type ColdBounds, type ColdRateLimiter } from '../../core/dispatch/cold-rate.js'
 import { freeSlotsByReport, freeSlotsWithoutReport } from '../../core/dispatch/free-slots.js'
 import type { RequestWork } from '../../core/dispatch/expected-time.js'
-import { concurrencyLimit, placeByTime, placeRequest, type AdmissionLimits } from '../../core/dispatch/placement.js'
+import { concurrencyLimit, placeByTime, placeRequest, toCompare, type AdmissionLimits } from '../../core/dispatch/placement.js'
 import type { PlacementFailure } from '../../core/dispatch/queueing.js'
 import type { SlotSearch } from '../../core/dispatch/slot-requests.js'
 import { excludeEjected, penaltyOf } from '../../core/dispatch/upstream-health.js'
@@ -105,7 +105,7 @@
     const open = responsiveness.prefer(excludeEjected(eligible, now), now).filter(view => view.atCapacityUntil <= now && availability.allowsRequest(view) && this.isWithinColdRate(view, requirements, knownEntries, now))
     const permitted = this.withPermit(open, now)
     if (this.awaitsColdPermit(open, permitted, requirements.search, now)) return 'asked'
-    const candidates = this.withinPace(permitted, requirements, now).map(view => this.candidateOf(view, requirements, entries.length, now))
+    const candidates = this.candidatesOf(this.withinPace(permitted, requirements, now), requirements, entries.length, now)
     const placed = requirements.search === undefined ? this.chooseFrom(candidates, requirements, now) : this.place(candidates, requirements.search, requirements, now)
     if (placed === 'asked') return 'asked'
     return placed?.view ?? (eligible.every(({ upstream }) => this.context.limits.isLimited(upstream)) ? 'limited' : 'full')
@@ -119,11 +119,12 @@
     const granting = paced.filter(({ view }) => this.isGranting(view, now))
     const others = paced.filter(candidate => !granting.includes(candidate))
     const isFirst = search.nextAskAt === undefined && granting.length > 0
-    const cheapest = this.chooseFrom([...granting.map(candidate => slots.withHeldSlot(candidate, admission, now)), ...isFirst ? [] : others], requirements, now)
+    const granted = work === undefined ? granting.map(candidate => slots.withHeldSlot(candidate, admission, now)) : this.inTime(slots.onlyHeld(granting, admission, now), granting, requirements, now)
+    const cheapest = this.chooseFrom([...granted, ...isFirst ? [] : others], requirements, now)
     const chosen = this.preferPermit(cheapest, others, requirements, now)
     if (chosen !== undefined) {
       slots.take(chosen.view, admission, now)
-      if (work !== undefined) this.giveBackSlow(granting, chosen, admission, now)
+      if (work !== undefined) this.giveBackSlow(granted, chosen, admission, now)
       return chosen
     }
     if (granting.length === 0) return undefined
@@ -131,6 +132,16 @@
     return slots.awaitsAnswer(search) ? 'asked' : undefined
   }
 
+  /** Candidates among the upstreams. Of plain ones whose times are compared only those that are sampled, unless none of these has a free slot. */
+  private candidatesOf (views: readonly UpstreamView[], requirements: UpstreamRequirements, entries: number, now: number): readonly ViewedCandidate[] {
+    const toCandidate = (view: UpstreamView): ViewedCandidate => this.candidateOf(view, requirements, entries, now)
+    if (requirements.work === undefined || requirements.service.engine !== undefined) return views.map(toCandidate)
+    const sampled = toCompare(views, ({ upstream }) => upstream.dataCentre === this.context.dataCentre, this.random)
+    const candidates = sampled.map(toCandidate)
+    if (sampled.length === views.length || candidates.some(({ freeSlots }) => freeSlots >= 1)) return candidates
+    return views.map(toCandidate)
+  }
+
   /** The candidate that takes a request: by expected time where upstreams state their pace. */
   private chooseFrom (candidates: readonly ViewedCandidate[], { work }: UpstreamRequirements, now: number): ViewedCandidate | undefined {
     if (work === undefined) return placeRequest(candidates, this.random)
@@ -142,11 +153,22 @@
     return this.state.times.costOf(candidate, work, now) * (1 + candidate.penalty / Math.max(1, candidate.view.upstream.slots))
   }
 
+  /** Granted slots at which a request is expected within its goal; the others are given back. All of them where no engine is expected to serve it in time, as it gains nothing by waiting then. */
+  private inTime (granted: readonly ViewedCandidate[], granting: readonly ViewedCandidate[], { work, admission }: UpstreamRequirements, now: number): readonly ViewedCandidate[] {
+    if (work?.remainingMilliseconds === undefined || granted.length === 0) return granted
+    const isInTime = (candidate: ViewedCandidate): boolean => this.state.times.isInTime(candidate, work, now)
+    const late = granted.filter(candidate => !isInTime(candidate))
+    if (late.length === 0 || !granting.some(candidate => !late.some(({ id }) => id === candidate.id) && isInTime(candidate))) return granted
+    this.context.slots.giveBack(late.map(({ view }) => view), admission, now)
+    return granted.filter(candidate => !late.includes(candidate))
+  }
+
   /** Gives back the slots of engines that are much slower now than the one that was chosen, so that they do not wait for a request that will not come. */
-  private giveBackSlow (granting: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
+  private giveBackSlow (granted: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
     const { times } = this.state
+    if (granted.length < 2) return
     const limit = times.paceOf(chosen.view.upstream, now) * slowerFactor
-    this.context.slots.giveBack(granting.flatMap(({ view }) => times.paceOf(view.upstream, now) > limit ? [view] : []), admission, now)
+    this.context.slots.giveBack(granted.flatMap(({ view }) => times.paceOf(view.upstream, now) > limit ? [view] : []), admission, now)
   }
 
   /** Upstreams without a limit and those for which this entry holds a permit; asks for permits of two others at random. */
--- a/test/fakes/uneven-replay.ts
+++ b/test/fakes/uneven-replay.ts
@@ -3,11 +3,11 @@
  * expected time, by number, or as one dispatcher would that knows all loads. Times in milliseconds from the start.
  */
 import { completionIntervalMilliseconds } from '../../src/core/dispatch/admission.js'
-import { computedTime, placementCost, type UpstreamEstimate } from '../../src/core/dispatch/expected-time.js'
+import { computedTime, isExpectedInTime, placementCost, type UpstreamEstimate } from '../../src/core/dispatch/expected-time.js'
 import { enginesToAsk, enginesToAskByTime, placeByTime, placeRequest, type Candidate } from '../../src/core/dispatch/placement.js'
 import { SlotLedger } from '../../src/core/dispatch/slot-ledger.js'
 import { SlotSearch } from '../../src/core/dispatch/slot-requests.js'
-import { differsFrom, expectedPace, UpstreamPaces, type StatedPace } from '../../src/core/dispatch/upstream-pace.js'
+import { expectedPace, isNewsOf, UpstreamPaces, type StatedPace } from '../../src/core/dispatch/upstream-pace.js'
 import { seededRandom } from '../../src/utils/random.js'
 import { ReplayEngine, replayEngine, type EngineRequest } from './replay-engine.js'
 
@@ -36,6 +36,8 @@
 const LW = 60
 const countMilliseconds = 100
 const askIntervalMilliseconds = 15
+/** Time for which an agent that had no slot is not asked, as in `SlotRequests`. */
+const fullMilliseconds = 100
 /** Mean time for which a pace is on its way in gossip, to 8 and to 300 entries. */
 const gossipMilliseconds = 500
 const plain = { slots: 6, workMilliseconds: 21, goalMilliseconds: 144, requestsPerSlot: 3 } as const
@@ -58,7 +60,7 @@
   }
 }
 
-interface Entry { readonly paces: UpstreamPaces, readonly inFlight: number[], readonly observed: { load: number, own: number, at: number }[] }
+interface Entry { readonly paces: UpstreamPaces, readonly fullUntil: Map<string, number>, readonly inFlight: number[], readonly observed: { load: number, own: number, at: number }[] }
 interface Sent { readonly entry: number, readonly arrivedAt: number, readonly sentAt: number, readonly computed: number, readonly pace: number }
 
 /** Share of the requests served in time; deterministic for its seed. */
@@ -96,7 +98,7 @@
     const scaleOf = (index: number): number => this.paceOf(index) / (this.speeds[index] ?? 1)
     this.servers = indices.map(index => load.kind === 'engines' ? new ReplayEngine(engineFacts, () => scaleOf(index)) : new PlainServer(() => scaleOf(index)))
     this.ledgers = indices.map(() => new SlotLedger())
-    this.entries = Array.from({ length: load.entries }, () => ({ paces: new UpstreamPaces(), inFlight: indices.map(() => 0), observed: indices.map(() => ({ load: 0, own: 0, at: -Infinity })) }))
+    this.entries = Array.from({ length: load.entries }, () => ({ paces: new UpstreamPaces(), fullUntil: new Map(), inFlight: indices.map(() => 0), observed: indices.map(() => ({ load: 0, own: 0, at: -Infinity })) }))
     this.work = { promptTokens: engineFacts.typicalPromptTokens, answerTokens: engineFacts.typicalAnswerTokens, goalMilliseconds: load.kind === 'engines' ? engine.goalMilliseconds : plain.goalMilliseconds }
   }
 
@@ -163,17 +165,22 @@
     const state = this.entries[entry]
     if (state === undefined) return
     const engines = this.speeds.map((_, index) => this.candidate(index, this.expectedLoad(state, index), 1))
-    const asked = this.policy === 'number' ? enginesToAsk(engines, () => false, this.random) : enginesToAskByTime(engines, candidate => this.costOf(state, candidate), () => false, this.random)
+    const isFull = (id: string): boolean => (state.fullUntil.get(id) ?? 0) > this.now
+    const asked = this.policy === 'number' ? enginesToAsk(engines, isFull, this.random) : enginesToAskByTime(engines, candidate => this.costOf(state, candidate), isFull, this.random)
     this.after(2 * messageMilliseconds, () => {
       const key = `${entry} ${this.requests} ${this.now} ${this.random()}`
       const granted = asked.flatMap(({ id }) => {
         const answer = this.ledgers[Number(id)]?.answer(key, engine.slots + engine.waiting, this.now)
         const stated = this.agents[Number(id)]
         if (answer !== undefined) state.paces.observeOthers(id, 0, answer.load, this.now)
+        if (answer?.isGranted === false) state.fullUntil.set(id, this.now + fullMilliseconds)
         if (stated !== undefined) state.paces.observeRelayed(id, 0, stated)
         return answer?.isGranted === true ? [this.candidate(Number(id), answer.load - 1, 1)] : []
       })
-      const chosen = this.choose(state, granted, 0)
+      const isInTime = (candidate: Candidate): boolean => this.policy === 'number' || isExpectedInTime(this.estimateOf(state, candidate), { ...this.work, remainingMilliseconds: arrivedAt + this.work.goalMilliseconds - this.now })
+      const inTime = granted.filter(isInTime)
+      const mayWait = engines.some(candidate => isInTime(candidate) && !granted.some(({ id }) => id === candidate.id))
+      const chosen = this.choose(state, inTime.length < granted.length && !mayWait ? granted : inTime, 0)
       for (const { id } of granted) if (id !== chosen?.id) this.ledgers[Number(id)]?.release(key, this.now)
       if (chosen !== undefined) this.send(entry, Number(chosen.id), arrivedAt, messageMilliseconds)
       else if (this.now - arrivedAt < this.work.goalMilliseconds / 2) this.after(askIntervalMilliseconds, () => { this.ask(entry, arrivedAt) })
@@ -187,8 +194,12 @@
 
   private staleness (_: Entry): number { return 0.2 }
 
-  private costOf ({ paces }: Entry, { id, load }: Candidate): number {
-    return placementCost({ ...this.estimate(load), pace: paces.paceOf(id, 0, this.now), measured: paces.measuredAt(id, 0) ?? this.unmeasured }, this.work)
+  private costOf (state: Entry, candidate: Candidate): number {
+    return placementCost(this.estimateOf(state, candidate), this.work)
+  }
+
+  private estimateOf ({ paces }: Entry, { id, load }: Candidate): UpstreamEstimate {
+    return { ...this.estimate(load), pace: paces.paceOf(id, 0, this.now), measured: paces.measuredAt(id, 0) ?? this.unmeasured }
   }
 
   /** Requests at an upstream as an entry expects them, by its last message and the usual load. */
@@ -224,7 +235,7 @@
       this.after(messageMilliseconds, () => {
         this.heads[index] = stated
         state.observed[index] = { load: server.load, own: state.inFlight[index] ?? 0, at: this.now }
-        const isNews = differsFrom(stated.value, state.paces.paceOf(String(index), 0, this.now))
+        const isNews = isNewsOf(stated.value, state.paces.statedBy(String(index), 0), state.paces.usualOf(String(index), 0), this.now)
         state.paces.observe(String(index), 0, stated)
         if (this.load.kind === 'plain') state.paces.observeOthers(String(index), 0, server.load - (state.inFlight[index] ?? 0), this.now)
         state.paces.recordMeasured(String(index), 0, (this.now - sent.sentAt) / (sent.computed * sent.pace), this.unmeasured)
