--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -32,7 +32,9 @@
   if (context.isLate) return { requestsPerSlot: context.isRanked === true ? lateRankedRequestsPerSlot : lateRequestsPerSlot, waiting: 0 }
   const { latencyGoalMilliseconds: goalMilliseconds } = context.route
   const queueMilliseconds = Math.min(goalMilliseconds * queueGoalShare, goalMilliseconds * firstEventGoalShare - context.waitMilliseconds)
-  return { requestsPerSlot: 1, waiting: Math.max(0, Math.floor(queueMilliseconds / completionIntervalMilliseconds(context.engine))) }
+  const waiting = queueMilliseconds / completionIntervalMilliseconds(context.engine)
+  // In a ranked service the engine serves its queue by rank, and agents learn of ended requests 50 ms late on average: a slot without a request that waits is lost for as long.
+  return { requestsPerSlot: 1, waiting: Math.max(0, context.isRanked === true ? Math.ceil(waiting) : Math.floor(waiting)) }
 }
 
 /** Part of an engine's slots that are kept for the more urgent requests while there is contention. */
--- a/src/core/dispatch/fair-queue.ts
+++ b/src/core/dispatch/fair-queue.ts
@@ -3,6 +3,7 @@
  * (start-time fair queueing, Goyal, Vin and Cheng 1996), and first come, first served within an organisation.
  */
 import type { Queue, QueueAddOptions } from 'p-queue'
+import { compareOrder } from './service-order.js'
 
 /** Options of one queued request. */
 export interface FairQueueOptions extends QueueAddOptions {
@@ -50,11 +51,14 @@
   }
 
   dequeue (): Task | undefined {
-    for (const rank of [...this.classes.keys()].sort((left, right) => left - right)) {
-      const run = this.dequeueFrom(this.classOf(rank))
-      if (run !== undefined) return run
+    let first: { readonly rank: number, readonly priorityClass: PriorityClass, readonly flow: Flow } | undefined
+    for (const [rank, priorityClass] of this.classes) {
+      for (const flow of priorityClass.flows.values()) {
+        if (flow.waiting.length === 0) continue
+        if (first === undefined || compareOrder({ rank, usage: flow.start }, { rank: first.rank, usage: first.flow.start }) < 0) first = { rank, priorityClass, flow }
+      }
     }
-    return undefined
+    return first === undefined ? undefined : this.dequeueFrom(first.priorityClass, first.flow)
   }
 
   /** Tasks of a rank; p-queue counts them for `sizeBy`. */
@@ -80,13 +84,9 @@
     throw new Error('the priority class of a queued request cannot be changed')
   }
 
-  private dequeueFrom (priorityClass: PriorityClass): Task | undefined {
-    let first: Flow | undefined
-    for (const flow of priorityClass.flows.values()) {
-      if (flow.waiting.length > 0 && (first === undefined || flow.start < first.start)) first = flow
-    }
-    const next = first?.waiting.shift()
-    if (first === undefined || next === undefined) return undefined
+  private dequeueFrom (priorityClass: PriorityClass, first: Flow): Task | undefined {
+    const next = first.waiting.shift()
+    if (next === undefined) return undefined
     priorityClass.virtualTime = first.start
     first.start += 1 / next.share
     this.count -= 1
--- a/src/core/dispatch/queue-admission.ts
+++ b/src/core/dispatch/queue-admission.ts
@@ -1,5 +1,7 @@
 /** Admission to the bounded queue before an upstream, shared fairly among organisations. */
 
+import { compareOrder, type OrderPlace } from './service-order.js'
+
 /** Queued request. */
 export interface QueuedRequest {
   readonly id: string
@@ -26,13 +28,9 @@
  */
 export function admitToQueue (queued: readonly QueuedRequest[], incoming: QueuedRequest, capacity: number): QueueDecision {
   if (queued.length < capacity) return { kind: 'enter' }
-  const lowestRank = Math.max(...queued.map(({ rank }) => rank))
-  if (incoming.rank > lowestRank) return { kind: 'over-share' }
-  const candidates = queued.filter(({ rank }) => rank === lowestRank)
-  const mostOverShare = candidates.reduce((highest, request) => usageOf(candidates, request) >= usageOf(candidates, highest) ? request : highest)
-  if (incoming.rank < lowestRank) return { kind: 'replace', evictedId: mostOverShare.id }
-  const usageAfter = usageOf([...candidates, incoming], incoming)
-  return usageAfter < usageOf(candidates, mostOverShare) ? { kind: 'replace', evictedId: mostOverShare.id } : { kind: 'over-share' }
+  const last = queued.reduce((latest, request) => compareOrder(placeIn(queued, request), placeIn(queued, latest)) >= 0 ? request : latest)
+  const isAhead = compareOrder(placeIn([...queued, incoming], incoming), placeIn(queued, last)) < 0
+  return isAhead ? { kind: 'replace', evictedId: last.id } : { kind: 'over-share' }
 }
 
 /** Expected start of a request with `ahead` requests before it, epoch milliseconds; `limit` requests run at a time and take `meanMilliseconds` each. */
@@ -40,7 +38,7 @@
   return now + Math.floor(ahead / Math.max(1, limit)) * meanMilliseconds
 }
 
-/** Number of queued requests of the request's organisation, divided by its share. */
-function usageOf (queued: readonly QueuedRequest[], request: QueuedRequest): number {
-  return queued.filter(({ organisation }) => organisation === request.organisation).length / request.share
+/** Place of a request: the use of its organisation is its number of queued requests of that rank, divided by its share. */
+function placeIn (queued: readonly QueuedRequest[], { rank, organisation, share }: QueuedRequest): OrderPlace {
+  return { rank, usage: queued.filter(other => other.rank === rank && other.organisation === organisation).length / share }
 }
--- a/src/core/dispatch/service-order.ts
+++ b/src/core/dispatch/service-order.ts
@@ -37,6 +37,8 @@
   readonly granted: DecayingSum
   readonly work: DecayingSum
   share: number
+  /** Whether it was below its guaranteed minimum when that was last checked. */
+  isOwed: boolean
 }
 
 /** Use of one organisation, for operators. */
@@ -52,7 +54,7 @@
 /** Time constant with which grants and asks are forgotten, milliseconds: after a failure shares are back within two of them. */
 const memoryMilliseconds = 1000
 /** Part of the success of organisations within their share below which an organisation is owed service; each must get half. */
-const organisationMinimum = 0.6
+const organisationMinimum = 0.65
 /** Part of the success of all requests below which a rank is owed service; each must get a quarter. */
 const rankMinimum = 0.35
 /** Asks from which on a success is compared: fewer say little. */
@@ -63,8 +65,8 @@
 const otherOrganisations = ''
 /** Sums below this are as good as forgotten. */
 const forgottenAsks = 0.01
-/** Time for which the reference of success is kept, milliseconds: it is computed from all accounts. */
-const referenceMilliseconds = 50
+/** Time between two checks of the minimums, milliseconds: each looks at all accounts. */
+const checkMilliseconds = 50
 
 /** Sum that decays with `memoryMilliseconds`. */
 class DecayingSum {
@@ -92,9 +94,8 @@
 
 /** Items in the order of their requests; those without one go last, as they are. */
 export function orderByPlace<Item> (items: readonly Item[], requestOf: (item: Item) => OrderedRequest | undefined, order: ServiceOrder, now: number): readonly Item[] {
-  const places = new Map(items.map(item => [item, placeIn(order, requestOf(item), now)]))
-  const last: OrderPlace = { rank: Infinity, usage: 0 }
-  return [...items].sort((left, right) => compareOrder(places.get(left) ?? last, places.get(right) ?? last))
+  const placed = items.map(item => ({ item, place: placeIn(order, requestOf(item), now) }))
+  return placed.sort((left, right) => compareOrder(left.place, right.place)).map(({ item }) => item)
 }
 
 function placeIn (order: ServiceOrder, request: OrderedRequest | undefined, now: number): OrderPlace {
@@ -105,7 +106,7 @@
 export class ServiceOrder {
   private readonly organisations = new Map<string, Account>()
   private readonly ranks: readonly Account[] = Array.from({ length: lowestRank + 1 }, createAccount)
-  private reference: { readonly organisation: number, readonly rank: number, readonly until: number } = { organisation: 0, rank: 0, until: -Infinity }
+  private checkAt = -Infinity
 
   /** Records that a request asks for service; each time counts. */
   recordAsked (request: OrderedRequest, now: number): void {
@@ -123,11 +124,19 @@
     }
   }
 
+  /** Position of a request among all that ask, 0 (most urgent) to 1, by its rank; `draw` is a random number in [0, 1). */
+  positionOf ({ rank }: OrderedRequest, draw: number, now: number): number {
+    const asked = this.ranks.map(account => account.asked.value(now))
+    const total = asked.reduce((sum, value) => sum + value, 0)
+    const ahead = asked.slice(0, rank).reduce((sum, value) => sum + value, 0)
+    return total === 0 ? draw : (ahead + draw * (asked[rank] ?? 0)) / total
+  }
+
   /** Place of a request among others now. */
   placeOf (request: OrderedRequest, now: number): OrderPlace {
-    this.refreshReference(now)
+    this.checkMinimums(now)
     const account = this.organisations.get(this.keyOf(request.organisation))
-    const isOwed = isBelow(account, this.reference.organisation * organisationMinimum, now) || isBelow(this.ranks[request.rank], this.reference.rank * rankMinimum, now)
+    const isOwed = account?.isOwed === true || this.ranks[request.rank]?.isOwed === true
     return { isOwed, rank: request.rank, usage: account === undefined ? 0 : usageOf(account, now), isRetry: request.isRetry, deadline: request.deadline }
   }
 
@@ -136,13 +145,17 @@
     return [...this.organisations].map(([organisation, account]) => ({ organisation, share: account.share, work: account.work.value(now), success: successOf(account, now) }))
   }
 
-  /** Success of organisations within their share, and of all requests. */
-  private refreshReference (now: number): void {
-    if (now < this.reference.until) return
+  /** Compares the success of each organisation with that of those within their share, and the success of each rank with that of all. */
+  private checkMinimums (now: number): void {
+    if (now < this.checkAt) return
+    this.checkAt = now + checkMilliseconds
     const accounts = [...this.organisations.values()].filter(({ asked }) => asked.value(now) >= minimumAsks)
     const meanUsage = accounts.reduce((sum, account) => sum + usageOf(account, now), 0) / Math.max(1, accounts.length)
     const withinShare = accounts.filter(account => usageOf(account, now) <= meanUsage)
-    this.reference = { organisation: successOfAll(withinShare, now), rank: successOfAll(this.ranks, now), until: now + referenceMilliseconds }
+    const organisationSuccess = successOfAll(withinShare, now) * organisationMinimum
+    const rankSuccess = successOfAll(this.ranks, now) * rankMinimum
+    for (const account of this.organisations.values()) account.isOwed = isBelow(account, organisationSuccess, now)
+    for (const account of this.ranks) account.isOwed = isBelow(account, rankSuccess, now)
   }
 
   private accountOf (organisation: string, now: number): Account {
@@ -163,7 +176,7 @@
 }
 
 function createAccount (): Account {
-  return { asked: new DecayingSum(), granted: new DecayingSum(), work: new DecayingSum(), share: 1 }
+  return { asked: new DecayingSum(), granted: new DecayingSum(), work: new DecayingSum(), share: 1, isOwed: false }
 }
 
 function usageOf ({ work, share }: Account, now: number): number {
@@ -180,6 +193,6 @@
 }
 
 /** Whether an account that asks often enough succeeds less often than `minimum`. */
-function isBelow (account: Account | undefined, minimum: number, now: number): boolean {
-  return account !== undefined && account.asked.value(now) >= minimumAsks && successOf(account, now) < minimum
+function isBelow (account: Account, minimum: number, now: number): boolean {
+  return account.asked.value(now) >= minimumAsks && successOf(account, now) < minimum
 }
--- a/src/core/dispatch/slot-contention.ts
+++ b/src/core/dispatch/slot-contention.ts
@@ -55,7 +55,9 @@
   settle (load: number, now: number): { readonly granted: readonly ContendingAsk[], readonly denied: readonly ContendingAsk[] } {
     const granted: ContendingAsk[] = []
     const denied: ContendingAsk[] = []
-    for (const ask of this.inOrder(now)) {
+    // Requests are put in order only where one of them may get a slot: agents settle several times between two counts.
+    const hasRoom = this.held.some(({ limit }) => load + 1 <= limit)
+    for (const ask of hasRoom ? this.inOrder(now) : this.held) {
       if (this.mayGrant(ask, load + granted.length, now)) {
         granted.push(ask)
         this.order.recordGranted(ask.request, now)
--- a/src/core/dispatch/slot-requests.ts
+++ b/src/core/dispatch/slot-requests.ts
@@ -20,6 +20,8 @@
   readonly load: number
   /** When it is no longer used, milliseconds of the monotonic clock. */
   readonly until: number
+  /** Whether it was asked for in a ranked service. */
+  readonly isRanked: boolean
 }
 
 interface PendingRequest {
@@ -68,7 +70,7 @@
     this.pending.delete(number)
     this.silentUntil.delete(request.upstreamId)
     if (!answer.isGranted) this.fullUntil.set(request.upstreamId, now + fullMilliseconds)
-    else this.held = [...this.held, { upstreamId: request.upstreamId, number, load: answer.load, until: Math.min(request.until, now + validityMilliseconds) }]
+    else this.held = [...this.held, { upstreamId: request.upstreamId, number, load: answer.load, until: Math.min(request.until, now + validityMilliseconds), isRanked: request.search.order !== undefined }]
     // Agents of a ranked service hold requests, so that the other answers may come after the slot has lapsed.
     return (answer.isGranted && request.search.order !== undefined) || !this.awaitsAnswer(request.search)
   }
@@ -95,9 +97,12 @@
 
   /** Gives up all slots that are held; returns them, for their agents to be told. */
   releaseAll (): readonly HeldSlot[] {
-    const { held } = this
-    this.held = []
-    return held
+    return this.release(() => true)
+  }
+
+  /** The same for slots of ranked services. */
+  releaseRanked (): readonly HeldSlot[] {
+    return this.release(({ isRanked }) => isRanked)
   }
 
   /** Whether the agent of an engine did not answer lately; notes the requests that have become unanswered. */
@@ -121,4 +126,10 @@
     this.silentUntil.delete(upstreamId)
     this.held = this.held.filter(slot => slot.upstreamId !== upstreamId)
   }
+
+  private release (isReleased: (slot: HeldSlot) => boolean): readonly HeldSlot[] {
+    const released = this.held.filter(isReleased)
+    this.held = this.held.filter(slot => !released.includes(slot))
+    return released
+  }
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -35,7 +35,7 @@
 export class RequestDispatch {
   private readonly calls: RequestCalls
   private readonly callerDisconnect = new AbortController()
-  /** Random number in [0, 1), one for all refusal checks of the request. */
+  /** Random number in [0, 1), one for all refusal checks of the request; by its rank in a ranked service. */
   private readonly refusalSample: number
   private noSlotReason: PlacementFailure = 'full'
   /** Calls whose upstream may have run the request. */
@@ -51,7 +51,7 @@
   private isOver = false
 
   constructor (private readonly context: ServingContext, private readonly request: RoutedRequest, private readonly answer: CallerAnswer, private readonly response: ServerResponse) {
-    this.refusalSample = context.random()
+    this.refusalSample = context.queueOf(request.service.name).refusalSample(context.random(), request.order)
     this.calls = new RequestCalls(context, request, answer, () => { this.considerTakeover() })
     response.on('close', () => {
       if (response.writableFinished) return
@@ -183,6 +183,7 @@
         waiting: queue.count(request.isLate, request.order)
       })
     const view = until === undefined ? undefined : await queue.wait(request.isLate, until, () => this.tryAcquireSlot(), this.callerDisconnect.signal, request.order)
+    context.metrics.count('queued_requests_total', { service: request.service.name, reason: this.noSlotReason, result: until === undefined ? 'not-queued' : view === undefined ? 'not-placed' : 'placed' })
     if (view === undefined && !this.callerDisconnect.signal.aborted) this.failWithoutSlot()
     return view
   }
@@ -202,7 +203,7 @@
     if (request.service.engine === undefined || this.mayHaveRun) return false
     const wait = context.firstEventWaitsOf(request.service.name).medianMilliseconds(monotonicNow())
     const share = refusedShare(wait, request.route.latencyGoalMilliseconds, request.isLate)
-    return request.isLate ? share > lateRefusalThreshold : this.refusalSample < share
+    return request.isLate && request.order === undefined ? share > lateRefusalThreshold : this.refusalSample < share
   }
 
   private chooseUpstream (search: SlotSearch | undefined): UpstreamView | SelectionFailure {
--- a/src/roles/gateway/engine-slots.ts
+++ b/src/roles/gateway/engine-slots.ts
@@ -71,12 +71,14 @@
     if (this.requests.receive(number, { load, isGranted }, monotonicNow())) this.context.answered()
   }
 
-  /** Gives back all slots that are held, as no request waits; `addressOf` gives the address of an upstream, undefined if it is gone. */
+  /** Gives back slots after all requests that wait have looked at them: those of ranked services, where others wait for them, and with `isIdle`, as no request waits, all. `addressOf` gives the address of an upstream, undefined if it is gone. */
+  releaseUnused (isIdle: boolean, addressOf: (upstreamId: string) => string | undefined): void {
+    this.sendReleases(isIdle ? this.requests.releaseAll() : this.requests.releaseRanked(), addressOf)
+  }
+
+  /** Gives back all slots that are held, as no request waits. */
   releaseAll (addressOf: (upstreamId: string) => string | undefined): void {
-    for (const { upstreamId, number } of this.requests.releaseAll()) {
-      const address = addressOf(upstreamId)
-      if (address !== undefined) this.context.send({ kind: 'slot-release', number }, ipOf(address))
-    }
+    this.releaseUnused(true, addressOf)
   }
 
   /** Deletes what is known of an upstream that was removed. */
@@ -84,6 +86,13 @@
     this.requests.forget(id)
   }
 
+  private sendReleases (slots: readonly HeldSlot[], addressOf: (upstreamId: string) => string | undefined): void {
+    for (const { upstreamId, number } of slots) {
+      const address = addressOf(upstreamId)
+      if (address !== undefined) this.context.send({ kind: 'slot-release', number }, ipOf(address))
+    }
+  }
+
   private heldAt ({ upstream }: UpstreamView, admission: AdmissionLimits, now: number): HeldSlot | undefined {
     return this.requests.heldAt(upstream.id, concurrencyLimit(upstream.slots, admission), now)
   }
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -267,7 +267,7 @@
   private useSlots (): void {
     const queues = [...this.queues.values()]
     for (const queue of queues) queue.poll()
-    if (queues.every(({ isEmpty }) => isEmpty)) this.slots.releaseAll(id => this.pool.find(id)?.upstream.address)
+    this.slots.releaseUnused(queues.every(({ isEmpty }) => isEmpty), id => this.pool.find(id)?.upstream.address)
   }
 
   private removeStale (): void {
--- a/src/roles/weights/slot-granter.ts
+++ b/src/roles/weights/slot-granter.ts
@@ -1,11 +1,19 @@
 /** Grants the slots of the agent's engine to entries that ask for one. */
 import { decodeOrder } from '../../core/dispatch/rank.js'
 import { SlotLedger, type KeyedAnswer } from '../../core/dispatch/slot-ledger.js'
+import type { Metrics } from '../../plugins/metrics.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
 import type { SlotRelease, SlotRequest } from '../../types/node-messages.js'
 import { monotonicNow } from '../../utils/clock.js'
+import { logFor } from '../../utils/log.js'
 
+const log = logFor('engine')
+
+/** Times between two updates of metrics and two log lines, milliseconds. */
+const [showMilliseconds, logMilliseconds] = [1000, 10_000] as const
+/** Organisations in one log line. */
+const maximumLogged = 5
 /** Time between two looks at held requests, milliseconds: short against the time for which they are held. */
 const settleMilliseconds = 5
 
@@ -14,14 +22,19 @@
   private readonly ledger = new SlotLedger()
   private isOpen = false
   private timer: NodeJS.Timeout | undefined
+  /** Requests denied since the last log line. */
+  private denied = 0
+  private showAt = -Infinity
+  private logAt = -Infinity
 
-  constructor (private readonly datagrams: DatagramSocket) {}
+  constructor (private readonly datagrams: DatagramSocket, private readonly metrics: Metrics) {}
 
   /** Applies a report that was just received; `isOpen`: the engine has weights and accepts requests. */
   recordReport ({ running, waiting }: EngineReport, isOpen: boolean): void {
     this.ledger.recordCount(running + waiting, monotonicNow())
     this.isOpen = isOpen
     this.settle()
+    this.showUse()
   }
 
   /** Answers the entry at `ip`; not while the engine's load is not known. */
@@ -62,9 +75,29 @@
     }, settleMilliseconds)
   }
 
+  /** Shows which organisations use the slots of a ranked service, to metrics each second and to the log while requests compete. */
+  private showUse (): void {
+    const now = monotonicNow()
+    if (now < this.showAt) return
+    this.showAt = now + showMilliseconds
+    const uses = this.ledger.uses(now)
+    for (const { organisation, share, work, success } of uses) {
+      this.metrics.set('organisation_share', { organisation }, share)
+      this.metrics.set('organisation_granted_tokens', { organisation }, Math.round(work))
+      this.metrics.set('organisation_granted_asks', { organisation }, Math.round(success * 1000) / 1000)
+    }
+    if (this.denied === 0 || uses.length === 0 || now < this.logAt) return
+    this.logAt = now + logMilliseconds
+    const most = [...uses].sort((left, right) => right.work / right.share - left.work / left.share).slice(0, maximumLogged)
+    log.info('requests compete for the slots of the engine', { denied: this.denied, organisations: uses.length, most: most.map(({ organisation, share, work }) => `${organisation}:${Math.round(work)}/${share}`).join(' ') })
+    this.denied = 0
+  }
+
   private send (answers: readonly KeyedAnswer[]): void {
     for (const { key, ...answer } of answers) {
       const [ip = '', number] = key.split(' ')
+      this.metrics.count('slot_answers_total', { result: answer.isGranted ? 'granted' : 'denied' })
+      if (!answer.isGranted) this.denied += 1
       this.datagrams.send({ kind: 'slot-reply', number: Number(number), ...answer }, ip)
     }
   }
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -88,7 +88,7 @@
     this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
-    this.slots = new SlotGranter(this.datagrams)
+    this.slots = new SlotGranter(this.datagrams, this.metrics)
     this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
     this.versions = new VersionCache({
       ip: settings.ip,
--- a/test/fakes/contention-replay.ts
+++ b/test/fakes/contention-replay.ts
@@ -173,7 +173,7 @@
       this.replies.set(key, answer => {
         if (!entry.slots.receive(number, answer, this.now)) return
         this.poll(entry)
-        if (entry.queue.length === 0) for (const held of entry.slots.releaseAll()) this.send(() => { this.ledgers[Number(held.upstreamId)]?.release(`${entryIndex} ${held.number}`, this.now) })
+        for (const held of entry.queue.length === 0 ? entry.slots.releaseAll() : entry.slots.releaseRanked()) this.send(() => { this.ledgers[Number(held.upstreamId)]?.release(`${entryIndex} ${held.number}`, this.now) })
       })
       this.send(() => {
         const ledger = this.ledgers[Number(id)] as SlotLedger
--- a/test/service-order.test.ts
+++ b/test/service-order.test.ts
@@ -139,9 +139,47 @@
 })
 
 /** Guards against another admission in services that are not ranked. */
-test('admission: ranked services admit late requests to more slots, others as before', async t => {
+test('admission: as before unless the service is ranked', async t => {
   const context = { route: replayRoute, engine: replayEngine, waitMilliseconds: 0 }
   t.same(admissionFor({ ...context, isLate: true }), { requestsPerSlot: 0.75, waiting: 0 })
-  t.same(admissionFor({ ...context, isLate: false }), admissionFor({ ...context, isLate: false, isRanked: true }))
+  t.same(admissionFor({ ...context, isLate: false }), { requestsPerSlot: 1, waiting: 1 })
+  t.same(admissionFor({ ...context, isLate: false, isRanked: true }), { requestsPerSlot: 1, waiting: 2 })
   t.ok(admissionFor({ ...context, isLate: true, isRanked: true }).requestsPerSlot > 0.75)
 })
+
+/** Guards against the order of service in services that are not ranked: an agent answers their requests as it did before, also beside contending ones. */
+test('slots: a request without an order is answered at once by the free slots alone', async t => {
+  for (const counted of [0, 3, limit - 1, limit, limit + 2]) {
+    const ledger = new SlotLedger()
+    ledger.recordCount(counted, now)
+    for (let granted = 0; granted < 4; granted += 1) {
+      const load = Math.min(counted + granted, Math.max(counted, limit))
+      const isGranted = load + 1 <= limit
+      t.same(ledger.answer(String(granted), limit, now), { load: isGranted ? load + 1 : load, isGranted })
+    }
+    t.notOk(ledger.hasHeld)
+  }
+})
+
+/** Guards against shares that stay distorted after an entry or an agent was killed with grants open. */
+for (const { name, restart } of [{ name: 'an entry is killed with grants open', restart: false }, { name: 'the agent is killed with grants open and a new one takes over', restart: true }]) {
+  test(`slots: ${name}; shares are back within 2 s`, async t => {
+    let ledger = new SlotLedger()
+    ledger.recordCount(0, now)
+    for (let index = 0; index < limit; index += 1) ledger.compete(`killed ${index}`, limit, now, request({ organisation: 'killed' }))
+    if (restart) ledger = new SlotLedger()
+    t.same(restart ? ledger.compete('early', limit, now + 1, request()) : [], [], 'no grant before the engine was counted')
+    ledger.recordCount(0, now + 100)
+    t.match(ledger.compete('next', limit, now + 100, request()), [{ load: 1, isGranted: true }], 'the grants are no longer counted')
+    const granted = { killed: 0, a: 0 }
+    for (let at = now + 200; at < now + 2200; at += 100) {
+      ledger.recordCount(limit, at)
+      for (const organisation of ['killed', 'a'] as const) ledger.compete(`${organisation} ${at}`, limit, at, request({ organisation }))
+      ledger.recordCount(limit - 1, at + 10)
+      for (const { key, isGranted } of ledger.settle(at + 10)) if (isGranted) granted[key.startsWith('killed') ? 'killed' : 'a'] += 1
+      ledger.settle(at + 90)
+    }
+    t.equal(granted.killed + granted.a, 20)
+    t.ok(Math.abs(ledger.uses(now + 2200).reduce((difference, { organisation, work }) => difference + (organisation === 'killed' ? work : -work), 0)) <= 150, `${granted.killed} and ${granted.a} grants`)
+  })
+}
