Order of service: only denied requests keep a slot from a less urgent one

Cause: a request that had been granted its slot was counted among the competing ones, so that a freed slot was kept for a caller that no longer asked for it; found by the new test of the slot granter, where no held request got the slot. Change: the part ahead counts denied requests only. Tests: slot-granter, service-order and order-differential pass.

--- a/src/core/dispatch/slot-contention.ts
+++ b/src/core/dispatch/slot-contention.ts
@@ -16,6 +16,11 @@
   readonly at: number
 }
 
+/** A request that was granted a slot, or denied one and will ask again. */
+interface DecidedAsk extends ContendingAsk {
+  readonly isDenied: boolean
+}
+
 /** Time for which a request is held, milliseconds: with a round trip between regions it is answered before its entry takes the agent for silent. */
 const holdMilliseconds = 20
 /** Requests that are held: more than an engine's slots, few enough to order them at each count. */
@@ -31,7 +36,7 @@
 export class SlotContention {
   readonly order = new ServiceOrder()
   private held: readonly ContendingAsk[] = []
-  private competing: readonly ContendingAsk[] = []
+  private competing: readonly DecidedAsk[] = []
   /** When a request last found no slot. */
   private fullAt = -Infinity
   private grantedAt = -Infinity
@@ -66,7 +71,7 @@
     }
     const decided = new Set([...granted, ...denied])
     this.held = this.held.filter(ask => !decided.has(ask))
-    if (decided.size > 0) this.competing = [...this.competing.filter(({ at }) => at > now - competingMilliseconds), ...decided].slice(-maximumCompeting)
+    if (decided.size > 0) this.competing = [...this.competing.filter(({ at }) => at > now - competingMilliseconds), ...granted.map(ask => ({ ...ask, isDenied: false })), ...denied.map(ask => ({ ...ask, isDenied: true }))].slice(-maximumCompeting)
     return { granted, denied }
   }
 
@@ -90,11 +95,11 @@
     return this.competing.reduce((lowest, other) => other.request.rank < request.rank && other.at > now - competingMilliseconds ? Math.min(lowest, other.limit) : lowest, limit)
   }
 
-  /** Part of the competing requests that are ahead of one. */
+  /** Part of the competing requests that were denied and are ahead of one. */
   private shareAhead ({ request }: ContendingAsk, now: number): number {
     const recent = this.competing.filter(({ at }) => at > now - competingMilliseconds)
     const place = this.order.placeOf(request, now)
-    const ahead = recent.filter(other => compareOrder(this.order.placeOf(other.request, now), place) < 0)
+    const ahead = recent.filter(other => other.isDenied && compareOrder(this.order.placeOf(other.request, now), place) < 0)
     return ahead.length / Math.max(1, recent.length)
   }
 
