--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -184,6 +184,7 @@
       return view
     }
     const view = until === undefined ? undefined : await queue.wait(this.decision.isBehind, until, takeSlot, AbortSignal.any([this.callerDisconnect.signal, hopeless.signal]), request.order)
+    context.metrics.count('queued_requests_total', { service: request.service.name, reason: this.noSlotReason, result: until === undefined ? 'not-queued' : view === undefined ? 'not-placed' : 'placed' })
     if (view === undefined && !this.callerDisconnect.signal.aborted) this.failWithoutSlot()
     return view
   }
--- a/test/fakes/start-server.ts
+++ b/test/fakes/start-server.ts
@@ -1,4 +1,5 @@
 /** Simulated upstreams of the replay of starts, each with the real `SlotGranter` of an agent; times in milliseconds. */
+import { Metrics } from '../../src/plugins/metrics.js'
 import { SlotGranter } from '../../src/roles/weights/slot-granter.js'
 import type { DatagramSocket } from '../../src/transports/datagrams.js'
 import type { Upstream } from '../../src/types/fleet.js'
@@ -30,7 +31,7 @@
   readonly granter: SlotGranter
 
   constructor (private readonly replay: ServerHost, readonly upstream: Upstream, private readonly slowness: number) {
-    this.granter = new SlotGranter({ send: (message: NodeMessage, ip: string) => { replay.reply(message, ip) } } as unknown as DatagramSocket)
+    this.granter = new SlotGranter({ send: (message: NodeMessage, ip: string) => { replay.reply(message, ip) } } as unknown as DatagramSocket, new Metrics())
   }
 
   arrive (call: Call): void {
