--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -9,6 +9,9 @@
 
 const log = logFor('requests')
 
+/** Longest expected wait that is logged, milliseconds; also stands for one that is not known. */
+const maximumLoggedMilliseconds = 60_000
+
 /** A call that has ended. */
 export interface EndedCall {
   readonly request: RoutedRequest
@@ -68,12 +71,14 @@
   readonly withdrawn: number
   readonly refused: number
   readonly now: number
+  /** Requests of the same kind, late or not, that wait at this entry. */
+  readonly waiting: number
   /** When the caller is told to try again. */
   readonly retryAt: number
 }
 
 /** Logs a request that no upstream answered completely. */
-export function logFailure ({ request, tag, noSlotReason, ran, withdrawn, refused, now, retryAt }: FailedRequest, context: ServingContext): void {
+export function logFailure ({ request, tag, noSlotReason, ran, withdrawn, refused, now, waiting, retryAt }: FailedRequest, context: ServingContext): void {
   log.info('request failed: no upstream answered it completely', {
     id: request.caller.id,
     route: request.route.name,
@@ -88,6 +93,8 @@
     firstEventWaitMilliseconds: Math.round(context.firstEventWaitsOf(request.service.name).medianMilliseconds(now)),
     loadPercent: Math.round(context.pool.loadShare(request.service.name) * 100),
     elapsedMilliseconds: Math.round(now - request.arrivedAt),
+    waiting,
+    expectedWaitMilliseconds: Math.round(Math.min(maximumLoggedMilliseconds, context.expectedWaitsOf(request.service.name).waitMilliseconds(request.isLate, waiting, now))),
     retryAfterMilliseconds: Math.round(retryAt - now)
   })
 }
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -280,7 +280,8 @@
     const retryAt = !isRefusal ? now : returnAt ?? this.decision.retryAt(now, noSlotReason === '' ? undefined : this.noUpstream(), waiting)
     this.answer.fail(failure, isRefusal ? retryAt - now : undefined)
     context.metrics.count('refusals_total', { reason: tag })
-    logFailure({ request, tag, noSlotReason, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused, now, retryAt }, context)
+    if (noSlotReason !== '') context.metrics.count('requests_without_slot_total', { service: request.service.name, reason: noSlotReason })
+    logFailure({ request, tag, noSlotReason, ran: this.ran, withdrawn: this.withdrawn, refused: this.refused, now, waiting, retryAt }, context)
   }
 
   private log (sentence: string, attempt: EndedAttempt): void {
