Ranked services: one rule takes the refused share of the least urgent requests

The one that is kept bounds the share of each rank, so that none is refused altogether; arrivals are recorded for the order of the entry's queue.

--- a/src/core/dispatch/service-order.ts
+++ b/src/core/dispatch/service-order.ts
@@ -124,14 +124,6 @@
     }
   }
 
-  /** Position of a request among all that ask, 0 (most urgent) to 1, by its rank; `draw` is a random number in [0, 1). */
-  positionOf ({ rank }: OrderedRequest, draw: number, now: number): number {
-    const asked = this.ranks.map(account => account.asked.value(now))
-    const total = asked.reduce((sum, value) => sum + value, 0)
-    const ahead = asked.slice(0, rank).reduce((sum, value) => sum + value, 0)
-    return total === 0 ? draw : (ahead + draw * (asked[rank] ?? 0)) / total
-  }
-
   /** Place of a request among others now. */
   placeOf (request: OrderedRequest, now: number): OrderPlace {
     this.checkMinimums(now)
--- a/src/roles/gateway/refusal-decision.ts
+++ b/src/roles/gateway/refusal-decision.ts
@@ -42,6 +42,7 @@
     this.isRanked = profile.isRanked
     this.isBehind = request.isLate
     if (this.isAdaptive) this.waits.recordArrival(monotonicNow(), request.isLate, this.priority)
+    if (request.order !== undefined) context.queueOf(request.service.name).recordAsked(request.order)
   }
 
   /** When the caller was told to return, if the request is repeated too early once more; then it is refused at once. */
--- a/src/roles/gateway/request-queue.ts
+++ b/src/roles/gateway/request-queue.ts
@@ -35,12 +35,9 @@
     return this.items.some(item => order === undefined ? isLate || !item.isLate : isNotBehind(item, order))
   }
 
-  /** Random number in [0, 1) from another one, `sample`, for a request that has arrived: in a ranked service it is the lower the less urgent the request, so that a refused share is taken of these first. */
-  refusalSample (sample: number, order: OrderedRequest | undefined): number {
-    if (order === undefined) return sample
-    const now = monotonicNow()
-    this.order.recordAsked(order, now)
-    return 1 - this.order.positionOf(order, 1 - sample, now)
+  /** Records that a request of a ranked service has arrived. */
+  recordAsked (order: OrderedRequest): void {
+    this.order.recordAsked(order, monotonicNow())
   }
 
   /** Queues a request; resolves with the upstream whose slot it took, or with undefined once `until` (milliseconds of the monotonic clock) has passed or `signal` aborts. */
