Weights: the chunks of an agent that is gone are taken over by all others, the longest due first

Change: who takes over differs from round to round, and an agent fetches what has been due for longest.

--- a/src/core/weights/distribution-plan.ts
+++ b/src/core/weights/distribution-plan.ts
@@ -96,13 +96,31 @@
 /** Ranks of `self` among all agents (`all`) and among those of its data centre (`local`). */
 export function fetchRanks (total: number, self: string, all: readonly string[], local: readonly string[]): FetchRanks {
   const rankAmong = (members: readonly string[]): readonly number[] => {
-    // Round robin over the ordered members, so that each one is the primary fetcher of equally many chunks.
-    const ownRank = rankMembers(rankingKey, members).indexOf(self)
-    return Array.from({ length: total }, (_, position) => (ownRank - position % members.length + members.length) % members.length)
+    const place = rankMembers(rankingKey, members).indexOf(self)
+    return Array.from({ length: total }, (_, position) => rankAt(place, position, members.length))
   }
   return { amongAll: rankAmong([...new Set([self, ...all])]), amongDataCentre: rankAmong([...new Set([self, ...local])]) }
 }
 
+/** Rank for a position of the member at a place among `count` ordered ones, see `placeOfRank`. */
+function rankAt (place: number, position: number, count: number): number {
+  const distance = (place - position % count + count) % count
+  if (distance === 0) return 0
+  const others = count - 1
+  return ((distance - 1 - Math.floor(position / count)) % others + others) % others + 1
+}
+
+/**
+ * Place among `count` ordered members of the one with a rank for a position. The primary fetchers go round robin, so that
+ * each has equally many chunks. Who takes over changes with each round, since one member alone would fetch the chunks of a
+ * member that is gone one after another, and its own only after them.
+ */
+function placeOfRank (rank: number, position: number, count: number): number {
+  const first = position % count
+  if (rank === 0 || count === 1) return first
+  return (first + 1 + (Math.floor(position / count) + rank - 1) % (count - 1)) % count
+}
+
 /** Member that fetches a chunk first; undefined if there are no members. */
 export function primaryFetcher (position: number, members: readonly string[]): string | undefined {
   return rankMembers(rankingKey, members)[position % members.length]
@@ -116,8 +134,9 @@
 /** Agents that a chunk from the origin concerns first: those that would ask for it next, and the primary fetchers of some chunks in `missing`. */
 export function originFetchers (position: number, missing: readonly number[], members: readonly string[]): readonly string[] {
   const ranked = rankMembers(rankingKey, members)
-  const next = Array.from({ length: Math.min(toldFetchers, ranked.length) }, (_, rank) => position + rank)
-  return [...new Set([...next, ...missing.slice(0, toldPositions)].flatMap(place => ranked[place % ranked.length] ?? []))]
+  const next = Array.from({ length: Math.min(toldFetchers, ranked.length) }, (_, rank) => placeOfRank(rank, position, ranked.length))
+  const primaries = missing.slice(0, toldPositions).map(other => placeOfRank(0, other, ranked.length))
+  return [...new Set([...next, ...primaries].flatMap(place => ranked[place] ?? []))]
 }
 
 /** Next fetch, from the origin if one is due and from a peer otherwise; undefined if none can start now. */
@@ -127,16 +146,19 @@
 }
 
 /**
- * The due chunk with the lowest rank of this agent, so that agents with several due chunks fetch different ones. Chunks
- * fall due one after another at the pace of the origin's link, since partial chunks are lost when the origin fails.
+ * The chunk that has been due for this agent for longest, so that it does not leave the chunks of an agent that is gone until
+ * all of its own have arrived. Chunks fall due one after another at the pace of the origin's link, since partial chunks are
+ * lost when the origin fails.
  */
 function nextOriginFetch (view: DistributionView): DistributionFetch | undefined {
   if (view.originInFlight >= fetchesFromOrigin || view.originRetryAt > view.now) return undefined
-  let best: { readonly position: number, readonly rank: number } | undefined
+  let best: { readonly position: number, readonly dueAt: number, readonly rank: number } | undefined
   for (let position = 0; position < view.total; position += 1) {
     if (!isFetchable(view, position)) continue
     const rank = Math.min(maximumDelayedRank, view.ranks.amongAll[position] ?? 0)
-    if (view.now >= dueAt(view, position, rank) && (best === undefined || rank < best.rank)) best = { position, rank }
+    const due = dueAt(view, position, rank)
+    if (view.now < due) continue
+    if (best === undefined || due < best.dueAt || (due === best.dueAt && rank < best.rank)) best = { position, dueAt: due, rank }
   }
   return best === undefined ? undefined : { position: best.position, peer: undefined }
 }
