Placement: engines are placed by number unless the setting asks for expected times

Change: the profile has placesByTime, which holds for plain upstreams that state their pace, and for all with POLLENDYKE_DISPATCH=adaptive; elsewhere no pace datagrams are sent.

--- a/src/core/dispatch/service-profile.ts
+++ b/src/core/dispatch/service-profile.ts
@@ -13,6 +13,8 @@
   readonly isRanked: boolean
   /** Whether its upstreams state how fast they work now. */
   readonly isPaced: boolean
+  /** Whether placement compares expected times; otherwise numbers of requests. */
+  readonly placesByTime: boolean
   /** Whether either holds: expected times then decide on refusals, retries and the start of upstreams. */
   readonly isAdaptive: boolean
 }
@@ -30,9 +32,20 @@
   return new Set([...priorities].flatMap(([service, { size }]) => size > 1 ? [service] : []))
 }
 
-/** Profile of a service that is ranked by its configuration or not, and whose upstreams state their pace or not. */
-export function profileOf (mode: DispatchMode, isRanked: boolean, isPaced: boolean): ServiceProfile {
-  if (mode === 'adaptive') return { isRanked: true, isPaced: true, isAdaptive: true }
-  if (mode === 'basic') return { isRanked: false, isPaced: false, isAdaptive: false }
-  return { isRanked, isPaced, isAdaptive: isRanked || isPaced }
+/**
+ * Profile of a service that is ranked by its configuration or not, and whose upstreams state their pace or not. Engines are
+ * placed by number unless the setting asks for expected times: an entry learns of an engine's pace later than it changes, and
+ * with expected times fewer streams began within their goal.
+ */
+export function profileOf (mode: DispatchMode, { isRanked, isPaced, hasEngines }: ServiceFacts): ServiceProfile {
+  if (mode === 'adaptive') return { isRanked: true, isPaced: true, placesByTime: true, isAdaptive: true }
+  if (mode === 'basic') return { isRanked: false, isPaced: false, placesByTime: false, isAdaptive: false }
+  return { isRanked, isPaced, placesByTime: isPaced && !hasEngines, isAdaptive: isRanked || isPaced }
+}
+
+/** What is known of a service. */
+export interface ServiceFacts {
+  readonly isRanked: boolean
+  readonly isPaced: boolean
+  readonly hasEngines: boolean
 }
--- a/src/roles/gateway/call-log.ts
+++ b/src/roles/gateway/call-log.ts
@@ -47,7 +47,7 @@
     upstream: view.upstream.id,
     load: estimateLoad(view, now),
     loadAgeMilliseconds: view.observedLoad.at === 0 ? -1 : Math.round(sentAt - view.observedLoad.at),
-    placedBy: profileOfService(request.service.name).isPaced ? 'time' : 'number',
+    placedBy: profileOfService(request.service.name).placesByTime ? 'time' : 'number',
     expectedMilliseconds: expectation.expectedMilliseconds,
     pace: Math.round(expectation.pace * 100) / 100,
     paceAgeMilliseconds: expectation.paceAgeMilliseconds,
--- a/src/roles/gateway/dispatch-request.ts
+++ b/src/roles/gateway/dispatch-request.ts
@@ -209,7 +209,7 @@
       minimumVersion: this.minimumVersion(),
       streamVersion: this.calls.startedBy?.weights?.version,
       search,
-      work: context.profileOfService(request.service.name).isPaced ? workOf(request, !this.mayHaveRun && !this.answer.hasBegun) : undefined
+      work: context.profileOfService(request.service.name).placesByTime ? workOf(request, !this.mayHaveRun && !this.answer.hasBegun) : undefined
     })
   }
 
--- a/src/roles/gateway/gateway.ts
+++ b/src/roles/gateway/gateway.ts
@@ -134,6 +134,7 @@
       knownEntries: () => this.members.knownEntries(monotonicNow()),
       isEvacuated: dataCentre => this.state.isEvacuated(dataCentre),
       isAdaptive: service => this.profileOf(service).isAdaptive,
+      placesByTime: service => this.profileOf(service).placesByTime,
       upstreamGone: upstream => {
         if (upstream.isDraining) this.unprovedRuns.recordLeft(incarnationOf(upstream))
         else this.unprovedRuns.recordEnded(incarnationOf(upstream), monotonicNow())
@@ -247,7 +248,8 @@
   }
 
   private profileOf (service: string): ServiceProfile {
-    return profileOf(this.settings.dispatchMode, this.state.isRanked(service), this.pool.statesPace(service))
+    const hasEngines = this.state.service(service)?.engine !== undefined
+    return profileOf(this.settings.dispatchMode, { isRanked: this.state.isRanked(service), isPaced: this.pool.statesPace(service), hasEngines })
   }
 
   private livingEntries (): readonly string[] {
--- a/src/roles/gateway/upstream-pool.ts
+++ b/src/roles/gateway/upstream-pool.ts
@@ -241,7 +241,7 @@
   /** Applies a load with its pace, and tells the agent of the engine where it does not know the pace. */
   private observeTimes (view: UpstreamView, load: StatedLoad): void {
     const pace = this.times.observe(view, load, monotonicNow())
-    if (pace !== undefined) this.context.slots.reportPace(view, pace)
+    if (pace !== undefined && this.context.placesByTime?.(view.upstream.service) !== false) this.context.slots.reportPace(view, pace)
   }
 
   /** Begins a recovery after a report of a restart or of other weights. */
--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -62,6 +62,8 @@
   isEvacuated (dataCentre: string): boolean
   /** Whether a service's profile is adaptive, see `ServiceProfile`. */
   isAdaptive (service: string): boolean
+  /** Whether placement among the upstreams of a service compares expected times, so that agents are told of paces; for all services if not set. */
+  placesByTime? (service: string): boolean
   /** Called when an incarnation of an upstream is gone: its record was removed, or it has started again. */
   upstreamGone (upstream: Upstream): void
   /** Called when a record says that an upstream leaves of which that was not known. */
--- a/test/refusals.test.ts
+++ b/test/refusals.test.ts
@@ -134,7 +134,7 @@
     const firstEvents = new FirstEventWaits()
     for (let index = 0; index < 4; index += 1) firstEvents.recordStarted(firstEvents.recordSent(now - random() * 800), now, true)
     const sample = random()
-    const context = { random: () => sample, profileOfService: () => ({ isRanked: false, isPaced: false, isAdaptive: false }), firstEventWaitsOf: () => firstEvents } as unknown as ServingContext
+    const context = { random: () => sample, profileOfService: () => ({ isRanked: false, isPaced: false, placesByTime: false, isAdaptive: false }), firstEventWaitsOf: () => firstEvents } as unknown as ServingContext
     const arrivedAt = now - random() * 1000
     const request = { arrivedAt, deadline: arrivedAt + random() * 6000, callerDeadline: arrivedAt + 6000, isLate: random() < 0.5, route: replayRoute, service: { name: 'model-a', engine: random() < 0.8 ? facts : undefined }, traits: ['x'], body: Buffer.from('x') } as unknown as RoutedRequest
     const decision = new RefusalDecision(context, request)
--- a/test/service-profile.test.ts
+++ b/test/service-profile.test.ts
@@ -22,10 +22,12 @@
 }
 
 test('service profile: the setting overrides what a service asks for', async t => {
-  t.same(profileOf('automatic', false, false), { isRanked: false, isPaced: false, isAdaptive: false })
-  t.same(profileOf('automatic', false, true), { isRanked: false, isPaced: true, isAdaptive: true })
-  t.same(profileOf('adaptive', false, false), { isRanked: true, isPaced: true, isAdaptive: true })
-  t.same(profileOf('basic', true, true), { isRanked: false, isPaced: false, isAdaptive: false })
+  const facts = { isRanked: false, isPaced: false, hasEngines: true }
+  t.same(profileOf('automatic', facts), { isRanked: false, isPaced: false, placesByTime: false, isAdaptive: false })
+  t.same(profileOf('automatic', { ...facts, isPaced: true }), { isRanked: false, isPaced: true, placesByTime: false, isAdaptive: true })
+  t.same(profileOf('automatic', { ...facts, isPaced: true, hasEngines: false }), { isRanked: false, isPaced: true, placesByTime: true, isAdaptive: true })
+  t.same(profileOf('adaptive', facts), { isRanked: true, isPaced: true, placesByTime: true, isAdaptive: true })
+  t.same(profileOf('basic', { isRanked: true, isPaced: true, hasEngines: false }), { isRanked: false, isPaced: false, placesByTime: false, isAdaptive: false })
 })
 
 test('service profile: an unknown dispatch mode is a finding with its place', async t => {
