--- a/src/roles/weights/announcer.ts
+++ b/src/roles/weights/announcer.ts
@@ -14,15 +14,11 @@
   readonly served: number
   /** Whether the engine swaps its weights, or is closed to requests before it does. */
   readonly isSwapping: boolean
-  /** Time since the last failure of the origin, milliseconds; undefined while it answers. */
-  readonly originFailedMilliseconds: number | undefined
 }
 
 /** Sends one agent's announcements. */
 export class Announcer {
   private readonly last = new Map<string, LastAnnouncement>()
-  /** Version that was announced to all targets when its manifest arrived. */
-  private announcedVersion = 0
 
   constructor (private readonly dataCentre: string, private readonly datagrams: DatagramSocket, private readonly peers: PeerTable, private readonly readState: () => AnnouncedState) {}
 
@@ -35,12 +31,6 @@
     const targets = this.peers.announcementTargets().map(({ ip }) => ip)
     const offered = served < version ? this.peers.heldInDataCentre(model, version, digests.length, chunks.held) : emptyBitmap(digests.length)
     if (this.last.size > targets.length) this.forgetAllBut(new Set(targets))
-    if (version !== this.announcedVersion) {
-      // The others wait for an agent that has the manifest before they ask the origin for it.
-      this.announcedVersion = version
-      this.sendTo(targets)
-      return
-    }
     this.sendTo(targets.filter(ip => isAnnouncementDue({ offered, version, served, isSwapping }, this.peers.heldBy(ip, model, version, digests.length), this.last.get(ip), now)))
   }
 
@@ -48,18 +38,18 @@
     for (const ip of this.last.keys()) if (!targets.has(ip)) this.last.delete(ip)
   }
 
-  /** Announces a chunk at once to the agent of each other data centre that is its primary fetcher there, and to those that would ask the origin for it next. */
-  announceOriginChunk (position: number, fetchers: readonly string[]): void {
-    this.sendTo([...new Set([...fetchers, ...this.peers.otherDataCentres().flatMap(members => primaryFetcher(position, members) ?? [])])])
+  /** Announces at once to the agent of each other data centre that is the primary fetcher of a chunk there. */
+  announceToPrimaryFetchers (position: number): void {
+    this.sendTo(this.peers.otherDataCentres().flatMap(members => primaryFetcher(position, members) ?? []))
   }
 
   /** Announces at once to some agents; sends nothing before the first fetch. */
   sendTo (ips: readonly string[]): void {
-    const { chunks, served, isSwapping, originFailedMilliseconds } = this.readState()
+    const { chunks, served, isSwapping } = this.readState()
     if (chunks === undefined || ips.length === 0) return
     const { model, version, digests, held } = chunks
     const heldInDataCentre = formatBitmap(this.peers.heldInDataCentre(model, version, digests.length, held))
-    this.datagrams.sendToAll({ kind: 'holdings', dataCentre: this.dataCentre, model, version, held: formatBitmap(held), heldInDataCentre, served, isSwapping, originFailedMilliseconds }, ips)
+    this.datagrams.sendToAll({ kind: 'holdings', dataCentre: this.dataCentre, model, version, held: formatBitmap(held), heldInDataCentre, served, isSwapping }, ips)
     const last = { at: monotonicNow(), version, served, isSwapping }
     for (const ip of ips) this.last.set(ip, last)
   }
--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -1,11 +1,8 @@
 /** Fetches the chunks of one version from the origin and from other agents. */
 import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
-import { maximumFetches, nextDistributionFetch, nextOriginDueAt, fetchRanks, originFetchers, originPlaces, type DistributionFetch, type DistributionPeer, type DistributionView, type FetchRanks } from '../../core/weights/distribution-plan.js'
+import { maximumFetches, nextDistributionFetch, fetchRanks, originPlaces, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
 import { DigestDoubts, originSource } from '../../core/weights/digest-doubt.js'
-import { originCopyMilliseconds } from '../../core/weights/origin-copy.js'
-import type { OriginOutage } from '../../core/weights/origin-outage.js'
-import { OriginState } from '../../core/weights/origin-state.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
@@ -13,7 +10,6 @@
 import { digestBytes } from '../../utils/digest.js'
 import { logFor } from '../../utils/log.js'
 import type { VersionChunks } from './chunk-store.js'
-import { busyMilliseconds, PeerBusyError } from './peer-busy.js'
 import type { Holder, PeerTable } from './peer-table.js'
 
 const log = logFor('exchange')
@@ -22,6 +18,11 @@
 const peerTimeoutMilliseconds = { sameDataCentre: 1500, otherDataCentre: 3000 } as const
 /** Backoff after a failed fetch from a peer, milliseconds; it doubles with each consecutive failure. */
 const peerBackoffMilliseconds = { first: 400, maximum: 6400 } as const
+/** Backoff after a failed fetch from the origin, milliseconds. */
+const originBackoffMilliseconds = 150
+
+/** Assumed time of one copy from an origin whose link speed is not configured, milliseconds. */
+const defaultCopyMilliseconds = 3000
 
 /** Time between two log lines about an unfinished fetch, milliseconds. */
 const progressLogIntervalMilliseconds = 1500
@@ -32,18 +33,30 @@
   readonly internalPort: number
   readonly origin: OriginPort
   readonly peers: PeerTable
-  /** Whether the origin answers, as all fetches of this agent see it. */
-  readonly originOutage?: OriginOutage
   /** Origin in the current configuration; undefined when it has none. */
   originFacts (): OriginFacts | undefined
   /** Size of one chunk, bytes; 0 while unknown. */
   chunkBytes (): number
-  /** Called after a valid chunk was stored; `fetchers` are the agents that would otherwise ask the origin for it, or for others that it can send again. */
-  onChunkStored (position: number, isFromOrigin: boolean, fetchers: readonly string[]): void
+  /** Called after a valid chunk was stored. */
+  onChunkStored (position: number, isFromOrigin: boolean): void
   /** Called when the same bytes have arrived again that do not match their digest: it may be wrong. */
   onDigestDoubted (doubts: DigestDoubts): void
 }
 
+/** Time for which a busy peer asks to be left alone, milliseconds: what cannot be read counts as none, and none is longer than the longest backoff. */
+function busyMilliseconds (retryAfter: string | undefined): number {
+  const milliseconds = Number(retryAfter ?? 0) * 1000
+  return milliseconds > 0 ? Math.min(peerBackoffMilliseconds.maximum, milliseconds) : 0
+}
+
+/** Thrown when a peer has no free upload slot. */
+class PeerBusyError extends Error {
+  /** `retryAt` in milliseconds of the monotonic clock. */
+  constructor (readonly retryAt: number) {
+    super('the agent is busy')
+  }
+}
+
 /** Fetches one version until it is complete or `stop` is called. */
 export class ChunkFetcher {
   private readonly agent = new Agent({ keepAlive: true })
@@ -58,8 +71,9 @@
   /** When each position was first seen to be offered, milliseconds of the monotonic clock. */
   private readonly offeredAt = new Map<number, number>()
   private originInFlight = 0
-  private readonly originState: OriginState
-  private dueTimer: NodeJS.Timeout | undefined
+  private originRetryAt = 0
+  /** Start of the fetch, or the last failure of the origin, milliseconds of the monotonic clock. */
+  private originSince: number
   private originPlaces: readonly number[]
   private ranks: FetchRanks | undefined
   /** Membership of the peer table for which `ranks` were computed. */
@@ -76,15 +90,13 @@
 
   /** `wantedAt`: start of the fetch, milliseconds of the monotonic clock. */
   constructor (private readonly context: FetchContext, readonly chunks: VersionChunks, readonly wantedAt: number) {
-    const known = this.known(this.holders())
-    this.originState = new OriginState(wantedAt, countBits(known, chunks.digests.length), this.originCopyMilliseconds)
-    this.originPlaces = originPlaces(chunks.digests.length, known)
+    this.originSince = wantedAt
+    this.originPlaces = originPlaces(chunks.digests.length, chunks.held)
   }
 
   /** Starts no more fetches, closes the connections to peers and ignores chunks that still arrive. */
   stop (): void {
     this.isStopped = true
-    clearTimeout(this.dueTimer)
     this.agent.destroy()
   }
 
@@ -92,20 +104,9 @@
   startFetches (): void {
     if (this.isStopped || this.chunks.isComplete) return
     for (let chunkFetch = this.next(); chunkFetch !== undefined; chunkFetch = this.next()) this.start(chunkFetch)
-    this.scheduleNext()
     this.logProgress()
   }
 
-  /** Starts the next fetch from the origin when it falls due, not at the next poll: its link would be idle meanwhile. */
-  private scheduleNext (): void {
-    clearTimeout(this.dueTimer)
-    const dueAt = nextOriginDueAt(this.view())
-    const now = monotonicNow()
-    if (dueAt === undefined || dueAt <= now) return
-    this.dueTimer = setTimeout(() => { this.startFetches() }, Math.ceil(dueAt - now))
-    this.dueTimer.unref()
-  }
-
   private logProgress (): void {
     const now = monotonicNow()
     if (now < this.nextProgressLogAt) return
@@ -118,51 +119,33 @@
       chunks: this.chunks.digests.length,
       inFlight: [...this.inFlight].join(),
       originInFlight: this.originInFlight,
-      originRetryMilliseconds: Math.max(0, Math.round(this.originState.retryAt - now)),
-      isOriginAway: this.originState.isAway,
-      missingEverywhere: this.chunks.digests.length - countBits(this.known(holders), this.chunks.digests.length),
+      originRetryMilliseconds: Math.max(0, Math.round(this.originRetryAt - now)),
       holders: holders.map(({ ip, held }) => `${ip}:${countBits(held, this.chunks.digests.length)}`).join(' '),
       milliseconds: Math.round(now - this.wantedAt)
     })
   }
 
   private next (): DistributionFetch | undefined {
-    return this.inFlight.size >= maximumFetches ? undefined : nextDistributionFetch(this.view())
-  }
-
-  private view (): DistributionView {
+    if (this.inFlight.size >= maximumFetches) return undefined
     const now = monotonicNow()
     const holders = this.holders()
     const offered = this.offeredBy(holders)
     this.noteOffers(offered, now)
-    const known = this.known(holders)
-    const knownCount = countBits(known, this.chunks.digests.length)
-    if (this.originState.observe(now, knownCount)) {
-      this.originPlaces = originPlaces(this.chunks.digests.length, known)
-      this.context.originOutage?.recordAnswer(now)
-      log.info('the origin answers again', { model: this.chunks.model, version: this.chunks.version, known: knownCount })
-    }
-    return {
+    return nextDistributionFetch({
       now,
       total: this.chunks.digests.length,
       held: this.chunks.held,
       ranks: this.currentRanks(),
-      originSince: this.originState.since,
+      originSince: this.originSince,
       originPlaces: this.originPlaces,
-      originSent: this.originState.sent(knownCount),
       peers: holders.map(holder => this.toSpreadPeer(holder)),
       offered,
       offeredAt: this.offeredAt,
       inFlight: this.inFlight,
       originInFlight: this.originInFlight,
-      originRetryAt: this.context.originFacts() === undefined ? Infinity : this.originState.retryAt,
+      originRetryAt: this.context.originFacts() === undefined ? Infinity : this.originRetryAt,
       originCopyMilliseconds: this.originCopyMilliseconds
-    }
-  }
-
-  /** Chunks that some agent is known to hold, this one included. */
-  private known (holders: readonly Holder[]): Bitmap {
-    return unionOf(this.chunks.digests.length, [this.chunks.held, ...holders.flatMap(({ held, heldInDataCentre }) => [held, heldInDataCentre])])
+    })
   }
 
   private holders (): readonly Holder[] {
@@ -199,7 +182,9 @@
   }
 
   private get originCopyMilliseconds (): number {
-    return originCopyMilliseconds(this.chunks.digests.length * this.context.chunkBytes(), this.context.originFacts()?.bytesPerSecond ?? 0)
+    const bytesPerSecond = this.context.originFacts()?.bytesPerSecond ?? 0
+    const bytes = this.chunks.digests.length * this.context.chunkBytes()
+    return bytesPerSecond === 0 ? defaultCopyMilliseconds : bytes / bytesPerSecond * 1000
   }
 
   private start (chunkFetch: DistributionFetch): void {
@@ -234,20 +219,18 @@
     if (chunkFetch.peer === undefined) this.chunkCounts.origin += 1
     else if (this.context.peers.isSameDataCentre(chunkFetch.peer)) this.chunkCounts.sameDataCentre += 1
     else this.chunkCounts.otherDataCentres += 1
-    if (chunkFetch.peer === undefined) {
-      this.lastOriginChunkAt = monotonicNow()
-      this.context.originOutage?.recordAnswer(this.lastOriginChunkAt)
-    }
+    if (chunkFetch.peer === undefined) this.lastOriginChunkAt = monotonicNow()
     if (this.chunks.isComplete) log.info('weights are complete', { model: this.chunks.model, version: this.chunks.version, ...this.chunkCounts, busy: this.busy, originMilliseconds: Math.round(this.lastOriginChunkAt - this.wantedAt), milliseconds: Math.round(monotonicNow() - this.wantedAt) })
-    const isFromOrigin = chunkFetch.peer === undefined
-    this.context.onChunkStored(chunkFetch.position, isFromOrigin, isFromOrigin ? this.fetchersOf(chunkFetch.position, this.originState.isAway) : [])
+    this.context.onChunkStored(chunkFetch.position, chunkFetch.peer === undefined)
   }
 
   private recordFailure (chunkFetch: DistributionFetch, reason: string): void {
     if (this.isStopped) return
     log.warn('could not fetch a chunk', { model: this.chunks.model, version: this.chunks.version, position: chunkFetch.position, source: chunkFetch.peer ?? 'origin', reason })
     if (chunkFetch.peer === undefined) {
-      this.recordOriginFailure(chunkFetch.position)
+      this.originSince = monotonicNow()
+      this.originRetryAt = this.originSince + originBackoffMilliseconds
+      this.originPlaces = originPlaces(this.chunks.digests.length, unionOf(this.chunks.digests.length, [this.chunks.held, this.offeredBy(this.holders())]))
       return
     }
     const failures = (this.peerFailures.get(chunkFetch.peer) ?? 0) + 1
@@ -256,23 +239,6 @@
     this.peerRetryAt.set(chunkFetch.peer, monotonicNow() + backoff)
   }
 
-  private recordOriginFailure (position: number): void {
-    const total = this.chunks.digests.length
-    const holders = this.holders()
-    this.context.originOutage?.recordFailure(monotonicNow())
-    const rank = this.currentRanks().amongAll[position]
-    this.originPlaces = originPlaces(total, unionOf(total, [this.chunks.held, this.offeredBy(holders)]))
-    this.originState.recordFailure(monotonicNow(), countBits(this.known(holders), total), this.originPlaces[position] ?? 0, rank === 0)
-  }
-
-  /** Agents that would ask the origin next for a chunk; after an outage also the primary fetchers of what is missing everywhere. */
-  private fetchersOf (position: number, isReturn: boolean): readonly string[] {
-    const known = this.known(this.holders())
-    const missing = isReturn ? this.chunks.digests.flatMap((_, other) => hasBit(known, other) ? [] : [other]) : []
-    const { ip, peers } = this.context
-    return originFetchers(position, missing, [ip, ...peers.all().map(peer => peer.ip)]).filter(fetcher => fetcher !== ip)
-  }
-
   private count (chunkFetch: DistributionFetch, by: number): void {
     if (chunkFetch.peer === undefined) this.originInFlight += by
     else this.fetchesByPeer.set(chunkFetch.peer, (this.fetchesByPeer.get(chunkFetch.peer) ?? 0) + by)
@@ -288,7 +254,7 @@
     const path = `/chunks/${model}/${version}/${position}`
     const timeoutMilliseconds = peerTimeoutMilliseconds[this.context.peers.isSameDataCentre(ip) ? 'sameDataCentre' : 'otherDataCentre']
     const answer = await callHttp({ address: `${ip}:${this.context.internalPort}`, method: 'GET', path, deadline: monotonicNow() + timeoutMilliseconds, maximumBytes: maximumAnswerBytes.chunk, agent: this.agent })
-    if (answer.status === 503) throw new PeerBusyError(monotonicNow() + busyMilliseconds(answer.headers['retry-after'], peerBackoffMilliseconds.maximum))
+    if (answer.status === 503) throw new PeerBusyError(monotonicNow() + busyMilliseconds(answer.headers['retry-after']))
     if (answer.status !== 200) throw new Error(`the agent answered ${answer.status}`)
     return answer.body
   }
--- a/src/roles/weights/named-versions.ts
+++ b/src/roles/weights/named-versions.ts
@@ -15,8 +15,8 @@
   private readonly named = new Map<string, readonly NamedVersion[]>()
   private readonly startedAt = monotonicNow()
 
-  /** `rolloutMilliseconds`: time from the naming of a version until new requests run on that version only; `onNamed` is called soon after a version is named. */
-  constructor (private readonly rolloutMilliseconds: number, private readonly onNamed: () => void = () => {}) {}
+  /** `rolloutMilliseconds`: time from the naming of a version until new requests run on that version only. */
+  constructor (private readonly rolloutMilliseconds: number) {}
 
   /** Adds a version that `source` reports, an entry's IP or `log`, or corrects the time at which a known one was named. */
   merge (model: string, reported: ReportedVersion, source: string): void {
@@ -24,10 +24,7 @@
     const merged = mergeNamedVersion(known, reported, this.rolloutMilliseconds, monotonicNow())
     this.named.set(model, merged)
     const { version, ageMilliseconds } = reported
-    if (merged === known || known.some(named => named.version === version)) return
-    // What the same message tells besides, as the agents to fetch from, is taken first.
-    queueMicrotask(this.onNamed)
-    log.info('weights are named', { model, version, source, ageMilliseconds: Math.round(ageMilliseconds ?? -1) })
+    if (merged !== known && !known.some(named => named.version === version)) log.info('weights are named', { model, version, source, ageMilliseconds: Math.round(ageMilliseconds ?? -1) })
   }
 
   /** A version with the time at which it was named; one that was never named counts from the start of this process. */
--- a/src/roles/weights/peer-table.ts
+++ b/src/roles/weights/peer-table.ts
@@ -12,8 +12,6 @@
 const peerTimeoutMilliseconds = 15_000
 /** Minimum time between two updates of `seenAt` by an agent's own announcements, milliseconds. */
 const refreshMilliseconds = 1000
-/** Versions of which the last announcement of an agent is kept: it may serve chunks of those that it fetched before. */
-const maximumAnnouncedVersions = 4
 /** Age from which an announcement is ignored, milliseconds: three idle announcement intervals. */
 const holdingsTimeoutMilliseconds = 3000
 
@@ -46,8 +44,8 @@
 export class PeerTable {
   private readonly known = new Map<string, KnownPeer>()
   private readonly received = new Map<string, ReceivedHoldings>()
-  /** Last announcement of each agent for each version but its current one, whose chunks it may still serve. */
-  private readonly otherHoldings = new Map<string, readonly DecodedHoldings[]>()
+  /** Last announcement of each agent for the version before its current one, whose chunks it may still serve. */
+  private readonly earlierHoldings = new Map<string, DecodedHoldings>()
   private selected: readonly Peer[] = []
   private membershipNumber = 0
 
@@ -80,10 +78,7 @@
     const previous = this.received.get(ip)
     const now = monotonicNow()
     this.received.set(ip, { ...decode(holdings), at: now })
-    if (previous !== undefined && !isOf(previous, holdings.model, holdings.version)) {
-      const others = (this.otherHoldings.get(ip) ?? []).filter(other => !isOf(other, previous.holdings.model, previous.holdings.version) && !isOf(other, holdings.model, holdings.version))
-      this.otherHoldings.set(ip, [previous, ...others].slice(0, maximumAnnouncedVersions - 1))
-    }
+    if (previous !== undefined && previous.holdings.version < holdings.version) this.earlierHoldings.set(ip, previous)
     if (now - (this.known.get(ip)?.seenAt ?? 0) > refreshMilliseconds) this.addPeers([[holdings.dataCentre, ip]])
     return previous === undefined || now - previous.at > peerTimeoutMilliseconds
   }
@@ -150,11 +145,12 @@
     })
   }
 
-  /** The announcement of a version by an agent, the latest or one of another version before. */
+  /** The announcement of a version by an agent, the latest or the one before its current version. */
   private holdingsOf (ip: string, model: string, version: number): DecodedHoldings | undefined {
     const latest = this.received.get(ip)
     if (latest !== undefined && isOf(latest, model, version)) return latest
-    return this.otherHoldings.get(ip)?.find(other => isOf(other, model, version))
+    const earlier = this.earlierHoldings.get(ip)
+    return earlier !== undefined && isOf(earlier, model, version) ? earlier : undefined
   }
 
   /** Announcement targets in each data centre group, by rendezvous hashing where there are too many. */
--- a/src/roles/weights/version-cache.ts
+++ b/src/roles/weights/version-cache.ts
@@ -2,8 +2,6 @@
 import type { Agent } from 'node:http'
 import { originSource, type DigestDoubts } from '../../core/weights/digest-doubt.js'
 import { checkManifest } from '../../core/weights/manifest.js'
-import { OriginOutage } from '../../core/weights/origin-outage.js'
-import { manifestDelayMilliseconds } from '../../core/weights/manifest-order.js'
 import type { FetchProgress } from '../../core/weights/swap-schedule.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
@@ -27,8 +25,8 @@
 const openIntervalMilliseconds = 300
 /** Minimum time between two attempts to confirm a digest that is in doubt, milliseconds. */
 const confirmIntervalMilliseconds = 1000
-/** Maximum number of cached versions: those that agents remember as named, since the plan may return to one that it left incomplete. */
-const maximumVersions = 4
+/** Maximum number of cached versions: the one that is being fetched, and the one before, which peers may still fetch. */
+const maximumVersions = 2
 
 /** Dependencies of a cache. */
 export interface VersionCacheContext {
@@ -45,8 +43,8 @@
   chunkBytes (): number
   /** Called when a fetch starts and after each stored chunk. */
   onChunksChanged (): void
-  /** Called after a chunk was fetched from the origin; `fetchers` are agents that would ask it next. */
-  onOriginChunk (position: number, fetchers: readonly string[]): void
+  /** Called after a chunk was fetched from the origin. */
+  onOriginChunk (position: number): void
   /** Called when an earlier process has staged a complete copy of another version, with the digests of its chunks. */
   onOtherCopy (model: string, digests: readonly string[]): void
 }
@@ -58,14 +56,10 @@
   /** Milliseconds of the monotonic clock before which no other attempt to start a fetch is made. */
   private openRetryAt = 0
   private isOpening = false
-  /** The version that is to be fetched, and since when, milliseconds of the monotonic clock. */
-  private wanted: { readonly model: string, readonly version: number, readonly since: number, readonly at: number } | undefined
   /** Milliseconds of the monotonic clock before which no other attempt is made to confirm a digest that is in doubt. */
   private confirmRetryAt = 0
   /** Whether this process has read the chunks that an earlier one staged. */
   private hasLoadedStaged = false
-  /** Whether the origin answers. */
-  readonly originOutage = new OriginOutage()
   /** Digests of a version that is served and not fetched. */
   readonly lookUp = new DigestLookUp(async (model, version) => await this.fetchDigests(model, version))
 
@@ -107,25 +101,15 @@
       return
     }
     const now = monotonicNow()
-    if (this.wanted?.model !== model || this.wanted.version !== version) this.wanted = { model, version, since, at: now }
-    if (this.isOpening || now < this.openRetryAt || !this.mayOpen(model, version, this.wanted.at, now)) return
+    if (this.isOpening || now < this.openRetryAt) return
     this.openRetryAt = now + openIntervalMilliseconds
     this.isOpening = true
     runInBackground(this.open(model, version, since).finally(() => { this.isOpening = false }), log, 'start fetching a version')
   }
 
-  /** Starts the fetches that are due, also of a wanted version of which an agent has the manifest now. */
+  /** Starts the fetches of the current version that are due. */
   startFetches (): void {
-    if (this.wanted !== undefined) this.fetchVersion(this.wanted.model, this.wanted.version, this.wanted.since)
-    else this.fetcher?.startFetches()
-  }
-
-  /** Whether the manifest is known or can be fetched now: from an agent, or from the origin if few others ask it. */
-  private mayOpen (model: string, version: number, wantedAt: number, now: number): boolean {
-    const { ip, peers } = this.context
-    if (this.get(model, version) !== undefined) return true
-    const others = peers.all().map(peer => peer.ip)
-    return others.some(other => peers.hasManifest(other, model, version)) || now >= wantedAt + manifestDelayMilliseconds(model, version, ip, others)
+    this.fetcher?.startFetches()
   }
 
   stop (): void {
@@ -144,8 +128,7 @@
   private createFetcher (chunks: VersionChunks, wantedAt: number): ChunkFetcher {
     return new ChunkFetcher({
       ...this.context,
-      originOutage: this.originOutage,
-      onChunkStored: (position, isFromOrigin, fetchers) => { this.handleStoredChunk(position, isFromOrigin, fetchers) },
+      onChunkStored: (position, isFromOrigin) => { this.handleStoredChunk(position, isFromOrigin) },
       onDigestDoubted: doubts => { this.handleDoubt(chunks, doubts) }
     }, chunks, wantedAt)
   }
@@ -188,9 +171,9 @@
     this.fetcher.startFetches()
   }
 
-  private handleStoredChunk (position: number, isFromOrigin: boolean, fetchers: readonly string[]): void {
+  private handleStoredChunk (position: number, isFromOrigin: boolean): void {
     this.context.onChunksChanged()
-    if (isFromOrigin) this.context.onOriginChunk(position, fetchers)
+    if (isFromOrigin) this.context.onOriginChunk(position)
   }
 
   /** Adds a version to the cache; the first one of this process starts with the chunks that an earlier process staged. */
@@ -199,16 +182,10 @@
     if (!this.hasLoadedStaged) await this.loadStaged(chunks)
     this.hasLoadedStaged = true
     this.versions.push(chunks)
-    if (this.versions.length > maximumVersions) this.evict(chunks)
+    if (this.versions.length > maximumVersions) this.versions.shift()
     return chunks
   }
 
-  /** Drops the oldest version but the one that was added. */
-  private evict (added: VersionChunks): void {
-    const [oldest] = this.versions.filter(chunks => chunks !== added).sort((left, right) => left.version - right.version)
-    if (oldest !== undefined) this.versions.splice(this.versions.indexOf(oldest), 1)
-  }
-
   /** Reads chunks of a version that an earlier process of this agent staged on the engine's machine. */
   private async loadStaged (chunks: VersionChunks): Promise<void> {
     try {
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -1,6 +1,7 @@
 /** The agent on an engine's machine: rolls out named weights to the engine and reports its load to entries. */
 import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { expectedCompletionAt } from '../../core/weights/swap-schedule.js'
+import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
@@ -16,7 +17,6 @@
 import { Announcer } from './announcer.js'
 import type { VersionChunks } from './chunk-store.js'
 import { ChunkUploads } from './chunk-uploads.js'
-import { DeliveryPlan } from './delivery-plan.js'
 import { EngineSwapper, type SwapRequest } from './engine-swapper.js'
 import { LoadOrders, type UncheckedLoad } from './load-orders.js'
 import { LoadReporter } from './load-reporter.js'
@@ -31,6 +31,10 @@
 
 /** Interval at which the engine is polled, milliseconds; an engine at full load finishes a request in about that time. */
 const reportIntervalMilliseconds = 100
+/** Time from the naming of a version until every engine can swap to it, in times of one copy on the machine's link. */
+const rolloutCopies = 1.3
+/** Time of a swap once a copy is complete, milliseconds. */
+const swapMilliseconds = 1000
 /** Share of a copy's chunks from which the engine may be closed to requests before the copy is complete. */
 const earlyCloseShare = 0.75
 
@@ -60,7 +64,6 @@
   private readonly orders: LoadOrders
   private readonly swapper: EngineSwapper
   private readonly versions: VersionCache
-  private readonly plan: DeliveryPlan
   private readonly loadReporter: LoadReporter
   private readonly slots: SlotGranter
   private readonly announcer: Announcer
@@ -74,19 +77,18 @@
   private hasEngineAnswered = false
 
   constructor (private readonly settings: WeightsSettings, private readonly ports: WeightsPorts) {
-    this.named = new NamedVersions(settings.rolloutMilliseconds, () => { this.fetchWanted() })
+    this.named = new NamedVersions(settings.rolloutMilliseconds)
     this.uploads = new ChunkUploads(settings.linkBytesPerSecond)
     this.peers = new PeerTable(settings.ip, settings.dataCentre)
     this.staging = new Staging(ports.engine)
     this.orders = new LoadOrders(ports.engine, this.staging, this.metrics)
     this.swapper = new EngineSwapper(settings.ip, this.orders, this.staging, this.peers)
-    const { service } = settings
-    const { records, codec } = ports
+    const [{ service }, { records, codec }] = [settings, ports]
     this.rollout = new RolloutSource({ service, records, codec, named: this.named, peers: this.peers, metrics: this.metrics, introduce: () => { this.introduce() } })
     this.datagrams = new DatagramSocket(settings.internalPort, (message, ip) => { this.receive(message, ip) })
     this.loadReporter = new LoadReporter(this.datagrams)
     this.slots = new SlotGranter(this.datagrams, this.metrics)
-    this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true, originFailedMilliseconds: this.versions.originOutage.failureAge(monotonicNow()) }))
+    this.announcer = new Announcer(settings.dataCentre, this.datagrams, this.peers, () => ({ chunks: this.versions.current, served: this.served, isSwapping: this.swapper.isClosed || this.report?.isSwapping === true }))
     this.versions = new VersionCache({
       ip: settings.ip,
       internalPort: settings.internalPort,
@@ -98,10 +100,9 @@
       chunkCount: () => this.rollout.facts?.chunkCount ?? 0,
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
       onChunksChanged: () => { this.announcer.announce() },
-      onOriginChunk: (position, fetchers) => { this.announcer.announceOriginChunk(position, fetchers) },
+      onOriginChunk: position => { this.announcer.announceToPrimaryFetchers(position) },
       onOtherCopy: (copyModel, digests) => { this.retainCopy(copyModel, digests) }
     })
-    this.plan = new DeliveryPlan({ named: this.named, versions: this.versions, peers: this.peers, linkBytesPerSecond: settings.linkBytesPerSecond, facts: () => this.rollout.facts })
     this.server = createServer((incoming, response) => { this.handleRequest(incoming, response) })
   }
 
@@ -118,8 +119,8 @@
     this.orders.stop()
     this.staging.stop()
     this.rollout.stop()
-    this.versions.stop()
     this.slots.stop()
+    this.versions.stop()
     this.datagrams.close()
     this.server.close()
   }
@@ -139,6 +140,22 @@
     runInBackground(release(), log, 'compare what is staged with the version that is served')
   }
 
+  /** Estimated time until a version is served everywhere, from the share of chunks missing here, milliseconds. */
+  private estimateRolloutMilliseconds (model: string, version: number): number {
+    const bytes = (this.rollout.facts?.chunkBytes ?? 0) * (this.rollout.facts?.chunkCount ?? 0)
+    const { linkBytesPerSecond } = this.settings
+    const copyMilliseconds = linkBytesPerSecond === 0 ? 0 : bytes / linkBytesPerSecond * 1000
+    const chunks = this.versions.get(model, version)
+    const missingShare = chunks === undefined ? 1 : 1 - chunks.heldCount / chunks.digests.length
+    return copyMilliseconds * rolloutCopies * missingShare + swapMilliseconds
+  }
+
+  /** The version to fetch next, or the newest once it is complete here, since peers may still fetch it. */
+  private versionToFetch (model: string): NamedVersion {
+    const held = this.versions.newestComplete(model)?.version ?? 0
+    return this.named.next(model, this.served, held, version => this.estimateRolloutMilliseconds(model, version))
+  }
+
   private receive (message: NodeMessage, ip: string): void {
     if (message.kind === 'subscription') this.subscribe(message, ip)
     else if (message.kind === 'slot-request') this.slots.answer(message, ip)
@@ -147,7 +164,6 @@
     else if (message.kind === 'holdings') {
       const isNew = this.peers.receiveHoldings(message, ip)
       if (isNew) this.announcer.sendTo([ip])
-      if (message.originFailedMilliseconds !== undefined) this.versions.originOutage.recordFailure(monotonicNow() - message.originFailedMilliseconds)
       this.versions.startFetches()
     }
   }
@@ -192,7 +208,7 @@
     this.orders.observe(report, askedAt)
     this.swapper.observe(report)
     this.slots.recordReport(report, this.served > 0 && !report.isSwapping && !this.swapper.isClosed)
-    this.loadReporter.send(report, this.swapper.isClosed, this.plan.readyInMilliseconds(this.rollout.facts?.models[0], this.served, report.isSwapping || this.swapper.isClosed))
+    this.loadReporter.send(report, this.swapper.isClosed, this.estimateReadyMilliseconds(report))
     if (previous !== undefined && previous.startedAt !== report.startedAt) {
       this.staging.reset()
       this.swapper.reopen()
@@ -202,21 +218,23 @@
     log.info('the engine reports its weights', { version: this.served, before: previouslyServed, startedAt: report.startedAt, orders: report.orders, ordersBefore: previous?.orders ?? 0, isSwapping: report.isSwapping })
   }
 
-  /** Fetches the version that is wanted now and announces what is held; undefined while that version is unknown. */
-  private fetchWanted (): NamedVersion | undefined {
-    const model = this.rollout.facts?.models[0]
-    if (this.isStopped || model === undefined || !this.hasEngineAnswered) return undefined
-    const wanted = this.plan.versionToFetch(model, this.served)
-    this.versions.fetchVersion(model, wanted.version, wanted.since)
-    this.announcer.announce()
-    return wanted
+  private estimateReadyMilliseconds (report: EngineReport): number {
+    const now = monotonicNow()
+    return readyInMilliseconds({
+      now,
+      isServing: this.served > 0 && !this.named.isPastDeadline(this.served, now),
+      isSwapping: report.isSwapping || this.swapper.isClosed,
+      progress: this.versions.progress
+    })
   }
 
   /** Takes the next steps of the rollout: fetch, announce, close early, and stage or swap. */
   private updateEngine (): void {
     const model = this.rollout.facts?.models[0]
-    const wanted = this.fetchWanted()
-    if (model === undefined || wanted === undefined) return
+    if (model === undefined || !this.hasEngineAnswered) return
+    const wanted = this.versionToFetch(model)
+    this.versions.fetchVersion(model, wanted.version, wanted.since)
+    this.announcer.announce()
     const chunks = this.orders.openChunks ?? this.versions.newestComplete(model)
     if (this.report === undefined) return
     if (this.orders.openChunks === undefined) this.closeEarly(model, wanted, this.report)
--- a/src/transports/datagrams.ts
+++ b/src/transports/datagrams.ts
@@ -79,7 +79,7 @@
     case 'subscription': return [message.dataCentre, message.service, encodeWeights(message.weights), message.agents, encodeFacts(message.rollout), encodeVouched(message.vouched)]
     case 'introduction': return [message.service]
     case 'load': return [message.startedAt, message.running, message.waiting, message.model, message.version, message.isSwapping, message.readyInMilliseconds, ...message.orders === undefined ? [] : [message.orders]]
-    case 'holdings': return [message.dataCentre, message.model, message.version, message.held, message.heldInDataCentre, message.served, message.isSwapping, ...message.originFailedMilliseconds === undefined ? [] : [message.originFailedMilliseconds]]
+    case 'holdings': return [message.dataCentre, message.model, message.version, message.held, message.heldInDataCentre, message.served, message.isSwapping]
   }
 }
 
@@ -280,9 +280,7 @@
   },
   holdings: fields => {
     checkTypes(fields, ['string', 'string', 'number', 'string', 'string', 'number', 'boolean'])
-    const [dataCentre, model, version, held, heldInDataCentre, served, isSwapping, originFailed] = fields as [string, string, number, string, string, number, boolean, unknown?]
-    const holdings = { kind: 'holdings', dataCentre, model, version, held, heldInDataCentre, served, isSwapping } as const
-    // A time that cannot be read counts as none.
-    return (typeof originFailed === 'number' && originFailed >= 0 ? { ...holdings, originFailedMilliseconds: originFailed } : holdings) satisfies Holdings
+    const [dataCentre, model, version, held, heldInDataCentre, served, isSwapping] = fields as [string, string, number, string, string, number, boolean]
+    return { kind: 'holdings', dataCentre, model, version, held, heldInDataCentre, served, isSwapping } satisfies Holdings
   }
 }
--- a/src/types/node-messages.ts
+++ b/src/types/node-messages.ts
@@ -173,8 +173,6 @@
   readonly served: number
   /** Whether the sender's engine accepts no requests because its weights are being swapped. */
   readonly isSwapping: boolean
-  /** Time since the origin of weights last failed to answer an agent, as far as the sender knows, milliseconds; not set if it has answered since, or by earlier versions. */
-  readonly originFailedMilliseconds?: number | undefined
 }
 
 /** A message between nodes, distinguished by `kind`. */
