--- a/src/roles/gateway/upstream-selection.ts
+++ b/src/roles/gateway/upstream-selection.ts
@@ -165,7 +165,7 @@
     return granted.filter(candidate => !late.includes(candidate))
   }
 
-  /** Gives back the slots of engines that are much slower now than the one that was chosen, so that they do not wait for a request that will not come. */
+  /** Gives back the granted slots of engines that are much slower than the chosen one. */
   private giveBackSlow (granted: readonly ViewedCandidate[], chosen: ViewedCandidate, admission: AdmissionLimits, now: number): void {
     const { times } = this.state
     if (granted.length < 2) return
