--- a/src/core/dispatch/admission.ts
+++ b/src/core/dispatch/admission.ts
@@ -21,7 +21,7 @@
 const firstEventGoalShare = 0.9
 /** Requests for each slot up to which late requests are admitted; the other slots are reserved for requests that can still meet their goal. */
 const lateRequestsPerSlot = 0.75
-/** The same in a ranked service, where the order of service decides on the other slots too: with more, retries leave first attempts too little, which then become late as well. */
+/** The same in a ranked service, where the order of service decides on the other slots too; the rest is reserved for first attempts. */
 const lateRankedRequestsPerSlot = 0.92
 /** Requests at a plain upstream for each slot: one that runs and two queued, since its answers are short. */
 const plainRequestsPerSlot = 3
--- a/src/core/dispatch/service-profile.ts
+++ b/src/core/dispatch/service-profile.ts
@@ -33,9 +33,8 @@
 }
 
 /**
- * Profile of a service that is ranked by its configuration or not, and whose upstreams state their pace or not. Engines are
- * placed by number unless the setting asks for expected times: an entry learns of an engine's pace later than it changes, and
- * with expected times fewer streams began within their goal.
+ * Profile of a service. Engines are placed by number unless the setting asks for expected times: an entry learns of the pace
+ * of an engine later than it changes.
  */
 export function profileOf (mode: DispatchMode, { isRanked, isPaced, hasEngines }: ServiceFacts): ServiceProfile {
   if (mode === 'adaptive') return { isRanked: true, isPaced: true, placesByTime: true, isAdaptive: true }
