An answer that upgrades the connection is a failure of its upstream

Cause: Node reports 101 with an Upgrade header by an event of its own. sendRequest never settled, callHttp failed at its deadline, and a call to an upstream counted as silent until its own. Change: the three end at once, as for any other status that no final answer has. Measured: test/invalid-status has this case; it hung before and holds now (69 passed with http-call, http-client and gateway-call).

--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -87,6 +87,10 @@
     this.outgoing.on('error', () => { this.finish(this.isConnected ? { kind: 'lost', reason: 'reset' } : { kind: 'not-run', reason: 'unreachable' }) })
     this.outgoing.on('information', () => { this.handleInterimAnswer() })
     this.outgoing.on('response', answer => { this.handleAnswer(answer) })
+    this.outgoing.on('upgrade', (_answer, socket) => {
+      socket.destroy()
+      this.abandon({ kind: 'lost', reason: 'invalid-status' })
+    })
     this.watch(call.connectBy, () => { this.abandon({ kind: 'not-run', reason: this.hasSocket ? 'unreachable' : 'no-connection' }) })
     this.outgoing.end(call.body)
   }
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -85,12 +85,16 @@
       reject(new Failure(error, watch.receivedBytes))
     }
     outgoing.on('error', fail)
+    outgoing.on('upgrade', (answer, socket) => {
+      socket.destroy()
+      fail(invalidStatusError(call.address, answer.statusCode ?? 0))
+    })
     outgoing.on('response', answer => {
       watch.receive(0)
       const firstByteMilliseconds = monotonicNow() - startedAt
       const status = answer.statusCode ?? 0
       if (!isFinalStatus(status)) {
-        fail(new Error(`${call.address} answered with status ${status}, which no final answer has`))
+        fail(invalidStatusError(call.address, status))
         outgoing.destroy()
         return
       }
@@ -110,6 +114,10 @@
   })
 }
 
+function invalidStatusError (address: string, status: number): Error {
+  return new Error(`${address} answered with status ${status}, which no final answer has`)
+}
+
 /** Calls `expire` with the reason once an answer misses a deadline; what has been received decides which one is next. */
 class AnswerWatch {
   receivedBytes = 0
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -69,15 +69,19 @@
       if (socket.connecting) socket.once('connect', () => { sent = true })
       else sent = true
     })
+    const refuse = ({ statusCode }: IncomingMessage): void => {
+      reject(new TransportError(`the answer has status ${statusCode ?? 0}, which no final answer has`, true))
+      call.destroy()
+    }
     call.on('response', response => {
       clearTimeout(timer)
-      const status = response.statusCode ?? 0
-      if (isFinalStatus(status)) {
-        resolve(response)
-        return
-      }
-      reject(new TransportError(`the answer has status ${status}, which no final answer has`, true))
-      call.destroy()
+      if (isFinalStatus(response.statusCode ?? 0)) resolve(response)
+      else refuse(response)
+    })
+    call.on('upgrade', (response, socket) => {
+      clearTimeout(timer)
+      socket.destroy()
+      refuse(response)
     })
     call.on('error', error => {
       clearTimeout(timer)
--- a/test/invalid-status.test.ts
+++ b/test/invalid-status.test.ts
@@ -28,7 +28,7 @@
   private readonly sockets = new Set<Socket>()
   private readonly server: Server
 
-  constructor (private readonly status: string, private readonly isSigned: boolean) {
+  constructor (private readonly status: string, private readonly isSigned: boolean, private readonly headers = '') {
     this.server = createServer(socket => { this.accept(socket) })
   }
 
@@ -50,23 +50,28 @@
       const id = /x-attempt-id: (\S+)/i.exec(part.toString())?.[1] ?? ''
       this.ran.push(id)
       const signature = this.isSigned ? 'X-Server-Stamp: s\r\n' : ''
-      setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 ${this.status} X\r\nX-Attempt-Id: ${id}\r\n${signature}Content-Type: text/event-stream\r\nContent-Length: ${answerText.length}\r\n\r\n${answerText}`) }, workMilliseconds)
+      setTimeout(() => { if (!socket.destroyed) socket.write(`HTTP/1.1 ${this.status} X\r\nX-Attempt-Id: ${id}\r\n${signature}${this.headers}Content-Type: text/event-stream\r\nContent-Length: ${answerText.length}\r\n\r\n${answerText}`) }, workMilliseconds)
     })
   }
 }
 
-const statuses = ['000', '007', '099', '101', '600', '999'] as const
+const upgradeHeaders = 'Connection: Upgrade\r\nUpgrade: other\r\n'
+/** Node reports an upgrade by an event of its own, and no answer. */
+const invalidAnswers: readonly { readonly name: string, readonly status: string, readonly headers?: string }[] = [
+  ...['000', '007', '099', '101', '600', '999'].map(status => ({ name: status, status })),
+  { name: '101 that upgrades the connection', status: '101', headers: upgradeHeaders }
+]
 const kinds = [
   { kind: 'unsafe', isRepeatable: false },
   { kind: 'safe', isRepeatable: true },
   { kind: 'stream', isRepeatable: true }
 ] as const
 
-for (const status of statuses) {
+for (const { name, status, headers } of invalidAnswers) {
   for (const isSigned of [true, false]) {
-    test(`invalid status: ${status}, ${isSigned ? 'signed' : 'unsigned'}`, async t => {
+    test(`invalid status: ${name}, ${isSigned ? 'signed' : 'unsigned'}`, async t => {
       const log = new SharedLog(dataCentre)
-      const faulty = new StatusUpstream(status, isSigned)
+      const faulty = new StatusUpstream(status, isSigned, headers)
       const all = [faulty, ...Array.from({ length: upstreams - 1 }, () => new StatusUpstream('200', true))]
       log.append('operators', 'config', bytesOf({
         version: 1,
@@ -118,9 +123,9 @@
 }
 
 /** Calls to agents, other entries, the store and the origin; each must fail as if nothing usable had come. */
-for (const status of statuses) {
-  test(`invalid status: ${status} to a call between nodes`, async t => {
-    const upstream = new StatusUpstream(status, false)
+for (const { name, status, headers } of invalidAnswers) {
+  test(`invalid status: ${name} to a call between nodes`, async t => {
+    const upstream = new StatusUpstream(status, false, headers)
     const address = `127.0.0.1:${await upstream.start()}`
     await t.rejects(callHttp({ address, method: 'PUT', path: '/', deadline: monotonicNow() + 2000, maximumBytes: 1000 }), { message: /status/ })
     await t.rejects(sendRequest({ url: `http://${address}/`, method: 'GET', deadline: Date.now() + 2000 }), TransportError)
