Check of a configuration: unreadable targets, keys, shares, regions and limits; nothing to compare with is an error

Cause: a review: a file without a configuration to compare with gave 'no findings', and fields of a wrong type counted as their default.

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -88,12 +88,22 @@
     })
 }
 
-/** The configuration to compare with; undefined for none. */
+/** The configuration to compare with; undefined for none. Throws a `FindingsError` if there should be one. */
 async function readFleetInForce (format: FleetFormat, options: Options): Promise<FleetConfiguration | undefined> {
   const { against } = options
-  if (typeof against === 'string') return format.decode(readJsonFile(against)).configuration
-  const { store } = settingsFrom(['store'], options)
+  const { store } = settingsFrom(['store'], typeof against === 'string' ? {} : options)
+  if (typeof against === 'string' && options['store'] !== undefined) throw new FindingsError([{ place: '--against, --store', problem: 'only one of them can be compared with' }])
+  if (typeof against === 'string') return comparable(format.decode(readJsonFile(against)).configuration, against)
   if (store === undefined) return undefined
+  return comparable(await readFromStore(format, store), `the store at ${store}`)
+}
+
+function comparable (configuration: FleetConfiguration | undefined, place: string): FleetConfiguration {
+  if (configuration === undefined) throw new FindingsError([{ place, problem: 'holds no configuration to compare with' }])
+  return configuration
+}
+
+async function readFromStore (format: FleetFormat, store: string): Promise<FleetConfiguration | undefined> {
   try {
     return await format.readInForce(store)
   } catch (error) {
--- a/src/core/fleet/check-configuration.ts
+++ b/src/core/fleet/check-configuration.ts
@@ -6,13 +6,14 @@
 /** Lowest and highest priority that upstreams know; others are sent as the nearest of them. */
 const priorityRange = { lowest: 0, highest: 9 } as const
 
-/** Findings for a decoded configuration, each with its place by names, such as `routes.reviews.priority`. */
+/** Findings for a decoded configuration, each with its place by names, such as `routes.reviews, priority`. */
 export function checkFleetConfiguration (configuration: FleetConfiguration): readonly Finding[] {
   const services = [...configuration.services.values()]
   return [
     ...configuration.routes.flatMap(route => [...targetFindings(route, configuration), ...routeLimitFindings(route)]),
     ...shadowedRouteFindings(configuration.routes),
     ...unreachableOrganisationFindings(configuration),
+    ...openRouteFindings(configuration),
     ...organisationFindings(configuration.organisations),
     ...services.flatMap(service => serviceFindings(service, configuration)),
     ...callerLimitFindings(configuration)
@@ -26,9 +27,13 @@
   const negative = route.targets.filter(({ weight }) => weight < 0)
   const isNeverChosen = (weight: number): boolean => weight === 0 && route.targets.some(other => other.weight > 0)
   const unused = route.targets.filter(({ weight }) => isNeverChosen(weight))
+  const hasNoWeight = route.targets.length > 1 && route.targets.every(({ weight }) => weight === 0)
+  const origins = route.targets.filter(({ service }) => services.get(service)?.origin !== undefined && route.kind === 'stream')
   return [
     ...unknown.map(({ service }) => ({ place, problem: `names the unknown service "${service}"` })),
     ...negative.map(({ service }) => ({ place, problem: `gives the service "${service}" a negative weight` })),
+    ...hasNoWeight ? [{ place, problem: `has only targets of weight 0: all requests go to "${route.targets[0]?.service ?? ''}"` }] : [],
+    ...origins.map(({ service }) => ({ place, problem: `sends streams to "${service}", the origin of weights` })),
     ...unused.map(({ service }) => ({ place, problem: `never chooses the service "${service}", whose weight is 0` }))
   ]
 }
@@ -70,6 +75,12 @@
     .map(organisation => ({ place: `routes.${route.name}`, problem: `has no region that may serve the organisation "${organisation.name}"` })))
 }
 
+/** Routes that need a key although the configuration has no organisations: entries then ask for none. */
+function openRouteFindings ({ routes, organisations }: FleetConfiguration): readonly Finding[] {
+  if (organisations.length > 0) return []
+  return routes.flatMap(({ name, isPublic }) => isPublic ? [] : [{ place: `routes.${name}`, problem: 'is not public, but without organisations it needs no key' }])
+}
+
 function organisationFindings (organisations: readonly Organisation[]): readonly Finding[] {
   const holders = new Map<string, string>()
   return organisations.flatMap(({ name, keys, priority }) => {
@@ -81,7 +92,8 @@
       const holder = holders.get(key)
       holders.set(key, name)
       // The key itself must not appear in an output that is kept.
-      if (holder !== undefined) findings.push({ place, problem: `holds a key that "${holder}" holds too: its callers count as those of "${name}" only` })
+      if (holder === name) findings.push({ place, problem: 'holds a key twice' })
+      else if (holder !== undefined) findings.push({ place, problem: `holds a key that "${holder}" holds too: its callers count as those of "${name}" only` })
     }
     return findings
   })
--- a/test/check-configuration.test.ts
+++ b/test/check-configuration.test.ts
@@ -44,6 +44,16 @@
   { name: 'weights without an origin', file: { ...valid, services: [model] }, finding: /^services\.model: loads weights, but no service is their origin/ },
   { name: 'a limit for cold upstreams of which none is cold', file: withModel({ 'cold-start-s': 0 }), finding: /^services\.model: limits the requests to a cold upstream, but none is ever cold/ },
   { name: 'a service without a route', file: { ...valid, services: [model, origin, { name: 'desk' }] }, finding: /^services\.desk: is used by no route/ },
+  { name: 'targets without a weight', file: withRoute({ split: [{ service: 'model', weight: 0 }, { service: 'model', weight: 0 }] }), finding: /^routes\.reviews: has only targets of weight 0: all requests go to "model"/ },
+  { name: 'a weight that is no number', file: withRoute({ split: [{ service: 'model', weight: 'all' }] }), finding: /^routes\[0\]\.split\[0\]\.weight: must be a number/ },
+  { name: 'streams to the origin', file: withRoute({ service: 'weights' }), finding: /^routes\.reviews: sends streams to "weights", the origin of weights/ },
+  { name: 'a key that is no text', file: { ...valid, tenants: [{ ...organisation, 'api-keys': ['key-1', 7] }] }, finding: /^tenants\[0\]\.api-keys: must be a list of texts/ },
+  { name: 'a key twice in one organisation', file: { ...valid, tenants: [{ ...organisation, 'api-keys': ['key-1', 'key-1'] }] }, finding: /^organisations\.schools: holds a key twice/ },
+  { name: 'a share of 0', file: { ...valid, tenants: [{ ...organisation, share: 0 }] }, finding: /^tenants\[0\]\.share: must be a positive number/ },
+  { name: 'regions that are no texts', file: withRoute({ 'allowed-regions': [1] }), finding: /^routes\[0\]\.allowed-regions: must be a list of texts/ },
+  { name: 'routes that need a key without organisations', file: { ...valid, tenants: [] }, finding: /^routes\.reviews: is not public, but without organisations it needs no key/ },
+  { name: 'limits that are no object', file: { ...valid, limits: 7 }, finding: /^limits: must be an object/ },
+  { name: 'a limit that is no number', file: { ...valid, limits: { 'max-body-bytes': 'none' } }, finding: /^limits\.max-body-bytes: must be a number/ },
   { name: 'a body limit of 0', file: { ...valid, limits: { 'max-body-bytes': 0 } }, finding: /^limits\.bodyBytes: is not above 0/ }
 ]
 
@@ -90,6 +100,8 @@
   { name: 'no findings, and what differs', words: [fileOf('next.json', { ...valid, version: 8, routes: [{ ...route, priority: 0 }] }), '--against', inForce], code: 0, output: /no findings\nversion 8 against version 7, which is in force\n~ routes\.reviews \(priority\)\n/ },
   { name: 'findings', words: [fileOf('faulty.json', withRoute({ service: 'modle' }))], code: 2, output: /routes\.reviews: names the unknown service "modle"/ },
   { name: 'findings as JSON', words: [fileOf('faulty-too.json', withRoute({ service: 'modle' })), '--json'], code: 2, output: /^\{"version":7,.*"findings":\[\{"place":"routes\.reviews"/ },
+  { name: 'a file without a configuration to compare with', words: [inForce, '--against', fileOf('empty.json', {})], code: 2, output: /^$/ },
+  { name: 'a file and a store to compare with', words: [inForce, '--against', inForce, '--store', '127.0.0.1:9'], code: 2, output: /^$/ },
   { name: 'a store that cannot be reached', words: [inForce, '--store', '127.0.0.1:9'], code: 3, output: /^$/ }
 ]
 
