--- a/review/stand-in-2/server.mjs
+++ b/review/stand-in-2/server.mjs
@@ -32,7 +32,10 @@
 }
 
 function startNext () {
-  while (running < slots && waiting.length > 0) waiting.shift()()
+  while (waiting.length > 0) {
+    if (running >= slots) return
+    waiting.shift()()
+  }
 }
 
 const server = createServer((request, response) => {
--- a/review/stand-in-2/store.mjs
+++ b/review/stand-in-2/store.mjs
@@ -135,14 +135,13 @@
       return
     }
     if (from === records.length && Date.now() < until && !this.isDown) {
-      let timer
       const wake = () => {
         clearTimeout(timer)
         this.waiting.delete(wake)
         if (this.isDown) response.socket?.destroy()
         else this.answerRead(response, topic, query, era, until)
       }
-      timer = setTimeout(wake, Math.max(1, until - Date.now()))
+      const timer = setTimeout(wake, Math.max(1, until - Date.now()))
       this.waiting.add(wake)
       return
     }
