An answer without a length that is reset with its last bytes is incomplete

Callers saw a part of an answer as a complete one, with status 200 or 404, and streams that ended regularly after their first event. Their upstream had sent the part without a length and reset the connection in the same moment, beside an upload that it had not read or after a short request.

Cause: such an answer ends with its connection, and Node reports the end of a connection in two cases: the other side closed it, or it reset it and the bytes before that were read in the same turn. libuv then reports an end without a further read, which alone would return the error. No error follows, unless there is something left to write; then it follows after the answer was taken for complete.

Ruled out: the upload (a request of one byte fails as well); a reset 5 ms or 50 ms after the bytes, a length and chunks (all noticed before).

Change: at the end of a connection the kernel is asked for its peer. A connection that the other side closed still has one, one that was reset has none. A connection that is closed and then reset, before this process has read the end, counts as reset too: HTTP takes an error of the connection for an incomplete answer.

Answers whose connection is closed properly are passed on as before, also beside an upload.

--- a/src/roles/gateway/upstream-connections.ts
+++ b/src/roles/gateway/upstream-connections.ts
@@ -14,7 +14,7 @@
 
 /** How a socket was closed. */
 interface SocketState {
-  /** Whether an error occurred on it. */
+  /** Whether an error occurred on it, or the other side reset it. */
   hasFailed: boolean
   /** Whether the other side ended it properly. */
   hasEnded: boolean
@@ -48,7 +48,11 @@
     socketStates.set(socket, state)
     // These listeners run before those of the HTTP parser, which takes a reset for the end of an answer without a length.
     socket.prependListener('error', () => { state.hasFailed = true })
-    socket.prependListener('end', () => { state.hasEnded = true })
+    socket.prependListener('end', () => {
+      // Node reports the end also for a reset that arrives together with the last bytes. The kernel has no peer for the socket then.
+      if (socket.remoteAddress === undefined) state.hasFailed = true
+      else state.hasEnded = true
+    })
     socket.setNoDelay(true)
     return socket
   }
