Connections of calls keep an error listener after a complete answer

A process ended with "write ECONNRESET", and the requests that it was serving were cut. Its server had answered completely before it had read a long body, and then sent a second answer and reset the connection.

Cause: Node's HTTP client takes its error listener off a connection once an answer is complete and the request is finished, and a failed write finishes the request. The error of that write follows, nobody listens, and it becomes an uncaught exception. Calls of the gateway to upstreams were spared: its agent listens for as long as a connection exists.

A handler of uncaught exceptions would hide faults of another kind, and leaves a process in an unknown state.

Change: the observer of connections moves from the gateway to transports, and both clients there, sendRequest and callHttp, use it. That covers the calls between entries and agents, those of agents to engines, the store, the origin, the product's own roles and the command line.

--- a/src/roles/gateway/answer-framing.ts
+++ b/src/roles/gateway/answer-framing.ts
@@ -1,9 +1,9 @@
 /** Where an upstream's answer ends, to which request it belongs, and what its connection tells afterwards. */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { connectionEndOf } from '../../transports/connection-end.js'
 import type { AnswerHead } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
-import { socketStateOf } from './upstream-connections.js'
 
 /** Time after a complete error in which the loss of its connection is taken for the end of the upstream, milliseconds. */
 const connectionWatchMilliseconds = 300
@@ -28,7 +28,7 @@
 
 /** Calls `lost` if the connection of a complete error is lost right after it: an upstream that ends by a request may do so then. */
 export function watchForEnd (socket: Socket, lost: () => void): void {
-  const state = socketStateOf(socket)
+  const state = connectionEndOf(socket)
   const until = monotonicNow() + connectionWatchMilliseconds
   socket.once('close', () => { if ((state.hasFailed || state.hasEnded) && monotonicNow() < until) lost() })
 }
--- a/src/roles/gateway/upstream-connections.ts
+++ b/src/roles/gateway/upstream-connections.ts
@@ -1,6 +1,7 @@
 /** HTTP connections to upstreams: persistent for requests that may be repeated, one per request for all others. */
 import { Agent, type ClientRequest, type ClientRequestArgs } from 'node:http'
 import type { Socket } from 'node:net'
+import { observeConnection } from '../../transports/connection-end.js'
 
 /** Idle time after which a persistent connection is closed, milliseconds: less than the shortest `Keep-Alive` timeout that upstreams send. */
 const idleTimeoutMilliseconds = 4000
@@ -12,21 +13,6 @@
   readonly singleUse: Agent
 }
 
-/** How a socket was closed. */
-interface SocketState {
-  /** Whether an error occurred on it, or the other side reset it. */
-  hasFailed: boolean
-  /** Whether the other side ended it properly. */
-  hasEnded: boolean
-}
-
-const socketStates = new WeakMap<object, SocketState>()
-
-/** How a socket was closed; both false for an open or unknown one. */
-export function socketStateOf (socket: object | null | undefined): Readonly<SocketState> {
-  return (socket === null || socket === undefined ? undefined : socketStates.get(socket)) ?? { hasFailed: false, hasEnded: false }
-}
-
 /** The parts of Node's agent that its types lack. */
 interface AgentInternals {
   addRequest (request: ClientRequest, ...options: readonly unknown[]): void
@@ -44,15 +30,7 @@
   override createConnection (options: ClientRequestArgs, callback?: (error: Error | null, stream: Socket) => void): Socket {
     const create = Agent.prototype as unknown as { createConnection (options: ClientRequestArgs, callback?: unknown): Socket }
     const socket = create.createConnection.call(this, options, callback)
-    const state: SocketState = { hasFailed: false, hasEnded: false }
-    socketStates.set(socket, state)
-    // These listeners run before those of the HTTP parser, which takes a reset for the end of an answer without a length.
-    socket.prependListener('error', () => { state.hasFailed = true })
-    socket.prependListener('end', () => {
-      // Node reports the end also for a reset that arrives together with the last bytes. The kernel has no peer for the socket then.
-      if (socket.remoteAddress === undefined) state.hasFailed = true
-      else state.hasEnded = true
-    })
+    observeConnection(socket)
     socket.setNoDelay(true)
     return socket
   }
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -1,6 +1,7 @@
 /** HTTP calls whose request and answer bodies are held in memory. */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
+import { observeConnection } from './connection-end.js'
 import { isFinalStatus } from './final-status.js'
 import { OwnDelay } from '../utils/process-delay.js'
 
@@ -84,6 +85,7 @@
       const Failure = watch.hasTooMuch ? AnswerTooLargeError : HttpCallError
       reject(new Failure(error, watch.receivedBytes))
     }
+    outgoing.on('socket', observeConnection)
     outgoing.on('error', fail)
     outgoing.on('upgrade', (answer, socket) => {
       socket.destroy()
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { monotonicNow } from '../utils/clock.js'
+import { observeConnection } from './connection-end.js'
 import { isFinalStatus } from './final-status.js'
 
 /** Time after which an idle connection is not reused, milliseconds; servers of Node.js close theirs after 5 s. */
@@ -66,6 +67,7 @@
     const call = request(outgoing.url, { method: outgoing.method, agent: outgoing.agent ?? connections, headers: outgoing.headers, signal: outgoing.signal })
     const timer = setTimeout(() => { call.destroy(new Error('no answer before the deadline')) }, Math.max(0, outgoing.deadline - Date.now()))
     call.on('socket', socket => {
+      observeConnection(socket)
       if (socket.connecting) socket.once('connect', () => { sent = true })
       else sent = true
     })
