--- a/src/roles/agent/exchange/chunk-download.ts
+++ b/src/roles/agent/exchange/chunk-download.ts
@@ -1,6 +1,7 @@
 /** Download of one chunk: rate limited, hashed while it arrives, aborted when it stalls. */
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, IncomingHttpHeaders } from 'node:http'
+import { isComplete } from '../../../transports/answer-end.js'
 import { discardBody, briefDiscardLimits } from '../../../transports/discard-body.js'
 import { sendRequest } from '../../../transports/http-client.js'
 import type { LinkLimiter } from '../../../utils/link-limiter.js'
@@ -69,7 +70,7 @@
   } finally {
     clearTimeout(timer)
   }
-  if (!response.complete) return { type: 'failed', reason: 'connection closed before the chunk was complete' }
+  if (!isComplete(response)) return { type: 'failed', reason: 'connection closed before the chunk was complete' }
   if (hash.digest('hex') !== request.digest) return corrupt(response, size)
   return { type: 'chunk', bytes: Buffer.concat(parts), headers: response.headers }
 }
--- a/src/roles/gateway/answer-framing.ts
+++ b/src/roles/gateway/answer-framing.ts
@@ -1,6 +1,7 @@
-/** Where an upstream's answer ends, to which request it belongs, and what its connection tells afterwards. */
+/** To which request an upstream's answer belongs, and what its connection tells afterwards. */
 import type { ClientRequest, IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
+import { isFramed } from '../../transports/answer-end.js'
 import { connectionEndOf } from '../../transports/connection-end.js'
 import type { AnswerHead } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -16,11 +17,6 @@
   return answered === requestId || (answered === undefined && !outgoing.reusedSocket)
 }
 
-/** Whether the head of an answer determines where its body ends; otherwise the end of the connection does. */
-export function isFramed (answer: IncomingMessage): boolean {
-  return answer.headers['content-length'] !== undefined || answer.headers['transfer-encoding'] !== undefined || answer.statusCode === 204 || answer.statusCode === 304
-}
-
 /** Whether both sides said that the connection remains open after an answer. */
 export function isPersistent (answer: IncomingMessage, outgoing: ClientRequest): boolean {
   return outgoing.shouldKeepAlive && answer.headers.connection?.toLowerCase() !== 'close' && isFramed(answer)
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -1,12 +1,12 @@
 /** One attempt of a request: its call to one upstream. */
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
-import { connectionEndOf } from '../../transports/connection-end.js'
+import { isComplete, isFramed } from '../../transports/answer-end.js'
 import { isFinalStatus } from '../../transports/final-status.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
-import { isAnswerTo, isFramed, isPersistent, watchForEnd } from './answer-framing.js'
+import { isAnswerTo, isPersistent, watchForEnd } from './answer-framing.js'
 import type { CallResult } from './call-result.js'
 import type { EventSink } from './event-sink.js'
 import { heldAnswers } from './held-answers.js'
@@ -226,13 +226,10 @@
     })
   }
 
-  /** Calls `handle` when the answer ends complete; one without framing is complete only if its connection was closed without an error. */
+  /** Calls `handle` when the answer ends complete. */
   private whenComplete (answer: IncomingMessage, handle: () => void): void {
-    const { socket } = answer
     answer.on('end', () => {
-      const state = connectionEndOf(socket)
-      const isComplete = answer.complete && (isFramed(answer) || (state.hasEnded && !state.hasFailed))
-      if (isComplete) handle()
+      if (isComplete(answer)) handle()
       else this.finish({ kind: 'lost', reason: 'incomplete' })
     })
     answer.on('close', () => { this.finish({ kind: 'lost', reason: 'incomplete' }) })
--- a/src/transports/connection-end.ts
+++ b/src/transports/connection-end.ts
@@ -29,7 +29,7 @@
   })
 }
 
-/** How a connection ended. */
-export function connectionEndOf (socket: Socket): ConnectionEnd {
-  return ends.get(socket) ?? { hasFailed: false, hasEnded: false }
+/** How a connection ended; null, as an answer has for one that was given back to its agent, counts as open. */
+export function connectionEndOf (socket: Socket | null): ConnectionEnd {
+  return (socket === null ? undefined : ends.get(socket)) ?? { hasFailed: false, hasEnded: false }
 }
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -1,6 +1,7 @@
 /** HTTP calls whose request and answer bodies are held in memory. */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
+import { isComplete } from './answer-end.js'
 import { observeConnection } from './connection-end.js'
 import { isFinalStatus } from './final-status.js'
 import { OwnDelay } from '../utils/process-delay.js'
@@ -108,6 +109,10 @@
       })
       answer.on('error', fail)
       answer.on('end', () => {
+        if (!isComplete(answer)) {
+          fail(new Error(`the answer from ${call.address} was cut after ${watch.receivedBytes} bytes`))
+          return
+        }
         watch.stop()
         resolve({ status, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
       })
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -2,6 +2,7 @@
 import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { monotonicNow } from '../utils/clock.js'
+import { isComplete } from './answer-end.js'
 import { observeConnection } from './connection-end.js'
 import { isFinalStatus } from './final-status.js'
 
@@ -111,7 +112,7 @@
     })
     response.on('close', () => {
       clearTimeout(timer)
-      if (response.complete) resolve(Buffer.concat(parts))
+      if (isComplete(response)) resolve(Buffer.concat(parts))
       else reject(new TransportError('the answer was cut', true))
     })
     response.on('error', error => { reject(new TransportError(error.message, true)) })
