An answer of a version that was not asked for is none

Callers got answers whose status line names HTTP/0.9 or HTTP/2.0, from an upstream that sent bytes in a spoilt head; calls between processes took them too.

Cause: Node's parser accepts these two versions besides HTTP/1.0 and HTTP/1.1, and reads what follows as HTTP/1.1. It refuses all others.

Ruled out, by the other cases of the test, which held before: a status of 000, of two or four digits, negative or with letters; a status line without a version, a status or a blank; a name of a field with a blank, a tab, a control byte, a byte above 126 or a parenthesis, or with nothing before the colon; a line without a colon; values with control bytes; lengths that contradict each other or are no number. Each stood as the first and as the last line of the head. Their upstream counts as failing, safe requests and streams are served by another one, and unsafe ones fail with 502.

Change: the check of the status becomes one of the head (answer-head), for the gateway and both clients. Calls to upstreams that end so are logged with the new reason `invalid-head`.

--- a/src/roles/gateway/call-evidence.ts
+++ b/src/roles/gateway/call-evidence.ts
@@ -23,6 +23,7 @@
   cancelled: 'unanswered',
   'wrong-answer': 'unknown',
   'invalid-status': 'unknown',
+  'invalid-head': 'unknown',
   'too-large': 'unknown',
   withdrawn: 'unknown'
 }
--- a/src/roles/gateway/call-result.ts
+++ b/src/roles/gateway/call-result.ts
@@ -17,9 +17,9 @@
 export type NotRunReason = 'unreachable' | 'no-connection' | 'shed' | 'misdirected' | 'withdrawn'
 /**
  * Connection reset (`reset`), `finishBy` passed (`timeout`), an answer to another request, or one that is unsigned or
- * encoded (`wrong-answer`), a status that no final answer has (`invalid-status`), an answer, stream or event over `maximumAnswerBytes` or `maximumEventBytes`, or over
+ * encoded (`wrong-answer`), a status that no final answer has (`invalid-status`), another head that no answer may have (`invalid-head`), an answer, stream or event over `maximumAnswerBytes` or `maximumEventBytes`, or over
  * `maximumInterimAnswers` before it (`too-large`), an answer that ended early (`incomplete`), or a call that the entry
  * cancelled, while it was silent (`silent`) or not (`cancelled`), or because it would begin on weights that are too old
  * (`withdrawn`).
  */
-export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'invalid-status' | 'too-large' | 'incomplete' | 'cancelled' | 'withdrawn'
+export type LostReason = 'reset' | 'silent' | 'timeout' | 'wrong-answer' | 'invalid-status' | 'invalid-head' | 'too-large' | 'incomplete' | 'cancelled' | 'withdrawn'
--- a/src/roles/gateway/request-calls.ts
+++ b/src/roles/gateway/request-calls.ts
@@ -24,6 +24,7 @@
   reset: 'lost',
   'wrong-answer': 'lost',
   'invalid-status': 'lost',
+  'invalid-head': 'lost',
   'too-large': 'lost',
   incomplete: 'lost',
   silent: 'silent',
--- a/src/roles/gateway/upstream-call.ts
+++ b/src/roles/gateway/upstream-call.ts
@@ -2,7 +2,7 @@
 import { request as httpRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { continuesStream, EventSplitter, type StreamEvent } from '../../core/event-splitter.js'
 import { isComplete, isFramed } from '../../transports/answer-end.js'
-import { isFinalStatus } from '../../transports/final-status.js'
+import { findHeadProblem } from '../../transports/answer-head.js'
 import { discardBody, briefDiscardLimits } from '../../transports/discard-body.js'
 import type { AnswerHead, RequestCodec } from '../../types/ports.js'
 import { monotonicNow } from '../../utils/clock.js'
@@ -129,9 +129,10 @@
   private handleAnswer (answer: IncomingMessage): void {
     const head = this.codec.answerHead(answer.statusCode ?? 0, answer.headers)
     answer.on('error', () => { this.finish({ kind: 'lost', reason: 'reset' }) })
-    if (!isFinalStatus(head.status)) {
+    const problem = findHeadProblem(answer)
+    if (problem !== undefined) {
       // Nothing else in such a head is believed, nor that the request was not run.
-      this.abandon({ kind: 'lost', reason: 'invalid-status' })
+      this.abandon({ kind: 'lost', reason: problem.reason })
       return
     }
     const isForAnotherRequest = !isAnswerTo(this.call.requestId, head, this.outgoing)
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -2,8 +2,8 @@
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { monotonicNow } from '../utils/clock.js'
 import { isComplete } from './answer-end.js'
+import { findHeadProblem, invalidStatus, type HeadProblem } from './answer-head.js'
 import { observeConnection } from './connection-end.js'
-import { isFinalStatus } from './final-status.js'
 import { OwnDelay } from '../utils/process-delay.js'
 
 /** Longest time without a byte of an answer that has begun, milliseconds; a link that is full delays a packet by half a second. */
@@ -90,14 +90,14 @@
     outgoing.on('error', fail)
     outgoing.on('upgrade', (answer, socket) => {
       socket.destroy()
-      fail(invalidStatusError(call.address, answer.statusCode ?? 0))
+      fail(headError(call.address, invalidStatus(answer.statusCode ?? 0)))
     })
     outgoing.on('response', answer => {
       watch.receive(0)
       const firstByteMilliseconds = monotonicNow() - startedAt
-      const status = answer.statusCode ?? 0
-      if (!isFinalStatus(status)) {
-        fail(invalidStatusError(call.address, status))
+      const problem = findHeadProblem(answer)
+      if (problem !== undefined) {
+        fail(headError(call.address, problem))
         outgoing.destroy()
         return
       }
@@ -114,15 +114,15 @@
           return
         }
         watch.stop()
-        resolve({ status, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
+        resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(parts), firstByteMilliseconds, milliseconds: monotonicNow() - startedAt })
       })
     })
     outgoing.end(call.body)
   })
 }
 
-function invalidStatusError (address: string, status: number): Error {
-  return new Error(`${address} answered with status ${status}, which no final answer has`)
+function headError (address: string, { text }: HeadProblem): Error {
+  return new Error(`the answer from ${address} has ${text}`)
 }
 
 /** Calls `expire` with the reason once an answer misses a deadline; what has been received decides which one is next. */
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -3,8 +3,8 @@
 import type { Socket } from 'node:net'
 import { monotonicNow } from '../utils/clock.js'
 import { isComplete } from './answer-end.js'
+import { findHeadProblem, invalidStatus, type HeadProblem } from './answer-head.js'
 import { observeConnection } from './connection-end.js'
-import { isFinalStatus } from './final-status.js'
 
 /** Time after which an idle connection is not reused, milliseconds; servers of Node.js close theirs after 5 s. */
 const maximumIdleMilliseconds = 2000
@@ -72,19 +72,20 @@
       if (socket.connecting) socket.once('connect', () => { sent = true })
       else sent = true
     })
-    const refuse = ({ statusCode }: IncomingMessage): void => {
-      reject(new TransportError(`the answer has status ${statusCode ?? 0}, which no final answer has`, true))
+    const refuse = ({ text }: HeadProblem): void => {
+      reject(new TransportError(`the answer has ${text}`, true))
       call.destroy()
     }
     call.on('response', response => {
       clearTimeout(timer)
-      if (isFinalStatus(response.statusCode ?? 0)) resolve(response)
-      else refuse(response)
+      const problem = findHeadProblem(response)
+      if (problem === undefined) resolve(response)
+      else refuse(problem)
     })
     call.on('upgrade', (response, socket) => {
       clearTimeout(timer)
       socket.destroy()
-      refuse(response)
+      refuse(invalidStatus(response.statusCode ?? 0))
     })
     call.on('error', error => {
       clearTimeout(timer)
