An answer with a transfer coding other than chunks is none

Callers got a body that was not the server's: an answer with, for example, `Transfer-Encoding: gzip` was passed on coded, with a length or in chunks and without the name of the coding. One that ends with its connection counted as complete however the connection ended.

Cause: the header of one connection is not passed on to the next, as it must be, but its coding was removed only if it was `chunked`. And any transfer coding counted as framing, although only `chunked` as the last one ends a body.

Change: the check of an answer's head accepts `chunked` alone, since no request asks for another coding (TE). `identity`, which HTTP has dropped, is refused too.

--- a/src/transports/answer-head.ts
+++ b/src/transports/answer-head.ts
@@ -5,6 +5,10 @@
 const [lowestFinalStatus, highestFinalStatus] = [200, 599] as const
 /** The only major version whose messages the client can read. */
 const majorVersion = 1
+/** The only transfer coding that a client accepts without asking for it; Node's client removes it. */
+const acceptedCoding = 'chunked'
+/** Characters of an invalid coding that an error shows. */
+const maximumShownLength = 40
 
 /** What is wrong with the head of an answer, of which nothing may be believed then; `text` completes "the answer has". */
 export interface HeadProblem {
@@ -13,9 +17,11 @@
 }
 
 /** The first problem of a final answer's head; undefined for a valid one. */
-export function findHeadProblem ({ statusCode = 0, httpVersion, httpVersionMajor }: IncomingMessage): HeadProblem | undefined {
+export function findHeadProblem ({ statusCode = 0, httpVersion, httpVersionMajor, headers }: IncomingMessage): HeadProblem | undefined {
   if (statusCode < lowestFinalStatus || statusCode > highestFinalStatus) return invalidStatus(statusCode)
   if (httpVersionMajor !== majorVersion) return { reason: 'invalid-head', text: `the version HTTP/${httpVersion}, which was not asked for` }
+  const coding = headers['transfer-encoding']?.trim().toLowerCase() ?? acceptedCoding
+  if (coding !== acceptedCoding) return { reason: 'invalid-head', text: `the transfer coding ${JSON.stringify(coding.slice(0, maximumShownLength))}, which was not asked for` }
   return undefined
 }
 
