A second answer on an idle connection is not that to the next call

Cause: Node's agent keeps an idle connection on which bytes arrive, and its parser reads them as the answer to the next request. The gateway's calls to upstreams were spared: their agent closes such a connection, and has what has arrived read before it uses one again.

Change: that agent moves from the gateway to transports, and all agents with persistent connections are of its kind. What remains: bytes that come once the next request has been sent cannot be told from its answer where answers have no id.

--- a/src/nodes/selected-record-log.ts
+++ b/src/nodes/selected-record-log.ts
@@ -1,8 +1,8 @@
 /** Reads a stream from the first source that answers: entries that have read it, or the log itself. */
-import { Agent } from 'node:http'
 import { isEarlierRead, isOutside, nameOfSource, outsideReadDelay, splitSources, type AskedEntries, type PreferredSource, type StaleEntry } from '../core/fleet/record-sources.js'
 import { SourcePatience } from '../core/fleet/source-patience.js'
 import { beforeLog, type LogPosition } from '../core/log-position.js'
+import { CheckedAgent } from '../transports/checked-agent.js'
 import { HttpCallError } from '../transports/http-call.js'
 import { RecordLog, type NewestRecords, type ReadRecords, type RecordPage, type StreamName } from '../types/ports.js'
 import { monotonicNow, sleepUntil } from '../utils/clock.js'
@@ -44,7 +44,7 @@
 
 /** The log's records by way of the preferred source; calls throw the log's error if it was tried, otherwise that of the first source. */
 export class SelectedRecordLog extends RecordLog {
-  private readonly agent = new Agent({ keepAlive: true, maxFreeSockets: 2 })
+  private readonly agent = new CheckedAgent({ keepAlive: true, maxFreeSockets: 2 })
   private readonly feeds = new Map<string, FedRecordLog>()
   /** Until when a source is avoided, milliseconds of the monotonic clock. */
   private readonly avoidedUntil = new Map<string, number>()
--- a/src/roles/agent/connections.ts
+++ b/src/roles/agent/connections.ts
@@ -3,9 +3,10 @@
  * only after the answer; a request never opens one itself. A connection to a terminated process cannot reach its
  * successor, so no request runs on an incarnation whose identity the agent has not received.
  */
-import { Agent, type ClientRequestArgs } from 'node:http'
+import type { Agent, ClientRequestArgs } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { z } from 'zod'
+import { CheckedAgent } from '../../transports/checked-agent.js'
 import { requestJson, StatusError } from '../../transports/http-client.js'
 import { engineStateSchema, type EngineState } from '../../types/platform.js'
 
@@ -27,7 +28,7 @@
 const loadSchema = z.object({ running: z.number().int().nonnegative().default(0), incarnation: z.string().default('') })
 
 /** HTTP agent with a single socket, which it never opens again. */
-class SingleSocketAgent extends Agent {
+class SingleSocketAgent extends CheckedAgent {
   private hasOpened = false
   isClosed = false
 
--- a/src/roles/gateway/gossip.ts
+++ b/src/roles/gateway/gossip.ts
@@ -1,5 +1,4 @@
 /** Gossip between entries, and the messages of agents. */
-import { Agent } from 'node:http'
 import type { CrashSuspects } from '../../core/dispatch/crash-suspects.js'
 import { KnownLag } from '../../core/fleet/known-lag.js'
 import { membersPerMessage, fanOut, gossipTargets, roundMilliseconds, sample } from '../../core/fleet/gossip-plan.js'
@@ -8,6 +7,7 @@
 import { isLagging, type RecordFollower } from '../../nodes/record-follower.js'
 import { fetchRecords, UnknownRemovalsError } from '../../nodes/fed-record-log.js'
 import type { FedStream } from '../../nodes/record-feed.js'
+import { CheckedAgent } from '../../transports/checked-agent.js'
 import type { DatagramSocket } from '../../transports/datagrams.js'
 import type { Gossip, NodeMessage, PermitRequest } from '../../types/node-messages.js'
 import type { ReadRecords } from '../../types/ports.js'
@@ -49,7 +49,7 @@
 
 /** Gossip of one entry; its rounds run from construction until `stop`. */
 export class EntryGossip {
-  private readonly agent = new Agent({ keepAlive: true, maxSockets: 2 })
+  private readonly agent = new CheckedAgent({ keepAlive: true, maxSockets: 2 })
   private readonly subscriptions: AgentSubscriptions
   /** Streams that are being fetched from another entry. */
   private readonly fetching = new Set<FedStream>()
--- a/src/roles/gateway/upstream-connections.ts
+++ b/src/roles/gateway/upstream-connections.ts
@@ -1,7 +1,6 @@
 /** HTTP connections to upstreams: persistent for requests that may be repeated, one per request for all others. */
-import { Agent, type ClientRequest, type ClientRequestArgs } from 'node:http'
-import type { Socket } from 'node:net'
-import { observeConnection } from '../../transports/connection-end.js'
+import type { Agent } from 'node:http'
+import { CheckedAgent } from '../../transports/checked-agent.js'
 
 /** Idle time after which a persistent connection is closed, milliseconds: less than the shortest `Keep-Alive` timeout that upstreams send. */
 const idleTimeoutMilliseconds = 4000
@@ -13,45 +12,6 @@
   readonly singleUse: Agent
 }
 
-/** The parts of Node's agent that its types lack. */
-interface AgentInternals {
-  addRequest (request: ClientRequest, ...options: readonly unknown[]): void
-}
-
-/** Agent that closes an idle persistent connection on which bytes arrive: they could be taken for the answer to the next request. */
-class CheckedAgent extends Agent {
-  /** Has what has arrived on idle connections read before one of them is reused: a process that was delayed has not seen it yet. */
-  addRequest (request: ClientRequest, ...options: readonly unknown[]): void {
-    const add = (): void => { (Agent.prototype as unknown as AgentInternals).addRequest.call(this, request, ...options) }
-    if (Object.keys(this.freeSockets).length === 0) add()
-    else setImmediate(add)
-  }
-
-  override createConnection (options: ClientRequestArgs, callback?: (error: Error | null, stream: Socket) => void): Socket {
-    const create = Agent.prototype as unknown as { createConnection (options: ClientRequestArgs, callback?: unknown): Socket }
-    const socket = create.createConnection.call(this, options, callback)
-    observeConnection(socket)
-    socket.setNoDelay(true)
-    return socket
-  }
-
-  override keepSocketAlive (socket: Socket): boolean {
-    const isReusable = (Agent.prototype as unknown as { keepSocketAlive (socket: Socket): boolean }).keepSocketAlive.call(this, socket)
-    if (!isReusable || socket.readableLength > 0) return false
-    socket.once('data', closeOnUnsolicitedData)
-    return true
-  }
-
-  override reuseSocket (socket: Socket, request: never): void {
-    socket.off('data', closeOnUnsolicitedData)
-    ;(Agent.prototype as unknown as { reuseSocket (socket: Socket, request: never): void }).reuseSocket.call(this, socket, request)
-  }
-}
-
-function closeOnUnsolicitedData (this: Socket): void {
-  this.destroy()
-}
-
 /** HTTP agents of all upstreams, by id. */
 export class UpstreamConnections {
   private readonly agents = new Map<string, UpstreamAgents>()
--- a/src/roles/weights/chunk-fetcher.ts
+++ b/src/roles/weights/chunk-fetcher.ts
@@ -1,8 +1,8 @@
 /** Fetches the chunks of one version from the origin and from other agents. */
-import { Agent } from 'node:http'
 import { countBits, hasBit, unionOf, type Bitmap } from '../../core/weights/bitmap.js'
 import { maximumFetches, nextDistributionFetch, fetchRanks, originPlaces, type DistributionFetch, type DistributionPeer, type FetchRanks } from '../../core/weights/distribution-plan.js'
 import { DigestDoubts, originSource } from '../../core/weights/digest-doubt.js'
+import { CheckedAgent } from '../../transports/checked-agent.js'
 import { callHttp, maximumAnswerBytes } from '../../transports/http-call.js'
 import type { OriginFacts } from '../../types/fleet.js'
 import type { OriginPort } from '../../types/ports.js'
@@ -59,7 +59,7 @@
 
 /** Fetches one version until it is complete or `stop` is called. */
 export class ChunkFetcher {
-  private readonly agent = new Agent({ keepAlive: true })
+  private readonly agent = new CheckedAgent({ keepAlive: true })
   /** Positions of the chunks that are being fetched. */
   private readonly inFlight = new Set<number>()
   /** Number of fetches in progress, by peer. */
--- a/src/roles/weights/weights-agent.ts
+++ b/src/roles/weights/weights-agent.ts
@@ -1,10 +1,11 @@
 /** The agent on an engine's machine: rolls out named weights to the engine and reports its load to entries. */
-import { Agent, createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { expectedCompletionAt } from '../../core/weights/swap-schedule.js'
 import { readyInMilliseconds } from '../../core/weights/ready-time.js'
 import type { NamedVersion } from '../../core/weights/version-plan.js'
 import type { RunningNode } from '../../nodes/running-node.js'
 import { Metrics } from '../../plugins/metrics.js'
+import { CheckedAgent } from '../../transports/checked-agent.js'
 import { listenOn } from '../../transports/http-listen.js'
 import { DatagramSocket } from '../../transports/datagrams.js'
 import type { EngineReport } from '../../types/fleet.js'
@@ -67,7 +68,6 @@
   private readonly loadReporter: LoadReporter
   private readonly slots: SlotGranter
   private readonly announcer: Announcer
-  private readonly httpAgent = new Agent({ keepAlive: true, maxSockets: 2 })
   private readonly named: NamedVersions
   private report: EngineReport | undefined
   /** Whether chunks are being staged or a swap is in progress; at most one such task runs at a time. */
@@ -95,7 +95,7 @@
       engine: ports.engine,
       origin: ports.origin,
       peers: this.peers,
-      httpAgent: this.httpAgent,
+      httpAgent: new CheckedAgent({ keepAlive: true, maxSockets: 2 }),
       originFacts: () => this.rollout.facts?.origin,
       chunkCount: () => this.rollout.facts?.chunkCount ?? 0,
       chunkBytes: () => this.rollout.facts?.chunkBytes ?? 0,
--- a/src/transports/http-call.ts
+++ b/src/transports/http-call.ts
@@ -3,6 +3,7 @@
 import { monotonicNow } from '../utils/clock.js'
 import { isComplete } from './answer-end.js'
 import { findHeadProblem, invalidStatus, type HeadProblem } from './answer-head.js'
+import { CheckedAgent } from './checked-agent.js'
 import { observeConnection } from './connection-end.js'
 import { OwnDelay } from '../utils/process-delay.js'
 
@@ -30,6 +31,11 @@
   readonly inactivityMilliseconds: number
 }
 
+/** Time after which an idle connection of a call that names no agent is closed, milliseconds. */
+const idleTimeoutMilliseconds = 5000
+
+const connections = new CheckedAgent({ keepAlive: true, timeout: idleTimeoutMilliseconds })
+
 /** A call to `address`, `ip:port`; `deadline`, of the complete answer, in milliseconds of the monotonic clock. */
 export interface HttpCall {
   readonly address: string
@@ -76,7 +82,7 @@
   const startedAt = monotonicNow()
   return new Promise((resolve, reject) => {
     const length = call.body === undefined ? {} : { 'content-length': String(Buffer.byteLength(call.body)) }
-    const outgoing = request({ host, port, method: call.method, path: call.path, agent: call.agent, headers: { ...call.headers, ...length } })
+    const outgoing = request({ host, port, method: call.method, path: call.path, agent: call.agent ?? connections, headers: { ...call.headers, ...length } })
     const watch = new AnswerWatch(call, reason => {
       fail(new Error(reason))
       outgoing.destroy()
--- a/src/transports/http-client.ts
+++ b/src/transports/http-client.ts
@@ -1,41 +1,34 @@
 /** HTTP requests with deadlines, over persistent connections. */
-import { Agent, request, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
+import { request, type Agent, type ClientRequest, type IncomingMessage, type OutgoingHttpHeaders } from 'node:http'
 import type { Socket } from 'node:net'
 import { monotonicNow } from '../utils/clock.js'
 import { isComplete } from './answer-end.js'
 import { findHeadProblem, invalidStatus, type HeadProblem } from './answer-head.js'
+import { CheckedAgent } from './checked-agent.js'
 import { observeConnection } from './connection-end.js'
 
 /** Time after which an idle connection is not reused, milliseconds; servers of Node.js close theirs after 5 s. */
 const maximumIdleMilliseconds = 2000
 
-/** Methods of Node's agent that its types omit. */
-interface AgentMethods {
-  addRequest (request: ClientRequest, options: unknown): void
-  keepSocketAlive (socket: Socket): boolean
-}
-
-const agentMethods = Agent.prototype as unknown as AgentMethods
-
 /**
  * Agent that checks how long a connection was idle when it would be reused. A timer would not do: in a delayed process it runs
  * late, as does the notice that the server has closed the connection, and the request is lost with it.
  */
-class IdleCheckedAgent extends Agent implements AgentMethods {
+class IdleCheckedAgent extends CheckedAgent {
   /** Milliseconds of the monotonic clock until which an idle connection may be reused. */
   private readonly reusableUntil = new WeakMap<Socket, number>()
 
   override keepSocketAlive (socket: Socket): boolean {
     this.reusableUntil.set(socket, monotonicNow() + maximumIdleMilliseconds)
-    return agentMethods.keepSocketAlive.call(this, socket)
+    return super.keepSocketAlive(socket)
   }
 
-  addRequest (added: ClientRequest, options: unknown): void {
+  override addRequest (added: ClientRequest, ...options: readonly unknown[]): void {
     const now = monotonicNow()
     for (const socket of Object.values(this.freeSockets).flatMap(sockets => sockets ?? [])) {
       if ((this.reusableUntil.get(socket) ?? 0) < now) socket.destroy()
     }
-    agentMethods.addRequest.call(this, added, options)
+    super.addRequest(added, ...options)
   }
 }
 
