Connection end: the peer's address must not be read earlier

Node remembers the address of a peer once it was read; a read while the connection is open would hide a later reset. The comment says so, and test/reset-answer would fail.

--- a/src/transports/connection-end.ts
+++ b/src/transports/connection-end.ts
@@ -24,6 +24,7 @@
   socket.prependListener('error', () => { end.hasFailed = true })
   socket.prependListener('end', () => {
     // Node reports the end also for a reset that arrives together with the last bytes. The kernel has no peer for the socket then.
+    // Node remembers `remoteAddress` once it was read, so nothing may read it earlier.
     if (socket.remoteAddress === undefined) end.hasFailed = true
     else end.hasEnded = true
   })
